Add a thin path from caller to runner with shared types and a blackboard

Cause: nothing stood yet; every later part needs agreed types, error kinds and one place where controllers meet. Change: typed core, closed error list with its table, blackboard with one writer an entry, intents carried out by a driver, front door, claims and admission in their simplest form, stand-ins over HTTP, fake fleet for tests. Conclusion: runnable end to end; limits hold on one router only so far.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# All set-up happens in $(VENV); both need Python 3.11, pip and make.
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint types proto binary
+
+$(VENV)/.installed-main: requirements/main.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check --require-hashes -r requirements/main.lock
+	touch $@
+
+$(VENV)/.installed-dev: requirements/dev.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check --require-hashes -r requirements/dev.lock
+	touch $@
+
+demo: $(VENV)/.installed-main
+	$(BIN)/python -m mulberrypaddle demo
+
+test: $(VENV)/.installed-dev
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/.installed-dev
+	$(BIN)/ruff format --check -q .
+	$(BIN)/ruff check -q .
+
+types: $(VENV)/.installed-dev
+	$(BIN)/mypy
+
+proto: $(VENV)/.installed-dev
+	tools/generate_proto.sh $(BIN)/python
+
+binary: $(VENV)/.installed-dev
+	tools/build_binary.sh $(BIN)
--- /dev/null
+++ b/mulberrypaddle/backends/http_object_store.py
@@ -0,0 +1,126 @@
+"""The platform's object API over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import json
+import urllib.parse
+from typing import TYPE_CHECKING, Any
+
+import tornado.httpclient
+from returns.result import Failure, Result, Success
+
+from mulberrypaddle.backends.base import ObjectStore
+from mulberrypaddle.backends.curl import make_client, was_unsent
+from mulberrypaddle.blackboard import StoredObject
+from mulberrypaddle.core.errors import ErrorKind, Problem
+
+if TYPE_CHECKING:
+    from tornado.httpclient import HTTPResponse
+
+_READS = frozenset({"GET"})
+
+
+class HttpObjectStore(ObjectStore):
+    """Calls the object API at one address."""
+
+    def __init__(self, address: str, *, timeout_seconds: float = 2.0) -> None:
+        self._base = f"http://{address}"
+        self._timeout_seconds = timeout_seconds
+        self._client = make_client()
+
+    async def read(self, key: str) -> Result[StoredObject, Problem]:
+        """Returns one object; an absent one has version zero."""
+        result = await self._call("GET", _object_path(key))
+        return result.map(_parse_object)
+
+    async def list(self, prefix: str) -> Result[list[StoredObject], Problem]:
+        """Returns all objects below a prefix."""
+        query = urllib.parse.urlencode({"prefix": prefix})
+        result = await self._call("GET", f"/objects?{query}")
+        return result.map(
+            lambda value: [_parse_object(item) for item in value["objects"]]
+        )
+
+    async def write(
+        self, key: str, value: bytes, *, expected_version: int
+    ) -> Result[StoredObject, Problem]:
+        """Replaces an object if its version is as expected."""
+        result = await self._call(
+            "PUT",
+            _object_path(key),
+            body=value,
+            expected_version=expected_version,
+        )
+        return result.map(_parse_object)
+
+    async def delete(
+        self, key: str, *, expected_version: int
+    ) -> Result[StoredObject, Problem]:
+        """Deletes an object if its version is as expected."""
+        result = await self._call(
+            "DELETE", _object_path(key), expected_version=expected_version
+        )
+        return result.map(_parse_object)
+
+    def close(self) -> None:
+        """Closes the client."""
+        self._client.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        expected_version: int | None = None,
+    ) -> Result[Any, Problem]:
+        headers = {}
+        if expected_version is not None:
+            headers["If-Match"] = str(expected_version)
+        request = tornado.httpclient.HTTPRequest(
+            self._base + path,
+            method=method,
+            body=body,
+            headers=headers,
+            request_timeout=self._timeout_seconds,
+            connect_timeout=self._timeout_seconds,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (tornado.httpclient.HTTPError, OSError) as error:
+            return Failure(_broken(method, error))
+        return _parse_response(method, response)
+
+
+def _object_path(key: str) -> str:
+    return "/objects/" + urllib.parse.quote(key)
+
+
+def _parse_object(value: dict[str, Any]) -> StoredObject:
+    return StoredObject(
+        value["key"], base64.b64decode(value["value"]), value["version"]
+    )
+
+
+def _broken(method: str, error: BaseException) -> Problem:
+    detail = f"object API: {error}"
+    if method in _READS or was_unsent(error):
+        return Problem(ErrorKind.STORE_UNAVAILABLE, detail)
+    return Problem(ErrorKind.OUTCOME_UNKNOWN, detail)
+
+
+def _parse_response(
+    method: str, response: HTTPResponse
+) -> Result[Any, Problem]:
+    value = json.loads(response.body or b"{}")
+    if response.code == 200:
+        return Success(value)
+    detail = f"object API: {value.get('detail', response.code)}"
+    if response.code == 409:
+        return Failure(Problem(ErrorKind.CONFLICT, detail))
+    if response.code == 413:
+        return Failure(Problem(ErrorKind.TOO_LARGE, detail))
+    if response.code in (429, 503) or method in _READS:
+        return Failure(Problem(ErrorKind.STORE_UNAVAILABLE, detail))
+    return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, detail))
--- /dev/null
+++ b/mulberrypaddle/blackboard/__init__.py
@@ -0,0 +1,35 @@
+"""The blackboard that controllers read and write."""
+
+from __future__ import annotations
+
+from mulberrypaddle.blackboard import keys
+from mulberrypaddle.blackboard.board import Board, Entry, Key
+from mulberrypaddle.blackboard.intents import (
+    DeleteObject,
+    Intent,
+    ListObjects,
+    OrderRunner,
+    Priority,
+    ReadObject,
+    RunnerOrder,
+    SendToPeer,
+    StoredObject,
+    WriteObject,
+)
+
+__all__ = [
+    "Board",
+    "DeleteObject",
+    "Entry",
+    "Intent",
+    "Key",
+    "ListObjects",
+    "OrderRunner",
+    "Priority",
+    "ReadObject",
+    "RunnerOrder",
+    "SendToPeer",
+    "StoredObject",
+    "WriteObject",
+    "keys",
+]
--- /dev/null
+++ b/mulberrypaddle/blackboard/intents.py
@@ -0,0 +1,193 @@
+"""Wishes for I/O that controllers leave on the blackboard.
+
+Adapters carry them out and call `reply` once, or never if the process ends.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from google.protobuf.message import Message
+    from returns.result import Result
+
+    from mulberrypaddle.core.errors import Problem
+
+
+class Priority(enum.IntEnum):
+    """Order in which platform calls share the call budget; lower first."""
+
+    FENCING = 0
+    CLAIM = 1
+    CONFIG = 2
+    PLACEMENT = 3
+    STATUS = 4
+
+
+class StoredObject:
+    """An object as the platform keeps it.
+
+    Attributes:
+        key: Name, with slashes.
+        value: Content, at most a megabyte.
+        version: Rises with every write in the whole store; zero if absent.
+    """
+
+    __slots__ = ("key", "value", "version")
+
+    def __init__(self, key: str, value: bytes, version: int) -> None:
+        self.key = key
+        self.value = value
+        self.version = version
+
+
+class Intent:
+    """Base of everything that a controller can ask the adapters for."""
+
+    __slots__ = ()
+
+
+class ReadObject(Intent):
+    """Reads one object; an absent object comes back with version zero."""
+
+    __slots__ = ("key", "priority", "reply")
+
+    def __init__(
+        self,
+        key: str,
+        *,
+        priority: Priority,
+        reply: Callable[[Result[StoredObject, Problem]], None],
+    ) -> None:
+        self.key = key
+        self.priority = priority
+        self.reply = reply
+
+
+class ListObjects(Intent):
+    """Reads every object whose key starts with `prefix`."""
+
+    __slots__ = ("prefix", "priority", "reply")
+
+    def __init__(
+        self,
+        prefix: str,
+        *,
+        priority: Priority,
+        reply: Callable[[Result[list[StoredObject], Problem]], None],
+    ) -> None:
+        self.prefix = prefix
+        self.priority = priority
+        self.reply = reply
+
+
+class WriteObject(Intent):
+    """Writes one object if its version is still `expected_version`.
+
+    A reply of OUTCOME_UNKNOWN means that the write may have happened: read
+    back before trying again. CONFLICT means that it did not happen.
+    """
+
+    __slots__ = ("expected_version", "key", "priority", "reply", "value")
+
+    def __init__(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_version: int,
+        priority: Priority,
+        reply: Callable[[Result[StoredObject, Problem]], None],
+    ) -> None:
+        self.key = key
+        self.value = value
+        self.expected_version = expected_version
+        self.priority = priority
+        self.reply = reply
+
+
+class DeleteObject(Intent):
+    """Deletes one object if its version is still `expected_version`."""
+
+    __slots__ = ("expected_version", "key", "priority", "reply")
+
+    def __init__(
+        self,
+        key: str,
+        *,
+        expected_version: int,
+        priority: Priority,
+        reply: Callable[[Result[StoredObject, Problem]], None],
+    ) -> None:
+        self.key = key
+        self.expected_version = expected_version
+        self.priority = priority
+        self.reply = reply
+
+
+class SendToPeer(Intent):
+    """Sends a message to another router; it may be lost, late or crossed."""
+
+    __slots__ = ("member_id", "message")
+
+    def __init__(self, member_id: str, message: Message) -> None:
+        self.member_id = member_id
+        self.message = message
+
+
+class RunnerOrder(enum.Enum):
+    """Orders that a VM of a group takes."""
+
+    LOAD = "load"
+    STOP = "stop"
+    ROLE = "role"
+
+
+class OrderRunner(Intent):
+    """Gives an order to one VM of a group.
+
+    Attributes:
+        address: `host:port` of the VM.
+        order: What to do.
+        group_id: Group that the VM is to join or leave.
+        generation: Generation of that group.
+        fencing: Fencing number; VMs that check refuse lower ones.
+        argument: Model, adapter or role, depending on the order.
+        vm_ids: All VMs of the group.
+        reply: Called with the confirmed generation.
+    """
+
+    __slots__ = (
+        "address",
+        "argument",
+        "fencing",
+        "generation",
+        "group_id",
+        "order",
+        "reply",
+        "vm_ids",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        order: RunnerOrder,
+        *,
+        group_id: str,
+        generation: int,
+        fencing: int,
+        argument: str = "",
+        vm_ids: tuple[str, ...] = (),
+        reply: Callable[[Result[int, Problem]], None],
+    ) -> None:
+        self.address = address
+        self.order = order
+        self.group_id = group_id
+        self.generation = generation
+        self.fencing = fencing
+        self.argument = argument
+        self.vm_ids = vm_ids
+        self.reply = reply
--- /dev/null
+++ b/mulberrypaddle/blackboard/keys.py
@@ -0,0 +1,25 @@
+"""Every entry of the blackboard, with its type and its writer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.blackboard.board import Key
+
+if TYPE_CHECKING:
+    from mulberrypaddle.blackboard.tables import (
+        Configuration,
+        Health,
+        Membership,
+        RunnerTable,
+        VmTable,
+    )
+
+CONFIGURATION: Key[Configuration] = Key("configuration", writer="configuration")
+MEMBERSHIP: Key[Membership] = Key("membership", writer="membership")
+HEALTH: Key[Health] = Key("health", writer="membership")
+# Plain runners come from configuration, engine runners from groups.
+RUNNERS: Key[RunnerTable] = Key("runners", writer="runner_table")
+VMS: Key[VmTable] = Key("vms", writer="vm_table")
+# Runner ids that failure detection has taken out, with the reason.
+EJECTED: Key[dict[str, str]] = Key("ejected", writer="ejection")
--- /dev/null
+++ b/mulberrypaddle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/mulberrypaddle/driver.py
@@ -0,0 +1,112 @@
+"""Drives a node: steps it, logs its decisions, carries out its intents."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.blackboard import (
+    DeleteObject,
+    Intent,
+    ListObjects,
+    ReadObject,
+    WriteObject,
+)
+from mulberrypaddle.observe import log_decision
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
+    from mulberrypaddle.backends import ObjectStore
+    from mulberrypaddle.node import Node
+
+STEP_SECONDS = 0.02
+
+
+class Adapters:
+    """The I/O that intents are carried out with.
+
+    Attributes:
+        store: The platform's object API.
+    """
+
+    __slots__ = ("store",)
+
+    def __init__(self, *, store: ObjectStore) -> None:
+        self.store = store
+
+
+@functools.singledispatch
+async def carry_out(intent: Intent, adapters: Adapters) -> None:
+    """Carries out one intent and calls its reply.
+
+    Args:
+        intent: What a controller asked for.
+        adapters: The I/O to use.
+
+    Raises:
+        TypeError: If no adapter knows the intent.
+    """
+    raise TypeError(f"got {type(intent).__name__}, which no adapter knows")
+
+
+@carry_out.register(ReadObject)
+async def _read(intent: ReadObject, adapters: Adapters) -> None:
+    intent.reply(await adapters.store.read(intent.key))
+
+
+@carry_out.register(ListObjects)
+async def _list(intent: ListObjects, adapters: Adapters) -> None:
+    intent.reply(await adapters.store.list(intent.prefix))
+
+
+@carry_out.register(WriteObject)
+async def _write(intent: WriteObject, adapters: Adapters) -> None:
+    intent.reply(
+        await adapters.store.write(
+            intent.key, intent.value, expected_version=intent.expected_version
+        )
+    )
+
+
+@carry_out.register(DeleteObject)
+async def _delete(intent: DeleteObject, adapters: Adapters) -> None:
+    intent.reply(
+        await adapters.store.delete(
+            intent.key, expected_version=intent.expected_version
+        )
+    )
+
+
+class Driver:
+    """Runs one node on the event loop."""
+
+    def __init__(self, node: Node, adapters: Adapters) -> None:
+        self._node = node
+        self._adapters = adapters
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Steps the node until cancelled."""
+        while True:
+            self.turn()
+            await asyncio.sleep(STEP_SECONDS)
+
+    def turn(self) -> None:
+        """Steps the node once and starts what it asked for."""
+        self._node.step()
+        board = self._node.context.board
+        while board.decisions:
+            log_decision(
+                board.decisions.popleft(),
+                member_id=self._node.context.member_id,
+            )
+        while board.intents:
+            self._start(carry_out(board.intents.popleft(), self._adapters))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/mulberrypaddle/frontdoor/__init__.py
@@ -0,0 +1,7 @@
+"""The HTTP front door for callers, operators and the balancer."""
+
+from __future__ import annotations
+
+from mulberrypaddle.frontdoor.server import FrontDoor, serve_front_door
+
+__all__ = ["FrontDoor", "serve_front_door"]
--- /dev/null
+++ b/mulberrypaddle/observe/logs.py
@@ -0,0 +1,84 @@
+"""Logs: one line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+from typing import TYPE_CHECKING, Any, TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+if TYPE_CHECKING:
+    from mulberrypaddle.core.decision import Decision
+
+_DECISIONS = logging.getLogger("mulberrypaddle.decisions")
+
+_PLAIN = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-./:,+"
+)
+
+
+def _quote(value: Any) -> str:
+    """Returns a value that no input can break out of."""
+    text = value if isinstance(value, str) else json.dumps(value, default=str)
+    if text and set(text) <= _PLAIN:
+        return text
+    return json.dumps(text, ensure_ascii=True)
+
+
+class KeyValueFormatter(JsonFormatter):
+    """Writes a record as one line of key=value pairs."""
+
+    def jsonify_log_record(self, log_data: dict[str, Any]) -> str:
+        """Returns the line for the fields of one record."""
+        pairs = []
+        for key, value in log_data.items():
+            if value is None:
+                continue
+            pairs.append(f"{_quote(key)}={_quote(value)}")
+        return " ".join(pairs)
+
+
+def configure_logging(
+    *, stream: TextIO | None = None, level: int = logging.INFO
+) -> None:
+    """Sends all events to a stream, one line each.
+
+    Args:
+        stream: Where to write; standard error by default.
+        level: Least level that is written.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        KeyValueFormatter(
+            ["levelname", "name", "message"],
+            rename_fields={"levelname": "level", "message": "event"},
+            timestamp="at",
+        )
+    )
+    root = logging.getLogger()
+    for old in list(root.handlers):
+        root.removeHandler(old)
+    root.addHandler(handler)
+    root.setLevel(level)
+    logging.getLogger("tornado.access").setLevel(logging.ERROR)
+
+
+def log_decision(decision: Decision, *, member_id: str) -> None:
+    """Writes one decision as one line.
+
+    Args:
+        decision: What was decided.
+        member_id: The router that decided.
+    """
+    _DECISIONS.info(
+        decision.kind,
+        extra={
+            "router": member_id,
+            "subject": decision.subject,
+            "outcome": decision.outcome,
+            "reason": decision.reason,
+            **{f"of_{key}": value for key, value in decision.fields.items()},
+        },
+    )
--- /dev/null
+++ b/mulberrypaddle/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between routers."""
--- /dev/null
+++ b/mulberrypaddle/peers/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the peer protocol."""
--- /dev/null
+++ b/mulberrypaddle/router.py
@@ -0,0 +1,94 @@
+"""Assembles one router: blackboard, controllers, adapters and servers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.backends.http_object_store import HttpObjectStore
+from mulberrypaddle.backends.http_runner import HttpRunnerClient
+from mulberrypaddle.blackboard import Board
+from mulberrypaddle.controllers.admission import Admission
+from mulberrypaddle.controllers.base import Context
+from mulberrypaddle.controllers.claims import Claims
+from mulberrypaddle.controllers.configuration import ConfigurationController
+from mulberrypaddle.controllers.membership import SoloMembership
+from mulberrypaddle.controllers.runner_table import RunnerTableController
+from mulberrypaddle.core.clock import Clock, SystemClock
+from mulberrypaddle.driver import Adapters, Driver
+from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
+from mulberrypaddle.frontdoor.pipeline import Pipeline
+from mulberrypaddle.node import Node
+
+if TYPE_CHECKING:
+    from mulberrypaddle.settings import RouterSettings
+
+
+class Router:
+    """One running router.
+
+    Attributes:
+        context: The controllers' context, with the blackboard.
+        node: The controllers in step.
+    """
+
+    def __init__(
+        self, settings: RouterSettings, *, clock: Clock | None = None
+    ) -> None:
+        clock = clock or SystemClock()
+        self.context = Context(
+            member_id=settings.member_id,
+            incarnation=int(clock.wall_seconds() * 1000),
+            data_centre=settings.data_centre,
+            board=Board(),
+            clock=clock,
+            rng=random.Random(),
+        )
+        admission = Admission(self.context)
+        claims = Claims(self.context)
+        self.node = Node(
+            self.context,
+            [
+                SoloMembership(
+                    self.context, peer_address=settings.peer_address
+                ),
+                ConfigurationController(self.context),
+                RunnerTableController(self.context),
+                claims,
+                admission,
+            ],
+        )
+        self._store = HttpObjectStore(
+            settings.object_api_address,
+            timeout_seconds=settings.object_api_timeout_seconds,
+        )
+        self._runners = HttpRunnerClient()
+        self._driver = Driver(self.node, Adapters(store=self._store))
+        self._server = serve_front_door(
+            FrontDoor(
+                context=self.context,
+                pipeline=Pipeline(
+                    admission=admission,
+                    claims=claims,
+                    runners=self._runners,
+                    clock=clock,
+                ),
+                settings=settings,
+            )
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begins to step the controllers on the running loop."""
+        self._task = asyncio.get_running_loop().create_task(self._driver.run())
+
+    async def stop(self) -> None:
+        """Stops gracefully: takes nothing new, finishes what is in hand."""
+        self.node.stop()
+        self._server.stop()
+        await self._server.close_all_connections()
+        if self._task is not None:
+            self._task.cancel()
+        self._store.close()
+        self._runners.close()
--- /dev/null
+++ b/mulberrypaddle/settings/__init__.py
@@ -0,0 +1,21 @@
+"""Settings of a process and the objects that operators write."""
+
+from __future__ import annotations
+
+from mulberrypaddle.settings.objects import (
+    parse_configuration,
+    parse_contract,
+    parse_service,
+)
+from mulberrypaddle.settings.schema import check_document, load_yaml
+from mulberrypaddle.settings.settings import RouterSettings, load_settings
+
+__all__ = [
+    "RouterSettings",
+    "check_document",
+    "load_settings",
+    "load_yaml",
+    "parse_configuration",
+    "parse_contract",
+    "parse_service",
+]
--- /dev/null
+++ b/mulberrypaddle/settings/settings.py
@@ -0,0 +1,134 @@
+"""Settings of one router process."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+from returns.result import Failure, Result
+
+from mulberrypaddle.core.errors import ErrorKind, Problem
+from mulberrypaddle.settings.schema import check_document
+
+MIB_BYTES = 1024 * 1024
+
+
+class PeerTls:
+    """Files for mutual authentication of routers.
+
+    Attributes:
+        certificate_file: Certificate chain in PEM.
+        key_file: Private key in PEM.
+        authority_file: Trusted authority in PEM.
+    """
+
+    __slots__ = ("authority_file", "certificate_file", "key_file")
+
+    def __init__(
+        self, *, certificate_file: str, key_file: str, authority_file: str
+    ) -> None:
+        self.certificate_file = certificate_file
+        self.key_file = key_file
+        self.authority_file = authority_file
+
+
+class RouterSettings:
+    """What one router process reads from its settings file.
+
+    Attributes:
+        member_id: Name of this router.
+        data_centre: Where it stands.
+        region: Region whose routers share the duties.
+        caller_address: `host:port` for callers.
+        peer_address: `host:port` for other routers.
+        object_api_address: `host:port` of the platform's object API.
+        object_api_timeout_seconds: Longest wait for one platform call.
+        body_bytes: Largest request body.
+        header_bytes: Largest request header.
+        answer_memory_bytes: Most answer bytes held for all readers.
+        stop_seconds: Longest graceful stop.
+        operator_key_sha256: Hex digests of the operators' keys.
+        peer_tls: Files for peer links, or None for plain text.
+    """
+
+    __slots__ = (
+        "answer_memory_bytes",
+        "body_bytes",
+        "caller_address",
+        "data_centre",
+        "header_bytes",
+        "member_id",
+        "object_api_address",
+        "object_api_timeout_seconds",
+        "operator_key_sha256",
+        "peer_address",
+        "peer_tls",
+        "region",
+        "stop_seconds",
+    )
+
+    def __init__(
+        self,
+        *,
+        member_id: str,
+        data_centre: str,
+        region: str,
+        caller_address: str,
+        peer_address: str,
+        object_api_address: str,
+        object_api_timeout_seconds: float = 2.0,
+        body_bytes: int = 4 * MIB_BYTES,
+        header_bytes: int = 65_536,
+        answer_memory_bytes: int = 64 * MIB_BYTES,
+        stop_seconds: float = 120.0,
+        operator_key_sha256: tuple[str, ...] = (),
+        peer_tls: PeerTls | None = None,
+    ) -> None:
+        self.member_id = member_id
+        self.data_centre = data_centre
+        self.region = region
+        self.caller_address = caller_address
+        self.peer_address = peer_address
+        self.object_api_address = object_api_address
+        self.object_api_timeout_seconds = object_api_timeout_seconds
+        self.body_bytes = body_bytes
+        self.header_bytes = header_bytes
+        self.answer_memory_bytes = answer_memory_bytes
+        self.stop_seconds = stop_seconds
+        self.operator_key_sha256 = operator_key_sha256
+        self.peer_tls = peer_tls
+
+
+def _build_settings(value: dict[str, Any]) -> RouterSettings:
+    limits = value.get("limits", {})
+    tls = value.get("peer_tls")
+    object_api = value["object_api"]
+    return RouterSettings(
+        member_id=value["member_id"],
+        data_centre=value["data_centre"],
+        region=value["region"],
+        caller_address=value["listen"]["callers"],
+        peer_address=value["listen"]["peers"],
+        object_api_address=object_api["address"],
+        object_api_timeout_seconds=object_api.get("timeout_seconds", 2.0),
+        operator_key_sha256=tuple(value.get("operator_key_sha256", [])),
+        peer_tls=None if tls is None else PeerTls(**tls),
+        **limits,
+    )
+
+
+def load_settings(path: str) -> Result[RouterSettings, Problem]:
+    """Reads and checks a settings file.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The settings, or INVALID_CONFIG with every fault found.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure(Problem(ErrorKind.INVALID_CONFIG, f"{path}: {error}"))
+    checked = check_document(text, schema_name="settings", source=path)
+    return checked.map(_build_settings)
--- /dev/null
+++ b/mulberrypaddle/standins/engine.py
@@ -0,0 +1,205 @@
+"""The stand-in for a model engine, over HTTP.
+
+It answers `POST /v1/completions` with tokens, whole or as server-sent
+events whose ids are token offsets, so that `Last-Event-ID` resumes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+import uuid
+from typing import Any
+
+import tornado.iostream
+import tornado.web
+
+from mulberrypaddle.standins.web import JsonHandler, LocalServer
+
+CRASH_MARK = "crash-the-engine"
+
+
+class EngineState:
+    """Behaviour and state of one engine.
+
+    Attributes:
+        runner_id: Name of the runner.
+        incarnation: Changes with every start.
+        started_at_seconds: Monotonic time of the start.
+        token_seconds: Time between tokens.
+        slots: Requests that it bears; more are refused.
+        running: Attempts in hand, by attempt id.
+        peak_running: Most attempts that were ever in hand.
+        runs: How often each request id was begun.
+        generation: Group generation that it confirms.
+        member_vm_ids: VMs that confirm the generation.
+        dead: While true it cuts every connection.
+        break_after_tokens: If positive, cuts a stream after that many tokens.
+    """
+
+    def __init__(
+        self,
+        runner_id: str,
+        *,
+        token_seconds: float = 0.002,
+        slots: int = 16,
+        generation: int = 0,
+        member_vm_ids: tuple[str, ...] = (),
+    ) -> None:
+        self.runner_id = runner_id
+        self.incarnation = uuid.uuid4().hex
+        self.started_at_seconds = time.monotonic()
+        self.token_seconds = token_seconds
+        self.slots = slots
+        self.running: dict[str, int] = {}
+        self.peak_running = 0
+        self.runs: dict[str, int] = {}
+        self.generation = generation
+        self.member_vm_ids = member_vm_ids
+        self.dead = False
+        self.break_after_tokens = 0
+
+    def crash(self) -> None:
+        """Drops everything in hand and comes back cold."""
+        self.running.clear()
+        self.incarnation = uuid.uuid4().hex
+        self.started_at_seconds = time.monotonic()
+
+
+def token_text(prompt: str, offset: int) -> str:
+    """Returns the token at an offset; the same for every run."""
+    words = prompt.split() or ["empty"]
+    return f"{words[offset % len(words)]}{offset} "
+
+
+class _EngineHandler(JsonHandler):
+    """Knows the engine's state and how to cut a connection."""
+
+    def initialize(self, state: EngineState) -> None:
+        """Takes the engine to serve."""
+        self.state = state
+
+    def cut(self) -> None:
+        """Closes the connection with no answer."""
+        connection = self.request.connection
+        if connection is not None:
+            connection.stream.close()  # type: ignore[attr-defined]
+
+
+class _CompletionHandler(_EngineHandler):
+    """Generates tokens."""
+
+    closed = False
+
+    def on_connection_close(self) -> None:
+        """Notes that the reader is gone, which cancels the run."""
+        self.closed = True
+
+    async def post(self) -> None:
+        """Runs one attempt."""
+        value = self.body_json()
+        prompt = str(value.get("prompt", ""))
+        attempt_id = self.request.headers.get("X-Attempt-Id", "")
+        request_id = self.request.headers.get("X-Request-Id", "")
+        if self.state.dead:
+            self.cut()
+            return
+        if len(self.state.running) >= self.state.slots:
+            self.answer(503, {"error": "busy", "ran": "not run"})
+            return
+        if CRASH_MARK in prompt:
+            self.state.crash()
+            self.cut()
+            return
+        self.state.running[attempt_id] = len(prompt)
+        self.state.peak_running = max(
+            self.state.peak_running, len(self.state.running)
+        )
+        self.state.runs[request_id] = self.state.runs.get(request_id, 0) + 1
+        try:
+            await self._generate(value, prompt)
+        except tornado.iostream.StreamClosedError:
+            return
+        finally:
+            self.state.running.pop(attempt_id, None)
+
+    async def _generate(self, value: dict[str, Any], prompt: str) -> None:
+        max_tokens = int(value.get("max_tokens", 16))
+        begin = int(self.request.headers.get("Last-Event-ID", "-1")) + 1
+        if not value.get("stream"):
+            await asyncio.sleep(self.state.token_seconds * max_tokens)
+            text = "".join(
+                token_text(prompt, offset) for offset in range(max_tokens)
+            )
+            self.answer(200, {"text": text, "tokens": max_tokens})
+            return
+        self.set_header("Content-Type", "text/event-stream")
+        for offset in range(begin, max_tokens):
+            await asyncio.sleep(self.state.token_seconds)
+            if self._must_break(offset - begin):
+                self.cut()
+                return
+            if self.closed:
+                return
+            data = json.dumps({"text": token_text(prompt, offset)})
+            self.write(f"id: {offset}\ndata: {data}\n\n")
+            await self.flush()
+        self.write("data: [DONE]\n\n")
+        self.finish()
+
+    def _must_break(self, sent_tokens: int) -> bool:
+        limit = self.state.break_after_tokens
+        if self.state.dead:
+            return True
+        if limit <= 0 or sent_tokens < limit:
+            return False
+        self.state.break_after_tokens = 0
+        return True
+
+
+class _ReportHandler(_EngineHandler):
+    """Reports load."""
+
+    def get(self) -> None:
+        """Answers with the state of this moment."""
+        if self.state.dead:
+            self.cut()
+            return
+        self.answer(
+            200,
+            {
+                "runner_id": self.state.runner_id,
+                "incarnation": self.state.incarnation,
+                "generation": self.state.generation,
+                "member_vm_ids": list(self.state.member_vm_ids),
+                "age_seconds": 0.0,
+                "uptime_seconds": time.monotonic()
+                - self.state.started_at_seconds,
+                "running_requests": len(self.state.running),
+                "held_tokens": sum(self.state.running.values()),
+                "ready": True,
+            },
+        )
+
+
+class _CancelHandler(_EngineHandler):
+    """Cancels an attempt."""
+
+    def post(self, attempt_id: str) -> None:
+        """Forgets the attempt."""
+        known = self.state.running.pop(attempt_id, None) is not None
+        self.answer(200, {"cancelled": known})
+
+
+def serve_engine(state: EngineState, *, port: int = 0) -> LocalServer:
+    """Starts the stand-in on the loopback address."""
+    arguments = {"state": state}
+    application = tornado.web.Application(
+        [
+            (r"/v1/completions", _CompletionHandler, arguments),
+            (r"/v1/report", _ReportHandler, arguments),
+            (r"/v1/cancel/(.+)", _CancelHandler, arguments),
+        ]
+    )
+    return LocalServer(application, port=port)
--- /dev/null
+++ b/mulberrypaddle/standins/memory_store.py
@@ -0,0 +1,123 @@
+"""A stand-in for the platform's object store, in memory, with faults."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from mulberrypaddle.blackboard.intents import StoredObject
+from mulberrypaddle.core.errors import ErrorKind, Problem
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+class MemoryStore:
+    """Objects with versions, conditional updates and a list of events.
+
+    Attributes:
+        down: While true, every call fails and takes no effect.
+        lose_answers: How many coming writes take effect without an answer.
+        reads: Calls that read, counted.
+        writes: Calls that write, counted.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lose_answers = 0
+        self.reads = 0
+        self.writes = 0
+        self._objects: dict[str, StoredObject] = {}
+        self._version = 0
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def version(self) -> int:
+        """Returns the version of the latest write."""
+        return self._version
+
+    def read(self, key: str) -> Result[StoredObject, Problem]:
+        """Returns one object; an absent one has version zero."""
+        self.reads += 1
+        if self.down:
+            return Failure(_unavailable())
+        return Success(self._objects.get(key) or StoredObject(key, b"", 0))
+
+    def list(self, prefix: str) -> Result[list[StoredObject], Problem]:
+        """Returns all objects below a prefix, in order of their keys."""
+        self.reads += 1
+        if self.down:
+            return Failure(_unavailable())
+        found = []
+        for key in sorted(self._objects):
+            if key.startswith(prefix):
+                found.append(self._objects[key])
+        return Success(found)
+
+    def write(
+        self, key: str, value: bytes, *, expected_version: int
+    ) -> Result[StoredObject, Problem]:
+        """Replaces an object if its version is as expected."""
+        self.writes += 1
+        if self.down:
+            return Failure(_unavailable())
+        if len(value) > MAX_VALUE_BYTES:
+            return Failure(
+                Problem(
+                    ErrorKind.TOO_LARGE,
+                    f"got {len(value)} bytes, allowed are {MAX_VALUE_BYTES}",
+                )
+            )
+        conflict = self._conflict(key, expected_version)
+        if conflict is not None:
+            return Failure(conflict)
+        self._version += 1
+        stored = StoredObject(key, value, self._version)
+        self._objects[key] = stored
+        return self._answer(stored)
+
+    def delete(
+        self, key: str, *, expected_version: int
+    ) -> Result[StoredObject, Problem]:
+        """Deletes an object if its version is as expected."""
+        self.writes += 1
+        if self.down:
+            return Failure(_unavailable())
+        conflict = self._conflict(key, expected_version)
+        if conflict is not None:
+            return Failure(conflict)
+        self._version += 1
+        self._objects.pop(key, None)
+        return self._answer(StoredObject(key, b"", 0))
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` after every write."""
+        self._listeners.append(listener)
+
+    def _conflict(self, key: str, expected_version: int) -> Problem | None:
+        known = self._objects.get(key)
+        version = 0 if known is None else known.version
+        if version == expected_version:
+            return None
+        return Problem(
+            ErrorKind.CONFLICT,
+            f"got expected version {expected_version} for {key}, "
+            f"present is {version}",
+        )
+
+    def _answer(self, stored: StoredObject) -> Result[StoredObject, Problem]:
+        for listener in list(self._listeners):
+            listener()
+        if self.lose_answers <= 0:
+            return Success(stored)
+        self.lose_answers -= 1
+        return Failure(
+            Problem(ErrorKind.OUTCOME_UNKNOWN, "the answer was lost")
+        )
+
+
+def _unavailable() -> Problem:
+    return Problem(ErrorKind.STORE_UNAVAILABLE, "the object API is down")
--- /dev/null
+++ b/mulberrypaddle/standins/plain_service.py
@@ -0,0 +1,100 @@
+"""The stand-in for a plain service, such as a shop's order desk."""
+
+from __future__ import annotations
+
+import time
+import uuid
+
+import tornado.web
+
+from mulberrypaddle.standins.web import JsonHandler, LocalServer
+
+
+class PlainState:
+    """State of one plain runner.
+
+    Attributes:
+        runner_id: Name of the runner.
+        incarnation: Changes with every start.
+        runs: How often each request id was executed.
+        dead_after_run: If true, executes and then cuts the connection.
+        dead: While true it cuts every connection.
+    """
+
+    def __init__(self, runner_id: str) -> None:
+        self.runner_id = runner_id
+        self.incarnation = uuid.uuid4().hex
+        self.started_at_seconds = time.monotonic()
+        self.runs: dict[str, int] = {}
+        self.dead_after_run = False
+        self.dead = False
+
+
+class _CallHandler(JsonHandler):
+    """Executes any call and tells how often it did."""
+
+    def initialize(self, state: PlainState) -> None:
+        """Takes the service to serve."""
+        self.state = state
+
+    def prepare(self) -> None:
+        """Executes the call, whatever its method."""
+        request_id = self.request.headers.get("X-Request-Id", "")
+        if self.state.dead:
+            self._cut()
+            return
+        self.state.runs[request_id] = self.state.runs.get(request_id, 0) + 1
+        if self.state.dead_after_run:
+            self._cut()
+            return
+        self.answer(
+            200,
+            {
+                "runner_id": self.state.runner_id,
+                "method": self.request.method,
+                "path": self.request.path,
+                "body": self.request.body.decode(errors="replace"),
+            },
+        )
+
+    def _cut(self) -> None:
+        connection = self.request.connection
+        self._finished = True
+        if connection is not None:
+            connection.stream.close()  # type: ignore[attr-defined]
+
+
+class _ReportHandler(JsonHandler):
+    """Reports that the service is up."""
+
+    def initialize(self, state: PlainState) -> None:
+        """Takes the service to serve."""
+        self.state = state
+
+    def get(self) -> None:
+        """Answers in the form that engines use."""
+        self.answer(
+            200,
+            {
+                "runner_id": self.state.runner_id,
+                "incarnation": self.state.incarnation,
+                "age_seconds": 0.0,
+                "uptime_seconds": time.monotonic()
+                - self.state.started_at_seconds,
+                "running_requests": 0,
+                "held_tokens": 0,
+                "ready": True,
+            },
+        )
+
+
+def serve_plain(state: PlainState, *, port: int = 0) -> LocalServer:
+    """Starts the stand-in on the loopback address."""
+    arguments = {"state": state}
+    application = tornado.web.Application(
+        [
+            (r"/v1/report", _ReportHandler, arguments),
+            (r"/.*", _CallHandler, arguments),
+        ]
+    )
+    return LocalServer(application, port=port)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,13 @@
+"""Tests, in the layout of the package; every breach of an invariant raises."""
+
+from __future__ import annotations
+
+import hypothesis
+
+from mulberrypaddle.core import invariants
+
+invariants.raise_breaches(True)
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile("ci")
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes shared by the tests."""
--- /dev/null
+++ b/tests/support/membership.py
@@ -0,0 +1,56 @@
+"""A membership that tests set by hand."""
+
+from __future__ import annotations
+
+from mulberrypaddle.blackboard import keys
+from mulberrypaddle.blackboard.tables import Member, Membership, PastMembers
+from mulberrypaddle.controllers import Context, Controller
+
+
+class FixedMembership(Controller):
+    """Writes the member ids that it was told, with a lease always fresh."""
+
+    name = "membership"
+
+    def __init__(
+        self,
+        context: Context,
+        member_ids: list[str],
+        *,
+        lease_seconds: float = 6.0,
+    ) -> None:
+        super().__init__(context)
+        self.epoch = 1
+        self.lease_seconds = lease_seconds
+        self.renews = True
+        self._lease_until_seconds = 0.0
+        self._member_ids = list(member_ids)
+        self._unsettled: tuple[PastMembers, ...] = ()
+
+    def change(self, member_ids: list[str]) -> None:
+        """Changes the members; the old ones settle after a lease."""
+        settled_at_seconds = self.context.now_seconds() + self.lease_seconds
+        past = PastMembers(frozenset(self._member_ids), settled_at_seconds)
+        self._unsettled = (*self._unsettled, past)
+        self._member_ids = list(member_ids)
+        self.epoch += 1
+
+    def step(self, now_seconds: float) -> None:
+        if self.renews:
+            self._lease_until_seconds = now_seconds + self.lease_seconds
+        members = {}
+        for member_id in self._member_ids:
+            members[member_id] = Member(
+                member_id, incarnation=1, address="", data_centre="a"
+            )
+        self.context.board.write(
+            keys.MEMBERSHIP,
+            Membership(
+                epoch=self.epoch,
+                members=members,
+                lease_until_seconds=self._lease_until_seconds,
+                unsettled=self._unsettled,
+            ),
+            writer=self.name,
+            now_seconds=now_seconds,
+        )
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,70 @@
+"""One router from caller to runner and back."""
+
+from __future__ import annotations
+
+import json
+
+import testtools
+from testtools import matchers
+
+from tests.support.asynchronous import run
+from tests.support.small_fleet import SmallFleet
+
+
+class WholePathTest(testtools.TestCase):
+    """Requests through the front door."""
+
+    def test_streams_a_whole_answer(self) -> None:
+        async def scenario() -> tuple[int, str]:
+            async with SmallFleet() as fleet:
+                answer = await fleet.call(
+                    "card-writer",
+                    "/v1/completions",
+                    {"prompt": "a card", "max_tokens": 3, "stream": True},
+                )
+                return answer.code, answer.body.decode()
+
+        status, body = run(scenario())
+        self.assertEqual(200, status)
+        self.assertThat(body, matchers.Contains('id: 2\ndata: {"text": "a2 "}'))
+        self.assertThat(body, matchers.EndsWith("data: [DONE]\n\n"))
+
+    def test_unknown_key_is_refused_as_not_run(self) -> None:
+        async def scenario() -> tuple[int, str]:
+            async with SmallFleet() as fleet:
+                answer = await fleet.call(
+                    "card-writer", "/v1/completions", {}, key="wrong"
+                )
+                self.assertEqual({}, fleet.engine.runs)
+                return answer.code, json.loads(answer.body)["ran"]
+
+        self.assertEqual((401, "not run"), run(scenario()))
+
+    def test_broken_stream_never_ends_cleanly(self) -> None:
+        async def scenario() -> tuple[int, str]:
+            async with SmallFleet() as fleet:
+                fleet.engine.break_after_tokens = 2
+                answer = await fleet.call(
+                    "card-writer",
+                    "/v1/completions",
+                    {"prompt": "a card", "max_tokens": 9, "stream": True},
+                )
+                return answer.code, (answer.body or b"").decode()
+
+        status, body = run(scenario())
+        whole = "id: 8\n" in body and body.endswith("data: [DONE]\n\n")
+        self.assertTrue(whole or status == 599, (status, body))
+
+    def test_order_sent_twice_runs_once(self) -> None:
+        async def scenario() -> tuple[int, int]:
+            async with SmallFleet() as fleet:
+                for _ in range(2):
+                    await fleet.call(
+                        "shop-counter",
+                        "/orders",
+                        {"print": 1},
+                        headers={"Idempotency-Key": "order-1"},
+                    )
+                return len(fleet.plain.runs), sum(fleet.plain.runs.values())
+
+        self.assertEqual((1, 1), run(scenario()))
