Move the body of a refusal into a module of its own

Cause: the operators' handlers need the same body as the callers'. Change: frontdoor/problems.py holds problem_to_json. Conclusion: one form of refusal for both doors.

--- a/mulberrypaddle/frontdoor/server.py
+++ b/mulberrypaddle/frontdoor/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import json
 from typing import TYPE_CHECKING
 
 import prometheus_client
@@ -17,6 +16,7 @@
 from mulberrypaddle.controllers.claims import KeptAnswer
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.frontdoor.headers import authenticate, build_request
+from mulberrypaddle.frontdoor.problems import problem_to_json
 
 if TYPE_CHECKING:
     from mulberrypaddle.controllers.base import Context
@@ -51,22 +51,6 @@
         return f"r-{context.member_id}-{context.incarnation}-{number}"
 
 
-def problem_to_json(problem: Problem, *, request_id: str) -> str:
-    """Returns the body of a refusal, in the form of RFC 9457."""
-    answer = problem.answer
-    return json.dumps(
-        {
-            "type": f"urn:mulberrypaddle:{problem.kind.value}",
-            "title": problem.kind.value,
-            "status": answer.status,
-            "detail": problem.detail,
-            "ran": problem.ran.value,
-            "retry": answer.retry.value,
-            "request_id": request_id,
-        }
-    )
-
-
 class _HandlerSink(AnswerSink):
     """Writes an answer to the caller's connection."""
 
