Let operators drive a router from the command line

Cause: contracts and data centres could only be written by hand into the object API, and nothing told an operator what was decided.

--- a/mulberrypaddle/cli/demo.py
+++ b/mulberrypaddle/cli/demo.py
@@ -74,8 +74,12 @@
     raise TimeoutError(f"the router at {address} did not become ready")
 
 
-async def run_demo() -> None:
-    """Starts the fleet, sends requests and prints what came back."""
+async def run_demo() -> bool:
+    """Starts the fleet, sends requests and prints what came back.
+
+    Returns:
+        Whether everything came back as it should.
+    """
     configure_logging()
     store = MemoryStore()
     servers: list[LocalServer] = [serve_object_api(store)]
@@ -100,6 +104,7 @@
     await router.stop()
     for server in servers:
         await server.close()
+    return True
 
 
 async def _call(
--- a/mulberrypaddle/cli/main.py
+++ b/mulberrypaddle/cli/main.py
@@ -3,39 +3,51 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 
 import fire
-from returns.result import Success
 
+from mulberrypaddle.cli.commands import (
+    DataCentreCommands,
+    DocumentCommands,
+    print_explanation,
+    print_status,
+    unwrap,
+)
 from mulberrypaddle.cli.demo import run_demo
+from mulberrypaddle.cli.output import EXIT_FAILED, EXIT_UNREACHABLE
+from mulberrypaddle.cli.standins import StandinCommands
+from mulberrypaddle.cli.stopping import until_signalled
 from mulberrypaddle.observe import configure_logging
+from mulberrypaddle.operators.documents import DocumentKind
 from mulberrypaddle.router import Router
-from mulberrypaddle.settings import load_settings
+from mulberrypaddle.settings import RouterSettings, load_settings
 
-EXIT_FAILURE = 1
-EXIT_BAD_INPUT = 2
 
-
-async def _run_router(settings_path: str) -> None:
-    loaded = load_settings(settings_path)
-    if not isinstance(loaded, Success):
-        print(loaded.failure().detail, file=sys.stderr)
-        sys.exit(EXIT_BAD_INPUT)
+async def _run_router(settings: RouterSettings) -> None:
     configure_logging()
-    router = Router(loaded.unwrap())
+    router = Router(settings)
     router.start()
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
+    await until_signalled()
     await router.stop()
 
 
 class Commands:
-    """mulberrypaddle: routers, contracts and data centres."""
+    """mulberrypaddle: routers, contracts and data centres.
+
+    Commands that speak to a router take its address from --router or from
+    MULBERRYPADDLE_ROUTER, and the operator's key from
+    MULBERRYPADDLE_OPERATOR_KEY. They exit with 0, or with 1 when they
+    failed, 2 for bad input, 3 for a conflict with another operator, 4 when
+    a router or the object API can't be reached, 5 for an unsafe move and 6
+    for a missing or wrong key.
+    """
+
+    def __init__(self) -> None:
+        self.contract = DocumentCommands(DocumentKind.CONTRACT)
+        self.service = DocumentCommands(DocumentKind.SERVICE)
+        self.data_centre = DataCentreCommands()
+        self.standin = StandinCommands()
 
     def router(self, settings: str) -> None:
         """Runs one router until it is told to stop.
@@ -43,11 +55,50 @@
         Args:
             settings: Path of the settings file.
         """
-        asyncio.run(_run_router(settings))
+        loaded = unwrap(load_settings(str(settings)))
+        try:
+            asyncio.run(_run_router(loaded))
+        except OSError as error:
+            print(f"can't start: {error}", file=sys.stderr)
+            sys.exit(EXIT_UNREACHABLE)
+
+    def check(self, settings: str) -> None:
+        """Checks a settings file.
+
+        Args:
+            settings: Path of the settings file.
+        """
+        unwrap(load_settings(str(settings)))
+        print(f"{settings}: valid")
+
+    def status(
+        self, section: str = "", *, router: str = "", json: bool = False
+    ) -> None:
+        """Shows services, groups, data centres, organisations and routers.
+
+        Args:
+            section: One table only.
+            router: Address of a router, as host:port.
+            json: Print JSON.
+        """
+        print_status(router=router, section=str(section), json=json)
+
+    def explain(
+        self, subject: str, *, router: str = "", json: bool = False
+    ) -> None:
+        """Explains one request or group: the decisions taken and why.
+
+        Args:
+            subject: Id of the request or group.
+            router: Addresses of routers, as host:port, parted by commas.
+            json: Print JSON.
+        """
+        print_explanation(str(subject), router=router, json=json)
 
     def demo(self) -> None:
         """Runs a small fleet on embedded stand-ins and shows what it does."""
-        asyncio.run(run_demo())
+        if not asyncio.run(run_demo()):
+            sys.exit(EXIT_FAILED)
 
 
 def main() -> None:
--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -21,6 +21,7 @@
 
     from mulberrypaddle.backends import ObjectStore
     from mulberrypaddle.node import Node
+    from mulberrypaddle.operators.journal import Journal
 
 STEP_SECONDS = 0.02
 
@@ -83,9 +84,12 @@
 class Driver:
     """Runs one node on the event loop."""
 
-    def __init__(self, node: Node, adapters: Adapters) -> None:
+    def __init__(
+        self, node: Node, adapters: Adapters, *, journal: Journal
+    ) -> None:
         self._node = node
         self._adapters = adapters
+        self._journal = journal
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -99,10 +103,9 @@
         self._node.step()
         board = self._node.context.board
         while board.decisions:
-            log_decision(
-                board.decisions.popleft(),
-                member_id=self._node.context.member_id,
-            )
+            decision = board.decisions.popleft()
+            self._journal.add(decision)
+            log_decision(decision, member_id=self._node.context.member_id)
         while board.intents:
             self._start(carry_out(board.intents.popleft(), self._adapters))
 
--- a/mulberrypaddle/frontdoor/server.py
+++ b/mulberrypaddle/frontdoor/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import prometheus_client
 import tornado.httpserver
@@ -203,8 +203,15 @@
         self.finish(prometheus_client.generate_latest())
 
 
-def make_application(door: FrontDoor) -> tornado.web.Application:
-    """Returns the routes of the front door."""
+def make_application(
+    door: FrontDoor, operator_rules: list[Any]
+) -> tornado.web.Application:
+    """Returns the routes of the front door.
+
+    Args:
+        door: What the callers' handlers share.
+        operator_rules: Routes of the operators' part.
+    """
     arguments = {"door": door}
     return tornado.web.Application(
         [
@@ -212,22 +219,26 @@
             (r"/readyz", _ReadyHandler, arguments),
             (r"/metrics", _MetricsHandler),
             (r"/services/([a-z0-9-]+)(?:/(.*))?", _CallHandler, arguments),
+            *operator_rules,
         ]
     )
 
 
-def serve_front_door(door: FrontDoor) -> tornado.httpserver.HTTPServer:
+def serve_front_door(
+    door: FrontDoor, operator_rules: list[Any]
+) -> tornado.httpserver.HTTPServer:
     """Starts listening on the settings' caller address.
 
     Args:
-        door: What the handlers share.
+        door: What the callers' handlers share.
+        operator_rules: Routes of the operators' part.
 
     Raises:
         OSError: If the address can't be bound.
     """
     host, port = door.settings.caller_address.rsplit(":", 1)
     server = tornado.httpserver.HTTPServer(
-        make_application(door),
+        make_application(door, operator_rules),
         max_body_size=door.settings.body_bytes,
         max_header_size=door.settings.header_bytes,
         idle_connection_timeout=120,
--- /dev/null
+++ b/mulberrypaddle/operators/apply.py
@@ -0,0 +1,199 @@
+"""Accepts operators' changes by conditional writes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from mulberrypaddle.blackboard import (
+    Priority,
+    ReadObject,
+    StoredObject,
+    WriteObject,
+    keys,
+)
+from mulberrypaddle.controllers.base import Controller
+from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
+from mulberrypaddle.operators.documents import kind_of_key, validate_document
+
+MAX_TRIES = 4
+
+ApplyReply = Callable[[Result[int, Problem]], None]
+
+
+class Change:
+    """One operator's change on its way into the object API.
+
+    Attributes:
+        key: Object key.
+        value: The document, encoded.
+        expected_version: Version that the change was made from.
+        reply: Called once, with the accepted version or the problem.
+        tries: Writes begun so far.
+        may_be_written: Whether an earlier write's answer was lost.
+    """
+
+    __slots__ = (
+        "expected_version",
+        "key",
+        "may_be_written",
+        "reply",
+        "tries",
+        "value",
+    )
+
+    def __init__(
+        self, key: str, value: bytes, expected_version: int, reply: ApplyReply
+    ) -> None:
+        self.key = key
+        self.value = value
+        self.expected_version = expected_version
+        self.reply = reply
+        self.tries = 0
+        self.may_be_written = False
+
+
+class Apply(Controller):
+    """Checks a document as a whole and writes it if nobody was faster.
+
+    A write whose answer was lost is tried again under the same condition: it
+    then either happens or meets a conflict, and reading back tells whose
+    document stands.
+    """
+
+    name = "apply"
+
+    def step(self, now_seconds: float) -> None:
+        """Has nothing to do between changes."""
+
+    def submit(
+        self,
+        key: str,
+        document: str,
+        *,
+        expected_version: int,
+        reply: ApplyReply,
+    ) -> None:
+        """Accepts or refuses one change.
+
+        Args:
+            key: Object key below `config/`.
+            document: The YAML document.
+            expected_version: Version that the change was made from; zero
+                for a new document.
+            reply: Called once with the accepted version, or with
+                INVALID_CONFIG, CONFLICT, STORE_UNAVAILABLE or
+                OUTCOME_UNKNOWN.
+        """
+        kind = kind_of_key(key)
+        if kind is None:
+            reply(
+                Failure(
+                    Problem(
+                        ErrorKind.BAD_REQUEST,
+                        f"got key {key!r}, allowed are keys below 'config/'",
+                    )
+                )
+            )
+            return
+        entry = self.context.board.entry(keys.CONFIGURATION)
+        name = key.removeprefix(kind.prefix)
+        checked = validate_document(
+            kind,
+            document,
+            source=key,
+            name=name,
+            configuration=None if entry is None else entry.value,
+        )
+        if not isinstance(checked, Success):
+            self._refuse(key, checked.failure(), reply)
+            return
+        self._write(Change(key, document.encode(), expected_version, reply))
+
+    def _refuse(self, key: str, problem: Problem, reply: ApplyReply) -> None:
+        self.context.decide(
+            "refuse_change",
+            subject=key,
+            outcome=problem.kind.value,
+            reason=problem.detail,
+        )
+        reply(Failure(problem))
+
+    def _accept(self, change: Change, version: int) -> None:
+        self.context.decide(
+            "accept_change",
+            subject=change.key,
+            outcome=str(version),
+            reason="written under the expected version",
+            expected_version=str(change.expected_version),
+        )
+        change.reply(Success(version))
+
+    def _write(self, change: Change) -> None:
+        change.tries += 1
+
+        def written(result: Result[StoredObject, Problem]) -> None:
+            self._written(change, result)
+
+        self.context.board.intents.append(
+            WriteObject(
+                change.key,
+                change.value,
+                expected_version=change.expected_version,
+                priority=Priority.CONFIG,
+                reply=written,
+            )
+        )
+
+    def _written(
+        self, change: Change, result: Result[StoredObject, Problem]
+    ) -> None:
+        if isinstance(result, Success):
+            self._accept(change, result.unwrap().version)
+            return
+        problem = result.failure()
+        if problem.kind is ErrorKind.CONFLICT:
+            self._read_back(change, problem)
+            return
+        if problem.kind is ErrorKind.OUTCOME_UNKNOWN:
+            change.may_be_written = True
+        if change.may_be_written and change.tries < MAX_TRIES:
+            self._write(change)
+            return
+        self._refuse(change.key, _told(change, problem), change.reply)
+
+    def _read_back(self, change: Change, conflict: Problem) -> None:
+        """Tells our own write, whose answer was lost, from another's."""
+
+        def read(result: Result[StoredObject, Problem]) -> None:
+            if not isinstance(result, Success):
+                problem = _told(change, result.failure())
+                self._refuse(change.key, problem, change.reply)
+                return
+            stored = result.unwrap()
+            if change.may_be_written and stored.value == change.value:
+                self._accept(change, stored.version)
+                return
+            if change.may_be_written:
+                conflict.ran = Ran.UNKNOWN
+            conflict.detail = (
+                f"{change.key}: got expected version "
+                f"{change.expected_version}, present is {stored.version}"
+            )
+            self._refuse(change.key, conflict, change.reply)
+
+        self.context.board.intents.append(
+            ReadObject(change.key, priority=Priority.CONFIG, reply=read)
+        )
+
+
+def _told(change: Change, problem: Problem) -> Problem:
+    """Returns the problem with what is known about the change."""
+    if not change.may_be_written:
+        return problem
+    return Problem(
+        ErrorKind.OUTCOME_UNKNOWN,
+        f"{change.key}: the change may have been accepted, read it back; "
+        f"{problem.detail}",
+    )
--- /dev/null
+++ b/mulberrypaddle/operators/handlers.py
@@ -0,0 +1,309 @@
+"""The operators' part of the front door."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+import json
+from typing import TYPE_CHECKING, Any
+
+import tornado.web
+from returns.result import Failure, Result, Success
+
+from mulberrypaddle.blackboard import (
+    Intent,
+    ListObjects,
+    Priority,
+    ReadObject,
+    StoredObject,
+)
+from mulberrypaddle.core.errors import ErrorKind, Problem
+from mulberrypaddle.frontdoor.problems import problem_to_json
+from mulberrypaddle.operators.documents import DocumentKind
+from mulberrypaddle.operators.status import status_tables
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypaddle.controllers.base import Context
+    from mulberrypaddle.operators.apply import Apply
+    from mulberrypaddle.operators.journal import Journal
+
+MAX_DOCUMENT_BYTES = 262_144
+
+
+class OperatorDesk:
+    """What the operators' handlers share.
+
+    Attributes:
+        context: The router's context, with its blackboard.
+        apply: Checks and writes documents.
+        journal: Recent decisions.
+        key_sha256: Hex digests of the operators' keys.
+    """
+
+    __slots__ = ("apply", "context", "journal", "key_sha256")
+
+    def __init__(
+        self,
+        *,
+        context: Context,
+        apply: Apply,
+        journal: Journal,
+        key_sha256: tuple[str, ...],
+    ) -> None:
+        self.context = context
+        self.apply = apply
+        self.journal = journal
+        self.key_sha256 = key_sha256
+
+    def is_operator(self, authorization: str) -> bool:
+        """Returns whether a header carries an operator's key."""
+        _, _, key = authorization.partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        for known in self.key_sha256:
+            if hmac.compare_digest(known, digest):
+                return True
+        return False
+
+
+async def _ask(
+    ask: Callable[[Callable[[Result[Any, Problem]], None]], None],
+) -> Result[Any, Problem]:
+    """Waits for the one reply of a controller or adapter."""
+    future: asyncio.Future[Result[Any, Problem]] = (
+        asyncio.get_running_loop().create_future()
+    )
+
+    def reply(result: Result[Any, Problem]) -> None:
+        if not future.done():
+            future.set_result(result)
+
+    ask(reply)
+    return await future
+
+
+class _OperatorHandler(tornado.web.RequestHandler):
+    """Checks the operator's key before anything else."""
+
+    def initialize(self, desk: OperatorDesk) -> None:
+        """Takes what the handlers share."""
+        self.desk = desk
+
+    def prepare(self) -> None:
+        """Refuses a caller without an operator's key."""
+        authorization = self.request.headers.get("Authorization", "")
+        if self.desk.is_operator(authorization):
+            return
+        self.refuse(
+            Problem(
+                ErrorKind.UNAUTHENTICATED,
+                "got no operator's key, allowed is "
+                "'Authorization: Bearer KEY' with one of the settings",
+            )
+        )
+
+    def answer(self, value: Any) -> None:
+        """Ends the request with a JSON value."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(value))
+
+    def refuse(self, problem: Problem) -> None:
+        """Ends the request with a problem."""
+        self.set_status(problem.answer.status)
+        self.set_header("Content-Type", "application/problem+json")
+        self.finish(problem_to_json(problem, request_id=""))
+
+    def kind(self, name: str) -> Result[DocumentKind, Problem]:
+        """Returns the kind that a path names."""
+        try:
+            return Success(DocumentKind(name))
+        except ValueError:
+            allowed = ", ".join(kind.value for kind in DocumentKind)
+            return Failure(
+                Problem(
+                    ErrorKind.BAD_REQUEST,
+                    f"got kind {name!r}, allowed are {allowed}",
+                )
+            )
+
+    async def store_call(
+        self, make: Callable[[Callable[[Result[Any, Problem]], None]], Intent]
+    ) -> Result[Any, Problem]:
+        """Carries out one platform call through the blackboard."""
+        return await _ask(
+            lambda reply: self.desk.context.board.intents.append(make(reply))
+        )
+
+
+def _document_to_json(kind: DocumentKind, stored: StoredObject) -> Any:
+    return {
+        "kind": kind.value,
+        "name": stored.key.removeprefix(kind.prefix),
+        "version": stored.version,
+        "document": stored.value.decode(errors="replace"),
+    }
+
+
+class _DocumentsHandler(_OperatorHandler):
+    """Lists documents of one kind."""
+
+    async def get(self, kind_name: str) -> None:
+        """Answers with all documents as the platform keeps them."""
+        kind = self.kind(kind_name)
+        if not isinstance(kind, Success):
+            self.refuse(kind.failure())
+            return
+        prefix = kind.unwrap().prefix
+        listed = await self.store_call(
+            lambda reply: ListObjects(
+                prefix, priority=Priority.CONFIG, reply=reply
+            )
+        )
+        if not isinstance(listed, Success):
+            self.refuse(listed.failure())
+            return
+        found = []
+        for stored in listed.unwrap():
+            if not stored.value:
+                continue
+            found.append(_document_to_json(kind.unwrap(), stored))
+        self.answer(found)
+
+
+class _DocumentHandler(_OperatorHandler):
+    """Reads and writes one document."""
+
+    async def get(self, kind_name: str, name: str) -> None:
+        """Answers with the document as the platform keeps it."""
+        kind = self.kind(kind_name)
+        if not isinstance(kind, Success):
+            self.refuse(kind.failure())
+            return
+        key = kind.unwrap().key_of(name)
+        read = await self.store_call(
+            lambda reply: ReadObject(key, priority=Priority.CONFIG, reply=reply)
+        )
+        if not isinstance(read, Success):
+            self.refuse(read.failure())
+            return
+        stored = read.unwrap()
+        if not stored.value:
+            self.refuse(
+                Problem(
+                    ErrorKind.NOT_FOUND, f"there is no {kind_name} {name!r}"
+                )
+            )
+            return
+        self.answer(_document_to_json(kind.unwrap(), stored))
+
+    async def put(self, kind_name: str, name: str) -> None:
+        """Accepts a document whose present version is that of `If-Match`."""
+        kind = self.kind(kind_name)
+        if not isinstance(kind, Success):
+            self.refuse(kind.failure())
+            return
+        if len(self.request.body) > MAX_DOCUMENT_BYTES:
+            self.refuse(
+                Problem(
+                    ErrorKind.TOO_LARGE,
+                    f"got {len(self.request.body)} bytes, "
+                    f"allowed are {MAX_DOCUMENT_BYTES}",
+                )
+            )
+            return
+        header = self.request.headers.get("If-Match", "").strip('"')
+        if not header.isdigit():
+            self.refuse(
+                Problem(
+                    ErrorKind.BAD_REQUEST,
+                    f"got If-Match {header!r}, allowed is the version read, "
+                    "0 for a new document",
+                )
+            )
+            return
+        try:
+            text = self.request.body.decode()
+        except UnicodeDecodeError as error:
+            self.refuse(
+                Problem(ErrorKind.INVALID_CONFIG, f"{name}: not UTF-8: {error}")
+            )
+            return
+        key = kind.unwrap().key_of(name)
+        applied = await _ask(
+            lambda reply: self.desk.apply.submit(
+                key, text, expected_version=int(header), reply=reply
+            )
+        )
+        if not isinstance(applied, Success):
+            self.refuse(applied.failure())
+            return
+        self.answer(
+            {
+                "kind": kind_name,
+                "name": name,
+                "version": applied.unwrap(),
+                "accepted": True,
+            }
+        )
+
+
+class _StatusHandler(_OperatorHandler):
+    """Shows the fleet as this router sees it."""
+
+    def get(self) -> None:
+        """Answers with every table."""
+        tables = {}
+        for table in status_tables(self.desk.context):
+            tables[table.title] = table.to_json()
+        self.answer(tables)
+
+
+class _ExplainHandler(_OperatorHandler):
+    """Explains what was decided about one subject."""
+
+    def get(self, subject: str) -> None:
+        """Answers with the decisions, oldest first."""
+        decisions = self.desk.journal.about(subject)
+        if not decisions:
+            self.refuse(
+                Problem(
+                    ErrorKind.NOT_FOUND,
+                    f"router {self.desk.context.member_id!r} remembers "
+                    f"nothing about {subject!r}",
+                )
+            )
+            return
+        found = []
+        for decision in decisions:
+            found.append(
+                {
+                    "at_wall_seconds": decision.at_wall_seconds,
+                    "router": self.desk.context.member_id,
+                    "kind": decision.kind,
+                    "outcome": decision.outcome,
+                    "reason": decision.reason,
+                    "fields": decision.fields,
+                }
+            )
+        self.answer(found)
+
+
+def operator_routes(desk: OperatorDesk) -> list[Any]:
+    """Returns the routes of the operators' part."""
+    arguments = {"desk": desk}
+    return [
+        (r"/operator/status", _StatusHandler, arguments),
+        (r"/operator/explain/([!-~]+)", _ExplainHandler, arguments),
+        (
+            r"/operator/documents/([a-z-]+)",
+            _DocumentsHandler,
+            arguments,
+        ),
+        (
+            r"/operator/documents/([a-z-]+)/([a-z0-9-]+)",
+            _DocumentHandler,
+            arguments,
+        ),
+    ]
--- /dev/null
+++ b/mulberrypaddle/operators/status.py
@@ -0,0 +1,137 @@
+"""Tables that show the state of the fleet as one router sees it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.blackboard import keys
+from mulberrypaddle.blackboard.tables import Configuration, RunnerTable
+from mulberrypaddle.controllers.duties import membership
+from mulberrypaddle.core.fleet import DataCentreState
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from mulberrypaddle.blackboard import Board
+    from mulberrypaddle.controllers.base import Context
+
+
+class StatusTable:
+    """One table for people, or for programs as JSON.
+
+    Attributes:
+        title: What the rows are.
+        columns: Name of each column.
+        rows: Cells, as many a row as there are columns.
+    """
+
+    __slots__ = ("columns", "rows", "title")
+
+    def __init__(
+        self,
+        title: str,
+        columns: tuple[str, ...],
+        rows: Sequence[tuple[str, ...]],
+    ) -> None:
+        self.title = title
+        self.columns = columns
+        self.rows = rows
+
+    def to_json(self) -> list[dict[str, str]]:
+        """Returns one object for each row."""
+        return [dict(zip(self.columns, row, strict=True)) for row in self.rows]
+
+
+def _configuration(board: Board) -> Configuration:
+    return board.latest(
+        keys.CONFIGURATION,
+        Configuration(contracts={}, services={}, data_centres={}, versions={}),
+    )
+
+
+def _runners(board: Board) -> RunnerTable:
+    return board.latest(keys.RUNNERS, RunnerTable(runners={}, reports={}))
+
+
+def _services(context: Context) -> StatusTable:
+    board = context.board
+    configuration = _configuration(board)
+    ejected = board.latest(keys.EJECTED, {})
+    rows = []
+    for name, service in sorted(configuration.services.items()):
+        routable = 0
+        barred = 0
+        for runner in _runners(board).runners.values():
+            if runner.service != name:
+                continue
+            state = configuration.data_centres.get(runner.data_centre)
+            out = state is DataCentreState.OUT
+            if out or runner.leaving or runner.runner_id in ejected:
+                barred += 1
+                continue
+            routable += 1
+        rows.append((name, service.kind.value, str(routable), str(barred)))
+    columns = ("service", "kind", "runners_routable", "runners_barred")
+    return StatusTable("services", columns, rows)
+
+
+def _data_centres(context: Context) -> StatusTable:
+    board = context.board
+    counts: dict[str, int] = {}
+    for runner in _runners(board).runners.values():
+        counts[runner.data_centre] = counts.get(runner.data_centre, 0) + 1
+    rows = []
+    for name, state in sorted(_configuration(board).data_centres.items()):
+        rows.append((name, state.value, str(counts.get(name, 0))))
+    return StatusTable(
+        "data_centres", ("data_centre", "state", "runners"), rows
+    )
+
+
+def _organisations(context: Context) -> StatusTable:
+    rows = []
+    contracts = _configuration(context.board).contracts
+    for name, contract in sorted(contracts.items()):
+        for terms in contract.terms.values():
+            rows.append(
+                (
+                    name,
+                    terms.service,
+                    str(terms.in_flight_requests),
+                    terms.urgency.name.lower(),
+                    str(contract.version),
+                )
+            )
+    columns = (
+        "organisation",
+        "service",
+        "in_flight_requests_allowed",
+        "urgency",
+        "version",
+    )
+    return StatusTable("organisations", columns, rows)
+
+
+def _routers(context: Context) -> StatusTable:
+    present = membership(context)
+    rows = []
+    for member_id, member in sorted(present.members.items()):
+        rows.append(
+            (
+                member_id,
+                member.data_centre,
+                member.address,
+                str(member.incarnation),
+                str(present.epoch),
+            )
+        )
+    columns = ("router", "data_centre", "address", "incarnation", "epoch")
+    return StatusTable("routers", columns, rows)
+
+
+_SECTIONS = (_services, _data_centres, _organisations, _routers)
+
+
+def status_tables(context: Context) -> list[StatusTable]:
+    """Returns every table, as this router sees the fleet now."""
+    return [section(context) for section in _SECTIONS]
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -20,6 +20,9 @@
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
+from mulberrypaddle.operators import Journal
+from mulberrypaddle.operators.apply import Apply
+from mulberrypaddle.operators.handlers import OperatorDesk, operator_routes
 
 if TYPE_CHECKING:
     from mulberrypaddle.settings import RouterSettings
@@ -47,6 +50,7 @@
         )
         admission = Admission(self.context)
         claims = Claims(self.context)
+        apply = Apply(self.context)
         self.node = Node(
             self.context,
             [
@@ -55,6 +59,7 @@
                 ),
                 ConfigurationController(self.context),
                 RunnerTableController(self.context),
+                apply,
                 claims,
                 admission,
             ],
@@ -64,7 +69,10 @@
             timeout_seconds=settings.object_api_timeout_seconds,
         )
         self._runners = HttpRunnerClient()
-        self._driver = Driver(self.node, Adapters(store=self._store))
+        journal = Journal()
+        self._driver = Driver(
+            self.node, Adapters(store=self._store), journal=journal
+        )
         self._server = serve_front_door(
             FrontDoor(
                 context=self.context,
@@ -75,7 +83,15 @@
                     clock=clock,
                 ),
                 settings=settings,
-            )
+            ),
+            operator_routes(
+                OperatorDesk(
+                    context=self.context,
+                    apply=apply,
+                    journal=journal,
+                    key_sha256=settings.operator_key_sha256,
+                )
+            ),
         )
         self._task: asyncio.Task[None] | None = None
 
--- a/mulberrypaddle/settings/settings.py
+++ b/mulberrypaddle/settings/settings.py
@@ -5,7 +5,7 @@
 import pathlib
 from typing import Any
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.settings.schema import check_document
@@ -131,4 +131,23 @@
     except (OSError, UnicodeDecodeError) as error:
         return Failure(Problem(ErrorKind.INVALID_CONFIG, f"{path}: {error}"))
     checked = check_document(text, schema_name="settings", source=path)
-    return checked.map(_build_settings)
+    return checked.bind(lambda value: _check_peer_links(value, path)).map(
+        _build_settings
+    )
+
+
+def _check_peer_links(
+    value: dict[str, Any], source: str
+) -> Result[dict[str, Any], Problem]:
+    """Plain text between routers must be asked for, and not beside TLS."""
+    plaintext = value.get("peer_plaintext", False)
+    if plaintext != ("peer_tls" in value):
+        return Success(value)
+    got = "both" if plaintext else "neither"
+    return Failure(
+        Problem(
+            ErrorKind.INVALID_CONFIG,
+            f"{source}: got {got} of peer_tls and peer_plaintext: true, "
+            "allowed is exactly one",
+        )
+    )
--- /dev/null
+++ b/tests/observe/test_logs.py
@@ -0,0 +1,45 @@
+"""Tests of the log lines."""
+
+from __future__ import annotations
+
+import io
+import logging
+
+import testtools
+
+from mulberrypaddle.core.decision import Decision
+from mulberrypaddle.observe import configure_logging, log_decision
+
+
+class LogLineTest(testtools.TestCase):
+    """No input can forge a line or a field."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        root = logging.getLogger()
+        handlers, level = list(root.handlers), root.level
+        self.stream = io.StringIO()
+        configure_logging(stream=self.stream)
+
+        def restore() -> None:
+            root.handlers[:] = handlers
+            root.setLevel(level)
+
+        self.addCleanup(restore)
+
+    def test_value_with_line_break_and_pair_stays_one_field(self) -> None:
+        log_decision(
+            Decision(
+                "refuse",
+                subject="r-1",
+                outcome="bad_request",
+                reason='x\nlevel=INFO event=route outcome="forged"',
+                at_wall_seconds=0.0,
+            ),
+            member_id="router-1",
+        )
+        line = self.stream.getvalue()
+        self.assertEqual(1, line.count("\n"))
+        self.assertIn("event=refuse router=router-1 subject=r-1", line)
+        self.assertIn(r'reason="x\nlevel=INFO event=route outcome=', line)
+        self.assertNotIn(' outcome="forged"', line)
--- /dev/null
+++ b/tests/support/processes.py
@@ -0,0 +1,64 @@
+"""Real processes of the command line, for tests of the whole path."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parents[2]
+COMMAND = (sys.executable, "-m", "mulberrypaddle")
+STOP_TIMEOUT_SECONDS = 30
+
+
+class Process:
+    """One running command; ended when the test ends.
+
+    Attributes:
+        popen: The process.
+    """
+
+    def __init__(
+        self, *arguments: str, command: tuple[str, ...] = COMMAND
+    ) -> None:
+        self.popen = subprocess.Popen(
+            [*command, *arguments],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+
+    def address(self) -> str:
+        """Returns the address that a stand-in prints when it listens."""
+        line = self.popen.stdout.readline()
+        return line.removeprefix("listening on ").strip()
+
+    def children(self) -> str:
+        """Returns the ids of processes that this process started."""
+        process_id = self.popen.pid
+        path = pathlib.Path(f"/proc/{process_id}/task/{process_id}/children")
+        return path.read_text(encoding="ascii").strip()
+
+    def stop(self) -> int:
+        """Asks the process to stop and returns its exit status."""
+        if self.popen.poll() is None:
+            self.popen.terminate()
+        self.popen.stdout.close()
+        return self.popen.wait(STOP_TIMEOUT_SECONDS)
+
+
+def run_command(
+    *arguments: str, environment: dict[str, str] | None = None
+) -> subprocess.CompletedProcess[str]:
+    """Runs a command to its end."""
+    return subprocess.run(
+        [*COMMAND, *arguments],
+        cwd=ROOT,
+        env={**os.environ, **(environment or {})},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
