--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint types proto binary
+.PHONY: demo test lint types proto binary reference docs
 
 $(VENV)/.installed-main: requirements/main.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -33,3 +33,10 @@
 
 binary: $(VENV)/.installed-dev
 	tools/build_binary.sh $(BIN)
+
+reference: $(VENV)/.installed-dev
+	$(BIN)/python tools/make_reference.py
+
+docs: $(VENV)/.installed-dev
+	$(BIN)/python tools/make_reference.py --check
+	$(BIN)/python tools/check_links.py
--- a/mulberrypaddle/observe/logs.py
+++ b/mulberrypaddle/observe/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime
 import json
 import logging
 import sys
@@ -21,6 +22,8 @@
 
 def _quote(value: Any) -> str:
     """Returns a value that no input can break out of."""
+    if isinstance(value, datetime.datetime):
+        value = value.isoformat(timespec="milliseconds")
     text = value if isinstance(value, str) else json.dumps(value, default=str)
     if text and set(text) <= _PLAIN:
         return text
