Run a whole fleet in one process for the demo and the tests

Cause: the demo and the tests each built their own stand-ins. Change: standins/local_fleet.py starts routers, engines, plain services and the object API; the demo takes a data centre out and back and exits with 1 when a step fails.

--- a/mulberrypaddle/cli/demo.py
+++ b/mulberrypaddle/cli/demo.py
@@ -3,120 +3,113 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import json
 from typing import TYPE_CHECKING
 
-from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.observe import configure_logging
-from mulberrypaddle.router import Router
-from mulberrypaddle.settings import RouterSettings
-from mulberrypaddle.standins.engine import EngineState, serve_engine
-from mulberrypaddle.standins.memory_store import MemoryStore
-from mulberrypaddle.standins.object_api import serve_object_api
-from mulberrypaddle.standins.web import LOOPBACK, LocalServer, free_port
+from mulberrypaddle.standins.local_fleet import LocalFleet, digest_of
 
 if TYPE_CHECKING:
-    import tornado.httpclient
+    from tornado.httpclient import HTTPResponse
 
 CALLER_KEY = "demo-key-of-the-card-museum"
-READY_ATTEMPTS = 200
-
-
-def _contract() -> str:
-    digest = hashlib.sha256(CALLER_KEY.encode()).hexdigest()
-    return (
-        "organisation: card-museum\n"
-        f"key_sha256: ['{digest}']\n"
-        "services:\n"
-        "- {service: card-writer, in_flight_requests: 8, urgency: high,"
-        " deadline_seconds: 10}\n"
-    )
+SETTLE_SECONDS = 2.0
+CONTRACT = f"""organisation: card-museum
+key_sha256: ['{digest_of(CALLER_KEY)}']
+services:
+- service: card-writer
+  in_flight_requests: 8
+  urgency: high
+  deadline_seconds: 10
+- service: shop-counter
+  in_flight_requests: 4
+  urgency: high
+  deadline_seconds: 10
+  never_twice: [POST /orders]
+"""
+
+
+class _Demo:
+    """Runs the steps and keeps whether each went as it should."""
+
+    def __init__(self, fleet: LocalFleet) -> None:
+        self._fleet = fleet
+        self.passed = True
+
+    def expect(self, holds: bool, text: str) -> None:
+        """Prints one line that tells what was seen."""
+        print(f"{'ok  ' if holds else 'FAIL'} {text}", flush=True)
+        self.passed = self.passed and holds
+
+    async def stream(self) -> None:
+        """Streams one answer."""
+        answer = await self._complete("a blurb for a card", stream=True)
+        text = answer.body.decode() if answer.body else ""
+        self.expect(
+            text.endswith("data: [DONE]\n\n"),
+            f"an answer was streamed: {text.count('id: ')} tokens",
+        )
 
+    async def refuse(self) -> None:
+        """Shows a refusal that is true."""
+        answer = await self._fleet.call(
+            "card-writer", "/v1/completions", {}, key="nobody's key"
+        )
+        problem = json.loads(answer.body)
+        self.expect(
+            problem["ran"] == "not run",
+            f"an unknown key was refused: {problem['title']}, "
+            f"ran: {problem['ran']}",
+        )
 
-def _fill(store: MemoryStore, engine_address: str) -> None:
-    documents = {
-        "config/contracts/card-museum": _contract(),
-        "config/services/card-writer": "service: card-writer\nkind: engine\n",
-        "config/data-centres/south": "data_centre: south\nstate: in\n",
-        "runners/card-writer-1": json.dumps(
-            {
-                "service": "card-writer",
-                "kind": "engine",
-                "address": engine_address,
-                "data_centre": "south",
-            }
-        ),
-    }
-    for key, text in documents.items():
-        store.write(key, text.encode(), expected_version=0)
-
-
-async def wait_until_ready(
-    client: tornado.httpclient.AsyncHTTPClient, address: str
-) -> None:
-    """Waits until a router answers that it is ready.
-
-    Args:
-        client: Client to ask with.
-        address: `host:port` of the router's front door.
-
-    Raises:
-        TimeoutError: If it does not become ready.
-    """
-    for _ in range(READY_ATTEMPTS):
-        response = await client.fetch(
-            f"http://{address}/readyz", raise_error=False
+    async def move_data_centre(self) -> None:
+        """Takes a data centre out and brings it back."""
+        await self._fleet.set_data_centre("south", "out")
+        await asyncio.sleep(SETTLE_SECONDS)
+        runs = len(self._fleet.engines["card-writer-south"].runs)
+        answers = [await self._complete(f"card {n}") for n in range(5)]
+        served = sum(answer.code == 200 for answer in answers)
+        later_runs = len(self._fleet.engines["card-writer-south"].runs)
+        self.expect(
+            served == 5 and later_runs == runs,
+            f"data centre south is out: {served} of 5 requests served, "
+            f"{later_runs - runs} sent to it",
+        )
+        await self._fleet.set_data_centre("south", "in")
+        await asyncio.sleep(SETTLE_SECONDS)
+        answer = await self._complete("back again")
+        self.expect(answer.code == 200, "data centre south is back in service")
+
+    async def _complete(
+        self, prompt: str, *, stream: bool = False
+    ) -> HTTPResponse:
+        return await self._fleet.call(
+            "card-writer",
+            "/v1/completions",
+            {"prompt": prompt, "max_tokens": 4, "stream": stream},
+            key=CALLER_KEY,
         )
-        if response.code == 200:
-            return
-        await asyncio.sleep(0.05)
-    raise TimeoutError(f"the router at {address} did not become ready")
 
 
 async def run_demo() -> bool:
-    """Starts the fleet, sends requests and prints what came back.
+    """Starts the fleet and shows what it does.
 
     Returns:
         Whether everything came back as it should.
     """
     configure_logging()
-    store = MemoryStore()
-    servers: list[LocalServer] = [serve_object_api(store)]
-    servers.append(serve_engine(EngineState("card-writer-1")))
-    _fill(store, servers[1].address)
-    address = f"{LOOPBACK}:{free_port()}"
-    router = Router(
-        RouterSettings(
-            member_id="router-1",
-            data_centre="south",
-            region="tx-central",
-            caller_address=address,
-            peer_address=f"{LOOPBACK}:{free_port()}",
-            object_api_address=servers[0].address,
+    fleet = LocalFleet(router_count=1, data_centres=("south", "north"))
+    for name in ("south", "north"):
+        fleet.add_engine(
+            f"card-writer-{name}", service="card-writer", data_centre=name
         )
+    fleet.add_plain(
+        "shop-counter-1", service="shop-counter", data_centre="north"
     )
-    router.start()
-    client = make_client()
-    await wait_until_ready(client, address)
-    print(await _call(client, address, CALLER_KEY))
-    print(await _call(client, address, "a key that nobody was given"))
-    await router.stop()
-    for server in servers:
-        await server.close()
-    return True
-
-
-async def _call(
-    client: tornado.httpclient.AsyncHTTPClient, address: str, key: str
-) -> str:
-    response = await client.fetch(
-        f"http://{address}/services/card-writer/v1/completions",
-        method="POST",
-        headers={"Authorization": f"Bearer {key}"},
-        body=json.dumps(
-            {"prompt": "a blurb for a card", "max_tokens": 4, "stream": True}
-        ),
-        raise_error=False,
-    )
-    return f"{response.code} {response.body.decode()}"
+    fleet.put("config/contracts/card-museum", CONTRACT)
+    async with fleet:
+        demo = _Demo(fleet)
+        await demo.stream()
+        await demo.refuse()
+        await demo.move_data_centre()
+    return demo.passed
--- /dev/null
+++ b/mulberrypaddle/standins/local_fleet.py
@@ -0,0 +1,237 @@
+"""A whole fleet in one process: routers and stand-ins over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+from typing import TYPE_CHECKING, Any
+
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+
+from mulberrypaddle.backends.curl import make_client
+from mulberrypaddle.router import Router
+from mulberrypaddle.settings import RouterSettings
+from mulberrypaddle.standins.engine import EngineState, serve_engine
+from mulberrypaddle.standins.memory_store import MemoryStore
+from mulberrypaddle.standins.object_api import serve_object_api
+from mulberrypaddle.standins.plain_service import PlainState, serve_plain
+from mulberrypaddle.standins.web import LOOPBACK, LocalServer, free_port
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+READY_TRIES = 400
+READY_WAIT_SECONDS = 0.05
+CUT_STATUS = 599
+
+
+def digest_of(key: str) -> str:
+    """Returns the digest under which a contract names a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class LocalFleet:
+    """Object API, engines, plain services and routers, all on loopback.
+
+    Attributes:
+        store: Objects of the object API.
+        engines: By runner id.
+        plains: By runner id.
+        routers: Running routers, in order.
+        addresses: The routers' addresses for callers, in the same order.
+        operator_key: Key of an operator.
+    """
+
+    def __init__(
+        self, *, router_count: int = 1, data_centres: Sequence[str] = ("south",)
+    ) -> None:
+        self.store = MemoryStore()
+        self.engines: dict[str, EngineState] = {}
+        self.plains: dict[str, PlainState] = {}
+        self.routers: list[Router] = []
+        self.addresses: list[str] = []
+        self.operator_key = "operator-key"
+        self._object_api = serve_object_api(self.store)
+        self._servers: list[LocalServer] = [self._object_api]
+        self._router_count = router_count
+        self._data_centres = tuple(data_centres)
+        for name in self._data_centres:
+            text = f"data_centre: {name}\nstate: in\n"
+            self.put(f"config/data-centres/{name}", text)
+
+    def put(self, key: str, text: str) -> None:
+        """Writes an object whatever its present version."""
+        version = self.store.read(key).unwrap().version
+        self.store.write(key, text.encode(), expected_version=version)
+
+    def add_engine(
+        self, runner_id: str, *, service: str, data_centre: str, **state: Any
+    ) -> EngineState:
+        """Starts an engine and lists it as a runner.
+
+        Args:
+            runner_id: Name of the runner.
+            service: Service that it belongs to.
+            data_centre: Where it stands.
+            **state: Further arguments of `EngineState`.
+        """
+        engine = EngineState(runner_id, **state)
+        self.engines[runner_id] = engine
+        self._list_runner(
+            runner_id, serve_engine(engine), service, "engine", data_centre
+        )
+        return engine
+
+    def add_plain(
+        self, runner_id: str, *, service: str, data_centre: str
+    ) -> PlainState:
+        """Starts a plain service and lists it as a runner."""
+        plain = PlainState(runner_id)
+        self.plains[runner_id] = plain
+        self._list_runner(
+            runner_id, serve_plain(plain), service, "plain", data_centre
+        )
+        return plain
+
+    def _list_runner(
+        self,
+        runner_id: str,
+        server: LocalServer,
+        service: str,
+        kind: str,
+        data_centre: str,
+    ) -> None:
+        self._servers.append(server)
+        self.put(f"config/services/{service}", _service_text(service, kind))
+        self.put(
+            f"runners/{runner_id}",
+            json.dumps(
+                {
+                    "service": service,
+                    "kind": kind,
+                    "address": server.address,
+                    "data_centre": data_centre,
+                }
+            ),
+        )
+
+    async def start(self) -> None:
+        """Starts the routers and waits until all are ready."""
+        self.client = make_client()
+        for index in range(self._router_count):
+            self.start_router(f"router-{index + 1}", index)
+        for address in self.addresses:
+            await self._wait_until_ready(address)
+
+    def start_router(self, member_id: str, index: int) -> Router:
+        """Starts one router; its readiness is not waited for."""
+        address = f"{LOOPBACK}:{free_port()}"
+        settings = RouterSettings(
+            member_id=member_id,
+            data_centre=self._data_centres[index % len(self._data_centres)],
+            region="local",
+            caller_address=address,
+            peer_address=f"{LOOPBACK}:{free_port()}",
+            object_api_address=self._object_api.address,
+            operator_key_sha256=(digest_of(self.operator_key),),
+        )
+        router = Router(settings)
+        router.start()
+        self.routers.append(router)
+        self.addresses.append(address)
+        return router
+
+    async def stop(self) -> None:
+        """Stops the routers gracefully and closes the stand-ins."""
+        self.client.close()
+        for router in self.routers:
+            await router.stop()
+        for server in self._servers:
+            await server.close()
+
+    async def __aenter__(self) -> LocalFleet:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
+    async def call(
+        self,
+        service: str,
+        path: str,
+        body: Any,
+        *,
+        key: str,
+        router: int = 0,
+        headers: dict[str, str] | None = None,
+    ) -> HTTPResponse:
+        """Sends one POST; a cut answer comes back with status 599.
+
+        Args:
+            service: Name of the service.
+            path: Path below the service.
+            body: JSON value of the body.
+            key: The caller's key.
+            router: Index of the router to call.
+            headers: Further headers.
+        """
+        return await self.fetch(
+            "POST",
+            f"/services/{service}{path}",
+            router=router,
+            key=key,
+            body=json.dumps(body),
+            headers=headers,
+        )
+
+    async def fetch(
+        self,
+        method: str,
+        path: str,
+        *,
+        router: int = 0,
+        key: str = "",
+        body: str | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> HTTPResponse:
+        """Sends any request to a router."""
+        request = HTTPRequest(
+            f"http://{self.addresses[router]}{path}",
+            method=method,
+            headers={"Authorization": f"Bearer {key}", **(headers or {})},
+            body=body,
+            request_timeout=30.0,
+        )
+        try:
+            return await self.client.fetch(request, raise_error=False)
+        except HTTPClientError:
+            return HTTPResponse(request, CUT_STATUS)
+
+    async def set_data_centre(self, name: str, state: str) -> HTTPResponse:
+        """Takes a data centre `out` or brings it `in`, as an operator."""
+        path = f"/operator/documents/data-centre/{name}"
+        read = await self.fetch("GET", path, key=self.operator_key)
+        version = json.loads(read.body)["version"]
+        return await self.fetch(
+            "PUT",
+            path,
+            key=self.operator_key,
+            body=f"data_centre: {name}\nstate: {state}\n",
+            headers={"If-Match": str(version)},
+        )
+
+    async def _wait_until_ready(self, address: str) -> None:
+        for _ in range(READY_TRIES):
+            response = await self.client.fetch(
+                f"http://{address}/readyz", raise_error=False
+            )
+            if response.code == 200:
+                return
+            await asyncio.sleep(READY_WAIT_SECONDS)
+        raise TimeoutError(f"the router at {address} did not become ready")
+
+
+def _service_text(service: str, kind: str) -> str:
+    return f"service: {service}\nkind: {kind}\n"
