Pack files that are not yet committed into the one file

Cause: the build listed committed files only, so that it failed on a new module: ModuleNotFoundError for standins.local_fleet. Change: it lists all files that are not ignored. Figures: the check of the one file failed before, passes after. Conclusion: the build sees what the tests see.

--- a/tools/build_binary.sh
+++ b/tools/build_binary.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 rm -rf build/sources
 mkdir -p build/sources dist
-git ls-files -z mulberrypaddle | xargs -0 cp --parents -t build/sources
+git ls-files -z --cached --others --exclude-standard mulberrypaddle | xargs -0 cp --parents -t build/sources
 "$bin/pex" \
   --requirement requirements/main.lock \
   --sources-directory build/sources \
