--- a/mulberrypaddle/cli/standins.py
+++ b/mulberrypaddle/cli/standins.py
@@ -5,8 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.cli.folders import load_folder
 from mulberrypaddle.cli.stopping import until_signalled
+from mulberrypaddle.core.fleet import ServiceKind
+from mulberrypaddle.operators.documents import DocumentKind
+from mulberrypaddle.settings import parse_service
 from mulberrypaddle.standins.engine import EngineState, serve_engine
+from mulberrypaddle.standins.local_fleet import LocalFleet
 from mulberrypaddle.standins.memory_store import MemoryStore
 from mulberrypaddle.standins.object_api import serve_object_api
 from mulberrypaddle.standins.plain_service import PlainState, serve_plain
@@ -61,3 +66,41 @@
             await _serve(serve_plain(PlainState(str(name)), port=port))
 
         asyncio.run(work())
+
+    def fleet(self, folder: str, *, routers: int = 3) -> None:
+        """Runs routers and stand-ins for a folder of documents.
+
+        Prints the routers' addresses. The operator's key is `operator-key`.
+
+        Args:
+            folder: Folder laid out like examples/kryss.
+            routers: How many routers to run.
+        """
+        asyncio.run(_serve_fleet(str(folder), routers))
+
+
+async def _serve_fleet(folder: str, router_count: int) -> None:
+    documents = load_folder(folder)
+    data_centres = documents.names(DocumentKind.DATA_CENTRE)
+    fleet = LocalFleet(router_count=router_count, data_centres=data_centres)
+    for name, text in documents.of(DocumentKind.SERVICE):
+        _add_runners(fleet, name, text, data_centres)
+        fleet.put(DocumentKind.SERVICE.key_of(name), text)
+    for name, text in documents.of(DocumentKind.CONTRACT):
+        fleet.put(DocumentKind.CONTRACT.key_of(name), text)
+    async with fleet:
+        print(f"routers {','.join(fleet.addresses)}", flush=True)
+        await until_signalled()
+
+
+def _add_runners(
+    fleet: LocalFleet, service: str, text: str, data_centres: list[str]
+) -> None:
+    """Starts one runner of a service in each data centre."""
+    plain = parse_service(text, source=service).unwrap().kind
+    for data_centre in data_centres:
+        runner_id = f"{service}-{data_centre}"
+        if plain is ServiceKind.PLAIN:
+            fleet.add_plain(runner_id, service=service, data_centre=data_centre)
+            continue
+        fleet.add_engine(runner_id, service=service, data_centre=data_centre)
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -34,6 +34,7 @@
     Attributes:
         context: The controllers' context, with the blackboard.
         node: The controllers in step.
+        journal: Recent decisions, to be explained.
     """
 
     def __init__(
@@ -69,9 +70,9 @@
             timeout_seconds=settings.object_api_timeout_seconds,
         )
         self._runners = HttpRunnerClient()
-        journal = Journal()
+        self.journal = Journal()
         self._driver = Driver(
-            self.node, Adapters(store=self._store), journal=journal
+            self.node, Adapters(store=self._store), journal=self.journal
         )
         self._server = serve_front_door(
             FrontDoor(
@@ -88,7 +89,7 @@
                 OperatorDesk(
                     context=self.context,
                     apply=apply,
-                    journal=journal,
+                    journal=self.journal,
                     key_sha256=settings.operator_key_sha256,
                 )
             ),
--- a/tests/settings/test_examples.py
+++ b/tests/settings/test_examples.py
@@ -7,16 +7,18 @@
 import testtools
 from returns.result import Success
 
+from mulberrypaddle.cli.folders import load_folder
 from mulberrypaddle.operators import DocumentKind, validate_document
 from mulberrypaddle.settings import load_settings, parse_configuration
 from mulberrypaddle.standins.memory_store import StoredObject
 
+# A contract names services, so those come first.
+KINDS = (
+    DocumentKind.DATA_CENTRE,
+    DocumentKind.SERVICE,
+    DocumentKind.CONTRACT,
+)
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
-FOLDERS = {
-    DocumentKind.DATA_CENTRE: "data-centres",
-    DocumentKind.SERVICE: "services",
-    DocumentKind.CONTRACT: "contracts",
-}
 
 
 class ExamplesTest(testtools.TestCase):
@@ -24,21 +26,20 @@
 
     def test_documents_and_settings_are_valid(self) -> None:
         for deployment in ("bluebonnet", "kryss"):
-            objects = []
-            for kind, folder in FOLDERS.items():
-                for path in sorted((EXAMPLES / deployment / folder).iterdir()):
-                    text = path.read_text(encoding="utf-8")
+            objects: list[StoredObject] = []
+            documents = load_folder(str(EXAMPLES / deployment))
+            for kind in KINDS:
+                for name, text in documents.of(kind):
                     result = validate_document(
                         kind,
                         text,
-                        source=str(path),
-                        name=path.stem,
+                        source=name,
+                        name=name,
                         configuration=parse_configuration(objects),
                     )
                     self.assertIsInstance(result, Success, result)
-                    objects.append(
-                        StoredObject(kind.key_of(path.stem), text.encode(), 1)
-                    )
+                    key = kind.key_of(name)
+                    objects.append(StoredObject(key, text.encode(), 1))
             configuration = parse_configuration(objects)
             self.assertEqual(3, len(configuration.data_centres))
             self.assertEqual(10, len(configuration.contracts))
