Hold back runners for slow readers and resume broken streams

Cause: The curl client's streaming callback queues on the loop, so a slow reader's answer piled up in the router without bound; a stream that broke was cut, a stream that ended early without its end mark ended cleanly, and a caller that left kept its runner busy. Change: An I/O-free controller, StreamMemory, holds the window of each stream (64 KiB, the client's receive buffer reserved in it) and one budget a process with dynamic thresholds by organisation. Transfer pauses curl from its write function and goes on when the caller's socket has drained. When the budget is short, the blocked stream of the largest share is cut back to its offset, cancelled at the engine and resumed when its reader is ready. Relay passes on whole events only, checks offsets and the end mark, resumes a broken stream with the same seed and adapter version, and drops the bytes of given-up attempts. Stalled and departed readers cancel their runner. Refusals are made true from the states of all attempts.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each run as `python -m benchmarks.NAME`."""
--- a/mulberrypaddle/backends/__init__.py
+++ b/mulberrypaddle/backends/__init__.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 from mulberrypaddle.backends.base import (
+    AnswerHead,
     AnswerSink,
     AttemptFailure,
     Completion,
     ObjectStore,
+    ResumePoint,
     RunnerClient,
+    Upstream,
 )
 
 __all__ = [
+    "AnswerHead",
     "AnswerSink",
     "AttemptFailure",
     "Completion",
     "ObjectStore",
+    "ResumePoint",
     "RunnerClient",
+    "Upstream",
 ]
--- a/mulberrypaddle/backends/base.py
+++ b/mulberrypaddle/backends/base.py
@@ -47,16 +47,100 @@
         self.state = state
 
 
+class AnswerHead:
+    """Status and selected headers of a runner's answer.
+
+    Attributes:
+        status: HTTP status of the runner.
+        content_type: Media type of the answer.
+        headers: Further headers that are passed on to the caller.
+        size_bytes: Declared length; None for a chunked answer.
+        adapter_version: Version of the adapter that answers; may be empty.
+    """
+
+    __slots__ = (
+        "adapter_version",
+        "content_type",
+        "headers",
+        "size_bytes",
+        "status",
+    )
+
+    def __init__(
+        self,
+        status: int,
+        *,
+        content_type: str,
+        headers: tuple[tuple[str, str], ...] = (),
+        size_bytes: int | None = None,
+        adapter_version: str = "",
+    ) -> None:
+        self.status = status
+        self.content_type = content_type
+        self.headers = headers
+        self.size_bytes = size_bytes
+        self.adapter_version = adapter_version
+
+
+class ResumePoint:
+    """Where a broken stream is to go on.
+
+    Attributes:
+        last_offset: Offset of the last token that the caller was sent.
+        adapter_version: Version that generated the tokens so far.
+    """
+
+    __slots__ = ("adapter_version", "last_offset")
+
+    def __init__(self, last_offset: int, *, adapter_version: str) -> None:
+        self.last_offset = last_offset
+        self.adapter_version = adapter_version
+
+
+class Upstream(abc.ABC):
+    """The runner's side of an attempt, as its sink controls it."""
+
+    @abc.abstractmethod
+    def resume(self) -> None:
+        """Goes on after `AnswerSink.take` refused."""
+
+    @abc.abstractmethod
+    def cancel(self, problem: Problem) -> None:
+        """Gives the attempt up; it fails with `problem`."""
+
+
 class AnswerSink(abc.ABC):
     """Takes the answer of one attempt as it comes."""
 
+    @property
+    @abc.abstractmethod
+    def resume_point(self) -> ResumePoint | None:
+        """Returns where the answer has to go on, or None at the start."""
+
+    @abc.abstractmethod
+    def attach(self, upstream: Upstream) -> None:
+        """Takes the control of the sender, before anything else."""
+
     @abc.abstractmethod
-    def start(self, status: int, content_type: str) -> None:
+    def start(self, head: AnswerHead) -> None:
         """Takes the head of the answer, once, before any body."""
 
     @abc.abstractmethod
-    def write(self, data: bytes) -> None:
-        """Takes the next bytes of the body."""
+    def take(self, data: bytes) -> bool:
+        """Takes the next bytes of the body.
+
+        Returns:
+            Whether they were taken. If not, the sender pauses and offers
+            the same bytes again after `Upstream.resume`.
+        """
+
+    @abc.abstractmethod
+    def end(self) -> Problem | None:
+        """Learns that the sender ended as HTTP says it should.
+
+        Returns:
+            What is missing of the answer, or None if it is whole.
+        """
 
 
 class RunnerClient(abc.ABC):
@@ -71,7 +155,8 @@
         Args:
             ticket: Permission to send.
             sink: Where the answer goes.
-            timeout_seconds: Longest time for the whole attempt.
+            timeout_seconds: Longest time for the whole attempt, the time
+                in which it is paused for its reader not counted.
         """
 
     @abc.abstractmethod
--- a/mulberrypaddle/backends/curl.py
+++ b/mulberrypaddle/backends/curl.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+
 import pycurl
 import tornado.curl_httpclient
 import tornado.httpclient
@@ -17,12 +20,55 @@
 
 MAX_CLIENTS = 2048
 
+# Kernel buffer of a connection to a runner; it fills before a paused
+# transfer holds the runner back.
+RECEIVE_SOCKET_BYTES = 32_768
+
+
+class CurlClient(tornado.curl_httpclient.CurlAsyncHTTPClient):
+    """A curl client whose transfers can be paused and given up.
+
+    Neither method may be called from inside a callback of curl.
+    """
+
+    def resume_transfer(self, curl: pycurl.Curl) -> None:
+        """Goes on with a transfer whose write callback asked for a pause."""
+        # A transfer that failed meanwhile says so here; its end is told
+        # by the usual way.
+        with contextlib.suppress(pycurl.error):
+            curl.pause(pycurl.PAUSE_CONT)
+        # libcurl may hold the bytes already, with no socket event to come.
+        self._set_timeout(0)
 
-def make_client() -> tornado.curl_httpclient.CurlAsyncHTTPClient:
+    def abort_transfer(self, curl: pycurl.Curl, reason: str) -> None:
+        """Ends a running transfer at once and closes its connection."""
+        if getattr(curl, "info", None) is None:
+            return
+        self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, reason)
+        self._set_timeout(0)
+
+
+def make_client() -> CurlClient:
     """Returns a curl client of its own, bound to the running loop."""
-    return tornado.curl_httpclient.CurlAsyncHTTPClient(
-        force_instance=True, max_clients=MAX_CLIENTS
-    )
+    return CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+
+def bound_receive_buffer(descriptor: int, purpose: int) -> int:
+    """Bounds what the kernel holds of an answer (a SOCKOPTFUNCTION).
+
+    Args:
+        descriptor: The new socket.
+        purpose: Not used.
+    """
+    connection = socket.socket(fileno=descriptor)
+    try:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_SOCKET_BYTES
+        )
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    finally:
+        connection.detach()
+    return int(pycurl.SOCKOPT_OK)
 
 
 def was_unsent(error: BaseException) -> bool:
--- a/mulberrypaddle/backends/http_runner.py
+++ b/mulberrypaddle/backends/http_runner.py
@@ -4,9 +4,9 @@
 
 import json
 import time
+import zlib
 from typing import TYPE_CHECKING
 
-import pycurl
 import tornado.httpclient
 from returns.result import Failure, Result, Success
 
@@ -17,16 +17,19 @@
     RunnerClient,
 )
 from mulberrypaddle.backends.curl import make_client, was_unsent
-from mulberrypaddle.core.errors import ErrorKind, Problem
-from mulberrypaddle.core.fleet import Runner, RunnerReport
+from mulberrypaddle.backends.transfer import Transfer
+from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
+from mulberrypaddle.core.fleet import Runner, RunnerReport, ServiceKind
 from mulberrypaddle.core.request import AttemptState
 
 if TYPE_CHECKING:
+    from mulberrypaddle.backends.base import ResumePoint
     from mulberrypaddle.core.ticket import Ticket
 
 REPORT_TIMEOUT_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 1.0
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+_BODILESS_METHODS = frozenset({"GET", "HEAD"})
 
 
 class HttpRunnerClient(RunnerClient):
@@ -39,40 +42,25 @@
         self, ticket: Ticket, sink: AnswerSink, *, timeout_seconds: float
     ) -> Result[Completion, AttemptFailure]:
         """Sends one attempt and streams its answer into `sink`."""
-        answer = _StreamedAnswer(sink)
         request = ticket.request
-        body = request.body if request.method in _BODY_METHODS else None
-        http_request = tornado.httpclient.HTTPRequest(
-            f"http://{ticket.runner.address}{request.path}",
+        transfer = Transfer(
+            self._client,
+            sink,
+            attempt_id=ticket.attempt_id,
             method=request.method,
-            body=body,
-            headers={
-                "Content-Type": request.content_type,
-                "X-Request-Id": request.request_id,
-                "X-Attempt-Id": ticket.attempt_id,
-            },
-            connect_timeout=CONNECT_TIMEOUT_SECONDS,
-            request_timeout=timeout_seconds,
-            prepare_curl_callback=answer.attach,
-            streaming_callback=answer.take_body,
-            allow_nonstandard_methods=True,
-            decompress_response=False,
+            may_refuse=ticket.runner.kind is ServiceKind.ENGINE,
+            timeout_seconds=timeout_seconds,
         )
         try:
-            response = await self._client.fetch(http_request, raise_error=False)
-        except (tornado.httpclient.HTTPError, OSError) as error:
-            return Failure(_failure(error, answer))
-        if response.code == 503 and ticket.runner.kind.value == "engine":
-            return Failure(
-                AttemptFailure(
-                    Problem(ErrorKind.RUNNER_REFUSED, "the runner is busy"),
-                    AttemptState.REFUSED,
-                )
+            await self._client.fetch(
+                _build_http_request(ticket, sink.resume_point, transfer),
+                raise_error=False,
             )
-        answer.start_once(response.code)
-        return Success(
-            Completion(response.code, answer.content_type, answer.size_bytes)
-        )
+        except (tornado.httpclient.HTTPError, OSError) as error:
+            return Failure(_broken(error, transfer))
+        finally:
+            transfer.close()
+        return _ended(ticket, sink, transfer)
 
     async def report(self, runner: Runner) -> Result[RunnerReport, Problem]:
         """Asks a runner for its load."""
@@ -137,68 +125,103 @@
             return None
 
 
-class _StreamedAnswer:
-    """Passes head and body of one answer to the sink."""
-
-    __slots__ = ("_sink", "_started", "_status", "content_type", "size_bytes")
-
-    def __init__(self, sink: AnswerSink) -> None:
-        self._sink = sink
-        self._started = False
-        self._status = 0
-        self.content_type = "application/octet-stream"
-        self.size_bytes = 0
-
-    def attach(self, curl: pycurl.Curl) -> None:
-        """Takes header lines straight from curl.
-
-        The client's own header callback is scheduled on the loop and can
-        come after the body of a short answer.
-        """
-        curl.setopt(pycurl.HEADERFUNCTION, self._take_header)
-
-    def _take_header(self, line: bytes) -> None:
-        text = line.decode("latin-1").strip()
-        if text.startswith("HTTP/"):
-            self._status = int(text.split(" ")[1])
-            return
-        name, _, value = text.partition(":")
-        if name.lower() == "content-type":
-            self.content_type = value.strip()
-
-    def take_body(self, data: bytes) -> None:
-        """Takes the next bytes of the body."""
-        if self._status == 503:
-            return
-        self.start_once(self._status)
-        self.size_bytes += len(data)
-        self._sink.write(data)
-
-    def start_once(self, status: int) -> None:
-        """Passes on the head if that has not been done."""
-        if self._started:
-            return
-        self._started = True
-        self._sink.start(status, self.content_type)
-
-    @property
-    def started(self) -> bool:
-        """Returns whether the head was passed on."""
-        return self._started
-
-
-def _failure(error: BaseException, answer: _StreamedAnswer) -> AttemptFailure:
-    if was_unsent(error):
-        return AttemptFailure(
-            Problem(ErrorKind.RUNNER_UNREACHABLE, f"runner: {error}"),
-            AttemptState.UNSENT,
-        )
-    if answer.started:
+def _build_http_request(
+    ticket: Ticket, resume_point: ResumePoint | None, transfer: Transfer
+) -> tornado.httpclient.HTTPRequest:
+    request = ticket.request
+    headers = {
+        "Content-Type": request.content_type,
+        "X-Request-Id": request.request_id,
+        "X-Attempt-Id": ticket.attempt_id,
+    }
+    if ticket.runner.kind is ServiceKind.ENGINE:
+        headers["X-Sampling-Seed"] = str(_seed_of(request.request_id))
+    if resume_point is not None:
+        headers["Last-Event-ID"] = str(resume_point.last_offset)
+        headers["X-Adapter-Version"] = resume_point.adapter_version
+    body: bytes | None = None
+    if request.body or request.method in _BODY_METHODS:
+        body = request.body
+    return tornado.httpclient.HTTPRequest(
+        f"http://{ticket.runner.address}{request.path}",
+        method=request.method,
+        body=body if request.method not in _BODILESS_METHODS else None,
+        headers=headers,
+        connect_timeout=CONNECT_TIMEOUT_SECONDS,
+        # The transfer keeps its own deadline, which leaves out pauses.
+        request_timeout=0,
+        prepare_curl_callback=transfer.attach_curl,
+        allow_nonstandard_methods=True,
+        follow_redirects=False,
+        decompress_response=False,
+    )
+
+
+def _seed_of(request_id: str) -> int:
+    """Returns the sampling seed that all attempts of a request share."""
+    return zlib.crc32(request_id.encode())
+
+
+def _ended(
+    ticket: Ticket, sink: AnswerSink, transfer: Transfer
+) -> Result[Completion, AttemptFailure]:
+    """Judges an attempt that ended as HTTP says it should."""
+    if transfer.refused:
+        return Failure(_refused(transfer.refusal))
+    if not transfer.started and not transfer.check_head():
+        problem = transfer.problem or Problem(ErrorKind.INTERNAL, "no head")
+        return Failure(AttemptFailure(problem, AttemptState.MAYBE_RUN))
+    head = transfer.start_once()
+    missing = sink.end()
+    if missing is not None:
+        return Failure(AttemptFailure(missing, AttemptState.MAYBE_RUN))
+    return Success(
+        Completion(head.status, head.content_type, transfer.size_bytes)
+    )
+
+
+def _refused(body: bytes) -> AttemptFailure:
+    """Judges an engine's 503, which counts as not run if it says so."""
+    try:
+        ran = json.loads(body).get("ran")
+    except (ValueError, AttributeError):
+        ran = None
+    if ran == Ran.NOT_RUN.value:
         return AttemptFailure(
-            Problem(ErrorKind.STREAM_BROKEN, f"runner: {error}"),
-            AttemptState.MAYBE_RUN,
+            Problem(ErrorKind.RUNNER_REFUSED, "the runner is busy"),
+            AttemptState.REFUSED,
         )
     return AttemptFailure(
-        Problem(ErrorKind.OUTCOME_UNKNOWN, f"runner: {error}"),
+        Problem(
+            ErrorKind.OUTCOME_UNKNOWN,
+            "the runner refused and does not say that it was not run",
+        ),
         AttemptState.MAYBE_RUN,
     )
+
+
+def _unknown(transfer: Transfer, detail: str) -> AttemptFailure:
+    kind = ErrorKind.OUTCOME_UNKNOWN
+    if transfer.started:
+        kind = ErrorKind.STREAM_BROKEN
+    return AttemptFailure(
+        Problem(kind, f"runner: {detail}"), AttemptState.MAYBE_RUN
+    )
+
+
+def _broken(error: BaseException, transfer: Transfer) -> AttemptFailure:
+    """Judges an attempt that broke.
+
+    Raises:
+        Exception: If the sink failed; then the fault is not the runner's.
+    """
+    if transfer.error is not None:
+        raise transfer.error
+    if transfer.problem is not None:
+        return AttemptFailure(transfer.problem, AttemptState.MAYBE_RUN)
+    if was_unsent(error):
+        return AttemptFailure(
+            Problem(ErrorKind.RUNNER_UNREACHABLE, f"runner: {error}"),
+            AttemptState.UNSENT,
+        )
+    return _unknown(transfer, str(error))
--- /dev/null
+++ b/mulberrypaddle/controllers/stream_memory/memory.py
@@ -0,0 +1,232 @@
+"""One budget of answer bytes for a process, shared by organisation.
+
+The share of an organisation is a multiple of what is still free, so that
+one alone can use most of the budget and still leaves room for the next.
+Source: Choudhury and Hahne, "Dynamic Queue Length Thresholds in a
+Shared-Memory Packet Switch", 1998.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.controllers.base import Context, Controller
+from mulberrypaddle.controllers.stream_memory.stream import (
+    RECEIVE_BUFFER_BYTES,
+    AnswerStream,
+)
+from mulberrypaddle.core import invariants
+
+if TYPE_CHECKING:
+    from mulberrypaddle.controllers.stream_memory.stream import StreamListener
+
+# One organisation may hold up to this multiple of the free bytes.
+SHARE_OF_FREE = 4.0
+
+STALL_CHECK_SECONDS = 0.5
+
+
+class StreamMemory(Controller):
+    """Decides which sender may go on, which waits and which is cancelled.
+
+    Attributes:
+        budget_bytes: Most bytes charged for all streams.
+        charged_bytes: Bytes charged now.
+        peak_bytes: Most bytes ever charged.
+        sheds: Streams that were cut back to their offset, counted.
+        stalls: Streams that were ended because of their reader, counted.
+    """
+
+    name = "stream_memory"
+
+    def __init__(self, context: Context, *, budget_bytes: int) -> None:
+        super().__init__(context)
+        self.budget_bytes = budget_bytes
+        self.charged_bytes = 0
+        self.peak_bytes = 0
+        self.sheds = 0
+        self.stalls = 0
+        self._streams: dict[AnswerStream, None] = {}
+        self._by_organisation: dict[str, int] = {}
+        self._short: dict[AnswerStream, None] = {}
+        self._next_stall_check_seconds = 0.0
+
+    def open(
+        self,
+        organisation: str,
+        *,
+        window_bytes: int,
+        stall_seconds: float,
+        can_shed: bool,
+        listener: StreamListener,
+    ) -> AnswerStream:
+        """Registers a stream that holds and reserves nothing yet."""
+        stream = AnswerStream(
+            organisation,
+            window_bytes=window_bytes,
+            stall_seconds=stall_seconds,
+            can_shed=can_shed,
+            listener=listener,
+        )
+        self._streams[stream] = None
+        return stream
+
+    def reserve(self, stream: AnswerStream) -> bool:
+        """Sets aside the receive buffer before a sender starts.
+
+        Returns:
+            Whether it was set aside; if not, `room` is called later.
+        """
+        if stream.reserved_bytes:
+            return True
+        if not self._allows(stream, RECEIVE_BUFFER_BYTES):
+            self._wait(stream, RECEIVE_BUFFER_BYTES)
+            return False
+        stream.reserved_bytes = RECEIVE_BUFFER_BYTES
+        self._charge(stream, RECEIVE_BUFFER_BYTES)
+        return True
+
+    def unreserve(self, stream: AnswerStream) -> None:
+        """Gives the receive buffer back once the sender has ended."""
+        reserved_bytes = stream.reserved_bytes
+        stream.reserved_bytes = 0
+        stream.wanted_bytes = 0
+        self._short.pop(stream, None)
+        self._charge(stream, -reserved_bytes)
+        self._wake_short()
+
+    def take(self, stream: AnswerStream, size_bytes: int) -> bool:
+        """Asks to hold the next bytes of an answer.
+
+        Returns:
+            Whether they may be held; if not, the sender must pause until
+            `room` is called.
+        """
+        if not stream.fits_window(size_bytes):
+            stream.wanted_bytes = size_bytes
+            return False
+        if not self._allows(stream, size_bytes):
+            self._wait(stream, size_bytes)
+            return False
+        stream.wanted_bytes = 0
+        stream.held_bytes += size_bytes
+        self._charge(stream, size_bytes)
+        return True
+
+    def blocked(self, stream: AnswerStream) -> None:
+        """Notes that bytes wait for the caller's socket."""
+        stream.blocked_since_seconds = self.context.now_seconds()
+
+    def drained(self, stream: AnswerStream, size_bytes: int) -> None:
+        """Notes that the caller's socket took bytes."""
+        stream.blocked_since_seconds = None
+        self.dropped(stream, size_bytes)
+
+    def dropped(self, stream: AnswerStream, size_bytes: int) -> None:
+        """Notes that bytes are held no more."""
+        stream.held_bytes -= size_bytes
+        self._charge(stream, -size_bytes)
+        if stream.wanted_bytes and stream not in self._short:
+            self._wake(stream)
+        self._wake_short()
+
+    def close(self, stream: AnswerStream) -> None:
+        """Forgets a stream with all that it holds."""
+        if stream not in self._streams:
+            return
+        del self._streams[stream]
+        self._short.pop(stream, None)
+        self._charge(stream, -stream.charged_bytes)
+        stream.held_bytes = 0
+        stream.reserved_bytes = 0
+        self._wake_short()
+
+    def step(self, now_seconds: float) -> None:
+        """Ends streams whose reader takes nothing."""
+        if now_seconds < self._next_stall_check_seconds:
+            return
+        self._next_stall_check_seconds = now_seconds + STALL_CHECK_SECONDS
+        for stream in list(self._streams):
+            since_seconds = stream.blocked_since_seconds
+            if since_seconds is None:
+                continue
+            if now_seconds - since_seconds < stream.stall_seconds:
+                continue
+            self.stalls += 1
+            stream.blocked_since_seconds = None
+            stream.listener.stalled()
+
+    def _charge(self, stream: AnswerStream, size_bytes: int) -> None:
+        self.charged_bytes += size_bytes
+        self.peak_bytes = max(self.peak_bytes, self.charged_bytes)
+        stream.peak_bytes = max(stream.peak_bytes, stream.charged_bytes)
+        name = stream.organisation
+        total_bytes = self._by_organisation.get(name, 0) + size_bytes
+        self._by_organisation[name] = total_bytes
+        if total_bytes == 0:
+            del self._by_organisation[name]
+        invariants.check(
+            0 <= self.charged_bytes <= self.budget_bytes,
+            invariants.Invariant.ANSWER_MEMORY,
+            f"{self.charged_bytes} bytes charged of {self.budget_bytes}",
+        )
+
+    def _allows(self, stream: AnswerStream, size_bytes: int) -> bool:
+        free_bytes = self.budget_bytes - self.charged_bytes
+        if size_bytes > free_bytes:
+            return False
+        held_bytes = self._by_organisation.get(stream.organisation, 0)
+        return held_bytes + size_bytes <= SHARE_OF_FREE * free_bytes
+
+    def _wait(self, stream: AnswerStream, size_bytes: int) -> None:
+        stream.wanted_bytes = size_bytes
+        self._short[stream] = None
+        victim = self._pick_victim()
+        if victim is None:
+            return
+        self.sheds += 1
+        self.dropped(victim, victim.listener.shed())
+
+    def _pick_victim(self) -> AnswerStream | None:
+        """Returns the blocked stream that holds most of the largest share."""
+        best: AnswerStream | None = None
+        best_rank = (0, 0)
+        for stream in self._streams:
+            if not stream.can_shed or not stream.reserved_bytes:
+                continue
+            if stream.blocked_since_seconds is None:
+                continue
+            rank = (
+                self._by_organisation.get(stream.organisation, 0),
+                stream.held_bytes,
+            )
+            if rank > best_rank:
+                best = stream
+                best_rank = rank
+        return best
+
+    def _wake(self, stream: AnswerStream) -> None:
+        if stream.reserved_bytes and not stream.may_resume():
+            return
+        stream.wanted_bytes = 0
+        stream.listener.room()
+
+    def _wake_short(self) -> None:
+        """Lets waiting streams go on, smallest share first."""
+        if not self._short:
+            return
+        waiting = sorted(
+            self._short,
+            key=lambda stream: self._by_organisation.get(
+                stream.organisation, 0
+            ),
+        )
+        free_bytes = self.budget_bytes - self.charged_bytes
+        for stream in waiting:
+            free_bytes -= stream.wanted_bytes
+            if free_bytes < 0:
+                return
+            if not self._allows(stream, stream.wanted_bytes):
+                continue
+            self._short.pop(stream, None)
+            self._wake(stream)
--- a/mulberrypaddle/core/invariants.py
+++ b/mulberrypaddle/core/invariants.py
@@ -26,6 +26,7 @@
     GRACEFUL_STOP = "graceful_stop"
     CONFIG_MONOTONIC = "config_monotonic"
     SINGLE_OWNER = "single_owner"
+    ANSWER_MEMORY = "answer_memory"
 
 
 class InvariantBreachError(AssertionError):
--- a/mulberrypaddle/frontdoor/pipeline.py
+++ b/mulberrypaddle/frontdoor/pipeline.py
@@ -9,6 +9,7 @@
 
 from mulberrypaddle.controllers.claims import ClaimReply, ClaimStart, KeptAnswer
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
+from mulberrypaddle.core.fleet import ServiceKind
 from mulberrypaddle.core.request import AttemptState, Request
 from mulberrypaddle.core.ticket import AttemptOutcome, Ticket
 
@@ -16,7 +17,6 @@
     from collections.abc import Callable
 
     from mulberrypaddle.backends import (
-        AnswerSink,
         AttemptFailure,
         Completion,
         RunnerClient,
@@ -24,11 +24,15 @@
     from mulberrypaddle.controllers.admission import Admission, AdmissionReply
     from mulberrypaddle.controllers.claims import Claims
     from mulberrypaddle.core.clock import Clock
+    from mulberrypaddle.frontdoor.relay import Relay
 
 T = TypeVar("T")
 
 MAX_ATTEMPTS = 3
 
+# After these the same runner may do better on another attempt.
+_BREAKS = frozenset({ErrorKind.STREAM_BROKEN, ErrorKind.OUTCOME_UNKNOWN})
+
 
 async def _reply_of(
     ask: Callable[[Callable[[Result[T, Problem]], None]], None],
@@ -63,27 +67,33 @@
         self._clock = clock
 
     async def run(
-        self, request: Request, sink: AnswerSink
+        self, request: Request, relay: Relay
     ) -> Result[Completion | KeptAnswer, Problem]:
         """Answers one request.
 
         Args:
             request: The authenticated and checked request.
-            sink: Where the answer goes as it comes.
+            relay: Where the answer goes as it comes.
 
         Returns:
             How it completed, the answer kept from an earlier run of the
             same key, or the problem with a true statement of execution.
         """
+        result = await self._run(request, relay)
+        return result.alt(relay.history.make_true)
+
+    async def _run(
+        self, request: Request, relay: Relay
+    ) -> Result[Completion | KeptAnswer, Problem]:
         if request.idempotent:
-            return await self._attempts(request, sink)
+            return await self._attempts(request, relay)
         claim = await self._claim(request)
         if not isinstance(claim, Success):
             return Failure(claim.failure())
         start = claim.unwrap()
         if start is not ClaimStart.RUN:
             return Success(start)
-        return await self._attempts(request, sink)
+        return await self._attempts(request, relay)
 
     async def _claim(
         self, request: Request
@@ -102,60 +112,137 @@
         return await _reply_of(ask)
 
     async def _attempts(
-        self, request: Request, sink: AnswerSink
+        self, request: Request, relay: Relay
     ) -> Result[Completion | KeptAnswer, Problem]:
         tried: set[str] = set()
+        failures = 0
         problem = Problem(ErrorKind.NO_RUNNER, "no attempt was made")
-        for _ in range(MAX_ATTEMPTS):
-            passed_over = frozenset(tried)
-            admitted = await self._admit(request, passed_over)
+        while failures < MAX_ATTEMPTS:
+            if not relay.try_reserve():
+                return Failure(_worse(problem, _no_memory()))
+            may_repeat = relay.started or problem.kind in _BREAKS
+            admitted = await self._admit_anywhere(
+                request, tried, may_repeat=may_repeat
+            )
             if not isinstance(admitted, Success):
                 return Failure(_worse(problem, admitted.failure()))
             ticket = admitted.unwrap()
+            if relay.ended is not None:
+                self._release_unsent(ticket)
+                return Failure(relay.ended)
             tried.add(ticket.runner.runner_id)
-            result = await self._attempt(ticket, sink)
+            result = await self._attempt(ticket, relay)
             if isinstance(result, Success):
                 return Success(result.unwrap())
+            if relay.parked and relay.ended is None:
+                await self._wait_for_reader(request, relay)
+                tried.clear()
+                continue
+            failures += 1
             failure = result.failure()
             problem = failure.problem
-            if not _may_retry(request, failure):
+            if not _may_retry(request, failure, relay):
                 break
         return Failure(problem)
 
+    async def _admit_anywhere(
+        self, request: Request, tried: set[str], *, may_repeat: bool
+    ) -> Result[Ticket, Problem]:
+        """Admits to a runner not tried yet, or after a break to any."""
+        admitted = await self._admit(request, frozenset(tried))
+        if isinstance(admitted, Success) or not may_repeat:
+            return admitted
+        if admitted.failure().kind is not ErrorKind.NO_RUNNER:
+            return admitted
+        tried.clear()
+        return await self._admit(request, frozenset())
+
+    async def _wait_for_reader(self, request: Request, relay: Relay) -> None:
+        """Waits, while the deadline stands still, until the reader is ready."""
+        since_seconds = self._clock.monotonic_seconds()
+        await relay.wait_for_reader()
+        request.deadline_at_seconds += (
+            self._clock.monotonic_seconds() - since_seconds
+        )
+
+    def _release_unsent(self, ticket: Ticket) -> None:
+        self._admission.release(
+            AttemptOutcome(
+                ticket,
+                state=AttemptState.UNSENT,
+                status=0,
+                latency_seconds=0.0,
+            )
+        )
+
     async def _attempt(
-        self, ticket: Ticket, sink: AnswerSink
+        self, ticket: Ticket, relay: Relay
     ) -> Result[Completion, AttemptFailure]:
         sent_at_seconds = self._clock.monotonic_seconds()
         timeout_seconds = ticket.request.deadline_at_seconds - sent_at_seconds
-        result = await self._runners.call(
-            ticket, sink, timeout_seconds=max(timeout_seconds, 0.001)
-        )
-        state = AttemptState.DONE
+        state = AttemptState.MAYBE_RUN
         status = 0
-        if isinstance(result, Success):
-            status = result.unwrap().status
-        else:
-            state = result.failure().state
-        self._admission.release(
-            AttemptOutcome(
+        runner_died = False
+        try:
+            result = await self._runners.call(
                 ticket,
-                state=state,
-                status=status,
-                latency_seconds=self._clock.monotonic_seconds()
-                - sent_at_seconds,
-                runner_died=state is AttemptState.MAYBE_RUN,
+                relay.new_sink(),
+                timeout_seconds=max(timeout_seconds, 0.001),
+            )
+            if isinstance(result, Success):
+                state = AttemptState.DONE
+                status = result.unwrap().status
+            else:
+                state = result.failure().state
+                runner_died = _runner_died(result.failure(), relay)
+                await self._cancel(ticket, state)
+        finally:
+            relay.history.end(state)
+            relay.end_attempt()
+            self._admission.release(
+                AttemptOutcome(
+                    ticket,
+                    state=state,
+                    status=status,
+                    latency_seconds=self._clock.monotonic_seconds()
+                    - sent_at_seconds,
+                    runner_died=runner_died,
+                )
             )
-        )
         return result
 
+    async def _cancel(self, ticket: Ticket, state: AttemptState) -> None:
+        """Tells an engine to give up what it may still hold."""
+        if state is not AttemptState.MAYBE_RUN:
+            return
+        if ticket.runner.kind is ServiceKind.ENGINE:
+            await self._runners.cancel(ticket)
+
+
+def _no_memory() -> Problem:
+    return Problem(
+        ErrorKind.OVERLOADED, "the memory for answers is in use by readers"
+    )
+
 
-def _may_retry(request: Request, failure: AttemptFailure) -> bool:
+def _runner_died(failure: AttemptFailure, relay: Relay) -> bool:
+    """Returns whether the runner is to blame for a broken attempt."""
+    if failure.state is not AttemptState.MAYBE_RUN:
+        return False
+    if relay.ended is not None or relay.parked:
+        return False
+    return failure.problem.kind is not ErrorKind.DEADLINE_PASSED
+
+
+def _may_retry(request: Request, failure: AttemptFailure, relay: Relay) -> bool:
     """Returns whether another attempt can do no harm."""
+    if relay.ended is not None:
+        return False
     if failure.state in (AttemptState.UNSENT, AttemptState.REFUSED):
         return True
-    if failure.problem.kind is ErrorKind.STREAM_BROKEN:
+    if failure.problem.kind is ErrorKind.DEADLINE_PASSED:
         return False
-    return request.idempotent
+    return request.idempotent and relay.can_resume
 
 
 def _worse(earlier: Problem, latest: Problem) -> Problem:
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -15,6 +15,7 @@
 from mulberrypaddle.controllers.configuration import ConfigurationController
 from mulberrypaddle.controllers.membership import SoloMembership
 from mulberrypaddle.controllers.runner_table import RunnerTableController
+from mulberrypaddle.controllers.stream_memory import StreamMemory
 from mulberrypaddle.core.clock import Clock, SystemClock
 from mulberrypaddle.driver import Adapters, Driver
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
@@ -33,6 +34,7 @@
 
     Attributes:
         context: The controllers' context, with the blackboard.
+        memory: Budget of answer bytes.
         node: The controllers in step.
     """
 
@@ -51,6 +53,9 @@
         admission = Admission(self.context)
         claims = Claims(self.context)
         apply = Apply(self.context)
+        self.memory = StreamMemory(
+            self.context, budget_bytes=settings.answer_memory_bytes
+        )
         self.node = Node(
             self.context,
             [
@@ -62,6 +67,7 @@
                 apply,
                 claims,
                 admission,
+                self.memory,
             ],
         )
         self._store = HttpObjectStore(
@@ -76,6 +82,7 @@
         self._server = serve_front_door(
             FrontDoor(
                 context=self.context,
+                memory=self.memory,
                 pipeline=Pipeline(
                     admission=admission,
                     claims=claims,
--- a/mulberrypaddle/standins/engine.py
+++ b/mulberrypaddle/standins/engine.py
@@ -10,6 +10,7 @@
 import json
 import time
 import uuid
+import zlib
 from typing import Any
 
 import tornado.iostream
@@ -36,6 +37,14 @@
         member_vm_ids: VMs that confirm the generation.
         dead: While true it cuts every connection.
         break_after_tokens: If positive, cuts a stream after that many tokens.
+        end_after_tokens: If positive, ends a stream cleanly after that many
+            tokens, without its end mark.
+        truncate_whole: How many coming whole answers break half way.
+        padding_bytes: Added to the text of each token.
+        adapter_version: Version of the adapter that it answers with.
+        sampled: If true, the tokens depend on seed and adapter version.
+        cancels: Attempts that it was told to cancel or whose reader left.
+        resumes: Last-Event-ID of each resumed attempt, in order.
     """
 
     def __init__(
@@ -59,6 +68,18 @@
         self.member_vm_ids = member_vm_ids
         self.dead = False
         self.break_after_tokens = 0
+        self.end_after_tokens = 0
+        self.truncate_whole = 0
+        self.padding_bytes = 0
+        self.adapter_version = "v1"
+        self.sampled = False
+        self.cancels: list[str] = []
+        self.resumes: list[int] = []
+
+    def note_cancel(self, attempt_id: str) -> None:
+        """Notes once that an attempt was given up."""
+        if attempt_id not in self.cancels:
+            self.cancels.append(attempt_id)
 
     def crash(self) -> None:
         """Drops everything in hand and comes back cold."""
@@ -73,6 +94,12 @@
     return f"{words[offset % len(words)]}{offset} "
 
 
+def sampled_text(prompt: str, offset: int, *, seed: str, version: str) -> str:
+    """Returns the token that a seed and an adapter version lead to."""
+    digest = zlib.crc32(f"{prompt}|{offset}|{seed}|{version}".encode())
+    return f"{digest:08x} "
+
+
 class _EngineHandler(JsonHandler):
     """Knows the engine's state and how to cut a connection."""
 
@@ -95,6 +122,9 @@
     def on_connection_close(self) -> None:
         """Notes that the reader is gone, which cancels the run."""
         self.closed = True
+        attempt_id = self.request.headers.get("X-Attempt-Id", "")
+        if attempt_id in self.state.running:
+            self.state.note_cancel(attempt_id)
 
     async def post(self) -> None:
         """Runs one attempt."""
@@ -126,13 +156,19 @@
 
     async def _generate(self, value: dict[str, Any], prompt: str) -> None:
         max_tokens = int(value.get("max_tokens", 16))
-        begin = int(self.request.headers.get("Last-Event-ID", "-1")) + 1
+        headers = self.request.headers
+        attempt_id = headers.get("X-Attempt-Id", "")
+        self.set_header("X-Attempt-Id", attempt_id)
+        self.set_header("X-Adapter-Version", self.state.adapter_version)
+        wanted = headers.get("X-Adapter-Version", self.state.adapter_version)
+        if wanted != self.state.adapter_version:
+            self.answer(503, {"error": "adapter", "ran": "not run"})
+            return
+        begin = int(headers.get("Last-Event-ID", "-1")) + 1
+        if begin > 0:
+            self.state.resumes.append(begin - 1)
         if not value.get("stream"):
-            await asyncio.sleep(self.state.token_seconds * max_tokens)
-            text = "".join(
-                token_text(prompt, offset) for offset in range(max_tokens)
-            )
-            self.answer(200, {"text": text, "tokens": max_tokens})
+            await self._answer_whole(prompt, max_tokens)
             return
         self.set_header("Content-Type", "text/event-stream")
         for offset in range(begin, max_tokens):
@@ -140,14 +176,48 @@
             if self._must_break(offset - begin):
                 self.cut()
                 return
-            if self.closed:
+            if self._must_end(offset - begin):
+                await self.finish()
+                return
+            if self.closed or attempt_id not in self.state.running:
+                self.cut()
                 return
-            data = json.dumps({"text": token_text(prompt, offset)})
+            data = json.dumps({"text": self._token(prompt, offset)})
             self.write(f"id: {offset}\ndata: {data}\n\n")
             await self.flush()
         self.write("data: [DONE]\n\n")
         self.finish()
 
+    async def _answer_whole(self, prompt: str, max_tokens: int) -> None:
+        await asyncio.sleep(self.state.token_seconds * max_tokens)
+        text = "".join(
+            self._token(prompt, offset) for offset in range(max_tokens)
+        )
+        if self.state.truncate_whole <= 0:
+            self.answer(200, {"text": text, "tokens": max_tokens})
+            return
+        self.state.truncate_whole -= 1
+        self.set_header("Content-Length", str(2 * len(text)))
+        self.write(text)
+        await self.flush()
+        self.cut()
+
+    def _token(self, prompt: str, offset: int) -> str:
+        text = token_text(prompt, offset)
+        if self.state.sampled:
+            text = sampled_text(
+                prompt,
+                offset,
+                seed=self.request.headers.get("X-Sampling-Seed", "")
+                or uuid.uuid4().hex,
+                version=self.state.adapter_version,
+            )
+        return text + "." * self.state.padding_bytes
+
+    def _must_end(self, sent_tokens: int) -> bool:
+        limit = self.state.end_after_tokens
+        return 0 < limit <= sent_tokens
+
     def _must_break(self, sent_tokens: int) -> bool:
         limit = self.state.break_after_tokens
         if self.state.dead:
@@ -189,6 +259,8 @@
     def post(self, attempt_id: str) -> None:
         """Forgets the attempt."""
         known = self.state.running.pop(attempt_id, None) is not None
+        if known:
+            self.state.note_cancel(attempt_id)
         self.answer(200, {"cancelled": known})
 
 
--- /dev/null
+++ b/tests/frontdoor/test_streams.py
@@ -0,0 +1,257 @@
+"""Streams over loopback: slow, stalled and lost readers, broken runners."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import zlib
+from typing import TYPE_CHECKING, Any
+
+import testtools
+from testtools import matchers
+
+from mulberrypaddle.controllers.stream_memory import WINDOW_BYTES
+from mulberrypaddle.core import invariants
+from mulberrypaddle.frontdoor.relay import Relay
+from mulberrypaddle.standins.engine import sampled_text
+from tests.support.asynchronous import run
+from tests.support.small_fleet import KEY, SmallFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+WAIT_STEPS = 2_000
+
+_OFFSET = re.compile(rb"\nid: ([0-9]+)\n")
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        TimeoutError: If it does not come to hold.
+    """
+    for _ in range(WAIT_STEPS):
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+    raise TimeoutError("the condition did not come to hold")
+
+
+def completion(max_tokens: int) -> dict[str, Any]:
+    """Returns the body of a streamed request."""
+    return {"prompt": "a card", "max_tokens": max_tokens, "stream": True}
+
+
+class RawReader:
+    """A caller that reads only when told to."""
+
+    def __init__(self, fleet: SmallFleet) -> None:
+        self._fleet = fleet
+        self.received = b""
+
+    async def send(self, path: str, body: dict[str, Any]) -> None:
+        """Connects with a small receive buffer and sends one request."""
+        host, port = self._fleet.address.split(":")
+        self.reader, self.writer = await asyncio.open_connection(
+            host, int(port), limit=1024
+        )
+        data = json.dumps(body)
+        self.writer.write(
+            f"POST {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            f"Authorization: Bearer {KEY}\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n{data}".encode()
+        )
+        await self.writer.drain()
+
+    async def read_all(self) -> bytes:
+        """Reads to the end of the connection."""
+        self.received += await self.reader.read(-1)
+        return self.received
+
+
+COMPLETIONS = "/services/card-writer/v1/completions"
+
+
+class SlowReaderTest(testtools.TestCase):
+    """Readers that take little, nothing, or go away."""
+
+    def test_slow_reader_holds_the_runner_back(self) -> None:
+        async def scenario() -> tuple[int, int, bytes]:
+            async with SmallFleet() as fleet:
+                fleet.engine.token_seconds = 0.0
+                fleet.engine.padding_bytes = 4_000
+                memory = fleet.router.memory
+                reader = RawReader(fleet)
+                await reader.send(COMPLETIONS, completion(2_000))
+                await until(lambda: memory.charged_bytes > WINDOW_BYTES // 2)
+                for _ in range(50):
+                    await asyncio.sleep(0.005)
+                running = len(fleet.engine.running)
+                return memory.peak_bytes, running, await reader.read_all()
+
+        peak_bytes, running, answer = run(scenario())
+        self.assertThat(peak_bytes, matchers.Not(matchers.GreaterThan(65_536)))
+        self.assertEqual(1, running)
+        self.assertEqual(2_000, len(_OFFSET.findall(answer)))
+        self.assertThat(answer, matchers.EndsWith(b"\r\n0\r\n\r\n"))
+
+    def test_stalled_reader_is_ended_and_its_runner_cancelled(self) -> None:
+        async def scenario() -> tuple[list[str], bytes, int]:
+            async with SmallFleet() as fleet:
+                fleet.engine.token_seconds = 0.0
+                fleet.engine.padding_bytes = 4_000
+                memory = fleet.router.memory
+                reader = RawReader(fleet)
+                await reader.send(COMPLETIONS, completion(2_000))
+                await until(lambda: memory.charged_bytes > WINDOW_BYTES // 2)
+                memory.step(fleet.router.context.now_seconds() + 3_600)
+                await until(lambda: not fleet.engine.running)
+                await until(lambda: memory.charged_bytes == 0)
+                return (
+                    fleet.engine.cancels,
+                    await reader.read_all(),
+                    memory.stalls,
+                )
+
+        cancels, answer, stalls = run(scenario())
+        self.assertEqual((1, 1), (len(cancels), stalls))
+        self.assertFalse(answer.endswith(b"0\r\n\r\n"))
+
+    def test_caller_that_leaves_cancels_its_runner(self) -> None:
+        async def scenario() -> list[str]:
+            async with SmallFleet() as fleet:
+                reader = RawReader(fleet)
+                await reader.send(COMPLETIONS, completion(100_000))
+                await until(lambda: bool(fleet.engine.running))
+                reader.writer.close()
+                await until(lambda: not fleet.engine.running)
+                await until(lambda: fleet.router.memory.charged_bytes == 0)
+                return fleet.engine.cancels
+
+        self.assertEqual(1, len(run(scenario())))
+
+    def test_short_budget_parks_and_resumes_without_gap(self) -> None:
+        async def scenario() -> tuple[list[bytes], int, int, list[int]]:
+            async with SmallFleet(answer_memory_bytes=1 << 18) as fleet:
+                fleet.engine.token_seconds = 0.0
+                fleet.engine.padding_bytes = 4_000
+                memory = fleet.router.memory
+                readers = [RawReader(fleet) for _ in range(8)]
+                for reader in readers:
+                    await reader.send(COMPLETIONS, completion(400))
+                await until(lambda: memory.sheds > 0)
+                answers = await asyncio.gather(
+                    *(reader.read_all() for reader in readers)
+                )
+                return (
+                    answers,
+                    memory.sheds,
+                    memory.peak_bytes,
+                    fleet.engine.resumes,
+                )
+
+        answers, sheds, peak_bytes, resumes = run(scenario())
+        self.assertThat(sheds, matchers.GreaterThan(0))
+        self.assertThat(resumes, matchers.Not(matchers.HasLength(0)))
+        self.assertThat(peak_bytes, matchers.LessThan((1 << 18) + 1))
+        for answer in answers:
+            offsets = [int(offset) for offset in _OFFSET.findall(answer)]
+            self.assertEqual(list(range(400)), offsets)
+            self.assertThat(answer, matchers.EndsWith(b"\r\n0\r\n\r\n"))
+
+
+class BrokenRunnerTest(testtools.TestCase):
+    """Runners that break, end early or are cut."""
+
+    def test_broken_stream_goes_on_at_its_offset(self) -> None:
+        async def scenario() -> tuple[str, str, list[int]]:
+            async with SmallFleet(engines=2) as fleet:
+                for engine in fleet.engines:
+                    engine.sampled = True
+                fleet.engines[0].break_after_tokens = 2
+                fleet.engines[1].break_after_tokens = 3
+                answer = await fleet.call(
+                    "card-writer", "/v1/completions", completion(9)
+                )
+                resumes = [
+                    *fleet.engines[0].resumes,
+                    *fleet.engines[1].resumes,
+                ]
+                request_id = answer.headers["X-Request-Id"]
+                return answer.body.decode(), request_id, sorted(resumes)
+
+        body, request_id, resumes = run(scenario())
+        seed = str(zlib.crc32(request_id.encode()))
+        whole = ""
+        for offset in range(9):
+            text = sampled_text("a card", offset, seed=seed, version="v1")
+            data = json.dumps({"text": text})
+            whole += f"id: {offset}\ndata: {data}\n\n"
+        self.assertEqual(whole + "data: [DONE]\n\n", body)
+        self.assertEqual(2, len(resumes))
+
+    def test_other_adapter_version_is_never_mixed_in(self) -> None:
+        async def scenario() -> bytes:
+            async with SmallFleet(engines=2) as fleet:
+                for number, engine in enumerate(fleet.engines):
+                    engine.adapter_version = f"v{number}"
+                fleet.engines[0].break_after_tokens = 2
+                fleet.engines[1].break_after_tokens = 2
+                reader = RawReader(fleet)
+                await reader.send(COMPLETIONS, completion(9))
+                return await reader.read_all()
+
+        answer = run(scenario())
+        offsets = [int(offset) for offset in _OFFSET.findall(answer)]
+        # The break is resumed where the version is the same.
+        self.assertEqual(list(range(9)), offsets)
+        self.assertThat(answer, matchers.EndsWith(b"\r\n0\r\n\r\n"))
+
+    def test_early_clean_end_is_no_answer(self) -> None:
+        async def scenario() -> bytes:
+            async with SmallFleet() as fleet:
+                fleet.engine.end_after_tokens = 2
+                reader = RawReader(fleet)
+                await reader.send(COMPLETIONS, completion(9))
+                return await reader.read_all()
+
+        answer = run(scenario())
+        self.assertThat(answer, matchers.Contains(b"event: error\n"))
+        self.assertThat(answer, matchers.Contains(b'"ran": "unknown"'))
+        self.assertFalse(answer.endswith(b"0\r\n\r\n"))
+
+    def test_without_the_end_check_the_invariant_breaches(self) -> None:
+        self.patch(Relay, "finish", lambda *_: None)
+
+        async def scenario() -> int:
+            async with SmallFleet() as fleet:
+                before = invariants.breach_count(
+                    invariants.Invariant.WHOLE_ANSWER
+                )
+                fleet.engine.end_after_tokens = 2
+                await fleet.call(
+                    "card-writer", "/v1/completions", completion(9)
+                )
+                return (
+                    invariants.breach_count(invariants.Invariant.WHOLE_ANSWER)
+                    - before
+                )
+
+        self.assertEqual(1, run(scenario()))
+
+    def test_short_whole_answer_is_fetched_again_or_refused(self) -> None:
+        async def scenario(breaks: int) -> tuple[int, dict[str, Any]]:
+            async with SmallFleet() as fleet:
+                fleet.engine.truncate_whole = breaks
+                body = {"prompt": "a card", "max_tokens": 20}
+                answer = await fleet.call(
+                    "card-writer", "/v1/completions", body
+                )
+                return answer.code, json.loads(answer.body)
+
+        status, body = run(scenario(1))
+        self.assertEqual((200, 20), (status, body["tokens"]))
+        status, body = run(scenario(99))
+        self.assertEqual((502, "unknown"), (status, body["ran"]))
--- a/tests/support/small_fleet.py
+++ b/tests/support/small_fleet.py
@@ -36,16 +36,27 @@
 
 
 class SmallFleet:
-    """An object API, an engine, a plain service and one router."""
+    """An object API, engines, a plain service and one router.
 
-    def __init__(self) -> None:
+    Attributes:
+        engines: The runners of card-writer.
+        engine: The first of them.
+    """
+
+    def __init__(
+        self, *, engines: int = 1, answer_memory_bytes: int = 1 << 26
+    ) -> None:
         self.store = MemoryStore()
-        self.engine = EngineState("card-writer-1")
+        self.engines = [
+            EngineState(f"card-writer-{number}")
+            for number in range(1, engines + 1)
+        ]
+        self.engine = self.engines[0]
         self.plain = PlainState("shop-counter-1")
         self._servers = [
             serve_object_api(self.store),
-            serve_engine(self.engine),
             serve_plain(self.plain),
+            *(serve_engine(engine) for engine in self.engines),
         ]
         self._fill()
         self.address = f"{LOOPBACK}:{free_port()}"
@@ -57,6 +68,7 @@
                 caller_address=self.address,
                 peer_address=f"{LOOPBACK}:{free_port()}",
                 object_api_address=self._servers[0].address,
+                answer_memory_bytes=answer_memory_bytes,
             )
         )
         self.client = make_client()
@@ -104,11 +116,11 @@
             ),
             "config/data-centres/south": "data_centre: south\nstate: in\n",
         }
-        for index, service, kind in (
-            (1, "card-writer", "engine"),
-            (2, "shop-counter", "plain"),
-        ):
-            documents[f"runners/{service}-1"] = json.dumps(
+        runners = [("shop-counter-1", "shop-counter", "plain")]
+        for engine in self.engines:
+            runners.append((engine.runner_id, "card-writer", "engine"))
+        for index, (name, service, kind) in enumerate(runners, 1):
+            documents[f"runners/{name}"] = json.dumps(
                 {
                     "service": service,
                     "kind": kind,
