--- a/tests/frontdoor/test_streams.py
+++ b/tests/frontdoor/test_streams.py
@@ -53,7 +53,7 @@
 
     async def send(self, path: str, body: dict[str, Any]) -> None:
         """Connects with a small receive buffer and sends one request."""
-        host, port = self._fleet.address.split(":")
+        host, port = self._fleet.addresses[0].split(":")
         self.reader, self.writer = await asyncio.open_connection(
             host, int(port), limit=1024
         )
@@ -82,7 +82,7 @@
             async with SmallFleet() as fleet:
                 fleet.engine.token_seconds = 0.0
                 fleet.engine.padding_bytes = 4_000
-                memory = fleet.router.memory
+                memory = fleet.routers[0].memory
                 reader = RawReader(fleet)
                 await reader.send(COMPLETIONS, completion(2_000))
                 await until(lambda: memory.charged_bytes > WINDOW_BYTES // 2)
@@ -102,11 +102,11 @@
             async with SmallFleet() as fleet:
                 fleet.engine.token_seconds = 0.0
                 fleet.engine.padding_bytes = 4_000
-                memory = fleet.router.memory
+                memory = fleet.routers[0].memory
                 reader = RawReader(fleet)
                 await reader.send(COMPLETIONS, completion(2_000))
                 await until(lambda: memory.charged_bytes > WINDOW_BYTES // 2)
-                memory.step(fleet.router.context.now_seconds() + 3_600)
+                memory.step(fleet.routers[0].context.now_seconds() + 3_600)
                 await until(lambda: not fleet.engine.running)
                 await until(lambda: memory.charged_bytes == 0)
                 return (
@@ -127,7 +127,7 @@
                 await until(lambda: bool(fleet.engine.running))
                 reader.writer.close()
                 await until(lambda: not fleet.engine.running)
-                await until(lambda: fleet.router.memory.charged_bytes == 0)
+                await until(lambda: fleet.routers[0].memory.charged_bytes == 0)
                 return fleet.engine.cancels
 
         self.assertEqual(1, len(run(scenario())))
@@ -137,7 +137,7 @@
             async with SmallFleet(answer_memory_bytes=1 << 18) as fleet:
                 fleet.engine.token_seconds = 0.0
                 fleet.engine.padding_bytes = 4_000
-                memory = fleet.router.memory
+                memory = fleet.routers[0].memory
                 readers = [RawReader(fleet) for _ in range(8)]
                 for reader in readers:
                     await reader.send(COMPLETIONS, completion(400))
@@ -167,17 +167,17 @@
 
     def test_broken_stream_goes_on_at_its_offset(self) -> None:
         async def scenario() -> tuple[str, str, list[int]]:
-            async with SmallFleet(engines=2) as fleet:
-                for engine in fleet.engines:
+            async with SmallFleet(engine_count=2) as fleet:
+                for engine in fleet.card_writers:
                     engine.sampled = True
-                fleet.engines[0].break_after_tokens = 2
-                fleet.engines[1].break_after_tokens = 3
+                fleet.card_writers[0].break_after_tokens = 2
+                fleet.card_writers[1].break_after_tokens = 3
                 answer = await fleet.call(
                     "card-writer", "/v1/completions", completion(9)
                 )
                 resumes = [
-                    *fleet.engines[0].resumes,
-                    *fleet.engines[1].resumes,
+                    *fleet.card_writers[0].resumes,
+                    *fleet.card_writers[1].resumes,
                 ]
                 request_id = answer.headers["X-Request-Id"]
                 return answer.body.decode(), request_id, sorted(resumes)
@@ -194,11 +194,11 @@
 
     def test_other_adapter_version_is_never_mixed_in(self) -> None:
         async def scenario() -> bytes:
-            async with SmallFleet(engines=2) as fleet:
-                for number, engine in enumerate(fleet.engines):
+            async with SmallFleet(engine_count=2) as fleet:
+                for number, engine in enumerate(fleet.card_writers):
                     engine.adapter_version = f"v{number}"
-                fleet.engines[0].break_after_tokens = 2
-                fleet.engines[1].break_after_tokens = 2
+                fleet.card_writers[0].break_after_tokens = 2
+                fleet.card_writers[1].break_after_tokens = 2
                 reader = RawReader(fleet)
                 await reader.send(COMPLETIONS, completion(9))
                 return await reader.read_all()
