--- a/mulberrypaddle/standins/local_fleet.py
+++ b/mulberrypaddle/standins/local_fleet.py
@@ -44,8 +44,20 @@
     """
 
     def __init__(
-        self, *, router_count: int = 1, data_centres: Sequence[str] = ("south",)
+        self,
+        *,
+        router_count: int = 1,
+        data_centres: Sequence[str] = ("south",),
+        **limits: Any,
     ) -> None:
+        """Starts the object API.
+
+        Args:
+            router_count: How many routers `start` starts.
+            data_centres: Names of the data centres, all in service.
+            **limits: Bounds of each router, as in `RouterSettings`.
+        """
+        self._limits = limits
         self.store = MemoryStore()
         self.engines: dict[str, EngineState] = {}
         self.plains: dict[str, PlainState] = {}
@@ -135,6 +147,7 @@
             peer_address=f"{LOOPBACK}:{free_port()}",
             object_api_address=self._object_api.address,
             operator_key_sha256=(digest_of(self.operator_key),),
+            **self._limits,
         )
         router = Router(settings)
         router.start()
--- a/tests/support/small_fleet.py
+++ b/tests/support/small_fleet.py
@@ -27,18 +27,27 @@
 
 
 class SmallFleet(LocalFleet):
-    """An object API, an engine, a plain service and one router.
+    """An object API, engines, a plain service and one router.
 
     Attributes:
-        engine: The only engine.
+        card_writers: The engines.
+        engine: The first of them.
         plain: The only plain service.
     """
 
-    def __init__(self, *, router_count: int = 1) -> None:
-        super().__init__(router_count=router_count)
-        self.engine = self.add_engine(
-            "card-writer-1", service="card-writer", data_centre="south"
-        )
+    def __init__(
+        self, *, router_count: int = 1, engine_count: int = 1, **limits: Any
+    ) -> None:
+        super().__init__(router_count=router_count, **limits)
+        self.card_writers = []
+        for number in range(1, engine_count + 1):
+            engine = self.add_engine(
+                f"card-writer-{number}",
+                service="card-writer",
+                data_centre="south",
+            )
+            self.card_writers.append(engine)
+        self.engine = self.card_writers[0]
         self.plain = self.add_plain(
             "shop-counter-1", service="shop-counter", data_centre="south"
         )
