Link routers over gRPC with batches, mutual TLS and bounded queues

Cause: the routers had no way to reach each other; SendToPeer was not carried out. Under TLS the sender's name must stand in its certificate, the receiver's certificate must carry its member id, and envelopes of an earlier incarnation are refused. Plain text needs peer_plaintext in the settings.

--- a/mulberrypaddle/cli/demo.py
+++ b/mulberrypaddle/cli/demo.py
@@ -90,6 +90,7 @@
             caller_address=address,
             peer_address=f"{LOOPBACK}:{free_port()}",
             object_api_address=servers[0].address,
+            peer_plaintext=True,
         )
     )
     router.start()
--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -11,6 +11,7 @@
     Intent,
     ListObjects,
     ReadObject,
+    SendToPeer,
     WriteObject,
 )
 from mulberrypaddle.observe import log_decision
@@ -21,6 +22,7 @@
 
     from mulberrypaddle.backends import ObjectStore
     from mulberrypaddle.node import Node
+    from mulberrypaddle.peers import PeerLinks
 
 STEP_SECONDS = 0.02
 
@@ -30,12 +32,14 @@
 
     Attributes:
         store: The platform's object API.
+        links: Links to the other routers.
     """
 
-    __slots__ = ("store",)
+    __slots__ = ("links", "store")
 
-    def __init__(self, *, store: ObjectStore) -> None:
+    def __init__(self, *, store: ObjectStore, links: PeerLinks) -> None:
         self.store = store
+        self.links = links
 
 
 @functools.singledispatch
@@ -80,6 +84,11 @@
     )
 
 
+@carry_out.register(SendToPeer)
+async def _send(intent: SendToPeer, adapters: Adapters) -> None:
+    adapters.links.send(intent.member_id, intent.message)
+
+
 class Driver:
     """Runs one node on the event loop."""
 
--- /dev/null
+++ b/mulberrypaddle/peers/links.py
@@ -0,0 +1,132 @@
+"""All links of one router."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from google.protobuf.any_pb2 import Any as PackedMessage
+
+from mulberrypaddle.blackboard import keys
+from mulberrypaddle.peers.client import PeerClient, PeerIdentity
+from mulberrypaddle.peers.counters import LinkCounters
+from mulberrypaddle.peers.server import PeerServer
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from google.protobuf.message import Message
+
+    from mulberrypaddle.node import Node
+    from mulberrypaddle.settings import RouterSettings
+
+
+class PeerLinks:
+    """Sends to and receives from the members on the blackboard.
+
+    A link is opened with the first message to a peer and closed when the
+    peer has left the membership or has moved to another address.
+
+    Attributes:
+        counters: What all links have carried and dropped.
+    """
+
+    def __init__(self, node: Node, settings: RouterSettings) -> None:
+        """Prepares the links of a node.
+
+        Args:
+            node: Whose messages these are.
+            settings: Addresses and TLS files.
+
+        Raises:
+            ValueError: If the settings have neither TLS nor plain text.
+        """
+        if settings.peer_tls is None and not settings.peer_plaintext:
+            raise ValueError(
+                "got neither peer_tls nor peer_plaintext, "
+                "allowed is one of them"
+            )
+        self.counters = LinkCounters()
+        self._node = node
+        self._settings = settings
+        self._identity = PeerIdentity(
+            node.context.member_id, node.context.incarnation
+        )
+        self._clients: dict[str, PeerClient] = {}
+        self._known_version = 0
+        self._server: PeerServer | None = None
+        self._closing: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        message_types: list[type[Message]] = []
+        for controller in self._node.controllers:
+            message_types.extend(controller.message_types)
+        self._server = PeerServer(
+            self._node.receive,
+            message_types,
+            address=self._settings.peer_address,
+            tls=self._settings.peer_tls,
+            counters=self.counters,
+        )
+        await self._server.start()
+
+    def send(self, member_id: str, message: Message) -> None:
+        """Queues a message; one to an unknown member is dropped.
+
+        Args:
+            member_id: The peer.
+            message: What to send.
+        """
+        client = self._client_of(member_id)
+        if client is None:
+            self.counters.dropped_messages += 1
+            return
+        packed = PackedMessage()
+        packed.Pack(message)
+        client.send(packed)
+
+    async def close(self) -> None:
+        """Ends all links."""
+        for client in self._clients.values():
+            await client.close()
+        self._clients.clear()
+        if self._server is not None:
+            await self._server.close()
+
+    def _client_of(self, member_id: str) -> PeerClient | None:
+        entry = self._node.context.board.entry(keys.MEMBERSHIP)
+        members = {} if entry is None else entry.value.members
+        if entry is not None and entry.version != self._known_version:
+            self._known_version = entry.version
+            self._close_departed(members)
+        member = members.get(member_id)
+        if member is None:
+            return None
+        client = self._clients.get(member_id)
+        if client is not None and client.address == member.address:
+            return client
+        if client is not None:
+            self._close_client(member_id)
+        client = PeerClient(
+            self._identity,
+            peer_id=member_id,
+            address=member.address,
+            tls=self._settings.peer_tls,
+            rng=self._node.context.rng,
+            counters=self.counters,
+        )
+        self._clients[member_id] = client
+        return client
+
+    def _close_departed(self, member_ids: Collection[str]) -> None:
+        for member_id in list(self._clients):
+            if member_id in member_ids:
+                continue
+            self._close_client(member_id)
+
+    def _close_client(self, member_id: str) -> None:
+        client = self._clients.pop(member_id)
+        task = asyncio.get_running_loop().create_task(client.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -20,6 +20,7 @@
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
+from mulberrypaddle.peers import PeerLinks
 
 if TYPE_CHECKING:
     from mulberrypaddle.settings import RouterSettings
@@ -31,6 +32,7 @@
     Attributes:
         context: The controllers' context, with the blackboard.
         node: The controllers in step.
+        links: Links to the other routers.
     """
 
     def __init__(
@@ -64,7 +66,10 @@
             timeout_seconds=settings.object_api_timeout_seconds,
         )
         self._runners = HttpRunnerClient()
-        self._driver = Driver(self.node, Adapters(store=self._store))
+        self.links = PeerLinks(self.node, settings)
+        self._driver = Driver(
+            self.node, Adapters(store=self._store, links=self.links)
+        )
         self._server = serve_front_door(
             FrontDoor(
                 context=self.context,
@@ -81,7 +86,11 @@
 
     def start(self) -> None:
         """Begins to step the controllers on the running loop."""
-        self._task = asyncio.get_running_loop().create_task(self._driver.run())
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        await self.links.start()
+        await self._driver.run()
 
     async def stop(self) -> None:
         """Stops gracefully: takes nothing new, finishes what is in hand."""
@@ -90,5 +99,6 @@
         await self._server.close_all_connections()
         if self._task is not None:
             self._task.cancel()
+        await self.links.close()
         self._store.close()
         self._runners.close()
--- a/mulberrypaddle/settings/settings.py
+++ b/mulberrypaddle/settings/settings.py
@@ -49,6 +49,7 @@
         stop_seconds: Longest graceful stop.
         operator_key_sha256: Hex digests of the operators' keys.
         peer_tls: Files for peer links, or None for plain text.
+        peer_plaintext: Whether peer links may go without TLS.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "object_api_timeout_seconds",
         "operator_key_sha256",
         "peer_address",
+        "peer_plaintext",
         "peer_tls",
         "region",
         "stop_seconds",
@@ -83,6 +85,7 @@
         stop_seconds: float = 120.0,
         operator_key_sha256: tuple[str, ...] = (),
         peer_tls: PeerTls | None = None,
+        peer_plaintext: bool = False,
     ) -> None:
         self.member_id = member_id
         self.data_centre = data_centre
@@ -97,6 +100,7 @@
         self.stop_seconds = stop_seconds
         self.operator_key_sha256 = operator_key_sha256
         self.peer_tls = peer_tls
+        self.peer_plaintext = peer_plaintext
 
 
 def _build_settings(value: dict[str, Any]) -> RouterSettings:
@@ -113,6 +117,7 @@
         object_api_timeout_seconds=object_api.get("timeout_seconds", 2.0),
         operator_key_sha256=tuple(value.get("operator_key_sha256", [])),
         peer_tls=None if tls is None else PeerTls(**tls),
+        peer_plaintext=value.get("peer_plaintext", False),
         **limits,
     )
 
--- /dev/null
+++ b/tests/peers/test_links.py
@@ -0,0 +1,239 @@
+"""Tests of the links between routers, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+
+import grpc
+import testtools
+from google.protobuf.any_pb2 import Any as PackedMessage
+
+from mulberrypaddle.blackboard import Board, keys
+from mulberrypaddle.blackboard.tables import Member, Membership
+from mulberrypaddle.controllers import Context, Controller
+from mulberrypaddle.core.clock import SystemClock
+from mulberrypaddle.node import Node
+from mulberrypaddle.peers import PeerLinks
+from mulberrypaddle.peers.counters import LinkCounters
+from mulberrypaddle.peers.outbox import Outbox
+from mulberrypaddle.peers.proto import envelope_pb2, envelope_pb2_grpc
+from mulberrypaddle.peers.proto.membership_pb2 import RenewLease
+from mulberrypaddle.settings import RouterSettings
+from mulberrypaddle.settings.settings import PeerTls
+from mulberrypaddle.standins.web import LOOPBACK, free_port
+from tests.support.asynchronous import run
+
+_CERTIFICATES = pathlib.Path(__file__).parent / "certificates"
+
+
+class Recorder(Controller):
+    """Keeps what it receives, and writes a membership by hand."""
+
+    name = "membership"
+    message_types = (RenewLease,)
+
+    def __init__(self, context: Context) -> None:
+        super().__init__(context)
+        self.received: list[tuple[str, int]] = []
+
+    def step(self, now_seconds: float) -> None:
+        """Has nothing to do."""
+
+    def receive(self, sender: str, message, now_seconds: float) -> None:
+        self.received.append((sender, message.number))
+
+    async def wait_for(self, count: int) -> list[tuple[str, int]]:
+        for _ in range(200):
+            if len(self.received) >= count:
+                break
+            await asyncio.sleep(0.02)
+        return self.received
+
+
+class LinkedNode:
+    """One end of a link."""
+
+    def __init__(
+        self,
+        member_id: str,
+        address: str,
+        *,
+        incarnation: int = 2,
+        certificate: str = "",
+        plaintext: bool = True,
+    ) -> None:
+        context = Context(
+            member_id=member_id,
+            incarnation=incarnation,
+            data_centre="south",
+            board=Board(),
+            clock=SystemClock(),
+            rng=random.Random(1),
+        )
+        self.recorder = Recorder(context)
+        self.node = Node(context, [self.recorder])
+        tls = None
+        if certificate:
+            tls = PeerTls(
+                certificate_file=str(_CERTIFICATES / f"{certificate}.pem"),
+                key_file=str(_CERTIFICATES / f"{certificate}.key"),
+                authority_file=str(_CERTIFICATES / "authority.pem"),
+            )
+        self.links = PeerLinks(
+            self.node,
+            RouterSettings(
+                member_id=member_id,
+                data_centre="south",
+                region="tx-central",
+                caller_address="127.0.0.1:0",
+                peer_address=address,
+                object_api_address="127.0.0.1:0",
+                peer_tls=tls,
+                peer_plaintext=plaintext,
+            ),
+        )
+
+    def know(self, addresses: dict[str, str]) -> None:
+        members = {}
+        for member_id, address in addresses.items():
+            members[member_id] = Member(
+                member_id, incarnation=1, address=address, data_centre="south"
+            )
+        self.node.context.board.write(
+            keys.MEMBERSHIP,
+            Membership(epoch=1, members=members, lease_until_seconds=0.0),
+            writer="membership",
+            now_seconds=0.0,
+        )
+
+
+class Pair:
+    """Two nodes that know each other."""
+
+    def __init__(
+        self, *, first_id: str = "router-1", tls: bool = False
+    ) -> None:
+        self.addresses = {
+            first_id: f"{LOOPBACK}:{free_port()}",
+            "router-2": f"{LOOPBACK}:{free_port()}",
+        }
+        self.first = LinkedNode(
+            first_id,
+            self.addresses[first_id],
+            certificate="router-1" if tls else "",
+            plaintext=not tls,
+        )
+        self.second = LinkedNode(
+            "router-2",
+            self.addresses["router-2"],
+            certificate="router-2" if tls else "",
+            plaintext=not tls,
+        )
+
+    async def __aenter__(self) -> Pair:
+        for end in (self.first, self.second):
+            end.know(self.addresses)
+            await end.links.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.first.links.close()
+        await self.second.links.close()
+
+
+class LinksTest(testtools.TestCase):
+    """Messages arrive batched, in order, and from whom they say."""
+
+    def test_messages_arrive_over_mutual_tls(self) -> None:
+        async def scenario() -> tuple[list[tuple[str, int]], int]:
+            async with Pair(tls=True) as pair:
+                for number in range(50):
+                    pair.first.links.send("router-2", RenewLease(number=number))
+                received = await pair.second.recorder.wait_for(50)
+                return received, pair.first.links.counters.sent_messages
+
+        received, sent = run(scenario())
+        self.assertEqual([("router-1", n) for n in range(50)], received)
+        self.assertEqual(50, sent)
+
+    def test_sender_that_its_certificate_does_not_name_is_refused(
+        self,
+    ) -> None:
+        async def scenario(first_id: str) -> tuple[int, int]:
+            async with Pair(first_id=first_id, tls=True) as pair:
+                pair.first.links.send("router-2", RenewLease(number=1))
+                for _ in range(100):
+                    counters = pair.second.links.counters
+                    if counters.refused_envelopes or counters.received_bytes:
+                        break
+                    await asyncio.sleep(0.02)
+                return (
+                    len(pair.second.recorder.received),
+                    counters.refused_envelopes,
+                )
+
+        self.assertEqual((1, 0), run(scenario("router-1")))
+        self.assertEqual((0, 1), run(scenario("router-9")))
+
+    def test_earlier_incarnation_is_refused(self) -> None:
+        async def scenario() -> tuple[int, list[int]]:
+            packed = PackedMessage()
+            packed.Pack(RenewLease(number=7))
+            async with Pair() as pair:
+                address = pair.addresses["router-2"]
+                async with grpc.aio.insecure_channel(address) as channel:
+                    for incarnation in (5, 4):
+                        call = envelope_pb2_grpc.PeerStub(channel).Link()
+                        await call.write(
+                            envelope_pb2.Envelope(
+                                sender="router-1",
+                                incarnation=incarnation,
+                                messages=[packed],
+                            )
+                        )
+                        await call.done_writing()
+                        await call.code()
+                counters = pair.second.links.counters
+                return counters.refused_envelopes, [
+                    number for _, number in pair.second.recorder.received
+                ]
+
+        self.assertEqual((1, [7]), run(scenario()))
+
+    def test_link_comes_back_after_the_peer_was_away(self) -> None:
+        async def scenario() -> list[int]:
+            async with Pair() as pair:
+                pair.first.links.send("router-2", RenewLease(number=1))
+                await pair.second.recorder.wait_for(1)
+                await pair.second.links.close()
+                second = LinkedNode("router-2", pair.addresses["router-2"])
+                await second.links.start()
+                for _ in range(100):
+                    pair.first.links.send("router-2", RenewLease(number=2))
+                    await asyncio.sleep(0.05)
+                    if second.recorder.received:
+                        break
+                await second.links.close()
+                return sorted({n for _, n in second.recorder.received})
+
+        self.assertEqual([2], run(scenario()))
+
+    def test_neither_tls_nor_plaintext_is_refused(self) -> None:
+        self.assertRaises(
+            ValueError, LinkedNode, "router-1", "127.0.0.1:0", plaintext=False
+        )
+
+    def test_full_queue_drops_the_oldest_and_counts(self) -> None:
+        async def scenario() -> tuple[int, list[bytes]]:
+            counters = LinkCounters()
+            outbox = Outbox(counters, max_messages=2)
+            for name in (b"a", b"b", b"c"):
+                outbox.put(PackedMessage(value=name))
+            return (
+                counters.dropped_messages,
+                [packed.value for packed in outbox.take_batch()],
+            )
+
+        self.assertEqual((1, [b"b", b"c"]), run(scenario()))
--- a/tests/support/small_fleet.py
+++ b/tests/support/small_fleet.py
@@ -57,6 +57,7 @@
                 caller_address=self.address,
                 peer_address=f"{LOOPBACK}:{free_port()}",
                 object_api_address=self._servers[0].address,
+                peer_plaintext=True,
             )
         )
         self.client = make_client()
