Keep a real membership with leases, take-over and confirmed outages

Cause: every router owned every duty, so that several could not run. Change: one record per region, written only when members change. A change rests until earlier leases lapsed or all have moved on. An outage is bridged while every listed router confirms it. Pauses void the lease; a planned stop hands over and leaves at once. Conclusion: several routers share duties without a consensus group.

--- a/mulberrypaddle/blackboard/tables.py
+++ b/mulberrypaddle/blackboard/tables.py
@@ -91,13 +91,23 @@
     Attributes:
         epoch: Rises with every change; used as fencing number.
         members: By id, this router included while it is a member.
+        member_ids: The ids alone.
         lease_until_seconds: Monotonic time until which this router may act
             as the owner of its duties; counted from when the renewal was
             sent.
         unsettled: Earlier memberships whose owners may still act.
+        departed: Members that stopped acting lately and may still finish
+            work; they can be sent to but own nothing.
     """
 
-    __slots__ = ("epoch", "lease_until_seconds", "members", "unsettled")
+    __slots__ = (
+        "departed",
+        "epoch",
+        "lease_until_seconds",
+        "member_ids",
+        "members",
+        "unsettled",
+    )
 
     def __init__(
         self,
@@ -106,7 +116,10 @@
         members: dict[str, Member],
         lease_until_seconds: float,
         unsettled: tuple[PastMembers, ...] = (),
+        departed: dict[str, Member] | None = None,
     ) -> None:
+        self.departed = departed or {}
+        self.member_ids = frozenset(members)
         self.epoch = epoch
         self.members = members
         self.lease_until_seconds = lease_until_seconds
--- a/mulberrypaddle/controllers/duties.py
+++ b/mulberrypaddle/controllers/duties.py
@@ -2,28 +2,35 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.blackboard import keys
 from mulberrypaddle.blackboard.tables import Membership
-from mulberrypaddle.core.ownership import owner_of
+from mulberrypaddle.core.ownership import Duty, owner_of
 
 if TYPE_CHECKING:
     from mulberrypaddle.controllers.base import Context
-    from mulberrypaddle.core.ownership import Duty
+
+_MAX_CACHED_OWNERS = 65_536
+_NOBODY = Membership(epoch=0, members={}, lease_until_seconds=float("-inf"))
+
+
+@functools.lru_cache(maxsize=_MAX_CACHED_OWNERS)
+def _owner(kind: str, name: str, member_ids: frozenset[str]) -> str | None:
+    """Returns the owner, hashed once per duty and set of members."""
+    return owner_of(Duty(kind, name), member_ids)
 
 
 def membership(context: Context) -> Membership:
     """Returns the membership, empty and lapsed before the first one."""
-    return context.board.latest(
-        keys.MEMBERSHIP,
-        Membership(epoch=0, members={}, lease_until_seconds=float("-inf")),
-    )
+    return context.board.latest(keys.MEMBERSHIP, _NOBODY)
 
 
 def owner(context: Context, duty: Duty) -> str | None:
     """Returns the member that owns a duty by the present membership."""
-    return owner_of(duty, membership(context).members)
+    member_ids = membership(context).member_ids
+    return _owner(duty.kind, duty.name, member_ids)
 
 
 def may_act(context: Context, duty: Duty, now_seconds: float) -> bool:
@@ -41,11 +48,12 @@
     present = membership(context)
     if now_seconds >= present.lease_until_seconds:
         return False
-    if owner_of(duty, present.members) != context.member_id:
+    own_id = context.member_id
+    if _owner(duty.kind, duty.name, present.member_ids) != own_id:
         return False
     for past in present.unsettled:
         if now_seconds >= past.settled_at_seconds:
             continue
-        if owner_of(duty, past.member_ids) != context.member_id:
+        if _owner(duty.kind, duty.name, past.member_ids) != own_id:
             return False
     return True
--- a/mulberrypaddle/peers/links.py
+++ b/mulberrypaddle/peers/links.py
@@ -17,6 +17,7 @@
 
     from google.protobuf.message import Message
 
+    from mulberrypaddle.blackboard.tables import Member
     from mulberrypaddle.node import Node
     from mulberrypaddle.settings import RouterSettings
 
@@ -53,7 +54,7 @@
             node.context.member_id, node.context.incarnation
         )
         self._clients: dict[str, PeerClient] = {}
-        self._known_version = 0
+        self._known_members: dict[str, Member] = {}
         self._server: PeerServer | None = None
         self._closing: set[asyncio.Task[None]] = set()
 
@@ -96,11 +97,16 @@
 
     def _client_of(self, member_id: str) -> PeerClient | None:
         entry = self._node.context.board.entry(keys.MEMBERSHIP)
-        members = {} if entry is None else entry.value.members
-        if entry is not None and entry.version != self._known_version:
-            self._known_version = entry.version
-            self._close_departed(members)
-        member = members.get(member_id)
+        if entry is None:
+            return None
+        if entry.value.members is not self._known_members:
+            self._known_members = entry.value.members
+            self._close_departed(
+                entry.value.members.keys() | entry.value.departed.keys()
+            )
+        member = entry.value.members.get(member_id)
+        if member is None:
+            member = entry.value.departed.get(member_id)
         if member is None:
             return None
         client = self._clients.get(member_id)
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -13,10 +13,10 @@
 from mulberrypaddle.controllers.base import Context
 from mulberrypaddle.controllers.claims import Claims
 from mulberrypaddle.controllers.configuration import ConfigurationController
-from mulberrypaddle.controllers.membership import SoloMembership
+from mulberrypaddle.controllers.membership import FleetMembership
 from mulberrypaddle.controllers.runner_table import RunnerTableController
 from mulberrypaddle.core.clock import Clock, SystemClock
-from mulberrypaddle.driver import Adapters, Driver
+from mulberrypaddle.driver import STEP_SECONDS, Adapters, Driver
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
@@ -33,6 +33,7 @@
         context: The controllers' context, with the blackboard.
         node: The controllers in step.
         links: Links to the other routers.
+        membership: The controller that joins and leaves.
     """
 
     def __init__(
@@ -47,14 +48,17 @@
             clock=clock,
             rng=random.Random(),
         )
+        self.membership = FleetMembership(
+            self.context,
+            region=settings.region,
+            peer_address=settings.peer_address,
+        )
         admission = Admission(self.context)
         claims = Claims(self.context)
         self.node = Node(
             self.context,
             [
-                SoloMembership(
-                    self.context, peer_address=settings.peer_address
-                ),
+                self.membership,
                 ConfigurationController(self.context),
                 RunnerTableController(self.context),
                 claims,
@@ -92,11 +96,19 @@
         await self.links.start()
         await self._driver.run()
 
+    async def _leave(self) -> None:
+        """Waits until the duties are handed over; the wait has a bound."""
+        while self._task is not None and not self._task.done():
+            if self.membership.left:
+                return
+            await asyncio.sleep(STEP_SECONDS)
+
     async def stop(self) -> None:
         """Stops gracefully: takes nothing new, finishes what is in hand."""
         self.node.stop()
         self._server.stop()
         await self._server.close_all_connections()
+        await self._leave()
         if self._task is not None:
             self._task.cancel()
         await self.links.close()
