--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -13,17 +13,18 @@
 from mulberrypaddle.controllers.base import Context
 from mulberrypaddle.controllers.claims import Claims
 from mulberrypaddle.controllers.configuration import ConfigurationController
-from mulberrypaddle.controllers.membership import SoloMembership
+from mulberrypaddle.controllers.membership import FleetMembership
 from mulberrypaddle.controllers.runner_table import RunnerTableController
 from mulberrypaddle.controllers.stream_memory import StreamMemory
 from mulberrypaddle.core.clock import Clock, SystemClock
-from mulberrypaddle.driver import Adapters, Driver
+from mulberrypaddle.driver import STEP_SECONDS, Adapters, Driver
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
 from mulberrypaddle.operators import Journal
 from mulberrypaddle.operators.apply import Apply
 from mulberrypaddle.operators.handlers import OperatorDesk, operator_routes
+from mulberrypaddle.peers import PeerLinks
 
 if TYPE_CHECKING:
     from mulberrypaddle.settings import RouterSettings
@@ -37,6 +38,8 @@
         memory: Budget of answer bytes.
         node: The controllers in step.
         journal: Recent decisions, to be explained.
+        links: Links to the other routers.
+        membership: The controller that joins and leaves.
     """
 
     def __init__(
@@ -51,6 +54,11 @@
             clock=clock,
             rng=random.Random(),
         )
+        self.membership = FleetMembership(
+            self.context,
+            region=settings.region,
+            peer_address=settings.peer_address,
+        )
         admission = Admission(self.context)
         claims = Claims(self.context)
         apply = Apply(self.context)
@@ -60,9 +68,7 @@
         self.node = Node(
             self.context,
             [
-                SoloMembership(
-                    self.context, peer_address=settings.peer_address
-                ),
+                self.membership,
                 ConfigurationController(self.context),
                 RunnerTableController(self.context),
                 apply,
@@ -77,8 +83,11 @@
         )
         self._runners = HttpRunnerClient()
         self.journal = Journal()
+        self.links = PeerLinks(self.node, settings)
         self._driver = Driver(
-            self.node, Adapters(store=self._store), journal=self.journal
+            self.node,
+            Adapters(store=self._store, links=self.links),
+            journal=self.journal,
         )
         self._server = serve_front_door(
             FrontDoor(
@@ -105,14 +114,27 @@
 
     def start(self) -> None:
         """Begins to step the controllers on the running loop."""
-        self._task = asyncio.get_running_loop().create_task(self._driver.run())
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        await self.links.start()
+        await self._driver.run()
+
+    async def _leave(self) -> None:
+        """Waits until the duties are handed over; the wait has a bound."""
+        while self._task is not None and not self._task.done():
+            if self.membership.left:
+                return
+            await asyncio.sleep(STEP_SECONDS)
 
     async def stop(self) -> None:
         """Stops gracefully: takes nothing new, finishes what is in hand."""
         self.node.stop()
         self._server.stop()
         await self._server.close_all_connections()
+        await self._leave()
         if self._task is not None:
             self._task.cancel()
+        await self.links.close()
         self._store.close()
         self._runners.close()
