Add a credit ledger and a fair queue to admission

Cause: Each router counted for itself, so that seven routers sent seven times what a cold runner bears or a contract allows. Change: Owners of runners and contracts grant expiring levels to routers; runners ramp from cold by their reports; requests wait in a fair queue and go to the least loaded runner with credit. Conclusion: a base to test and measure on.

--- a/mulberrypaddle/blackboard/intents.py
+++ b/mulberrypaddle/blackboard/intents.py
@@ -15,6 +15,7 @@
     from returns.result import Result
 
     from mulberrypaddle.core.errors import Problem
+    from mulberrypaddle.core.fleet import Runner, RunnerReport
 
 
 class Priority(enum.IntEnum):
@@ -138,6 +139,21 @@
         self.message = message
 
 
+class ReadReport(Intent):
+    """Asks a runner for its load; a silent runner comes back as a problem."""
+
+    __slots__ = ("reply", "runner")
+
+    def __init__(
+        self,
+        runner: Runner,
+        *,
+        reply: Callable[[Result[RunnerReport, Problem]], None],
+    ) -> None:
+        self.runner = runner
+        self.reply = reply
+
+
 class RunnerOrder(enum.Enum):
     """Orders that a VM of a group takes."""
 
--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -11,6 +11,7 @@
     Intent,
     ListObjects,
     ReadObject,
+    ReadReport,
     WriteObject,
 )
 from mulberrypaddle.observe import log_decision
@@ -19,7 +20,7 @@
     from collections.abc import Coroutine
     from typing import Any
 
-    from mulberrypaddle.backends import ObjectStore
+    from mulberrypaddle.backends import ObjectStore, RunnerClient
     from mulberrypaddle.node import Node
 
 STEP_SECONDS = 0.02
@@ -30,12 +31,16 @@
 
     Attributes:
         store: The platform's object API.
+        runners: The runners, or None where nothing is asked of them.
     """
 
-    __slots__ = ("store",)
+    __slots__ = ("runners", "store")
 
-    def __init__(self, *, store: ObjectStore) -> None:
+    def __init__(
+        self, *, store: ObjectStore, runners: RunnerClient | None = None
+    ) -> None:
         self.store = store
+        self.runners = runners
 
 
 @functools.singledispatch
@@ -80,6 +85,13 @@
     )
 
 
+@carry_out.register(ReadReport)
+async def _report(intent: ReadReport, adapters: Adapters) -> None:
+    if adapters.runners is None:
+        raise TypeError("got ReadReport, allowed only with a runner client")
+    intent.reply(await adapters.runners.report(intent.runner))
+
+
 class Driver:
     """Runs one node on the event loop."""
 
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -13,6 +13,7 @@
 from mulberrypaddle.controllers.base import Context
 from mulberrypaddle.controllers.claims import Claims
 from mulberrypaddle.controllers.configuration import ConfigurationController
+from mulberrypaddle.controllers.credits import Credits
 from mulberrypaddle.controllers.membership import SoloMembership
 from mulberrypaddle.controllers.runner_table import RunnerTableController
 from mulberrypaddle.core.clock import Clock, SystemClock
@@ -45,7 +46,8 @@
             clock=clock,
             rng=random.Random(),
         )
-        admission = Admission(self.context)
+        credits = Credits(self.context)
+        admission = Admission(self.context, credits)
         claims = Claims(self.context)
         self.node = Node(
             self.context,
@@ -56,6 +58,7 @@
                 ConfigurationController(self.context),
                 RunnerTableController(self.context),
                 claims,
+                credits,
                 admission,
             ],
         )
@@ -64,7 +67,9 @@
             timeout_seconds=settings.object_api_timeout_seconds,
         )
         self._runners = HttpRunnerClient()
-        self._driver = Driver(self.node, Adapters(store=self._store))
+        self._driver = Driver(
+            self.node, Adapters(store=self._store, runners=self._runners)
+        )
         self._server = serve_front_door(
             FrontDoor(
                 context=self.context,
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -15,6 +15,7 @@
     ListObjects,
     OrderRunner,
     ReadObject,
+    ReadReport,
     SendToPeer,
     WriteObject,
 )
@@ -26,7 +27,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from returns.result import Result
+
     from mulberrypaddle.core.decision import Decision
+    from mulberrypaddle.core.errors import Problem
+    from mulberrypaddle.core.fleet import Runner, RunnerReport
 
 
 class FakeFleet:
@@ -42,6 +47,7 @@
         loss: Share of messages that are lost.
         decisions: All decisions made, in order, with the member id.
         order_runner: Answers orders to runners; tests replace it.
+        read_report: Returns a runner's report; tests replace it.
     """
 
     def __init__(
@@ -65,6 +71,9 @@
         self.delay_seconds = delay_seconds
         self.decisions: list[tuple[str, Decision]] = []
         self.order_runner: Callable[[OrderRunner], None] | None = None
+        self.read_report: (
+            Callable[[Runner, Node], Result[RunnerReport, Problem]] | None
+        ) = None
         self._build = build
         self._data_centres = data_centres
         self._incarnations = itertools.count(1)
@@ -131,9 +140,14 @@
         self._push(due_seconds, node, act)
 
     def _push(
-        self, due_seconds: float, node: Node, act: Callable[[], None]
+        self, due_seconds: float, node: Node | None, act: Callable[[], None]
     ) -> None:
+        """Schedules `act`; without a node, it happens outside the routers."""
+
         def deliver() -> None:
+            if node is None:
+                act()
+                return
             member_id = node.context.member_id
             if self.nodes.get(member_id) is not node:
                 return
@@ -184,6 +198,19 @@
         fleet.order_runner(intent)
 
 
+@carry_out.register(ReadReport)
+def _report(intent: ReadReport, fleet: FakeFleet, node: Node) -> None:
+    """Reads the runner after one delay; the answer comes after another."""
+
+    def call() -> None:
+        if fleet.read_report is None:
+            return
+        result = fleet.read_report(intent.runner, node)
+        fleet.later(node, lambda: intent.reply(result))
+
+    fleet.later(node, call)
+
+
 def _on_store(
     fleet: FakeFleet, node: Node, act: Callable[[], object], reply: Callable
 ) -> None:
