--- a/mulberrypaddle/controllers/admission/controller.py
+++ b/mulberrypaddle/controllers/admission/controller.py
@@ -361,6 +361,8 @@
             return None
         if known.answered_at_seconds < waiting.queued_at_seconds:
             return None
+        if not known.exhausted:
+            return None
         limit = contract_limit(
             self.context, request.organisation, request.service
         )
--- a/mulberrypaddle/controllers/credits/account.py
+++ b/mulberrypaddle/controllers/credits/account.py
@@ -35,6 +35,7 @@
         answered_at_seconds: When the ask was sent that the owner answered
             last.
         next_ask_at_seconds: Earliest time of the next urgent ask.
+        exhausted: Whether nearly all of the pool was in use then.
         generation: Group generation that the owner saw confirmed.
         runner_incarnation: Start of the runner that the level is for.
         borne_requests: What the runner bore when the level was granted.
@@ -49,6 +50,7 @@
         "completed",
         "doubtful",
         "duty",
+        "exhausted",
         "extra",
         "generation",
         "in_use",
@@ -80,6 +82,7 @@
         self.seen_grant = 0
         self.answered_at_seconds = float("-inf")
         self.next_ask_at_seconds = float("-inf")
+        self.exhausted = False
         self.generation = 0
         self.runner_incarnation = ""
         self.borne_requests = 0
--- a/mulberrypaddle/controllers/credits/ledger.py
+++ b/mulberrypaddle/controllers/credits/ledger.py
@@ -163,6 +163,7 @@
             requests=level.requests,
             tokens=level.tokens,
             sequence=self._sequence,
+            exhausted=pool.is_exhausted(),
         )
         watch = self._watch_of(pool)
         if watch is not None and watch.report is not None:
@@ -407,7 +408,7 @@
 
     def _revoke(self, pool: Pool) -> None:
         """Tells every holder of a pool to use no more of it for now."""
-        for member_id, record in pool.holders.items():
+        for member_id, record in list(pool.holders.items()):
             if record.grants and record.held() != NOTHING:
                 self._lower(pool, member_id, NOTHING)
 
@@ -419,6 +420,7 @@
         if member_id not in duties.membership(self._context).members:
             return
         self._sequence += 1
+        pool.note_lowered(member_id, self._sequence, level)
         message = credits_pb2.CreditGrants(
             owner_incarnation=self._context.incarnation
         )
--- a/mulberrypaddle/controllers/credits/pool.py
+++ b/mulberrypaddle/controllers/credits/pool.py
@@ -23,6 +23,7 @@
 
 # Key of credit whose holder gave it up without knowing the end.
 DOUBTFUL = "doubtful"
+EXHAUSTED_SHARE = 0.8
 # Shortest time between two recalls of one holder.
 RECALL_SECONDS = 0.5
 
@@ -164,6 +165,13 @@
             total = total.plus(record.in_use)
         return total
 
+    def is_exhausted(self) -> bool:
+        """Returns whether nearly all that is allowed is really in use."""
+        used = self.in_use()
+        if used.requests >= EXHAUSTED_SHARE * self.capacity.requests:
+            return True
+        return used.tokens >= EXHAUSTED_SHARE * max(self.capacity.tokens, 1)
+
     def take_demand(
         self,
         member_id: str,
@@ -226,7 +234,8 @@
             now_seconds: Monotonic time.
         """
         asking = self.holders[member_id]
-        if asking.grants and asking.grants[-1].amount.covers(asking.wanted):
+        granted = asking.grants[-1].amount if asking.grants else NOTHING
+        if granted.covers(asking.wanted):
             return []
         recalled = []
         largest = ""
@@ -250,6 +259,15 @@
             self.holders[key].recalled_at_seconds = now_seconds
         return recalled
 
+    def note_lowered(
+        self, member_id: str, sequence: int, level: Amount
+    ) -> None:
+        """Remembers a level that a holder was told to fall to.
+
+        The holder keeps at most this much once it has acknowledged it.
+        """
+        self.holders[member_id].grants.append(IssuedGrant(sequence, level))
+
     def _holds_more(self, record: HolderRecord, key: str) -> bool:
         return record.held().requests > self.holders[key].held().requests
 
--- a/mulberrypaddle/controllers/credits/wallet.py
+++ b/mulberrypaddle/controllers/credits/wallet.py
@@ -218,6 +218,7 @@
         known.doubtful = known.doubtful.minus(
             sent.doubtful.get(grant.pool, NOTHING)
         )
+        known.exhausted = grant.exhausted
         known.generation = grant.generation
         known.runner_incarnation = grant.runner_incarnation
         known.borne_requests = grant.borne_requests
