--- a/mulberrypaddle/frontdoor/pipeline.py
+++ b/mulberrypaddle/frontdoor/pipeline.py
@@ -115,6 +115,7 @@
         self, request: Request, relay: Relay
     ) -> Result[Completion | KeptAnswer, Problem]:
         tried: set[str] = set()
+        refused: set[str] = set()
         failures = 0
         problem = Problem(ErrorKind.NO_RUNNER, "no attempt was made")
         while failures < MAX_ATTEMPTS:
@@ -122,7 +123,7 @@
                 return Failure(_worse(problem, _no_memory()))
             may_repeat = relay.started or problem.kind in _BREAKS
             admitted = await self._admit_anywhere(
-                request, tried, may_repeat=may_repeat
+                request, tried, refused, may_repeat=may_repeat
             )
             if not isinstance(admitted, Success):
                 return Failure(_worse(problem, admitted.failure()))
@@ -141,21 +142,33 @@
             failures += 1
             failure = result.failure()
             problem = failure.problem
+            if failure.state is AttemptState.REFUSED:
+                refused.add(ticket.runner.runner_id)
             if not _may_retry(request, failure, relay):
                 break
         return Failure(problem)
 
     async def _admit_anywhere(
-        self, request: Request, tried: set[str], *, may_repeat: bool
+        self,
+        request: Request,
+        tried: set[str],
+        refused: set[str],
+        *,
+        may_repeat: bool,
     ) -> Result[Ticket, Problem]:
-        """Admits to a runner not tried yet, or after a break to any."""
+        """Admits to a runner not tried yet, or after a break to any.
+
+        A runner that refused, for instance to go on with an answer of
+        another adapter version, would refuse again.
+        """
         admitted = await self._admit(request, frozenset(tried))
         if isinstance(admitted, Success) or not may_repeat:
             return admitted
         if admitted.failure().kind is not ErrorKind.NO_RUNNER:
             return admitted
         tried.clear()
-        return await self._admit(request, frozenset())
+        tried.update(refused)
+        return await self._admit(request, frozenset(tried))
 
     async def _wait_for_reader(self, request: Request, relay: Relay) -> None:
         """Waits, while the deadline stands still, until the reader is ready."""
