--- a/mulberrypaddle/controllers/admission/controller.py
+++ b/mulberrypaddle/controllers/admission/controller.py
@@ -120,11 +120,14 @@
         self._in_hand[request.service] -= 1
         runner = runner_duty(ticket.runner.runner_id)
         succeeded = outcome.state is AttemptState.DONE and outcome.status < 500
-        if outcome.state is AttemptState.MAYBE_RUN:
+        if outcome.state is AttemptState.MAYBE_RUN and not outcome.cancelled:
             self._wallet.give_up(runner, amount)
         else:
             self._wallet.give_back(runner, amount, succeeded=succeeded)
-        if outcome.state is AttemptState.UNSENT or outcome.runner_died:
+        was_refused = (
+            outcome.state is AttemptState.UNSENT and outcome.latency_seconds > 0
+        )
+        if was_refused or outcome.runner_died:
             self._wallet.suspect(runner)
         if succeeded:
             times = self._times.setdefault(request.service, ServiceTime())
--- a/mulberrypaddle/controllers/credits/wallet.py
+++ b/mulberrypaddle/controllers/credits/wallet.py
@@ -121,13 +121,12 @@
     def give_up(self, duty: Duty, amount: Amount) -> None:
         """Ends the use of credit without knowing the end at the runner.
 
-        The owner goes on counting it, and nothing more is sent there until
-        the owner has looked at the runner.
+        The owner goes on counting it until the runner's report shows that
+        it is over.
         """
         known = self.account(duty)
         known.in_use = known.in_use.minus(amount)
         known.doubtful = known.doubtful.plus(amount)
-        self.suspect(duty)
 
     def suspect(self, duty: Duty) -> None:
         """Stops using a runner whose connection broke."""
--- a/mulberrypaddle/core/ticket.py
+++ b/mulberrypaddle/core/ticket.py
@@ -53,9 +53,11 @@
         status: HTTP status of the runner; zero if none came.
         latency_seconds: From sending to the end.
         runner_died: Whether the runner broke the connection or was lost.
+        cancelled: Whether the runner confirmed that it holds it no longer.
     """
 
     __slots__ = (
+        "cancelled",
         "latency_seconds",
         "runner_died",
         "state",
@@ -71,9 +73,11 @@
         status: int,
         latency_seconds: float,
         runner_died: bool = False,
+        cancelled: bool = False,
     ) -> None:
         self.ticket = ticket
         self.state = state
         self.status = status
         self.latency_seconds = latency_seconds
         self.runner_died = runner_died
+        self.cancelled = cancelled
--- a/mulberrypaddle/frontdoor/pipeline.py
+++ b/mulberrypaddle/frontdoor/pipeline.py
@@ -115,6 +115,7 @@
         self, request: Request, relay: Relay
     ) -> Result[Completion | KeptAnswer, Problem]:
         tried: set[str] = set()
+        latest = ""
         failures = 0
         problem = Problem(ErrorKind.NO_RUNNER, "no attempt was made")
         while failures < MAX_ATTEMPTS:
@@ -122,7 +123,7 @@
                 return Failure(_worse(problem, _no_memory()))
             may_repeat = relay.started or problem.kind in _BREAKS
             admitted = await self._admit_anywhere(
-                request, tried, may_repeat=may_repeat
+                request, tried, latest, may_repeat=may_repeat
             )
             if not isinstance(admitted, Success):
                 return Failure(_worse(problem, admitted.failure()))
@@ -130,7 +131,8 @@
             if relay.ended is not None:
                 self._release_unsent(ticket)
                 return Failure(relay.ended)
-            tried.add(ticket.runner.runner_id)
+            latest = ticket.runner.runner_id
+            tried.add(latest)
             result = await self._attempt(ticket, relay)
             if isinstance(result, Success):
                 return Success(result.unwrap())
@@ -146,16 +148,30 @@
         return Failure(problem)
 
     async def _admit_anywhere(
-        self, request: Request, tried: set[str], *, may_repeat: bool
+        self,
+        request: Request,
+        tried: set[str],
+        latest: str,
+        *,
+        may_repeat: bool,
     ) -> Result[Ticket, Problem]:
-        """Admits to a runner not tried yet, or after a break to any."""
-        admitted = await self._admit(request, frozenset(tried))
-        if isinstance(admitted, Success) or not may_repeat:
-            return admitted
-        if admitted.failure().kind is not ErrorKind.NO_RUNNER:
-            return admitted
-        tried.clear()
-        return await self._admit(request, frozenset())
+        """Admits to a runner not tried yet, or after a break to any.
+
+        The runner of the latest attempt comes last, since it may be the one
+        that refuses to resume.
+        """
+        passed_over = [frozenset(tried)]
+        if may_repeat:
+            passed_over += [frozenset((latest,)), frozenset()]
+        for runner_ids in passed_over:
+            admitted = await self._admit(request, runner_ids)
+            if isinstance(admitted, Success):
+                break
+            if admitted.failure().kind is not ErrorKind.NO_RUNNER:
+                break
+        if not runner_ids >= tried:
+            tried.clear()
+        return admitted
 
     async def _wait_for_reader(self, request: Request, relay: Relay) -> None:
         """Waits, while the deadline stands still, until the reader is ready."""
@@ -183,6 +199,7 @@
         state = AttemptState.MAYBE_RUN
         status = 0
         runner_died = False
+        cancelled = False
         try:
             result = await self._runners.call(
                 ticket,
@@ -195,7 +212,7 @@
             else:
                 state = result.failure().state
                 runner_died = _runner_died(result.failure(), relay)
-                await self._cancel(ticket, state)
+                cancelled = await self._cancel(ticket, state)
         finally:
             relay.history.end(state)
             relay.end_attempt()
@@ -207,16 +224,18 @@
                     latency_seconds=self._clock.monotonic_seconds()
                     - sent_at_seconds,
                     runner_died=runner_died,
+                    cancelled=cancelled,
                 )
             )
         return result
 
-    async def _cancel(self, ticket: Ticket, state: AttemptState) -> None:
-        """Tells an engine to give up what it may still hold."""
+    async def _cancel(self, ticket: Ticket, state: AttemptState) -> bool:
+        """Returns whether an engine surely holds an attempt no longer."""
         if state is not AttemptState.MAYBE_RUN:
-            return
-        if ticket.runner.kind is ServiceKind.ENGINE:
-            await self._runners.cancel(ticket)
+            return False
+        if ticket.runner.kind is not ServiceKind.ENGINE:
+            return False
+        return isinstance(await self._runners.cancel(ticket), Success)
 
 
 def _no_memory() -> Problem:
--- a/tests/support/small_fleet.py
+++ b/tests/support/small_fleet.py
@@ -16,6 +16,7 @@
 services:
 - service: card-writer
   in_flight_requests: 8
+  in_flight_tokens: 1000000
   urgency: high
   deadline_seconds: 20
 - service: shop-counter
