--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -12,6 +12,7 @@
     ListObjects,
     ReadObject,
     ReadReport,
+    SendToPeer,
     WriteObject,
 )
 from mulberrypaddle.observe import log_decision
@@ -23,6 +24,7 @@
     from mulberrypaddle.backends import ObjectStore, RunnerClient
     from mulberrypaddle.node import Node
     from mulberrypaddle.operators.journal import Journal
+    from mulberrypaddle.peers import PeerLinks
 
 STEP_SECONDS = 0.02
 
@@ -32,15 +34,17 @@
 
     Attributes:
         store: The platform's object API.
-        runners: The runners, or None where nothing is asked of them.
+        links: Links to the other routers.
+        runners: The endpoints that execute requests.
     """
 
-    __slots__ = ("runners", "store")
+    __slots__ = ("links", "runners", "store")
 
     def __init__(
-        self, *, store: ObjectStore, runners: RunnerClient | None = None
+        self, *, store: ObjectStore, links: PeerLinks, runners: RunnerClient
     ) -> None:
         self.store = store
+        self.links = links
         self.runners = runners
 
 
@@ -88,11 +92,14 @@
 
 @carry_out.register(ReadReport)
 async def _report(intent: ReadReport, adapters: Adapters) -> None:
-    if adapters.runners is None:
-        raise TypeError("got ReadReport, allowed only with a runner client")
     intent.reply(await adapters.runners.report(intent.runner))
 
 
+@carry_out.register(SendToPeer)
+async def _send(intent: SendToPeer, adapters: Adapters) -> None:
+    adapters.links.send(intent.member_id, intent.message)
+
+
 class Driver:
     """Runs one node on the event loop."""
 
--- a/mulberrypaddle/standins/local_fleet.py
+++ b/mulberrypaddle/standins/local_fleet.py
@@ -147,6 +147,7 @@
             peer_address=f"{LOOPBACK}:{free_port()}",
             object_api_address=self._object_api.address,
             operator_key_sha256=(digest_of(self.operator_key),),
+            peer_plaintext=True,
             **self._limits,
         )
         router = Router(settings)
