--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -35,7 +35,7 @@
     Attributes:
         store: The platform's object API.
         links: Links to the other routers.
-        runners: The runners.
+        runners: The endpoints that execute requests.
     """
 
     __slots__ = ("links", "runners", "store")
@@ -90,16 +90,16 @@
     )
 
 
-@carry_out.register(SendToPeer)
-async def _send(intent: SendToPeer, adapters: Adapters) -> None:
-    adapters.links.send(intent.member_id, intent.message)
-
-
 @carry_out.register(ReadReport)
 async def _report(intent: ReadReport, adapters: Adapters) -> None:
     intent.reply(await adapters.runners.report(intent.runner))
 
 
+@carry_out.register(SendToPeer)
+async def _send(intent: SendToPeer, adapters: Adapters) -> None:
+    adapters.links.send(intent.member_id, intent.message)
+
+
 class Driver:
     """Runs one node on the event loop."""
 
