Measure the memory held for slow readers, and share windows fairly

Cause: nothing measured what slow readers cost. A stream's window shrinks to its share (organisations alike, then streams alike); the receive buffer is 8 KiB and curl's upload buffer 16 KiB. Metrics show bytes held, parked answers, stalled readers, late bytes and breaches.

--- a/mulberrypaddle/backends/curl.py
+++ b/mulberrypaddle/backends/curl.py
@@ -28,9 +28,19 @@
 class CurlClient(tornado.curl_httpclient.CurlAsyncHTTPClient):
     """A curl client whose transfers can be paused and given up.
 
-    Neither method may be called from inside a callback of curl.
+    Handles are made when they are needed, since each takes memory. No
+    method may be called from inside a callback of curl.
     """
 
+    def _process_queue(self) -> None:
+        missing = len(self._requests) - len(self._free_list)
+        while missing > 0 and len(self._curls) < MAX_CLIENTS:
+            curl = self._curl_create()
+            self._curls.append(curl)
+            self._free_list.append(curl)
+            missing -= 1
+        super()._process_queue()
+
     def resume_transfer(self, curl: pycurl.Curl) -> None:
         """Goes on with a transfer whose write callback asked for a pause."""
         # A transfer that failed meanwhile says so here; its end is told
@@ -50,7 +60,7 @@
 
 def make_client() -> CurlClient:
     """Returns a curl client of its own, bound to the running loop."""
-    return CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
+    return CurlClient(force_instance=True, max_clients=1)
 
 
 def bound_receive_buffer(descriptor: int, purpose: int) -> int:
--- a/mulberrypaddle/backends/transfer.py
+++ b/mulberrypaddle/backends/transfer.py
@@ -19,6 +19,9 @@
 # A refusal of an engine is a short JSON document.
 REFUSAL_BYTES = 4_096
 
+# Least that libcurl takes; it is allocated for each transfer.
+UPLOAD_BUFFER_BYTES = 16_384
+
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 # Headers of an answer that are passed on to the caller, in lower case.
@@ -115,6 +118,7 @@
         curl.setopt(pycurl.HEADERFUNCTION, self._take_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._take_body)
         curl.setopt(pycurl.BUFFERSIZE, RECEIVE_BUFFER_BYTES)
+        curl.setopt(pycurl.UPLOAD_BUFFERSIZE, UPLOAD_BUFFER_BYTES)
         curl.setopt(pycurl.SOCKOPTFUNCTION, bound_receive_buffer)
 
     def resume(self) -> None:
--- a/mulberrypaddle/controllers/stream_memory/memory.py
+++ b/mulberrypaddle/controllers/stream_memory/memory.py
@@ -33,6 +33,7 @@
         budget_bytes: Most bytes charged for all streams.
         charged_bytes: Bytes charged now.
         peak_bytes: Most bytes ever charged.
+        peak_reader_bytes: Most bytes ever charged for one stream.
         sheds: Streams that were cut back to their offset, counted.
         stalls: Streams that were ended because of their reader, counted.
     """
@@ -44,10 +45,12 @@
         self.budget_bytes = budget_bytes
         self.charged_bytes = 0
         self.peak_bytes = 0
+        self.peak_reader_bytes = 0
         self.sheds = 0
         self.stalls = 0
         self._streams: dict[AnswerStream, None] = {}
         self._by_organisation: dict[str, int] = {}
+        self._open_streams: dict[str, int] = {}
         self._short: dict[AnswerStream, None] = {}
         self._next_stall_check_seconds = 0.0
 
@@ -69,6 +72,9 @@
             listener=listener,
         )
         self._streams[stream] = None
+        self._open_streams[organisation] = (
+            self._open_streams.get(organisation, 0) + 1
+        )
         return stream
 
     def reserve(self, stream: AnswerStream) -> bool:
@@ -95,14 +101,25 @@
         self._charge(stream, -reserved_bytes)
         self._wake_short()
 
-    def take(self, stream: AnswerStream, size_bytes: int) -> bool:
+    def take(
+        self, stream: AnswerStream, size_bytes: int, *, needed: bool = False
+    ) -> bool:
         """Asks to hold the next bytes of an answer.
 
+        Args:
+            stream: The stream.
+            size_bytes: Size of the next bytes.
+            needed: Whether nothing can be sent to the reader without them;
+                then the stream's whole window counts, not its share.
+
         Returns:
             Whether they may be held; if not, the sender must pause until
             `room` is called.
         """
-        if not stream.fits_window(size_bytes):
+        window_bytes = self._window_of(stream)
+        if needed:
+            window_bytes = stream.window_bytes
+        if not stream.fits(size_bytes, window_bytes=window_bytes):
             stream.wanted_bytes = size_bytes
             return False
         if not self._allows(stream, size_bytes):
@@ -135,6 +152,9 @@
         if stream not in self._streams:
             return
         del self._streams[stream]
+        self._open_streams[stream.organisation] -= 1
+        if not self._open_streams[stream.organisation]:
+            del self._open_streams[stream.organisation]
         self._short.pop(stream, None)
         self._charge(stream, -stream.charged_bytes)
         stream.held_bytes = 0
@@ -160,6 +180,7 @@
         self.charged_bytes += size_bytes
         self.peak_bytes = max(self.peak_bytes, self.charged_bytes)
         stream.peak_bytes = max(stream.peak_bytes, stream.charged_bytes)
+        self.peak_reader_bytes = max(self.peak_reader_bytes, stream.peak_bytes)
         name = stream.organisation
         total_bytes = self._by_organisation.get(name, 0) + size_bytes
         self._by_organisation[name] = total_bytes
@@ -171,6 +192,19 @@
             f"{self.charged_bytes} bytes charged of {self.budget_bytes}",
         )
 
+    def _window_of(self, stream: AnswerStream) -> int:
+        """Returns the stream's window, less when many share the budget.
+
+        Organisations with open streams share alike, and so do the streams
+        of one organisation.
+        """
+        streams = self._open_streams.get(stream.organisation, 1)
+        organisations = max(len(self._open_streams), 1)
+        share_bytes = self.budget_bytes // (organisations * streams)
+        return min(
+            stream.window_bytes, max(share_bytes, 2 * RECEIVE_BUFFER_BYTES)
+        )
+
     def _allows(self, stream: AnswerStream, size_bytes: int) -> bool:
         free_bytes = self.budget_bytes - self.charged_bytes
         if size_bytes > free_bytes:
@@ -206,7 +240,8 @@
         return best
 
     def _wake(self, stream: AnswerStream) -> None:
-        if stream.reserved_bytes and not stream.may_resume():
+        window_bytes = self._window_of(stream)
+        if not stream.has_drained(window_bytes=window_bytes):
             return
         stream.wanted_bytes = 0
         stream.listener.room()
--- a/mulberrypaddle/controllers/stream_memory/stream.py
+++ b/mulberrypaddle/controllers/stream_memory/stream.py
@@ -9,7 +9,7 @@
 
 # The client may hold one receive buffer of a paused transfer; each stream
 # with a sender reserves this much of its window.
-RECEIVE_BUFFER_BYTES = 16_384
+RECEIVE_BUFFER_BYTES = 8_192
 
 
 class StreamListener(abc.ABC):
@@ -87,18 +87,16 @@
         """Returns what counts against the budget."""
         return self.held_bytes + self.reserved_bytes
 
-    def fits_window(self, size_bytes: int) -> bool:
-        """Returns whether a write stays within the window.
+    def fits(self, size_bytes: int, *, window_bytes: int) -> bool:
+        """Returns whether a write stays within a window.
 
         A stream that holds nothing takes any write that the receive buffer
         can bring, so that a small window can't stop it for good.
         """
-        if self.held_bytes == 0:
-            return size_bytes <= max(self.window_bytes, RECEIVE_BUFFER_BYTES)
-        return self.charged_bytes + size_bytes <= self.window_bytes
-
-    def may_resume(self) -> bool:
-        """Returns whether enough has drained to start the sender again."""
-        return self.charged_bytes <= max(
-            self.window_bytes // 2, self.reserved_bytes
-        )
+        if self.held_bytes == 0 and size_bytes <= RECEIVE_BUFFER_BYTES:
+            return True
+        return self.charged_bytes + size_bytes <= window_bytes
+
+    def has_drained(self, *, window_bytes: int) -> bool:
+        """Returns whether the sender may start again: half is free."""
+        return self.held_bytes <= (window_bytes - self.reserved_bytes) // 2
--- a/mulberrypaddle/frontdoor/call.py
+++ b/mulberrypaddle/frontdoor/call.py
@@ -16,6 +16,7 @@
 from mulberrypaddle.frontdoor.headers import authenticate, build_request
 from mulberrypaddle.frontdoor.problems import problem_to_json
 from mulberrypaddle.frontdoor.relay import CallerConnection, Relay, RelayMode
+from mulberrypaddle.observe import metrics
 
 if TYPE_CHECKING:
     import asyncio
@@ -84,17 +85,27 @@
         self.set_header("X-Request-Id", request_id)
         checked = self._check(request_id)
         if not isinstance(checked, Success):
-            self._refuse(checked.failure(), request_id)
+            problem = checked.failure()
+            metrics.REQUESTS.labels(
+                metrics.NO_SERVICE, problem.kind.value
+            ).inc()
+            self._refuse(problem, request_id)
             return
         call = checked.unwrap()
         relay = self._make_relay(call)
         self._relay = relay
+        outcome = ErrorKind.INTERNAL.value
+        metrics.IN_HAND.inc()
         try:
             result = await self.door.pipeline.run(call.request, relay)
             await relay.all_sent()
+            outcome = _outcome_of(result, relay)
             await self._end(result, request_id, relay)
         finally:
             relay.close()
+            metrics.IN_HAND.dec()
+            metrics.LATE_BYTES.inc(relay.late_bytes)
+            metrics.REQUESTS.labels(call.service.name, outcome).inc()
 
     def _make_relay(self, call: _CheckedCall) -> Relay:
         is_engine = call.service.kind is ServiceKind.ENGINE
@@ -217,3 +228,14 @@
         connection = self.request.connection
         if connection is not None:
             connection.close()  # type: ignore[attr-defined]
+
+
+def _outcome_of(
+    result: Result[Completion | KeptAnswer, Problem], relay: Relay
+) -> str:
+    """Returns the outcome label of a request."""
+    if relay.ended is not None:
+        return relay.ended.kind.value
+    if isinstance(result, Success):
+        return metrics.ANSWERED
+    return result.failure().kind.value
--- a/mulberrypaddle/frontdoor/relay.py
+++ b/mulberrypaddle/frontdoor/relay.py
@@ -26,9 +26,6 @@
 # A whole answer up to this size is sent only once it is complete.
 COLLECT_BYTES = 32_768
 
-# What an event must leave free to grow further.
-GROWTH_BYTES = 1
-
 _EVENT_STREAM = "text/event-stream"
 
 
@@ -260,8 +257,9 @@
         if sink is not self._sink or self.ended is not None:
             self.late_bytes += len(data)
             return True
-        if not self._memory.take(self._stream, len(data)):
-            self._check_event_fits()
+        needed = self._needs_more()
+        if not self._memory.take(self._stream, len(data), needed=needed):
+            self._check_event_fits(len(data), needed=needed)
             return False
         self._received_bytes += len(data)
         if self.mode is RelayMode.EVENTS:
@@ -325,13 +323,19 @@
             )
         )
 
-    def _check_event_fits(self) -> None:
+    def _needs_more(self) -> bool:
+        """Returns whether only a part of an event is held."""
+        if self.mode is RelayMode.COLLECT:
+            return True
+        return not self._in_flight_bytes and not self._events.queued_bytes
+
+    def _check_event_fits(self, size_bytes: int, *, needed: bool) -> None:
         """Fails an attempt whose next event can never be held whole."""
-        if self.mode is not RelayMode.EVENTS or self._in_flight_bytes:
-            return
-        if self._events.queued_bytes or self._events.held_bytes == 0:
+        if not needed or self.mode is not RelayMode.EVENTS:
             return
-        if self._stream.fits_window(GROWTH_BYTES):
+        if self._stream.fits(
+            size_bytes, window_bytes=self._stream.window_bytes
+        ):
             return
         self._fail_attempt(
             Problem(
--- /dev/null
+++ b/mulberrypaddle/observe/metrics.py
@@ -0,0 +1,75 @@
+"""Metrics of one router process, each with a bounded set of labels."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+from prometheus_client import Counter, Gauge
+
+from mulberrypaddle.core import invariants
+
+if TYPE_CHECKING:
+    from mulberrypaddle.controllers.stream_memory import StreamMemory
+
+# Service label of a request that names no configured service.
+NO_SERVICE = "none"
+
+# Outcome label of a request that was answered whole.
+ANSWERED = "answered"
+
+REQUESTS = Counter(
+    "mulberrypaddle_requests",
+    "Requests that ended, by service and kind of outcome.",
+    ["service", "outcome"],
+)
+IN_HAND = Gauge("mulberrypaddle_requests_in_hand", "Requests in hand.")
+LATE_BYTES = Counter(
+    "mulberrypaddle_late_answer_bytes",
+    "Answer bytes of given-up attempts that were dropped.",
+)
+
+_ANSWER_BYTES = Gauge(
+    "mulberrypaddle_answer_bytes", "Answer bytes held and reserved."
+)
+_ANSWER_PEAK_BYTES = Gauge(
+    "mulberrypaddle_answer_peak_bytes", "Most answer bytes held and reserved."
+)
+_READER_PEAK_BYTES = Gauge(
+    "mulberrypaddle_reader_peak_bytes", "Most answer bytes for one reader."
+)
+_SHEDS = Gauge(
+    "mulberrypaddle_answers_parked", "Answers cut back to their offset."
+)
+_STALLS = Gauge(
+    "mulberrypaddle_readers_stalled", "Readers ended for taking nothing."
+)
+_BREACHES = Gauge(
+    "mulberrypaddle_invariant_breaches",
+    "Breaches of an invariant since the start.",
+    ["invariant"],
+)
+
+
+def _watch_breaches() -> None:
+    for invariant in invariants.Invariant:
+        _BREACHES.labels(invariant.value).set_function(
+            functools.partial(invariants.breach_count, invariant)
+        )
+
+
+def count_refused(outcome: str) -> None:
+    """Counts a request that was refused before its service was known."""
+    REQUESTS.labels(NO_SERVICE, outcome).inc()
+
+
+def watch_memory(memory: StreamMemory) -> None:
+    """Reports a router's budget of answer bytes when metrics are read."""
+    _ANSWER_BYTES.set_function(lambda: memory.charged_bytes)
+    _ANSWER_PEAK_BYTES.set_function(lambda: memory.peak_bytes)
+    _READER_PEAK_BYTES.set_function(lambda: memory.peak_reader_bytes)
+    _SHEDS.set_function(lambda: memory.sheds)
+    _STALLS.set_function(lambda: memory.stalls)
+
+
+_watch_breaches()
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -21,6 +21,7 @@
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
+from mulberrypaddle.observe import metrics
 from mulberrypaddle.operators import Journal
 from mulberrypaddle.operators.apply import Apply
 from mulberrypaddle.operators.handlers import OperatorDesk, operator_routes
@@ -56,6 +57,7 @@
         self.memory = StreamMemory(
             self.context, budget_bytes=settings.answer_memory_bytes
         )
+        metrics.watch_memory(self.memory)
         self.node = Node(
             self.context,
             [
--- a/tests/controllers/stream_memory/test_memory.py
+++ b/tests/controllers/stream_memory/test_memory.py
@@ -147,7 +147,7 @@
     def test_without_the_budget_check_the_invariant_breaches(self) -> None:
         memory = self._memory(1 << 17)
         memory._allows = lambda *_: True  # type: ignore[method-assign]
-        streams = [self._open(memory)[0] for _ in range(8)]
+        streams = [self._open(memory)[0] for _ in range(16)]
 
         def fill_all() -> None:
             for stream in streams:
