Bound what callers send and stop with nothing cut off

Cause: bodies above the bound got a bare page or a closed connection, slow uploads were cut without an answer, an engine's own calls (cancel, orders) could be reached through the front door, a path such as /x/../orders could slip past the calls that must run at most once, and a stop closed every connection at once. Change: the body is taken in as it comes, with a bound for one and for all together and 30 s for the whole; headers are bounded and key headers may stand once; each refusal is an RFC 9457 problem. Paths with empty or dot segments are refused, an engine takes only its two completion calls. Query string and selected headers go to plain services and come back from them. A stop refuses new requests as not run and waits for those in hand up to stop_seconds; a request that it cuts breaches GRACEFUL_STOP. A request line that is no HTTP still gets the framework's bare 400.

--- a/mulberrypaddle/backends/http_runner.py
+++ b/mulberrypaddle/backends/http_runner.py
@@ -134,6 +134,7 @@
         "X-Request-Id": request.request_id,
         "X-Attempt-Id": ticket.attempt_id,
     }
+    headers.update(request.passed_headers)
     if ticket.runner.kind is ServiceKind.ENGINE:
         headers["X-Sampling-Seed"] = str(_seed_of(request.request_id))
     if resume_point is not None:
@@ -143,7 +144,7 @@
     if request.body or request.method in _BODY_METHODS:
         body = request.body
     return tornado.httpclient.HTTPRequest(
-        f"http://{ticket.runner.address}{request.path}",
+        f"http://{ticket.runner.address}{request.target}",
         method=request.method,
         body=body if request.method not in _BODILESS_METHODS else None,
         headers=headers,
--- a/mulberrypaddle/core/errors.py
+++ b/mulberrypaddle/core/errors.py
@@ -10,6 +10,7 @@
 
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
+    UPLOAD_TOO_SLOW = "upload_too_slow"
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     UNKNOWN_SERVICE = "unknown_service"
@@ -89,6 +90,7 @@
 ANSWERS: dict[ErrorKind, Answer] = {
     ErrorKind.BAD_REQUEST: Answer(400, Ran.NOT_RUN, _NEVER),
     ErrorKind.TOO_LARGE: Answer(413, Ran.NOT_RUN, _NEVER),
+    ErrorKind.UPLOAD_TOO_SLOW: Answer(408, Ran.NOT_RUN, _NOW),
     ErrorKind.UNAUTHENTICATED: Answer(401, Ran.NOT_RUN, _NEVER),
     ErrorKind.FORBIDDEN: Answer(403, Ran.NOT_RUN, _NEVER),
     ErrorKind.UNKNOWN_SERVICE: Answer(404, Ran.NOT_RUN, _NEVER),
--- a/mulberrypaddle/core/request.py
+++ b/mulberrypaddle/core/request.py
@@ -40,6 +40,8 @@
         prompt_tokens: Estimated tokens of the prompt.
         max_output_tokens: Most tokens of the answer.
         stream: Whether the caller wants server-sent events.
+        query: Query string, without the question mark.
+        passed_headers: Further headers for a plain service.
     """
 
     __slots__ = (
@@ -51,8 +53,10 @@
         "max_output_tokens",
         "method",
         "organisation",
+        "passed_headers",
         "path",
         "prompt_tokens",
+        "query",
         "request_id",
         "service",
         "stream",
@@ -76,6 +80,8 @@
         prompt_tokens: int = 0,
         max_output_tokens: int = 0,
         stream: bool = False,
+        query: str = "",
+        passed_headers: tuple[tuple[str, str], ...] = (),
     ) -> None:
         self.request_id = request_id
         self.organisation = organisation
@@ -91,16 +97,25 @@
         self.prompt_tokens = prompt_tokens
         self.max_output_tokens = max_output_tokens
         self.stream = stream
+        self.query = query
+        self.passed_headers = passed_headers
 
     @property
     def tokens(self) -> int:
         """Returns the worst case of tokens that a runner holds for it."""
         return self.prompt_tokens + self.max_output_tokens
 
+    @property
+    def target(self) -> str:
+        """Returns path and query as they stand in a request line."""
+        if not self.query:
+            return self.path
+        return f"{self.path}?{self.query}"
+
     def fingerprint(self) -> str:
         """Returns a digest of the content, equal for resent requests."""
         digest = hashlib.sha256()
-        for part in (self.organisation, self.service, self.method, self.path):
+        for part in (self.organisation, self.service, self.method, self.target):
             digest.update(part.encode())
             digest.update(b"\0")
         digest.update(self.body)
--- a/mulberrypaddle/frontdoor/call.py
+++ b/mulberrypaddle/frontdoor/call.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
+import sys
 from typing import TYPE_CHECKING
 
 import tornado.web
@@ -14,20 +16,34 @@
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.core.fleet import ServiceKind
 from mulberrypaddle.frontdoor.headers import authenticate, build_request
+from mulberrypaddle.frontdoor.input import check_body_size, check_headers
+from mulberrypaddle.frontdoor.problem_handler import ProblemHandler
 from mulberrypaddle.frontdoor.problems import problem_to_json
 from mulberrypaddle.frontdoor.relay import CallerConnection, Relay, RelayMode
 from mulberrypaddle.observe import metrics
 
 if TYPE_CHECKING:
-    import asyncio
-
     from mulberrypaddle.backends import AnswerHead, Completion
-    from mulberrypaddle.core.contract import ServiceTerms
+    from mulberrypaddle.core.contract import Contract, ServiceTerms
     from mulberrypaddle.core.fleet import Service
     from mulberrypaddle.core.request import Request
     from mulberrypaddle.frontdoor.door import FrontDoor
 
 
+# Longest time for the whole body of a request.
+UPLOAD_SECONDS = 30.0
+
+
+class _FoundService:
+    """A service and the contract of the caller that may use it."""
+
+    __slots__ = ("contract", "service")
+
+    def __init__(self, service: Service, *, contract: Contract) -> None:
+        self.service = service
+        self.contract = contract
+
+
 class _CheckedCall:
     """A request with the service and the terms that it falls under."""
 
@@ -53,6 +69,8 @@
         self._handler.set_header("Content-Type", head.content_type)
         for name, value in head.headers:
             self._handler.add_header(name, value)
+        if self._handler.door.stopping:
+            self._handler.set_header("Connection", "close")
         if whole and head.size_bytes is not None:
             self._handler.set_header("Content-Length", str(head.size_bytes))
 
@@ -62,13 +80,19 @@
         return self._handler.flush()
 
 
-class CallHandler(tornado.web.RequestHandler):
+@tornado.web.stream_request_body
+class CallHandler(ProblemHandler):
     """Answers callers' requests to services."""
 
     def initialize(self, door: FrontDoor) -> None:
         """Takes what the handlers share."""
         self.door = door
         self._relay: Relay | None = None
+        self._parts: list[bytes] = []
+        self._upload_bytes = 0
+        self._upload_timer: asyncio.TimerHandle | None = None
+        self.request_id = door.next_request_id()
+        self.set_header("X-Request-Id", self.request_id)
 
     def compute_etag(self) -> str | None:
         """Leaves entity tags to the service."""
@@ -76,37 +100,104 @@
 
     def on_connection_close(self) -> None:
         """Cancels what runs for a caller that went away."""
+        super().on_connection_close()
+        self._end_upload()
         if self._relay is not None:
             self._relay.caller_gone()
 
-    async def prepare(self) -> None:
+    def on_finish(self) -> None:
+        """Gives back what the upload held."""
+        self._end_upload()
+
+    def prepare(self) -> None:
+        """Refuses what can be refused before the body is read."""
+        connection = self.request.connection
+        assert connection is not None
+        # The bound is kept here, so that the caller gets an answer.
+        connection.set_max_body_size(sys.maxsize)  # type: ignore[attr-defined]
+        connection.set_body_timeout(None)  # type: ignore[attr-defined]
+        problem = self.door.why_closed() or check_headers(
+            self.request.headers,
+            header_bytes=self.door.settings.header_bytes,
+            body_bytes=self.door.settings.body_bytes,
+        )
+        if problem is None:
+            found = self._find_service()
+            if isinstance(found, Success):
+                self._upload_timer = asyncio.get_running_loop().call_later(
+                    UPLOAD_SECONDS, self._upload_expired
+                )
+                return
+            problem = found.failure()
+        self._refuse_early(problem)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes the next bytes of the body."""
+        if self._finished:
+            return
+        problem = check_body_size(
+            self._upload_bytes + len(chunk),
+            body_bytes=self.door.settings.body_bytes,
+        ) or self.door.hold_upload(len(chunk))
+        if problem is not None:
+            self._refuse_early(problem)
+            return
+        self._parts.append(chunk)
+        self._upload_bytes += len(chunk)
+
+    async def _answer(self, *_: str) -> None:
         """Answers the request, whatever its method."""
-        request_id = self.door.next_request_id()
-        self.set_header("X-Request-Id", request_id)
-        checked = self._check(request_id)
+        self._stop_upload_timer()
+        self.request.body = b"".join(self._parts)
+        self._parts.clear()
+        checked = self._check()
         if not isinstance(checked, Success):
-            problem = checked.failure()
-            metrics.REQUESTS.labels(
-                metrics.NO_SERVICE, problem.kind.value
-            ).inc()
-            self._refuse(problem, request_id)
+            self._refuse_early(checked.failure())
             return
         call = checked.unwrap()
         relay = self._make_relay(call)
         self._relay = relay
         outcome = ErrorKind.INTERNAL.value
-        metrics.IN_HAND.inc()
+        self.door.begin_request()
         try:
             result = await self.door.pipeline.run(call.request, relay)
             await relay.all_sent()
             outcome = _outcome_of(result, relay)
-            await self._end(result, request_id, relay)
+            await self._end(result, relay)
         finally:
             relay.close()
-            metrics.IN_HAND.dec()
+            self._end_upload()
+            self.door.end_request()
             metrics.LATE_BYTES.inc(relay.late_bytes)
             metrics.REQUESTS.labels(call.service.name, outcome).inc()
 
+    get = post = put = patch = delete = head = options = _answer
+
+    def _refuse_early(self, problem: Problem) -> None:
+        """Refuses a request for which nothing was attempted."""
+        metrics.count_refused(problem.kind.value)
+        self._refuse(problem)
+
+    def _upload_expired(self) -> None:
+        self._refuse_early(
+            Problem(
+                ErrorKind.UPLOAD_TOO_SLOW,
+                f"got {self._upload_bytes} bytes of the body in "
+                f"{UPLOAD_SECONDS} s, allowed is the whole of it",
+            )
+        )
+
+    def _stop_upload_timer(self) -> None:
+        if self._upload_timer is not None:
+            self._upload_timer.cancel()
+            self._upload_timer = None
+
+    def _end_upload(self) -> None:
+        self._stop_upload_timer()
+        self.door.drop_upload(self._upload_bytes)
+        self._upload_bytes = 0
+        self._parts.clear()
+
     def _make_relay(self, call: _CheckedCall) -> Relay:
         is_engine = call.service.kind is ServiceKind.ENGINE
         return Relay(
@@ -121,16 +212,15 @@
     async def _end(
         self,
         result: Result[Completion | KeptAnswer, Problem],
-        request_id: str,
         relay: Relay,
     ) -> None:
         """Ends the answer cleanly only if all of it was sent."""
         if relay.ended is not None:
-            self._note_cut(relay.ended, request_id)
+            self._note_cut(relay.ended)
             self._cut()
             return
         if not isinstance(result, Success):
-            await self._end_with_problem(result.failure(), request_id, relay)
+            await self._end_with_problem(result.failure(), relay)
             return
         completed = result.unwrap()
         if isinstance(completed, KeptAnswer):
@@ -143,9 +233,8 @@
         with contextlib.suppress(StreamClosedError):
             await self.finish()
 
-    def _check(self, request_id: str) -> Result[_CheckedCall, Problem]:
-        context = self.door.context
-        entry = context.board.entry(keys.CONFIGURATION)
+    def _find_service(self) -> Result[_FoundService, Problem]:
+        entry = self.door.context.board.entry(keys.CONFIGURATION)
         if entry is None:
             return Failure(
                 Problem(
@@ -153,13 +242,12 @@
                     "this router has not read its configuration yet",
                 )
             )
-        configuration = entry.value
         contract = authenticate(
-            configuration, self.request.headers.get("Authorization", "")
+            entry.value, self.request.headers.get("Authorization", "")
         )
         if not isinstance(contract, Success):
             return Failure(contract.failure())
-        service = configuration.services.get(self.path_args[0])
+        service = entry.value.services.get(self.path_args[0])
         if service is None:
             return Failure(
                 Problem(
@@ -167,56 +255,56 @@
                     f"got service {self.path_args[0]!r}, which is not known",
                 )
             )
-        found = contract.unwrap()
+        return Success(_FoundService(service, contract=contract.unwrap()))
+
+    def _check(self) -> Result[_CheckedCall, Problem]:
+        found = self._find_service()
+        if not isinstance(found, Success):
+            return Failure(found.failure())
+        service = found.unwrap().service
+        contract = found.unwrap().contract
         request = build_request(
             self.request,
-            contract=found,
+            contract=contract,
             service=service,
             path="/" + (self.path_args[1] or ""),
-            request_id=request_id,
-            now_seconds=context.now_seconds(),
+            request_id=self.request_id,
+            now_seconds=self.door.context.now_seconds(),
         )
         return request.map(
             lambda built: _CheckedCall(
-                built, service=service, terms=found.terms[service.name]
+                built, service=service, terms=contract.terms[service.name]
             )
         )
 
-    def _refuse(self, problem: Problem, request_id: str) -> None:
-        answer = problem.answer
-        self.set_status(answer.status)
-        self.set_header("Content-Type", "application/problem+json")
-        if answer.retry_after_seconds is not None:
-            self.set_header("Retry-After", str(answer.retry_after_seconds))
+    def _refuse(self, problem: Problem) -> None:
         self.door.context.decide(
             "refuse",
-            subject=request_id,
+            subject=self.request_id,
             outcome=problem.kind.value,
             reason=problem.detail,
             ran=problem.ran.value,
         )
-        self.finish(problem_to_json(problem, request_id=request_id))
+        self.send_problem(problem)
 
-    async def _end_with_problem(
-        self, problem: Problem, request_id: str, relay: Relay
-    ) -> None:
+    async def _end_with_problem(self, problem: Problem, relay: Relay) -> None:
         if not relay.started:
             relay.history.check_refusal(problem)
-            self._refuse(problem, request_id)
+            self._refuse(problem)
             return
         # The head is out: an error event, then a cut, never a clean end.
-        self._note_cut(problem, request_id)
+        self._note_cut(problem)
         if relay.mode is RelayMode.EVENTS:
-            body = problem_to_json(problem, request_id=request_id)
+            body = problem_to_json(problem, request_id=self.request_id)
             self.write(f"event: error\ndata: {body}\n\n")
             with contextlib.suppress(StreamClosedError):
                 await self.flush()
         self._cut()
 
-    def _note_cut(self, problem: Problem, request_id: str) -> None:
+    def _note_cut(self, problem: Problem) -> None:
         self.door.context.decide(
             "cut",
-            subject=request_id,
+            subject=self.request_id,
             outcome=problem.kind.value,
             reason=problem.detail,
             ran=problem.ran.value,
--- a/mulberrypaddle/frontdoor/headers.py
+++ b/mulberrypaddle/frontdoor/headers.py
@@ -18,6 +18,7 @@
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.core.fleet import ServiceKind
 from mulberrypaddle.core.request import Request
+from mulberrypaddle.frontdoor.input import check_path, passed_headers
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPServerRequest
@@ -172,10 +173,14 @@
                 f"{method} {path} may run only once: got no Idempotency-Key",
             )
         )
+    checked_path = check_path(method, path, service.kind)
+    if not isinstance(checked_path, Success):
+        return Failure(checked_path.failure())
     body = http_request.body
     prompt_tokens = len(body) // BYTES_PER_TOKEN + 1
     max_output_tokens = 0
     stream = False
+    passed = passed_headers(headers)
     if service.kind is ServiceKind.ENGINE:
         checked = _engine_body(body)
         if not isinstance(checked, Success):
@@ -183,13 +188,16 @@
         value = checked.unwrap()
         max_output_tokens = value.get("max_tokens", DEFAULT_OUTPUT_TOKENS)
         stream = bool(value.get("stream"))
+        passed = ()
     return Success(
         Request(
             request_id,
             organisation=contract.organisation,
             service=service.name,
             method=method,
-            path=path,
+            path=checked_path.unwrap(),
+            query=http_request.query,
+            passed_headers=passed,
             body=body,
             content_type=headers.get("Content-Type", "application/json"),
             urgency=urgency.unwrap(),
--- a/mulberrypaddle/frontdoor/server.py
+++ b/mulberrypaddle/frontdoor/server.py
@@ -12,6 +12,7 @@
 
 from mulberrypaddle.blackboard import keys
 from mulberrypaddle.frontdoor.call import CallHandler
+from mulberrypaddle.frontdoor.problem_handler import UnknownPathHandler
 
 if TYPE_CHECKING:
     from mulberrypaddle.frontdoor.door import FrontDoor
@@ -19,6 +20,10 @@
 # Kernel buffer of a connection to a caller.
 SEND_SOCKET_BYTES = 32_768
 
+# Headers above the bound are still read up to this multiple of it, so that
+# their sender gets an answer; beyond that the connection is closed.
+HEADER_FACTOR = 2
+
 
 class _HealthHandler(tornado.web.RequestHandler):
     """Says that the process lives."""
@@ -38,16 +43,14 @@
     def get(self) -> None:
         """Answers with 200 or 503."""
         board = self.door.context.board
-        health = board.entry(keys.HEALTH)
         if board.entry(keys.CONFIGURATION) is None:
             self.set_status(503)
             self.finish("no configuration\n")
             return
-        if health is not None and (
-            health.value.stopping or health.value.isolated
-        ):
+        closed = self.door.why_closed()
+        if closed is not None:
             self.set_status(503)
-            self.finish("stopping or isolated\n")
+            self.finish(f"{closed.kind.value}\n")
             return
         self.finish("ready\n")
 
@@ -78,7 +81,8 @@
             (r"/metrics", _MetricsHandler),
             (r"/services/([a-z0-9-]+)(?:/(.*))?", CallHandler, arguments),
             *operator_rules,
-        ]
+        ],
+        default_handler_class=UnknownPathHandler,
     )
 
 
@@ -98,7 +102,7 @@
     server = tornado.httpserver.HTTPServer(
         make_application(door, operator_rules),
         max_body_size=door.settings.body_bytes,
-        max_header_size=door.settings.header_bytes,
+        max_header_size=HEADER_FACTOR * door.settings.header_bytes,
         idle_connection_timeout=120,
         body_timeout=60,
     )
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -37,6 +37,7 @@
     Attributes:
         context: The controllers' context, with the blackboard.
         memory: Budget of answer bytes.
+        door: What callers' handlers share.
         node: The controllers in step.
         journal: Recent decisions, to be explained.
         links: Links to the other routers.
@@ -91,18 +92,19 @@
             Adapters(store=self._store, links=self.links),
             journal=self.journal,
         )
-        self._server = serve_front_door(
-            FrontDoor(
-                context=self.context,
-                memory=self.memory,
-                pipeline=Pipeline(
-                    admission=admission,
-                    claims=claims,
-                    runners=self._runners,
-                    clock=clock,
-                ),
-                settings=settings,
+        self.door = FrontDoor(
+            context=self.context,
+            memory=self.memory,
+            pipeline=Pipeline(
+                admission=admission,
+                claims=claims,
+                runners=self._runners,
+                clock=clock,
             ),
+            settings=settings,
+        )
+        self._server = serve_front_door(
+            self.door,
             operator_routes(
                 OperatorDesk(
                     context=self.context,
@@ -131,7 +133,11 @@
 
     async def stop(self) -> None:
         """Stops gracefully: takes nothing new, finishes what is in hand."""
+        self.door.begin_stop()
         self.node.stop()
+        await self.door.wait_until_idle(
+            timeout_seconds=self.door.settings.stop_seconds
+        )
         self._server.stop()
         await self._server.close_all_connections()
         await self._leave()
--- a/mulberrypaddle/standins/plain_service.py
+++ b/mulberrypaddle/standins/plain_service.py
@@ -19,6 +19,7 @@
         runs: How often each request id was executed.
         dead_after_run: If true, executes and then cuts the connection.
         dead: While true it cuts every connection.
+        status: HTTP status of its answers.
     """
 
     def __init__(self, runner_id: str) -> None:
@@ -28,6 +29,7 @@
         self.runs: dict[str, int] = {}
         self.dead_after_run = False
         self.dead = False
+        self.status = 200
 
 
 class _CallHandler(JsonHandler):
@@ -47,10 +49,15 @@
         if self.state.dead_after_run:
             self._cut()
             return
+        self.set_header("X-Inner", "not for callers")
+        if self.state.status == 503:
+            self.set_header("Retry-After", "7")
         self.answer(
-            200,
+            self.state.status,
             {
                 "runner_id": self.state.runner_id,
+                "uri": self.request.uri,
+                "headers": dict(self.request.headers),
                 "method": self.request.method,
                 "path": self.request.path,
                 "body": self.request.body.decode(errors="replace"),
--- /dev/null
+++ b/tests/frontdoor/test_stop.py
@@ -0,0 +1,70 @@
+"""A planned stop cuts off no request in progress."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import testtools
+from testtools import matchers
+
+from mulberrypaddle.core import invariants
+from tests.frontdoor.test_streams import completion, until
+from tests.support.asynchronous import run
+from tests.support.small_fleet import SmallFleet
+
+
+class StopTest(testtools.TestCase):
+    """Stops of a router with a stream in hand."""
+
+    def test_stream_in_hand_is_whole_and_new_work_is_refused(self) -> None:
+        async def scenario() -> tuple[bytes, int, dict[str, str], int]:
+            async with SmallFleet() as fleet:
+                fleet.engine.token_seconds = 0.01
+                stream = asyncio.ensure_future(
+                    fleet.call("card-writer", "/v1/completions", completion(40))
+                )
+                await until(lambda: bool(fleet.engine.running))
+                stop = asyncio.ensure_future(fleet.routers[0].stop())
+                await asyncio.sleep(0)
+                refused = await fleet.call(
+                    "card-writer", "/v1/completions", completion(1)
+                )
+                ready = await fleet.fetch("GET", "/readyz")
+                answer = await stream
+                await stop
+                fleet.routers.clear()
+                return (
+                    answer.body,
+                    refused.code,
+                    json.loads(refused.body),
+                    ready.code,
+                )
+
+        answer, refused, problem, ready = run(scenario())
+        self.assertThat(answer, matchers.EndsWith(b"data: [DONE]\n\n"))
+        self.assertThat(answer, matchers.Contains(b"id: 39\n"))
+        self.assertEqual((503, 503), (refused, ready))
+        self.assertEqual(
+            ("shutting_down", "not run"), (problem["title"], problem["ran"])
+        )
+
+    def test_a_stop_that_does_not_wait_breaches_the_invariant(self) -> None:
+        async def scenario() -> int:
+            async with SmallFleet(stop_seconds=0.0) as fleet:
+                fleet.engine.token_seconds = 0.01
+                stream = asyncio.ensure_future(
+                    fleet.call("card-writer", "/v1/completions", completion(40))
+                )
+                await until(lambda: bool(fleet.engine.running))
+                door = fleet.routers[0].door
+                try:
+                    await door.wait_until_idle(timeout_seconds=0.0)
+                except invariants.InvariantBreachError:
+                    breached = 1
+                else:
+                    breached = 0
+                await stream
+                return breached
+
+        self.assertEqual(1, run(scenario()))
