--- a/mulberrypaddle/frontdoor/attempts.py
+++ b/mulberrypaddle/frontdoor/attempts.py
@@ -34,6 +34,15 @@
         """Returns whether no attempt can have been executed."""
         return all(state in _SURELY_NOT_RUN for state in self.states)
 
+    @property
+    def worst(self) -> AttemptState:
+        """Returns what is known about execution over all attempts."""
+        if AttemptState.DONE in self.states:
+            return AttemptState.DONE
+        if self.surely_not_run:
+            return AttemptState.UNSENT
+        return AttemptState.MAYBE_RUN
+
     def make_true(self, problem: Problem) -> Problem:
         """Returns the problem without a "not run" that may be false."""
         if problem.ran is not Ran.NOT_RUN or self.surely_not_run:
--- a/mulberrypaddle/frontdoor/headers.py
+++ b/mulberrypaddle/frontdoor/headers.py
@@ -14,6 +14,7 @@
 
 from returns.result import Failure, Result, Success
 
+from mulberrypaddle.controllers.claims import key_millis
 from mulberrypaddle.core.contract import Urgency
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.core.fleet import ServiceKind
@@ -172,6 +173,10 @@
                 f"{method} {path} may run only once: got no Idempotency-Key",
             )
         )
+    if not idempotent:
+        shaped = key_millis(key)
+        if not isinstance(shaped, Success):
+            return Failure(shaped.failure())
     body = http_request.body
     prompt_tokens = len(body) // BYTES_PER_TOKEN + 1
     max_output_tokens = 0
--- a/mulberrypaddle/frontdoor/pipeline.py
+++ b/mulberrypaddle/frontdoor/pipeline.py
@@ -7,20 +7,18 @@
 
 from returns.result import Failure, Result, Success
 
+from mulberrypaddle.backends import AttemptFailure
 from mulberrypaddle.controllers.claims import ClaimReply, ClaimStart, KeptAnswer
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
 from mulberrypaddle.core.fleet import ServiceKind
 from mulberrypaddle.core.request import AttemptState, Request
 from mulberrypaddle.core.ticket import AttemptOutcome, Ticket
+from mulberrypaddle.frontdoor.kept import kept_answer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypaddle.backends import (
-        AttemptFailure,
-        Completion,
-        RunnerClient,
-    )
+    from mulberrypaddle.backends import Completion, RunnerClient
     from mulberrypaddle.controllers.admission import Admission, AdmissionReply
     from mulberrypaddle.controllers.claims import Claims
     from mulberrypaddle.core.clock import Clock
@@ -93,7 +91,13 @@
         start = claim.unwrap()
         if start is not ClaimStart.RUN:
             return Success(start)
-        return await self._attempts(request, relay)
+        try:
+            return await self._attempts(request, relay)
+        finally:
+            # Also when the handler is cancelled: the owner must learn of it.
+            self._claims.finish(
+                request, relay.history.worst, kept_answer(relay)
+            )
 
     async def _claim(
         self, request: Request
@@ -178,6 +182,12 @@
     async def _attempt(
         self, ticket: Ticket, relay: Relay
     ) -> Result[Completion, AttemptFailure]:
+        allowed = self._claims.may_send(ticket.request)
+        if not isinstance(allowed, Success):
+            self._release_unsent(ticket)
+            return Failure(
+                AttemptFailure(allowed.failure(), AttemptState.UNSENT)
+            )
         sent_at_seconds = self._clock.monotonic_seconds()
         timeout_seconds = ticket.request.deadline_at_seconds - sent_at_seconds
         state = AttemptState.MAYBE_RUN
@@ -199,6 +209,7 @@
         finally:
             relay.history.end(state)
             relay.end_attempt()
+            self._claims.attempt_ended(ticket.request, state)
             self._admission.release(
                 AttemptOutcome(
                     ticket,
--- a/mulberrypaddle/frontdoor/relay.py
+++ b/mulberrypaddle/frontdoor/relay.py
@@ -133,6 +133,11 @@
             and self._events.has_offsets
         )
 
+    @property
+    def head(self) -> AnswerHead | None:
+        """Returns the head of the answer, once there is one."""
+        return self._head
+
     @property
     def resume_point(self) -> ResumePoint | None:
         """Returns where a new attempt has to go on."""
--- /dev/null
+++ b/tests/support/flaky_store.py
@@ -0,0 +1,48 @@
+"""A store whose writes lose their answers at random."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result
+
+from mulberrypaddle.core.errors import ErrorKind, Problem
+from mulberrypaddle.standins.memory_store import MemoryStore
+
+if TYPE_CHECKING:
+    import random
+
+    from mulberrypaddle.blackboard import StoredObject
+
+
+class FlakyStore(MemoryStore):
+    """Objects whose writes sometimes end without an answer.
+
+    Attributes:
+        lost_share: Share of writes whose answer is lost.
+        done_share: Share of these that take effect all the same.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        *,
+        lost_share: float = 0.0,
+        done_share: float = 0.5,
+    ) -> None:
+        super().__init__()
+        self.lost_share = lost_share
+        self.done_share = done_share
+        self._rng = rng
+
+    def write(
+        self, key: str, value: bytes, *, expected_version: int
+    ) -> Result[StoredObject, Problem]:
+        """Writes, or loses the answer before or after the effect."""
+        if self._rng.random() >= self.lost_share:
+            return super().write(key, value, expected_version=expected_version)
+        if self._rng.random() < self.done_share:
+            super().write(key, value, expected_version=expected_version)
+        return Failure(
+            Problem(ErrorKind.OUTCOME_UNKNOWN, "the answer was lost")
+        )
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -128,18 +128,20 @@
         due_seconds = self.clock.monotonic_seconds() + self.rng.uniform(
             0, 2 * self.delay_seconds
         )
-        self._push(due_seconds, node, act)
+        self.schedule(due_seconds, node, act)
 
-    def _push(
+    def schedule(
         self, due_seconds: float, node: Node, act: Callable[[], None]
     ) -> None:
+        """Runs `act` at a monotonic time, later if `node` is paused then."""
+
         def deliver() -> None:
             member_id = node.context.member_id
             if self.nodes.get(member_id) is not node:
                 return
             if member_id in self.paused:
                 retry_seconds = self.clock.monotonic_seconds() + 0.05
-                self._push(retry_seconds, node, act)
+                self.schedule(retry_seconds, node, act)
                 return
             act()
 
--- a/tests/support/membership.py
+++ b/tests/support/membership.py
@@ -35,6 +35,18 @@
         self._member_ids = list(member_ids)
         self.epoch += 1
 
+    def adopt(
+        self,
+        member_ids: list[str],
+        *,
+        epoch: int,
+        unsettled: tuple[PastMembers, ...],
+    ) -> None:
+        """Takes over a membership that others agreed on meanwhile."""
+        self._member_ids = list(member_ids)
+        self.epoch = epoch
+        self._unsettled = unsettled
+
     def step(self, now_seconds: float) -> None:
         if self.renews:
             self._lease_until_seconds = now_seconds + self.lease_seconds
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import json
+import random
+import time
 
 import testtools
 from testtools import matchers
 
 from tests.support.asynchronous import run
+from tests.support.claims_fleet import uuid7
 from tests.support.small_fleet import SmallFleet
 
 
@@ -56,15 +59,36 @@
         self.assertTrue(whole or status == 599, (status, body))
 
     def test_order_sent_twice_runs_once(self) -> None:
-        async def scenario() -> tuple[int, int]:
+        key = uuid7(time.time(), random.Random(1))
+
+        async def scenario() -> tuple[int, int, bool]:
             async with SmallFleet() as fleet:
+                answers = []
                 for _ in range(2):
-                    await fleet.call(
-                        "shop-counter",
-                        "/orders",
-                        {"print": 1},
-                        headers={"Idempotency-Key": "order-1"},
+                    answers.append(
+                        await fleet.call(
+                            "shop-counter",
+                            "/orders",
+                            {"print": 1},
+                            headers={"Idempotency-Key": key},
+                        )
                     )
-                return len(fleet.plain.runs), sum(fleet.plain.runs.values())
+                same = answers[0].body == answers[1].body
+                runs = fleet.plain.runs
+                return len(runs), sum(runs.values()), same
+
+        self.assertEqual((1, 1, True), run(scenario()))
+
+    def test_order_with_a_key_of_another_shape_is_not_run(self) -> None:
+        async def scenario() -> tuple[int, str, int]:
+            async with SmallFleet() as fleet:
+                answer = await fleet.call(
+                    "shop-counter",
+                    "/orders",
+                    {"print": 1},
+                    headers={"Idempotency-Key": "order-1"},
+                )
+                ran = json.loads(answer.body)["ran"]
+                return answer.code, ran, len(fleet.plain.runs)
 
-        self.assertEqual((1, 1), run(scenario()))
+        self.assertEqual((400, "not run", 0), run(scenario()))
