--- a/tests/support/claims_fleet.py
+++ b/tests/support/claims_fleet.py
@@ -73,6 +73,7 @@
         queue_seconds: Longest wait between a grant and its sending.
         send_after_seconds: Shortest wait between a grant and its sending.
         answer_bytes: Least size of an answer.
+        granted: Called when a sending was granted, if set.
         refused_share: Share of attempts that the runner refuses.
         broken_share: Share of attempts whose connection breaks.
     """
@@ -84,6 +85,8 @@
         loss: float = 0.0,
         retention_seconds: float = 3600.0,
         protections: Protections | None = None,
+        make_claims: Callable[[Context], Claims] | None = None,
+        delay_seconds: float = 0.005,
     ) -> None:
         self.rng = random.Random(seed)
         self.members = list(ROUTERS)
@@ -94,13 +97,21 @@
         self.queue_seconds = 0.2
         self.send_after_seconds = 0.0
         self.answer_bytes = 0
+        self.granted: Callable[[Sending], None] | None = None
         self.refused_share = 0.1
         self.broken_share = 0.1
         self._retention_seconds = retention_seconds
         self._protections = protections
+        self._make_claims = make_claims or self._default_claims
         self._epoch = 1
         self._past: list[PastMembers] = []
-        self.fleet = FakeFleet([], self._build, seed=seed, loss=loss)
+        self.fleet = FakeFleet(
+            [],
+            self._build,
+            seed=seed,
+            loss=loss,
+            delay_seconds=delay_seconds,
+        )
         self.fleet.store = FlakyStore(random.Random(seed))
         for member_id in ROUTERS:
             self.fleet.start(member_id)
@@ -183,6 +194,8 @@
             if result.unwrap() is not ClaimStart.RUN:
                 self._tell(sending, result)
                 return
+            if self.granted is not None:
+                self.granted(sending)
             self._soon(
                 node,
                 lambda: self._send(sending, request),
@@ -218,13 +231,16 @@
         membership = FixedMembership(context, self.members)
         self._adopt(membership)
         self.memberships[context.member_id] = membership
-        claims = Claims(
+        claims = self._make_claims(context)
+        self.claims[context.member_id] = claims
+        return [membership, claims]
+
+    def _default_claims(self, context: Context) -> Claims:
+        return Claims(
             context,
             retention_seconds=self._retention_seconds,
             protections=self._protections,
         )
-        self.claims[context.member_id] = claims
-        return [membership, claims]
 
     def _adopt(self, membership: FixedMembership) -> None:
         membership.adopt(
