Let outcomes ride on the next claim's write

Cause: an outcome took a write slot of its own, and the claims that came within the next 90 ms waited for it.

Change: an entry that nobody waits for is deferred by up to 0.2 s and goes with the next claim. The claimant repeats an outcome until it is confirmed, so deferring loses nothing unless claimant and owner both die.

--- a/mulberrypaddle/controllers/claims/log.py
+++ b/mulberrypaddle/controllers/claims/log.py
@@ -37,6 +37,8 @@
 BATCH_BYTES = 524_288
 # Eight ranges at one write each 90 ms are 89 writes/s.
 WRITE_INTERVAL_SECONDS = 0.09
+# An entry that nobody waits for rides on the next claim's write until then.
+DEFERRED_SECONDS = 0.2
 RETRY_SECONDS = 0.3
 # A call without any reply (the process slept through it) is in doubt.
 CALL_TIMEOUT_SECONDS = 10.0
@@ -57,11 +59,17 @@
 class _Line:
     """An entry that waits to be written, and whom to tell."""
 
-    __slots__ = ("encoded", "entry", "keep", "written")
+    __slots__ = ("due_at_seconds", "encoded", "entry", "keep", "written")
 
     def __init__(
-        self, entry: ClaimEntry, written: Written, *, keep: bool
+        self,
+        entry: ClaimEntry,
+        written: Written,
+        *,
+        keep: bool,
+        due_at_seconds: float,
     ) -> None:
+        self.due_at_seconds = due_at_seconds
         self.entry = entry
         self.encoded = segments.encode(entry)
         self.written = written
@@ -136,6 +144,7 @@
         self._old: list[ClosedSegment] = []
         self._write_ids = 0
         self._not_before_seconds = 0.0
+        self._due_at_seconds = float("inf")
         self._deleting: ClosedSegment | None = None
 
     @property
@@ -181,6 +190,7 @@
         self._takeover = None
         self._batch = None
         self._queue.clear()
+        self._due_at_seconds = float("inf")
         self._old = []
         self._deleting = None
         self._wait(self._context.now_seconds())
@@ -195,9 +205,16 @@
             entry: What to append.
             written: Called once with whether the entry is durable; not
                 called when the log closes first.
-            keep: Whether to try again after the store refused the write.
+            keep: Whether nobody waits for the entry: it may be deferred,
+                and is tried again after the store refused the write.
         """
-        self._queue.append(_Line(entry, written, keep=keep))
+        due_at_seconds = self._context.now_seconds()
+        if keep:
+            due_at_seconds += DEFERRED_SECONDS
+        self._queue.append(
+            _Line(entry, written, keep=keep, due_at_seconds=due_at_seconds)
+        )
+        self._due_at_seconds = min(self._due_at_seconds, due_at_seconds)
 
     def flush(self, now_seconds: float) -> None:
         """Starts the next call of the store, if one is due."""
@@ -211,7 +228,9 @@
         if self.state is LogState.IN_DOUBT and batch is not None:
             self._read_back(batch, now_seconds)
             return
-        if self.state is LogState.OPEN and self._queue:
+        if self.state is not LogState.OPEN or not self._queue:
+            return
+        if now_seconds >= self._due_at_seconds:
             self._batch = _Batch(
                 self._take_lines(),
                 write_id=self._next_write_id(),
@@ -284,6 +303,8 @@
             line = self._queue.popleft()
             size_bytes += len(line.encoded)
             lines.append(line)
+        # Lines beyond the limit of one write are due at once.
+        self._due_at_seconds = 0.0 if self._queue else float("inf")
         return lines
 
     def _target(self, batch: _Batch) -> tuple[str, int]:
@@ -397,6 +418,7 @@
         self._batch = None
         self.state = LogState.OPEN
         self._wait(now_seconds)
+        self._due_at_seconds = now_seconds
         for line in reversed(batch.lines):
             if line.keep:
                 self._queue.appendleft(line)
