--- a/mulberrypaddle/peers/links.py
+++ b/mulberrypaddle/peers/links.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING
 
+import grpc.aio
 from google.protobuf.any_pb2 import Any as PackedMessage
 
 from mulberrypaddle.blackboard import keys
@@ -22,6 +24,16 @@
     from mulberrypaddle.settings import RouterSettings
 
 
+@functools.cache
+def _keep_engine() -> None:
+    """Keeps gRPC's asyncio engine for the life of the process.
+
+    Without this the engine ends with the last channel, whenever that is
+    collected, and waits there for operations whose event loop is closed.
+    """
+    grpc.aio.init_grpc_aio()
+
+
 class PeerLinks:
     """Sends to and receives from the members on the blackboard.
 
@@ -47,6 +59,7 @@
                 "got neither peer_tls nor peer_plaintext, "
                 "allowed is one of them"
             )
+        _keep_engine()
         self.counters = LinkCounters()
         self._node = node
         self._settings = settings
--- /dev/null
+++ b/properties/test_claims.py
@@ -0,0 +1,47 @@
+"""Randomised runs of unrepeatable requests over seven routers."""
+
+from __future__ import annotations
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulberrypaddle.core.errors import Ran
+from tests.support.claims_fleet import ROUTERS, ClaimsFleet
+from tests.support.claims_schedule import STEP_SECONDS, run_schedule
+
+
+def surely_idle_keys(fleet: ClaimsFleet) -> list[str]:
+    """Returns keys that every router that was asked knows not to have run."""
+    told: dict[str, bool] = {}
+    for sending in fleet.sendings:
+        lives = fleet.fleet.nodes[sending.member_id] is sending.node
+        not_run = lives and sending.ran is Ran.NOT_RUN
+        told[sending.key] = told.get(sending.key, True) and not_run
+    return [key for key, idle in told.items() if idle]
+
+
+class ClaimsRunsTest(testtools.TestCase):
+    """At most one run a key, and refusals that are true."""
+
+    @settings(max_examples=10)
+    @given(seed=st.integers(min_value=0, max_value=1_000_000))
+    def test_runs_at_most_once_and_says_so_truly(self, seed: int) -> None:
+        fleet = ClaimsFleet(seed=seed, loss=0.05)
+        run_schedule(fleet, seed)
+        self.assertEqual([], fleet.double_runs())
+        self.assertEqual([], fleet.untrue_refusals())
+        self.assertEqual([], fleet.unsaid())
+        self._check_progress(fleet)
+
+    def _check_progress(self, fleet: ClaimsFleet) -> None:
+        """A healed fleet runs fresh keys, and keys that surely never ran."""
+        fleet.refused_share = 0.0
+        keys = surely_idle_keys(fleet)[:20]
+        for _ in ROUTERS:
+            keys.append(fleet.new_key())
+        for index, key in enumerate(keys):
+            fleet.submit(ROUTERS[index % len(ROUTERS)], key)
+        fleet.fleet.run(4.0, step_seconds=STEP_SECONDS)
+        for key in keys:
+            self.assertEqual(1, fleet.runs.get(key, 0), key)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -137,12 +137,15 @@
         due_seconds = self.clock.monotonic_seconds() + self.rng.uniform(
             0, 2 * self.delay_seconds
         )
-        self._push(due_seconds, node, act)
+        self.schedule(due_seconds, node, act)
 
-    def _push(
+    def schedule(
         self, due_seconds: float, node: Node | None, act: Callable[[], None]
     ) -> None:
-        """Schedules `act`; without a node, it happens outside the routers."""
+        """Runs `act` at a monotonic time, later if `node` is paused then.
+
+        Without a node it happens outside the routers.
+        """
 
         def deliver() -> None:
             if node is None:
@@ -153,7 +156,7 @@
                 return
             if member_id in self.paused:
                 retry_seconds = self.clock.monotonic_seconds() + 0.05
-                self._push(retry_seconds, node, act)
+                self.schedule(retry_seconds, node, act)
                 return
             act()
 
