--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -11,6 +11,7 @@
     Intent,
     ListObjects,
     ReadObject,
+    ReadReport,
     SendToPeer,
     WriteObject,
 )
@@ -20,7 +21,7 @@
     from collections.abc import Coroutine
     from typing import Any
 
-    from mulberrypaddle.backends import ObjectStore
+    from mulberrypaddle.backends import ObjectStore, RunnerClient
     from mulberrypaddle.node import Node
     from mulberrypaddle.operators.journal import Journal
     from mulberrypaddle.peers import PeerLinks
@@ -34,13 +35,17 @@
     Attributes:
         store: The platform's object API.
         links: Links to the other routers.
+        runners: The endpoints that execute requests.
     """
 
-    __slots__ = ("links", "store")
+    __slots__ = ("links", "runners", "store")
 
-    def __init__(self, *, store: ObjectStore, links: PeerLinks) -> None:
+    def __init__(
+        self, *, store: ObjectStore, links: PeerLinks, runners: RunnerClient
+    ) -> None:
         self.store = store
         self.links = links
+        self.runners = runners
 
 
 @functools.singledispatch
@@ -85,6 +90,11 @@
     )
 
 
+@carry_out.register(ReadReport)
+async def _report(intent: ReadReport, adapters: Adapters) -> None:
+    intent.reply(await adapters.runners.report(intent.runner))
+
+
 @carry_out.register(SendToPeer)
 async def _send(intent: SendToPeer, adapters: Adapters) -> None:
     adapters.links.send(intent.member_id, intent.message)
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -13,6 +13,7 @@
 from mulberrypaddle.controllers.base import Context
 from mulberrypaddle.controllers.claims import Claims
 from mulberrypaddle.controllers.configuration import ConfigurationController
+from mulberrypaddle.controllers.credits import Credits
 from mulberrypaddle.controllers.membership import FleetMembership
 from mulberrypaddle.controllers.runner_table import RunnerTableController
 from mulberrypaddle.controllers.stream_memory import StreamMemory
@@ -61,7 +62,8 @@
             region=settings.region,
             peer_address=settings.peer_address,
         )
-        admission = Admission(self.context)
+        credits = Credits(self.context)
+        admission = Admission(self.context, credits)
         claims = Claims(self.context)
         apply = Apply(self.context)
         self.memory = StreamMemory(
@@ -76,6 +78,7 @@
                 RunnerTableController(self.context),
                 apply,
                 claims,
+                credits,
                 admission,
                 self.memory,
             ],
@@ -89,7 +92,9 @@
         self.links = PeerLinks(self.node, settings)
         self._driver = Driver(
             self.node,
-            Adapters(store=self._store, links=self.links),
+            Adapters(
+                store=self._store, links=self.links, runners=self._runners
+            ),
             journal=self.journal,
         )
         self.door = FrontDoor(
