Let the test of a short budget start with a warm runner

Cause: since cold runners ramp, only two of the eight readers had a runner at once, so the budget was never short and the test waited without end. Change: the test lists its runner as one that bears 16 from the start; what it asserts is as before.

--- a/tests/frontdoor/test_streams.py
+++ b/tests/frontdoor/test_streams.py
@@ -44,6 +44,14 @@
     return {"prompt": "a card", "max_tokens": max_tokens, "stream": True}
 
 
+def make_warm(fleet: SmallFleet, runner_id: str) -> None:
+    """Lists a runner as one that bears all its slots from the start."""
+    stored = fleet.store.read(f"runners/{runner_id}").unwrap()
+    document = json.loads(stored.value)
+    document["cold_slots"] = 16
+    fleet.put(f"runners/{runner_id}", json.dumps(document))
+
+
 class RawReader:
     """A caller that reads only when told to."""
 
@@ -134,7 +142,9 @@
 
     def test_short_budget_parks_and_resumes_without_gap(self) -> None:
         async def scenario() -> tuple[list[bytes], int, int, list[int]]:
-            async with SmallFleet(answer_memory_bytes=1 << 18) as fleet:
+            warm = SmallFleet(answer_memory_bytes=1 << 18)
+            make_warm(warm, "card-writer-1")
+            async with warm as fleet:
                 fleet.engine.token_seconds = 0.0
                 fleet.engine.padding_bytes = 4_000
                 memory = fleet.routers[0].memory
