Wake the driver when a request waits for a step

Cause: a claim or a queued admission waited for the next step, up to 20 ms away, and again for each reply that left a further intent. Change: Driver.wake brings the next turn 2 ms from now, joined for all that ask; the pipeline calls it when a controller's reply does not come at once, and the driver when a reply leaves an intent.

--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -27,6 +27,7 @@
     from mulberrypaddle.peers import PeerLinks
 
 STEP_SECONDS = 0.02
+WAKE_SECONDS = 0.002
 
 
 class Adapters:
@@ -110,12 +111,29 @@
         self._adapters = adapters
         self._journal = journal
         self._tasks: set[asyncio.Task[None]] = set()
+        self._due = asyncio.Event()
+        self._woken = False
 
     async def run(self) -> None:
         """Steps the node until cancelled."""
+        loop = asyncio.get_running_loop()
         while True:
+            self._woken = False
             self.turn()
-            await asyncio.sleep(STEP_SECONDS)
+            self._due.clear()
+            timer = loop.call_later(STEP_SECONDS, self._due.set)
+            await self._due.wait()
+            timer.cancel()
+
+    def wake(self) -> None:
+        """Makes the next turn come soon: something waits for it.
+
+        The short delay joins what many requests leave at the same time.
+        """
+        if self._woken:
+            return
+        self._woken = True
+        asyncio.get_running_loop().call_later(WAKE_SECONDS, self._due.set)
 
     def turn(self) -> None:
         """Steps the node once and starts what it asked for."""
@@ -131,4 +149,9 @@
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._carried_out)
+
+    def _carried_out(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if self._node.context.board.intents:
+            self.wake()
--- a/mulberrypaddle/frontdoor/pipeline.py
+++ b/mulberrypaddle/frontdoor/pipeline.py
@@ -36,8 +36,15 @@
 
 async def _reply_of(
     ask: Callable[[Callable[[Result[T, Problem]], None]], None],
+    *,
+    wake: Callable[[], None],
 ) -> Result[T, Problem]:
-    """Waits for the one reply of a controller."""
+    """Waits for the one reply of a controller.
+
+    Args:
+        ask: Asks it, with the function that takes the reply.
+        wake: Called when the reply does not come at once.
+    """
     future: asyncio.Future[Result[T, Problem]] = (
         asyncio.get_running_loop().create_future()
     )
@@ -47,9 +54,15 @@
             future.set_result(result)
 
     ask(reply)
+    if not future.done():
+        wake()
     return await future
 
 
+def _no_wake() -> None:
+    """Leaves the controllers to their own pace."""
+
+
 class Pipeline:
     """The stages of one request, in order."""
 
@@ -60,7 +73,18 @@
         claims: Claims,
         runners: RunnerClient,
         clock: Clock,
+        wake: Callable[[], None] = _no_wake,
     ) -> None:
+        """Takes what the stages need.
+
+        Args:
+            admission: Admits and picks runners.
+            claims: Claims what must run at most once.
+            runners: Sends attempts.
+            clock: Source of time.
+            wake: Makes the controllers' next step come soon.
+        """
+        self._wake = wake
         self._admission = admission
         self._claims = claims
         self._runners = runners
@@ -101,7 +125,7 @@
         def ask(reply: ClaimReply) -> None:
             self._claims.begin(request, reply)
 
-        return await _reply_of(ask)
+        return await _reply_of(ask, wake=self._wake)
 
     async def _admit(
         self, request: Request, passed_over: frozenset[str]
@@ -109,7 +133,7 @@
         def ask(reply: AdmissionReply) -> None:
             self._admission.submit(request, reply, passed_over=passed_over)
 
-        return await _reply_of(ask)
+        return await _reply_of(ask, wake=self._wake)
 
     async def _attempts(
         self, request: Request, relay: Relay
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -105,6 +105,7 @@
                 claims=claims,
                 runners=self._runners,
                 clock=clock,
+                wake=self._driver.wake,
             ),
             settings=settings,
         )
