--- a/mulberrypaddle/controllers/admission/controller.py
+++ b/mulberrypaddle/controllers/admission/controller.py
@@ -40,7 +40,7 @@
 # Contract credit asked for while no runner credit is at hand.
 LEAST_ASKED = 2
 # Queued requests that ask for credit at the same time.
-MAX_ASKING = 64
+MAX_ASKING = 16
 MAX_LISTED = 5
 
 
--- a/mulberrypaddle/controllers/credits/ledger.py
+++ b/mulberrypaddle/controllers/credits/ledger.py
@@ -149,6 +149,9 @@
         self._refresh(pool, now_seconds)
         if not pool.is_open or not self._may_act(pool, now_seconds):
             return
+        if sender not in pool.holders:
+            # It neither holds nor wants anything.
+            return
         answer.grants.append(self._grant(pool, sender, now_seconds))
         for member_id, level in pool.recalls(sender, now_seconds):
             self._lower(pool, member_id, level)
@@ -285,8 +288,8 @@
         organisation, _, service = pool.duty.name.partition("/")
         limit = contract_limit(self._context, organisation, service)
         pool.set_capacity(limit, one_sender=False)
-        if pool.quiet_since_seconds is not None:
-            pool.is_open = True
+        if pool.quiet_since_seconds is not None and not pool.is_open:
+            pool.open()
         pool.drop_silent(
             now_seconds,
             after_seconds=_deadline_seconds(self._context, service),
@@ -368,7 +371,7 @@
             return
         if as_of_seconds >= pool.quiet_since_seconds:
             pool.take_unknown(reported, now_seconds)
-            pool.is_open = True
+            pool.open()
 
     def _check_report(
         self, pool: Pool, watch: RunnerWatch, reported: Amount
--- a/mulberrypaddle/controllers/credits/pool.py
+++ b/mulberrypaddle/controllers/credits/pool.py
@@ -141,6 +141,11 @@
         self._bound = NOTHING
         self._protections = protections
 
+    def open(self) -> None:
+        """Begins to grant; what earlier owners granted is in use already."""
+        self.is_open = True
+        self._bound = self._bound.at_least(self.held())
+
     def set_capacity(self, capacity: Amount, *, one_sender: bool) -> None:
         """Takes what may be in use from now on."""
         self.capacity = capacity
@@ -315,10 +320,11 @@
             record = self.holders[key]
             if now_seconds < record.expires_at_seconds:
                 continue
-            if not self._protections.counts_silent_holders:
-                del self.holders[key]
-                continue
-            if record.held() == NOTHING and record.wanted == NOTHING:
+            is_empty = record.held() == NOTHING and record.wanted == NOTHING
+            is_silent = bool(record.grants)
+            if is_silent and not self._protections.counts_silent_holders:
+                is_empty = True
+            if is_empty:
                 del self.holders[key]
 
     def _record(
--- /dev/null
+++ b/properties/test_credits.py
@@ -0,0 +1,160 @@
+"""Limits over seven routers under random faults, and each protection off."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import testtools
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from tests.support.serving import ServingFleet
+
+if TYPE_CHECKING:
+    from mulberrypaddle.controllers.credits import Protections
+
+STEP_SECONDS = 0.05
+# A restarted runner answers again after at least this long: longer than
+# finding its silence takes and than a grant stays valid.
+DOWN_SECONDS = 6.0
+FAULTS = ("loss", "cut", "pause", "kill", "leave", "restart", "store", "part")
+
+
+class Ride:
+    """Drives a fleet under load and faults.
+
+    Attributes:
+        fleet: The routers and runners.
+    """
+
+    def __init__(self, seed: int, protections: Protections | None) -> None:
+        self.rng = random.Random(seed)
+        self.fleet = ServingFleet(
+            7,
+            contracts={"museum": 30, "cards": 6},
+            protections=protections,
+            seed=seed,
+            report_lag_seconds=0.3,
+        )
+        self._next_member = 7
+
+    def run(self, duration_seconds: float, *, share: float = 0.4) -> None:
+        """Offers requests at every router while time goes on."""
+        for _ in range(int(duration_seconds / STEP_SECONDS)):
+            self.fleet.run(STEP_SECONDS, step_seconds=STEP_SECONDS)
+            for member_id in list(self.fleet.nodes):
+                if self.rng.random() > share:
+                    continue
+                self.fleet.offer(
+                    member_id,
+                    self.rng.choice(("museum", "museum", "cards")),
+                    run_seconds=self.rng.choice((0.1, 0.4, 2.0)),
+                )
+
+    def inflict(self, fault: str) -> None:
+        """Brings about one fault."""
+        fleet = self.fleet
+        victim = self.rng.choice(sorted(fleet.nodes))
+        if fault == "loss":
+            fleet.loss = 0.2
+        elif fault == "cut":
+            other = self.rng.choice(sorted(fleet.nodes))
+            fleet.cut.add(frozenset((victim, other)))
+        elif fault == "pause":
+            fleet.paused.add(victim)
+        elif fault == "restart":
+            fake = fleet.runners[self.rng.choice(sorted(fleet.runners))]
+            fake.restart(fleet.clock.monotonic_seconds(), DOWN_SECONDS)
+        elif fault == "store":
+            fleet.store.down = True
+        elif fault == "kill":
+            fleet.kill(victim)
+            fleet.start(victim)
+        elif fault == "leave":
+            self._replace(victim)
+        else:
+            self._part(victim)
+
+    def heal(self) -> None:
+        """Ends every fault that does not end by itself."""
+        self.fleet.loss = 0.0
+        self.fleet.cut.clear()
+        self.fleet.paused.clear()
+        self.fleet.store.down = False
+        for member_id, membership in self.fleet.memberships.items():
+            if not membership.renews and member_id in self.fleet.nodes:
+                # A removed router restarts under its new membership.
+                self.fleet.kill(member_id)
+                self.fleet.start(member_id)
+                self.fleet.change_members([*self.fleet.member_ids, member_id])
+
+    def _replace(self, victim: str) -> None:
+        """Loses a router; a new one takes its place."""
+        fleet = self.fleet
+        fleet.kill(victim)
+        fresh = f"r{self._next_member}"
+        self._next_member += 1
+        remaining = [name for name in fleet.member_ids if name != victim]
+        fleet.change_members([*remaining, fresh])
+        fleet.start(fresh)
+
+    def _part(self, victim: str) -> None:
+        """Cuts a router from all others, which then remove it."""
+        fleet = self.fleet
+        if len(fleet.member_ids) < 5 or victim not in fleet.member_ids:
+            return
+        for other in fleet.nodes:
+            if other != victim:
+                fleet.cut.add(frozenset((victim, other)))
+        fleet.memberships[victim].renews = False
+        fleet.change_members(
+            [name for name in fleet.member_ids if name != victim]
+        )
+
+
+@st.composite
+def _schedules(draw: st.DrawFn) -> list[tuple[str, float]]:
+    """Returns faults and how long each lasts before the next."""
+    count = draw(st.integers(3, 6))
+    schedule = []
+    for _ in range(count):
+        fault = draw(st.sampled_from((*FAULTS, "heal")))
+        schedule.append((fault, draw(st.sampled_from((0.5, 1.5, 5.0)))))
+    return schedule
+
+
+def ride(
+    seed: int,
+    schedule: list[tuple[str, float]],
+    protections: Protections | None = None,
+) -> Ride:
+    """Runs a schedule; the invariants are asserted on the way."""
+    made = Ride(seed, protections)
+    made.run(4.0)
+    for fault, duration_seconds in schedule:
+        if fault == "heal":
+            made.heal()
+        else:
+            made.inflict(fault)
+        made.run(duration_seconds)
+    made.heal()
+    return made
+
+
+class CreditsTest(testtools.TestCase):
+    """Nothing is sent beyond what is borne, and service goes on after."""
+
+    # A run takes seconds, so a failing one is printed without shrinking.
+    @settings(max_examples=8, phases=(Phase.explicit, Phase.generate))
+    @given(st.integers(0, 1_000_000), _schedules())
+    def test_limits_hold_under_faults(
+        self, seed: int, schedule: list[tuple[str, float]]
+    ) -> None:
+        made = ride(seed, schedule)
+        made.run(16.0, share=0.1)
+        fleet = made.fleet
+        fleet.completed.clear()
+        made.run(4.0)
+        self.assertTrue(fleet.completed.get("museum"), fleet.refused)
+        self.assertTrue(fleet.completed.get("cards"), fleet.refused)
--- a/tests/support/membership.py
+++ b/tests/support/membership.py
@@ -18,14 +18,16 @@
         member_ids: list[str],
         *,
         lease_seconds: float = 6.0,
+        epoch: int = 1,
+        unsettled: tuple[PastMembers, ...] = (),
     ) -> None:
         super().__init__(context)
-        self.epoch = 1
+        self.epoch = epoch
         self.lease_seconds = lease_seconds
         self.renews = True
         self._lease_until_seconds = 0.0
         self._member_ids = list(member_ids)
-        self._unsettled: tuple[PastMembers, ...] = ()
+        self._unsettled = unsettled
 
     def change(self, member_ids: list[str]) -> None:
         """Changes the members; the old ones settle after a lease."""
--- a/tests/support/serving.py
+++ b/tests/support/serving.py
@@ -8,7 +8,11 @@
 from returns.result import Failure, Result, Success
 
 from mulberrypaddle.blackboard import keys
-from mulberrypaddle.blackboard.tables import Configuration, RunnerTable
+from mulberrypaddle.blackboard.tables import (
+    Configuration,
+    PastMembers,
+    RunnerTable,
+)
 from mulberrypaddle.controllers import Context, Controller
 from mulberrypaddle.controllers.admission import Admission
 from mulberrypaddle.controllers.credits import Credits, Protections
@@ -34,6 +38,7 @@
 SERVICE = "card-writer"
 DEADLINE_SECONDS = 6.0
 DOUBLE_SECONDS = 2.0
+LEASE_SECONDS = 6.0
 
 
 class FakeRunner:
@@ -119,7 +124,8 @@
     Attributes:
         runners: By runner id.
         member_ids: The members, as every node is told in the end.
-        in_flight: Attempts in hand of live routers, by organisation.
+        in_flight: Attempts sent and not ended, by organisation; those of
+            routers that were killed are no caller's any more.
         completed: Requests that completed, by organisation.
         waited_seconds: Time from submission to admission, by organisation.
         refused: Refusals by kind.
@@ -143,6 +149,7 @@
         self.protections = protections or Protections()
         self.member_ids = [f"r{index}" for index in range(member_count)]
         self.epoch = 1
+        self.past: list[PastMembers] = []
         self.report_lag_seconds = report_lag_seconds
         self.memberships: dict[str, FixedMembership] = {}
         self.credits: dict[str, Credits] = {}
@@ -160,8 +167,12 @@
 
     def _controllers(self, context: Context) -> list[Controller]:
         member_id = context.member_id
-        membership = FixedMembership(context, self.member_ids)
-        membership.epoch = self.epoch
+        membership = FixedMembership(
+            context,
+            self.member_ids,
+            epoch=self.epoch,
+            unsettled=tuple(self.past),
+        )
         credits = Credits(context, protections=self.protections)
         admission = Admission(context, credits)
         self.memberships[member_id] = membership
@@ -187,6 +198,10 @@
 
     def change_members(self, member_ids: list[str]) -> None:
         """Tells every running router of new members."""
+        settled_at_seconds = self.clock.monotonic_seconds() + LEASE_SECONDS
+        self.past.append(
+            PastMembers(frozenset(self.member_ids), settled_at_seconds)
+        )
         self.member_ids = list(member_ids)
         self.epoch += 1
         for member_id in sorted(self.nodes):
@@ -281,10 +296,10 @@
 
     def _end(self, node: Node, ticket: Ticket, state: AttemptState) -> None:
         """Tells the router, if it still runs, how an attempt ended."""
+        organisation = ticket.request.organisation
+        self.in_flight[organisation].pop(ticket.attempt_id, None)
 
         def act() -> None:
-            organisation = ticket.request.organisation
-            self.in_flight[organisation].pop(ticket.attempt_id, None)
             if state is AttemptState.DONE:
                 done = self.completed.get(organisation, 0)
                 self.completed[organisation] = done + 1
