--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -22,6 +22,7 @@
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
+from mulberrypaddle.observe import metrics
 from mulberrypaddle.operators import Journal
 from mulberrypaddle.operators.apply import Apply
 from mulberrypaddle.operators.handlers import OperatorDesk, operator_routes
@@ -37,6 +38,7 @@
     Attributes:
         context: The controllers' context, with the blackboard.
         memory: Budget of answer bytes.
+        door: What callers' handlers share.
         node: The controllers in step.
         journal: Recent decisions, to be explained.
         links: Links to the other routers.
@@ -67,6 +69,7 @@
         self.memory = StreamMemory(
             self.context, budget_bytes=settings.answer_memory_bytes
         )
+        metrics.watch_memory(self.memory)
         self.node = Node(
             self.context,
             [
@@ -94,18 +97,19 @@
             ),
             journal=self.journal,
         )
-        self._server = serve_front_door(
-            FrontDoor(
-                context=self.context,
-                memory=self.memory,
-                pipeline=Pipeline(
-                    admission=admission,
-                    claims=claims,
-                    runners=self._runners,
-                    clock=clock,
-                ),
-                settings=settings,
+        self.door = FrontDoor(
+            context=self.context,
+            memory=self.memory,
+            pipeline=Pipeline(
+                admission=admission,
+                claims=claims,
+                runners=self._runners,
+                clock=clock,
             ),
+            settings=settings,
+        )
+        self._server = serve_front_door(
+            self.door,
             operator_routes(
                 OperatorDesk(
                     context=self.context,
@@ -134,7 +138,11 @@
 
     async def stop(self) -> None:
         """Stops gracefully: takes nothing new, finishes what is in hand."""
+        self.door.begin_stop()
         self.node.stop()
+        await self.door.wait_until_idle(
+            timeout_seconds=self.door.settings.stop_seconds
+        )
         self._server.stop()
         await self._server.close_all_connections()
         await self._leave()
