Measure cold runners and test admission's order and refusals

Cause: Neither the rush at cold runners nor the order of service was measured, and ageing let a large organisation's old backlog go before a small one's new request. Change: A benchmark sets seven routers on runners that just started, beside routers that each count for themselves. Urgency and ageing order an organisation's own requests and give a bounded step between organisations. A runner whose connection broke gets no new work until it reported again; a grant names the generation that every VM confirmed.

--- /dev/null
+++ b/benchmarks/cold_runners.py
@@ -0,0 +1,142 @@
+"""A rush of seven routers at runners that just started; control traffic.
+
+Baseline: each router counts for itself, with the same ramp. Run as
+`python -m benchmarks.cold_runners`.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+
+from mulberrypaddle.controllers.credits import Protections
+from mulberrypaddle.core import invariants
+from tests.support.serving import (
+    DOUBLE_SECONDS,
+    ServingFleet,
+    make_runners,
+)
+
+ROUTERS = 7
+RUNNERS = 4
+SLOTS = 12
+COLD_SLOTS = 2
+RUN_SECONDS = 0.3
+STEP_SECONDS = 0.05
+RUSH_SECONDS = 12.0
+DOWN_SECONDS = 6.0
+# At this share of its slots in hand a runner counts as full.
+FULL_SHARE = 0.8
+
+
+def make_fleet(*, shares: bool, runner_count: int = RUNNERS) -> ServingFleet:
+    """Returns routers before cold runners, with ample contracts."""
+    fleet = ServingFleet(
+        ROUTERS,
+        runners=make_runners(runner_count, slots=SLOTS),
+        contracts={"museum": 10_000},
+        protections=Protections(shares=shares),
+        seed=11,
+    )
+    fleet.checks_runners = False
+    return fleet
+
+
+def rush(fleet: ServingFleet) -> tuple[float, float]:
+    """Offers more than all runners bear.
+
+    Returns:
+        Highest work in hand as a share of what a runner bears, and the time
+        in seconds until all runners together were full.
+    """
+    for fake in fleet.runners.values():
+        fake.restart(fleet.clock.monotonic_seconds(), DOWN_SECONDS)
+    fleet.run(DOWN_SECONDS)
+    started_seconds = fleet.clock.monotonic_seconds()
+    full_at_seconds = math.inf
+    wanted = FULL_SHARE * SLOTS * len(fleet.runners)
+    while fleet.clock.monotonic_seconds() < started_seconds + RUSH_SECONDS:
+        for member_id in fleet.member_ids:
+            for _ in range(2):
+                fleet.offer(member_id, run_seconds=RUN_SECONDS)
+        fleet.run(STEP_SECONDS, step_seconds=STEP_SECONDS)
+        in_hand = 0
+        for fake in fleet.runners.values():
+            in_hand += len(fake.in_hand)
+        if in_hand >= wanted and math.isinf(full_at_seconds):
+            full_at_seconds = fleet.clock.monotonic_seconds()
+    worst_share = 0.0
+    for fake in fleet.runners.values():
+        worst_share = max(worst_share, fake.peak_share)
+    return worst_share, full_at_seconds - started_seconds
+
+
+def traffic(runner_count: int) -> tuple[float, float]:
+    """Returns bytes/s that a router sends for the ledger: idle, loaded."""
+    fleet = make_fleet(shares=True, runner_count=runner_count)
+    fleet.run(2.0)
+    idle = _bytes_per_second(fleet, 0.0)
+    _bytes_per_second(fleet, 1.0)
+    return idle, _bytes_per_second(fleet, 1.0)
+
+
+def _bytes_per_second(fleet: ServingFleet, share: float) -> float:
+    """Runs for a while and returns bytes/s sent by the busiest router."""
+    fleet.sent_bytes.clear()
+    duration_seconds = 6.0
+    for _ in range(int(duration_seconds / STEP_SECONDS)):
+        for member_id in fleet.member_ids:
+            if fleet.rng.random() < share:
+                fleet.offer(member_id, run_seconds=RUN_SECONDS)
+        fleet.run(STEP_SECONDS, step_seconds=STEP_SECONDS)
+    return max(fleet.sent_bytes.values(), default=0) / duration_seconds
+
+
+def restart_overshoot(down_seconds: float) -> float:
+    """Returns the worst share in hand after a restart without warning."""
+    fleet = make_fleet(shares=True)
+    rush(fleet)
+    for fake in fleet.runners.values():
+        fake.peak_share = 0.0
+        fake.restart(fleet.clock.monotonic_seconds(), down_seconds)
+    for _ in range(200):
+        for member_id in fleet.member_ids:
+            fleet.offer(member_id, run_seconds=RUN_SECONDS)
+        fleet.run(STEP_SECONDS, step_seconds=STEP_SECONDS)
+    return max(fake.peak_share for fake in fleet.runners.values())
+
+
+def main() -> None:
+    """Prints the figures."""
+    logging.disable(logging.CRITICAL)
+    # The baseline breaches; it is measured, not stopped.
+    invariants.raise_breaches(False)
+    ideal_seconds = DOUBLE_SECONDS * math.log2(FULL_SHARE * SLOTS / COLD_SLOTS)
+    print(f"routers={ROUTERS} runners={RUNNERS} slots={SLOTS}")
+    for name, shares in (("baseline", False), ("present", True)):
+        seen = invariants.breach_count(invariants.Invariant.COLD_LIMIT)
+        worst_share, full_seconds = rush(make_fleet(shares=shares))
+        breaches = invariants.breach_count(invariants.Invariant.COLD_LIMIT)
+        print(
+            f"case={name} worst_in_hand_over_borne={worst_share:.2f} "
+            f"full_after_seconds={full_seconds:.2f} "
+            f"ideal_seconds={ideal_seconds:.2f} "
+            f"breaches_seen_by_router={breaches - seen}"
+        )
+    for down_seconds in (0.0, 1.0, 6.0):
+        worst_share = restart_overshoot(down_seconds)
+        print(
+            f"case=silent_restart down_seconds={down_seconds:.0f} "
+            f"worst_in_hand_over_borne={worst_share:.2f}"
+        )
+    for runner_count in (4, 20, 60):
+        idle, loaded = traffic(runner_count)
+        print(
+            f"case=traffic runners={runner_count} "
+            f"idle_bytes_per_second={idle:.0f} "
+            f"loaded_bytes_per_second={loaded:.0f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/mulberrypaddle/controllers/admission/queue.py
+++ b/mulberrypaddle/controllers/admission/queue.py
@@ -1,10 +1,11 @@
-"""The bounded queue of one service: urgent first, fair, without starvation.
-
-Organisations share by start-time fair queueing, weighted by the square root
-of their contract: a large organisation gets more, but its backlog never
-stands before a small one's next request. Waiting raises urgency, so that
-nothing starves. Source: Goyal, Vin and Cheng, "Start-time Fair Queueing",
-1996.
+"""The bounded queue of one service: fair shares, urgent first, no starvation.
+
+Organisations share by start-time fair queueing, weighted by the logarithm of
+their contract: a large organisation gets more, but its backlog never
+stands before a small one's next request. An urgent request goes ahead of
+its organisation's other ones, and a bounded step ahead of the others'.
+Waiting raises urgency, so that nothing starves. Source: Goyal, Vin and
+Cheng, "Start-time Fair Queueing", 1996.
 """
 
 from __future__ import annotations
@@ -26,6 +27,8 @@
 # After this time in the queue a request counts as one step more urgent.
 AGE_SECONDS = 2.0
 TOKENS_PER_COST = 4_096
+# Virtual time by which one step of urgency goes ahead of other organisations.
+URGENCY_STEP = 0.5
 
 
 class Waiting:
@@ -36,7 +39,6 @@
         reply: Called once with a ticket or a problem.
         passed_over: Runners that it must not be sent to.
         queued_at_seconds: When it came.
-        start_tag: Virtual time at which its service is due.
     """
 
     __slots__ = (
@@ -44,7 +46,6 @@
         "queued_at_seconds",
         "reply",
         "request",
-        "start_tag",
     )
 
     def __init__(
@@ -59,12 +60,11 @@
         self.reply = reply
         self.passed_over = passed_over
         self.queued_at_seconds = queued_at_seconds
-        self.start_tag = 0.0
 
-    def rank(self, now_seconds: float) -> tuple[int, float]:
-        """Returns the place in the order of service; lower goes first."""
+    def urgency(self, now_seconds: float) -> int:
+        """Returns the urgency, raised by waiting; lower is more urgent."""
         steps = int((now_seconds - self.queued_at_seconds) / AGE_SECONDS)
-        return max(int(self.request.urgency) - steps, 0), self.start_tag
+        return max(int(self.request.urgency) - steps, 0)
 
 
 class FairQueue:
@@ -74,34 +74,41 @@
         size: How many wait.
     """
 
-    __slots__ = ("_finish_tags", "_flows", "_virtual_time", "size")
+    __slots__ = ("_flows", "_tags", "_virtual_time", "_weights", "size")
 
     def __init__(self) -> None:
         self.size = 0
         self._flows: dict[tuple[str, int], deque[Waiting]] = {}
-        self._finish_tags: dict[str, float] = {}
+        # Virtual time at which an organisation's next request is due.
+        self._tags: dict[str, float] = {}
+        self._weights: dict[str, float] = {}
         self._virtual_time = 0.0
 
     def push(self, waiting: Waiting, *, contract_requests: int) -> None:
-        """Adds a request behind its own organisation's earlier ones."""
-        request = waiting.request
-        finish_tag = self._finish_tags.get(request.organisation, 0.0)
-        waiting.start_tag = max(self._virtual_time, finish_tag)
-        cost = 1.0 + request.tokens / TOKENS_PER_COST
-        weight = math.sqrt(max(contract_requests, 1))
-        self._finish_tags[request.organisation] = (
-            waiting.start_tag + cost / weight
-        )
-        flow = (request.organisation, int(request.urgency))
+        """Adds a request behind the earlier ones of its flow."""
+        organisation = waiting.request.organisation
+        if self.count(organisation) == 0:
+            tag = self._tags.get(organisation, 0.0)
+            self._tags[organisation] = max(tag, self._virtual_time)
+        self._weights[organisation] = 1.0 + math.log2(max(contract_requests, 1))
+        flow = (organisation, int(waiting.request.urgency))
         self._flows.setdefault(flow, deque()).append(waiting)
         self.size += 1
 
     def heads(self, now_seconds: float) -> list[Waiting]:
         """Returns the first of every flow, in the order of service."""
         found = [flow[0] for flow in self._flows.values()]
-        found.sort(key=lambda waiting: waiting.rank(now_seconds))
+        found.sort(key=lambda waiting: self._rank(waiting, now_seconds))
         return found
 
+    def _rank(
+        self, waiting: Waiting, now_seconds: float
+    ) -> tuple[float, int, float]:
+        urgency = waiting.urgency(now_seconds)
+        tag = self._tags[waiting.request.organisation]
+        due = tag + urgency * URGENCY_STEP
+        return due, urgency, waiting.queued_at_seconds
+
     def all(self) -> list[Waiting]:
         """Returns everything that waits, the first of every flow first."""
         found: list[Waiting] = []
@@ -131,8 +138,13 @@
         if not flow:
             del self._flows[key]
         if served:
-            self._virtual_time = max(self._virtual_time, waiting.start_tag)
+            tag = self._tags[request.organisation]
+            self._virtual_time = max(self._virtual_time, tag)
+            cost = 1.0 + request.tokens / TOKENS_PER_COST
+            weight = self._weights[request.organisation]
+            self._tags[request.organisation] = tag + cost / weight
         if self.size == 0:
             # Nobody waits, so nobody has been served ahead of another.
-            self._finish_tags.clear()
+            self._tags.clear()
+            self._weights.clear()
             self._virtual_time = 0.0
--- a/mulberrypaddle/controllers/credits/ledger.py
+++ b/mulberrypaddle/controllers/credits/ledger.py
@@ -170,7 +170,7 @@
         )
         watch = self._watch_of(pool)
         if watch is not None and watch.report is not None:
-            grant.generation = watch.runner.generation
+            grant.generation = watch.confirmed_generation()
             grant.runner_incarnation = watch.ramp.incarnation
             grant.borne_requests = watch.ramp.borne_requests
             # The report lags: what was granted since is already in use.
@@ -200,7 +200,7 @@
                 now_seconds,
             )
         if demand.suspect:
-            watch.next_poll_at_seconds = now_seconds
+            watch.doubt(now_seconds)
 
     def _pool(self, duty: Duty, now_seconds: float) -> Pool | None:
         """Returns the pool of a duty that this router owns, else None."""
--- a/mulberrypaddle/controllers/credits/watch.py
+++ b/mulberrypaddle/controllers/credits/watch.py
@@ -26,6 +26,7 @@
         report: The latest report, or None.
         as_of_seconds: Time that the report surely does not precede.
         failed: Whether the latest poll found no answer.
+        doubted_at_seconds: When a connection to the runner last broke.
         polling: Whether an answer is awaited.
         next_poll_at_seconds: When to ask again.
         polled_at_seconds: When the last poll was sent.
@@ -35,6 +36,7 @@
     __slots__ = (
         "_protections",
         "as_of_seconds",
+        "doubted_at_seconds",
         "failed",
         "next_poll_at_seconds",
         "polled_at_seconds",
@@ -56,6 +58,7 @@
         self.report: RunnerReport | None = None
         self.as_of_seconds = float("-inf")
         self.failed = False
+        self.doubted_at_seconds = float("-inf")
         self.polling = False
         self.next_poll_at_seconds = float("-inf")
         self.polled_at_seconds = float("-inf")
@@ -86,6 +89,10 @@
             return False
         self.as_of_seconds = as_of_seconds
         self.failed = False
+        if self.polled_at_seconds >= self.doubted_at_seconds:
+            self.doubted_at_seconds = float("-inf")
+        else:
+            self.next_poll_at_seconds = now_seconds
         is_first = self.report is None
         self.report = report
         restarted = self.ramp.restarted(
@@ -106,6 +113,13 @@
         self.ramp.saw_uptime(report.uptime_seconds)
         return restarted and not is_first
 
+    def doubt(self, now_seconds: float) -> None:
+        """Trusts no report until one that was asked for from now on."""
+        if not self._protections.sees_restarts:
+            return
+        self.doubted_at_seconds = now_seconds
+        self.next_poll_at_seconds = now_seconds
+
     def prove(self, incarnation: str, borne_requests: int) -> None:
         """Takes from a holder what an earlier owner knew to be borne."""
         if not incarnation:
@@ -113,19 +127,27 @@
         known = self.proven_requests.get(incarnation, 0)
         self.proven_requests[incarnation] = max(known, borne_requests)
 
+    def confirmed_generation(self) -> int:
+        """Returns the generation that every VM confirms, or zero."""
+        if self.report is None:
+            return 0
+        if not set(self.runner.vm_ids) <= set(self.report.member_vm_ids):
+            return 0
+        return self.report.generation
+
     def is_whole(self) -> bool:
         """Returns whether every VM confirms the group's generation."""
         runner = self.runner
         if runner.kind is not ServiceKind.ENGINE or runner.generation == 0:
             return True
-        if self.report is None or self.report.generation != runner.generation:
-            return False
-        return set(runner.vm_ids) <= set(self.report.member_vm_ids)
+        return self.confirmed_generation() == runner.generation
 
     def capacity(self, now_seconds: float) -> Amount:
         """Returns what the runner bears now, nothing without evidence."""
         if self.report is None or not self.report.ready or self.failed:
             return NOTHING
+        if self.doubted_at_seconds > float("-inf"):
+            return NOTHING
         if now_seconds - self.as_of_seconds > REPORT_MAX_AGE_SECONDS:
             return NOTHING
         if self.runner.leaving or not self.is_whole():
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -47,6 +47,7 @@
         loss: Share of messages that are lost.
         decisions: All decisions made, in order, with the member id.
         order_runner: Answers orders to runners; tests replace it.
+        sent_bytes: Bytes of peer messages by sender, lost ones included.
         read_report: Returns a runner's report; tests replace it.
     """
 
@@ -70,6 +71,7 @@
         self.loss = loss
         self.delay_seconds = delay_seconds
         self.decisions: list[tuple[str, Decision]] = []
+        self.sent_bytes: dict[str, int] = {}
         self.order_runner: Callable[[OrderRunner], None] | None = None
         self.read_report: (
             Callable[[Runner, Node], Result[RunnerReport, Problem]] | None
@@ -164,6 +166,8 @@
     def send(self, sender: Node, intent: SendToPeer) -> None:
         """Puts a message on the network, or loses it."""
         sender_id = sender.context.member_id
+        sent_bytes = self.sent_bytes.get(sender_id, 0)
+        self.sent_bytes[sender_id] = sent_bytes + intent.message.ByteSize()
         target = self.nodes.get(intent.member_id)
         if target is None:
             return
--- a/tests/support/serving.py
+++ b/tests/support/serving.py
@@ -31,7 +31,7 @@
 from tests.support.membership import FixedMembership
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from mulberrypaddle.node import Node
 
@@ -50,6 +50,7 @@
         self.started_at_seconds = 0.0
         self.up_at_seconds = 0.0
         self.in_hand: dict[str, int] = {}
+        self.breaks: dict[str, Callable[[], None]] = {}
         self.completed = 0
         self.peak_share = 0.0
         self.member_vm_ids = runner.vm_ids
@@ -62,8 +63,11 @@
         return min(self.runner.slots, by_time, cold_slots + self.completed)
 
     def restart(self, now_seconds: float, down_seconds: float) -> None:
-        """Drops everything; comes back cold after a while."""
+        """Breaks every connection; comes back cold after a while."""
         self.in_hand.clear()
+        for tell in self.breaks.values():
+            tell()
+        self.breaks.clear()
         self.incarnation += 1
         self.completed = 0
         self.up_at_seconds = now_seconds + down_seconds
@@ -283,12 +287,15 @@
                 f"bears {bears}",
             )
         incarnation = fake.incarnation
+        fake.breaks[ticket.attempt_id] = lambda: self._end(
+            node, ticket, AttemptState.MAYBE_RUN
+        )
 
         def finish() -> None:
             if fake.incarnation != incarnation:
-                self._end(node, ticket, AttemptState.MAYBE_RUN)
                 return
             del fake.in_hand[ticket.attempt_id]
+            del fake.breaks[ticket.attempt_id]
             fake.completed += 1
             self._end(node, ticket, AttemptState.DONE)
 
