Go on granting through an outage with a majority

Cause: A lost router during an outage of the object API ended every lease, and with it all granting: the five-router test served nothing. Change: Owners go on while a majority of the members asks them under the same epoch; a new owner waits until a majority of the earlier members has moved on. A contract whose owner is lost is served by fixed shares that add up to it.

--- a/mulberrypaddle/controllers/credits/controller.py
+++ b/mulberrypaddle/controllers/credits/controller.py
@@ -7,6 +7,7 @@
 from mulberrypaddle.blackboard import SendToPeer
 from mulberrypaddle.controllers import duties
 from mulberrypaddle.controllers.base import Context, Controller
+from mulberrypaddle.controllers.credits.fallback import fall_back
 from mulberrypaddle.controllers.credits.ledger import Ledger
 from mulberrypaddle.controllers.credits.owners import Owners
 from mulberrypaddle.controllers.credits.terms import Protections
@@ -32,10 +33,10 @@
         self, context: Context, *, protections: Protections | None = None
     ) -> None:
         super().__init__(context)
-        protections = protections or Protections()
-        owners = Owners(context, protections)
-        self.wallet = Wallet(context, owners, protections)
-        self.ledger = Ledger(context, owners, protections)
+        self._protections = protections or Protections()
+        self._owners = Owners(context, self._protections)
+        self.wallet = Wallet(context, self._owners, self._protections)
+        self.ledger = Ledger(context, self._owners, self._protections)
 
     def step(self, now_seconds: float) -> None:
         """Grants, revokes and asks, one message for each peer."""
@@ -43,6 +44,14 @@
         for owner, ask in self.wallet.asks(now_seconds):
             self._deliver(owner, ask, now_seconds)
         self._send_lowered(now_seconds)
+        if self._protections.goes_on:
+            fall_back(
+                self.context,
+                self._owners,
+                self.ledger.quorum,
+                self.wallet,
+                now_seconds,
+            )
 
     def receive(
         self, sender: str, message: Message, now_seconds: float
@@ -62,6 +71,7 @@
     def woke_up(self, gap_seconds: float, now_seconds: float) -> None:
         """Uses no grant from before the pause."""
         self.wallet.distrust()
+        self.ledger.quorum.distrust()
 
     def _send_lowered(self, now_seconds: float) -> None:
         for member_id, message in self.ledger.lowered():
--- a/mulberrypaddle/controllers/credits/ledger.py
+++ b/mulberrypaddle/controllers/credits/ledger.py
@@ -11,10 +11,9 @@
 from mulberrypaddle.controllers import duties
 from mulberrypaddle.controllers.credits.amount import NOTHING, Amount
 from mulberrypaddle.controllers.credits.pool import DOUBTFUL, Pool
+from mulberrypaddle.controllers.credits.quorum import Quorum
 from mulberrypaddle.controllers.credits.terms import (
     FLIGHT_SECONDS,
-    GRANT_SECONDS,
-    MARGIN_SECONDS,
     Protections,
 )
 from mulberrypaddle.controllers.credits.watch import RunnerWatch
@@ -49,6 +48,7 @@
 
     Attributes:
         pools: By pool name.
+        quorum: Who has asked this router as an owner.
         watches: By runner id, for the runners that this router owns.
     """
 
@@ -58,10 +58,10 @@
         "_next_tick_seconds",
         "_owners",
         "_protections",
-        "_reported",
         "_lowered",
         "_sequence",
         "pools",
+        "quorum",
         "watches",
     )
 
@@ -73,8 +73,8 @@
         self._protections = protections
         self.pools: dict[str, Pool] = {}
         self.watches: dict[str, RunnerWatch] = {}
+        self.quorum = Quorum(context, protections)
         self._epochs: dict[str, int] = {}
-        self._reported: dict[str, int] = {}
         self._lowered: list[tuple[str, credits_pb2.CreditGrants]] = []
         self._sequence = 0
         self._next_tick_seconds = float("-inf")
@@ -84,6 +84,7 @@
         if now_seconds < self._next_tick_seconds:
             return
         self._next_tick_seconds = now_seconds + TICK_SECONDS
+        self.quorum.follow(now_seconds)
         self._follow_runners(now_seconds)
         for name in list(self.pools):
             if not self._keep(name):
@@ -101,13 +102,23 @@
         self, sender: str, ask: credits_pb2.CreditAsk, now_seconds: float
     ) -> credits_pb2.CreditGrants:
         """Takes a holder's demands and returns the grants for them."""
-        epoch = duties.membership(self._context).epoch
         heard = self._context.incarnation
-        is_current = ask.epoch == epoch and ask.owner_incarnation in (0, heard)
-        if ask.complete and is_current:
-            self._reported[sender] = epoch
+        sent_after_seconds = float("-inf")
+        if ask.owner_incarnation == heard:
+            sent_after_seconds = ask.echo_milliseconds / 1000
+        if sender == self._context.member_id:
+            sent_after_seconds = now_seconds
+        self.quorum.heard(
+            sender,
+            epoch=ask.epoch,
+            complete=ask.complete and ask.owner_incarnation in (0, heard),
+            sent_after_seconds=sent_after_seconds,
+            silent_owners=frozenset(ask.silent_owners),
+        )
         answer = credits_pb2.CreditGrants(
-            owner_incarnation=heard, ask_sequence=ask.sequence
+            owner_incarnation=heard,
+            ask_sequence=ask.sequence,
+            sent_milliseconds=int(now_seconds * 1000),
         )
         for demand in ask.demands:
             seen_grant = demand.seen_grant
@@ -221,7 +232,11 @@
         return self._owners.owner(duty) == self._context.member_id
 
     def _may_act(self, pool: Pool, now_seconds: float) -> bool:
-        return self._owners.may_act(pool.duty, now_seconds)
+        if self._owners.may_act(pool.duty, now_seconds):
+            return True
+        if not pool.is_open:
+            return False
+        return self.quorum.may_go_on(pool.duty, now_seconds)
 
     def _keep(self, name: str) -> bool:
         """Returns whether this router has owned a pool without a break."""
@@ -292,7 +307,7 @@
             pool.open()
         pool.drop_silent(
             now_seconds,
-            after_seconds=_deadline_seconds(self._context, service),
+            after_seconds=longest_deadline_seconds(self._context, service),
         )
         pool.drop_empty(now_seconds)
 
@@ -301,29 +316,20 @@
         if pool.quiet_since_seconds is not None:
             return
         waited_seconds = now_seconds - pool.created_at_seconds
-        if (
-            waited_seconds < GRANT_SECONDS + MARGIN_SECONDS
-            and not self._all_reported()
-            and self._protections.waits_for_earlier_grants
-        ):
+        if not self._is_quiet(waited_seconds, now_seconds):
             return
         pool.quiet_since_seconds = now_seconds
         watch = self._watch_of(pool)
         if watch is not None:
             watch.next_poll_at_seconds = now_seconds
 
-    def _all_reported(self) -> bool:
-        """Returns whether every member told all that it holds."""
-        if not self._protections.shares:
+    def _is_quiet(self, waited_seconds: float, now_seconds: float) -> bool:
+        protections = self._protections
+        if not protections.shares or not protections.waits_for_earlier_grants:
             return True
-        present = duties.membership(self._context)
-        expected = set(present.members)
-        for past in present.unsettled:
-            expected |= past.member_ids
-        for member_id in expected:
-            if self._reported.get(member_id) != present.epoch:
-                return False
-        return True
+        if self.quorum.all_reported():
+            return True
+        return self.quorum.earlier_owners_ended(waited_seconds, now_seconds)
 
     def _poll(self, watch: RunnerWatch, now_seconds: float) -> None:
         watch.begin_poll(now_seconds)
@@ -401,7 +407,9 @@
         record = pool.holders.get(DOUBTFUL)
         if record is None:
             return
-        longest_seconds = _deadline_seconds(self._context, watch.runner.service)
+        longest_seconds = longest_deadline_seconds(
+            self._context, watch.runner.service
+        )
         age_seconds = now_seconds - record.began_at_seconds
         if age_seconds < longest_seconds + FLIGHT_SECONDS:
             return
@@ -461,7 +469,7 @@
     return Amount(terms.in_flight_requests, terms.in_flight_tokens)
 
 
-def _deadline_seconds(context: Context, service: str) -> float:
+def longest_deadline_seconds(context: Context, service: str) -> float:
     """Returns the longest time that a request to a service may take."""
     longest_seconds = 0.0
     for contract in _configuration(context).contracts.values():
--- a/mulberrypaddle/controllers/credits/terms.py
+++ b/mulberrypaddle/controllers/credits/terms.py
@@ -14,6 +14,15 @@
 REPORT_SECONDS = 1.0
 # Reports that are older than this confirm nothing.
 REPORT_MAX_AGE_SECONDS = 3.0
+# Without a lease, an owner goes on while a majority of the members has been
+# heard within this time, and no longer than the second one.
+QUORUM_SECONDS = 6.0
+GOES_ON_SECONDS = 900.0
+# An owner that was silent for this long can have no grant in force that a
+# majority allowed.
+SILENT_SECONDS = QUORUM_SECONDS + GRANT_SECONDS + MARGIN_SECONDS
+# A new owner that hears no majority of the earlier members waits this long.
+PATIENCE_SECONDS = 60.0
 # Without use for this long, a pool is no longer asked for.
 IDLE_SECONDS = 10.0
 
@@ -29,12 +38,17 @@
         ramps: Whether a started runner begins with its cold limit.
         expires_grants: Whether a holder stops using an expired grant.
         sees_restarts: Whether a changed runner incarnation counts as cold.
+        goes_on: Whether owners grant without a lease while a majority of
+            the members asks them.
+        needs_majority: Whether going on needs that majority.
         shares: Whether routers share a ledger; off, each counts for itself.
     """
 
     __slots__ = (
         "counts_silent_holders",
         "expires_grants",
+        "goes_on",
+        "needs_majority",
         "ramps",
         "sees_restarts",
         "shares",
@@ -49,6 +63,8 @@
         ramps: bool = True,
         expires_grants: bool = True,
         sees_restarts: bool = True,
+        goes_on: bool = True,
+        needs_majority: bool = True,
         shares: bool = True,
     ) -> None:
         self.counts_silent_holders = counts_silent_holders
@@ -56,4 +72,6 @@
         self.ramps = ramps
         self.expires_grants = expires_grants
         self.sees_restarts = sees_restarts
+        self.goes_on = goes_on
+        self.needs_majority = needs_majority
         self.shares = shares
--- a/mulberrypaddle/controllers/credits/wallet.py
+++ b/mulberrypaddle/controllers/credits/wallet.py
@@ -10,6 +10,7 @@
 from mulberrypaddle.controllers.credits.terms import (
     GRANT_SECONDS,
     RENEW_SECONDS,
+    SILENT_SECONDS,
     URGENT_SECONDS,
     Protections,
 )
@@ -41,15 +42,19 @@
     """What is open between this holder and one owner."""
 
     __slots__ = (
+        "answered_at_seconds",
         "asks",
+        "echo_milliseconds",
         "greeted",
         "next_full_at_seconds",
         "owner_incarnation",
         "sent_at_seconds",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, now_seconds: float) -> None:
+        self.answered_at_seconds = now_seconds
         self.asks: dict[int, _SentAsk] = {}
+        self.echo_milliseconds = 0
         self.greeted = -1
         self.owner_incarnation = 0
         self.next_full_at_seconds = float("-inf")
@@ -142,6 +147,37 @@
         for known in self.accounts.values():
             known.valid_until_seconds = float("-inf")
 
+    def silent_owners(self, now_seconds: float) -> list[str]:
+        """Returns the members that have answered nothing for long.
+
+        Without a lapsed lease nobody asks, as the membership then replaces
+        a silent owner itself.
+        """
+        if not self._is_lapsed(now_seconds):
+            return []
+        silent = []
+        for member_id in duties.membership(self._context).members:
+            link = self._links.get(member_id)
+            if link is None:
+                continue
+            if now_seconds - link.answered_at_seconds >= SILENT_SECONDS:
+                silent.append(member_id)
+        return silent
+
+    def answered_at_seconds(self, owner: str) -> float:
+        """Returns when an owner last answered, or was first asked."""
+        link = self._links.get(owner)
+        return float("inf") if link is None else link.answered_at_seconds
+
+    def fall_back(
+        self, duty: Duty, share: Amount, until_seconds: float
+    ) -> None:
+        """Uses a share of a contract whose owner is lost."""
+        known = self.account(duty)
+        known.level = share
+        known.valid_until_seconds = until_seconds
+        known.owner = ""
+
     def asks(
         self, now_seconds: float
     ) -> list[tuple[str, credits_pb2.CreditAsk]]:
@@ -177,9 +213,14 @@
             # A restarted owner has to hear everything once more.
             link.owner_incarnation = message.owner_incarnation
             link.greeted = -1
+            link.echo_milliseconds = 0
             link.next_full_at_seconds = float("-inf")
         elif sent is not None and sent.greets:
             link.greeted = duties.membership(self._context).epoch
+        link.answered_at_seconds = self._context.now_seconds()
+        link.echo_milliseconds = max(
+            link.echo_milliseconds, message.sent_milliseconds
+        )
         for grant in message.grants:
             known = self.accounts.get(grant.pool)
             if known is None or self._owners.owner(known.duty) != sender:
@@ -232,7 +273,7 @@
     def _ask(
         self, owner: str, accounts: list[Account], now_seconds: float
     ) -> credits_pb2.CreditAsk | None:
-        link = self._links.setdefault(owner, _Link())
+        link = self._links.setdefault(owner, _Link(now_seconds))
         if now_seconds - link.sent_at_seconds < URGENT_SECONDS:
             return None
         epoch = duties.membership(self._context).epoch
@@ -245,7 +286,8 @@
                 or self._is_urgent(known, now_seconds)
             ):
                 listed.append(known)
-        if not listed and (not is_full or link.greeted == epoch):
+        needs_greeting = link.greeted != epoch or self._is_lapsed(now_seconds)
+        if not listed and not (is_full and needs_greeting):
             return None
         self._asks += 1
         ask = credits_pb2.CreditAsk(
@@ -255,7 +297,9 @@
             complete=is_full
             and not self._has_foreign(owner, link, now_seconds),
             owner_incarnation=link.owner_incarnation,
+            echo_milliseconds=link.echo_milliseconds,
         )
+        ask.silent_owners.extend(self.silent_owners(now_seconds))
         sent = _SentAsk(now_seconds, greets=ask.complete)
         for known in listed:
             is_new_owner = (known.owner, known.owner_incarnation) != (
@@ -272,6 +316,11 @@
             del link.asks[min(link.asks)]
         return ask
 
+    def _is_lapsed(self, now_seconds: float) -> bool:
+        """Returns whether owners need this router's consent to go on."""
+        present = duties.membership(self._context)
+        return now_seconds >= present.lease_until_seconds
+
     def _is_urgent(self, known: Account, now_seconds: float) -> bool:
         if known.recalled:
             return True
