--- a/mulberrypaddle/frontdoor/server.py
+++ b/mulberrypaddle/frontdoor/server.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import itertools
-import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import prometheus_client
 import tornado.httpserver
@@ -17,6 +16,7 @@
 from mulberrypaddle.controllers.claims import KeptAnswer
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.frontdoor.headers import authenticate, build_request
+from mulberrypaddle.frontdoor.problems import problem_to_json
 
 if TYPE_CHECKING:
     from mulberrypaddle.controllers.base import Context
@@ -51,22 +51,6 @@
         return f"r-{context.member_id}-{context.incarnation}-{number}"
 
 
-def problem_to_json(problem: Problem, *, request_id: str) -> str:
-    """Returns the body of a refusal, in the form of RFC 9457."""
-    answer = problem.answer
-    return json.dumps(
-        {
-            "type": f"urn:mulberrypaddle:{problem.kind.value}",
-            "title": problem.kind.value,
-            "status": answer.status,
-            "detail": problem.detail,
-            "ran": problem.ran.value,
-            "retry": answer.retry.value,
-            "request_id": request_id,
-        }
-    )
-
-
 class _HandlerSink(AnswerSink):
     """Writes an answer to the caller's connection."""
 
@@ -219,8 +203,15 @@
         self.finish(prometheus_client.generate_latest())
 
 
-def make_application(door: FrontDoor) -> tornado.web.Application:
-    """Returns the routes of the front door."""
+def make_application(
+    door: FrontDoor, operator_rules: list[Any]
+) -> tornado.web.Application:
+    """Returns the routes of the front door.
+
+    Args:
+        door: What the callers' handlers share.
+        operator_rules: Routes of the operators' part.
+    """
     arguments = {"door": door}
     return tornado.web.Application(
         [
@@ -228,22 +219,26 @@
             (r"/readyz", _ReadyHandler, arguments),
             (r"/metrics", _MetricsHandler),
             (r"/services/([a-z0-9-]+)(?:/(.*))?", _CallHandler, arguments),
+            *operator_rules,
         ]
     )
 
 
-def serve_front_door(door: FrontDoor) -> tornado.httpserver.HTTPServer:
+def serve_front_door(
+    door: FrontDoor, operator_rules: list[Any]
+) -> tornado.httpserver.HTTPServer:
     """Starts listening on the settings' caller address.
 
     Args:
-        door: What the handlers share.
+        door: What the callers' handlers share.
+        operator_rules: Routes of the operators' part.
 
     Raises:
         OSError: If the address can't be bound.
     """
     host, port = door.settings.caller_address.rsplit(":", 1)
     server = tornado.httpserver.HTTPServer(
-        make_application(door),
+        make_application(door, operator_rules),
         max_body_size=door.settings.body_bytes,
         max_header_size=door.settings.header_bytes,
         idle_connection_timeout=120,
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -20,6 +20,9 @@
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
+from mulberrypaddle.operators import Journal
+from mulberrypaddle.operators.apply import Apply
+from mulberrypaddle.operators.handlers import OperatorDesk, operator_routes
 from mulberrypaddle.peers import PeerLinks
 
 if TYPE_CHECKING:
@@ -34,6 +37,7 @@
         node: The controllers in step.
         links: Links to the other routers.
         membership: The controller that joins and leaves.
+        journal: Recent decisions, to be explained.
     """
 
     def __init__(
@@ -55,12 +59,14 @@
         )
         admission = Admission(self.context)
         claims = Claims(self.context)
+        apply = Apply(self.context)
         self.node = Node(
             self.context,
             [
                 self.membership,
                 ConfigurationController(self.context),
                 RunnerTableController(self.context),
+                apply,
                 claims,
                 admission,
             ],
@@ -71,8 +77,11 @@
         )
         self._runners = HttpRunnerClient()
         self.links = PeerLinks(self.node, settings)
+        self.journal = Journal()
         self._driver = Driver(
-            self.node, Adapters(store=self._store, links=self.links)
+            self.node,
+            Adapters(store=self._store, links=self.links),
+            journal=self.journal,
         )
         self._server = serve_front_door(
             FrontDoor(
@@ -84,7 +93,15 @@
                     clock=clock,
                 ),
                 settings=settings,
-            )
+            ),
+            operator_routes(
+                OperatorDesk(
+                    context=self.context,
+                    apply=apply,
+                    journal=self.journal,
+                    key_sha256=settings.operator_key_sha256,
+                )
+            ),
         )
         self._task: asyncio.Task[None] | None = None
 
