--- a/tests/controllers/membership/test_membership.py
+++ b/tests/controllers/membership/test_membership.py
@@ -67,7 +67,7 @@
         fleet = _started()
         fleet.store.down = True
         fleet.owned_share.clear()
-        fleet.run(600)
+        fleet.run(600, step_seconds=0.2)
         self.assertEqual(1.0, min(fleet.owned_share))
         fleet.store.down = False
         fleet.run(5)
