Bound the calls to the object API by one budget shared by priority

Cause: every controller called the platform as it liked, and all routers would come back at once after an outage. A list may ask for what is later than a version.

--- a/mulberrypaddle/backends/base.py
+++ b/mulberrypaddle/backends/base.py
@@ -91,8 +91,16 @@
         """Returns one object; an absent one has version zero."""
 
     @abc.abstractmethod
-    async def list(self, prefix: str) -> Result[list[StoredObject], Problem]:
-        """Returns all objects below a prefix."""
+    async def list(
+        self, prefix: str, *, after_version: int = 0
+    ) -> Result[list[StoredObject], Problem]:
+        """Returns the objects below a prefix.
+
+        Args:
+            prefix: Start of their keys.
+            after_version: Leaves out those that were last written at this
+                version of the store or earlier.
+        """
 
     @abc.abstractmethod
     async def write(
--- a/mulberrypaddle/backends/http_object_store.py
+++ b/mulberrypaddle/backends/http_object_store.py
@@ -34,9 +34,13 @@
         result = await self._call("GET", _object_path(key))
         return result.map(_parse_object)
 
-    async def list(self, prefix: str) -> Result[list[StoredObject], Problem]:
-        """Returns all objects below a prefix."""
-        query = urllib.parse.urlencode({"prefix": prefix})
+    async def list(
+        self, prefix: str, *, after_version: int = 0
+    ) -> Result[list[StoredObject], Problem]:
+        """Returns the objects below a prefix."""
+        query = urllib.parse.urlencode(
+            {"prefix": prefix, "after_version": after_version}
+        )
         result = await self._call("GET", f"/objects?{query}")
         return result.map(
             lambda value: [_parse_object(item) for item in value["objects"]]
--- a/mulberrypaddle/blackboard/intents.py
+++ b/mulberrypaddle/blackboard/intents.py
@@ -68,9 +68,13 @@
 
 
 class ListObjects(Intent):
-    """Reads every object whose key starts with `prefix`."""
+    """Reads every object whose key starts with `prefix`.
 
-    __slots__ = ("prefix", "priority", "reply")
+    With `after_version` only those that were written later than that version
+    of the store come back.
+    """
+
+    __slots__ = ("after_version", "prefix", "priority", "reply")
 
     def __init__(
         self,
@@ -78,7 +82,9 @@
         *,
         priority: Priority,
         reply: Callable[[Result[list[StoredObject], Problem]], None],
+        after_version: int = 0,
     ) -> None:
+        self.after_version = after_version
         self.prefix = prefix
         self.priority = priority
         self.reply = reply
--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -13,6 +13,7 @@
     ReadObject,
     SendToPeer,
     WriteObject,
+    keys,
 )
 from mulberrypaddle.observe import log_decision
 
@@ -20,7 +21,7 @@
     from collections.abc import Coroutine
     from typing import Any
 
-    from mulberrypaddle.backends import ObjectStore
+    from mulberrypaddle.backends.budgeted_store import BudgetedStore
     from mulberrypaddle.node import Node
     from mulberrypaddle.operators.journal import Journal
     from mulberrypaddle.peers import PeerLinks
@@ -38,7 +39,7 @@
 
     __slots__ = ("links", "store")
 
-    def __init__(self, *, store: ObjectStore, links: PeerLinks) -> None:
+    def __init__(self, *, store: BudgetedStore, links: PeerLinks) -> None:
         self.store = store
         self.links = links
 
@@ -59,19 +60,30 @@
 
 @carry_out.register(ReadObject)
 async def _read(intent: ReadObject, adapters: Adapters) -> None:
-    intent.reply(await adapters.store.read(intent.key))
+    intent.reply(
+        await adapters.store.read(intent.key, priority=intent.priority)
+    )
 
 
 @carry_out.register(ListObjects)
 async def _list(intent: ListObjects, adapters: Adapters) -> None:
-    intent.reply(await adapters.store.list(intent.prefix))
+    intent.reply(
+        await adapters.store.list(
+            intent.prefix,
+            after_version=intent.after_version,
+            priority=intent.priority,
+        )
+    )
 
 
 @carry_out.register(WriteObject)
 async def _write(intent: WriteObject, adapters: Adapters) -> None:
     intent.reply(
         await adapters.store.write(
-            intent.key, intent.value, expected_version=intent.expected_version
+            intent.key,
+            intent.value,
+            expected_version=intent.expected_version,
+            priority=intent.priority,
         )
     )
 
@@ -80,7 +92,9 @@
 async def _delete(intent: DeleteObject, adapters: Adapters) -> None:
     intent.reply(
         await adapters.store.delete(
-            intent.key, expected_version=intent.expected_version
+            intent.key,
+            expected_version=intent.expected_version,
+            priority=intent.priority,
         )
     )
 
@@ -111,6 +125,9 @@
         """Steps the node once and starts what it asked for."""
         self._node.step()
         board = self._node.context.board
+        entry = board.entry(keys.MEMBERSHIP)
+        if entry is not None:
+            self._adapters.store.budget.share(len(entry.value.members))
         while board.decisions:
             decision = board.decisions.popleft()
             self._journal.add(decision)
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -6,6 +6,8 @@
 import random
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.backends.budgeted_store import BudgetedStore
+from mulberrypaddle.backends.call_budget import CallBudget
 from mulberrypaddle.backends.http_object_store import HttpObjectStore
 from mulberrypaddle.backends.http_runner import HttpRunnerClient
 from mulberrypaddle.blackboard import Board
@@ -80,7 +82,12 @@
         self.journal = Journal()
         self._driver = Driver(
             self.node,
-            Adapters(store=self._store, links=self.links),
+            Adapters(
+                store=BudgetedStore(
+                    self._store, CallBudget(clock, self.context.rng)
+                ),
+                links=self.links,
+            ),
             journal=self.journal,
         )
         self._server = serve_front_door(
--- a/mulberrypaddle/standins/memory_store.py
+++ b/mulberrypaddle/standins/memory_store.py
@@ -46,15 +46,18 @@
             return Failure(_unavailable())
         return Success(self._objects.get(key) or StoredObject(key, b"", 0))
 
-    def list(self, prefix: str) -> Result[list[StoredObject], Problem]:
-        """Returns all objects below a prefix, in order of their keys."""
+    def list(
+        self, prefix: str, *, after_version: int = 0
+    ) -> Result[list[StoredObject], Problem]:
+        """Returns later objects below a prefix, in order of their keys."""
         self.reads += 1
         if self.down:
             return Failure(_unavailable())
         found = []
         for key in sorted(self._objects):
-            if key.startswith(prefix):
-                found.append(self._objects[key])
+            stored = self._objects[key]
+            if key.startswith(prefix) and stored.version > after_version:
+                found.append(stored)
         return Success(found)
 
     def write(
--- a/mulberrypaddle/standins/object_api.py
+++ b/mulberrypaddle/standins/object_api.py
@@ -91,7 +91,8 @@
                 int(since),
                 float(self.get_query_argument("timeout_seconds", "10")),
             )
-        result = self.store.list(prefix)
+        after_version = int(self.get_query_argument("after_version", "0"))
+        result = self.store.list(prefix, after_version=after_version)
         if not isinstance(result, Success):
             self.answer_problem(result.failure())
             return
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -210,7 +210,12 @@
 @carry_out.register(ListObjects)
 def _list(intent: ListObjects, fleet: FakeFleet, node: Node) -> None:
     _on_store(
-        fleet, node, lambda: fleet.store.list(intent.prefix), intent.reply
+        fleet,
+        node,
+        lambda: fleet.store.list(
+            intent.prefix, after_version=intent.after_version
+        ),
+        intent.reply,
     )
 
 
