--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -17,6 +17,7 @@
 from mulberrypaddle.controllers.configuration import ConfigurationController
 from mulberrypaddle.controllers.membership import FleetMembership
 from mulberrypaddle.controllers.runner_table import RunnerTableController
+from mulberrypaddle.controllers.stream_memory import StreamMemory
 from mulberrypaddle.core.clock import Clock, SystemClock
 from mulberrypaddle.driver import STEP_SECONDS, Adapters, Driver
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
@@ -36,10 +37,11 @@
 
     Attributes:
         context: The controllers' context, with the blackboard.
+        memory: Budget of answer bytes.
         node: The controllers in step.
+        journal: Recent decisions, to be explained.
         links: Links to the other routers.
         membership: The controller that joins and leaves.
-        journal: Recent decisions, to be explained.
     """
 
     def __init__(
@@ -62,6 +64,9 @@
         admission = Admission(self.context)
         claims = Claims(self.context)
         apply = Apply(self.context)
+        self.memory = StreamMemory(
+            self.context, budget_bytes=settings.answer_memory_bytes
+        )
         self.node = Node(
             self.context,
             [
@@ -71,6 +76,7 @@
                 apply,
                 claims,
                 admission,
+                self.memory,
             ],
         )
         self._store = HttpObjectStore(
@@ -78,8 +84,8 @@
             timeout_seconds=settings.object_api_timeout_seconds,
         )
         self._runners = HttpRunnerClient()
-        self.links = PeerLinks(self.node, settings)
         self.journal = Journal()
+        self.links = PeerLinks(self.node, settings)
         self._driver = Driver(
             self.node,
             Adapters(
@@ -93,6 +99,7 @@
         self._server = serve_front_door(
             FrontDoor(
                 context=self.context,
+                memory=self.memory,
                 pipeline=Pipeline(
                     admission=admission,
                     claims=claims,
