--- a/mulberrypaddle/operators/apply.py
+++ b/mulberrypaddle/operators/apply.py
@@ -13,7 +13,7 @@
     WriteObject,
     keys,
 )
-from mulberrypaddle.controllers.base import Controller
+from mulberrypaddle.controllers.base import Context, Controller
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
 from mulberrypaddle.operators.documents import kind_of_key, validate_document
 
@@ -64,6 +64,22 @@
 
     name = "apply"
 
+    def __init__(
+        self,
+        context: Context,
+        *,
+        accepted: Callable[[StoredObject], None] | None = None,
+    ) -> None:
+        """Prepares the controller.
+
+        Args:
+            context: Where decisions and intents are left.
+            accepted: Called with each object that this router has written,
+                so that it need not wait for the next read.
+        """
+        super().__init__(context)
+        self._accepted = accepted
+
     def step(self, now_seconds: float) -> None:
         """Has nothing to do between changes."""
 
@@ -128,6 +144,8 @@
             reason="written under the expected version",
             expected_version=str(change.expected_version),
         )
+        if self._accepted is not None:
+            self._accepted(StoredObject(change.key, change.value, version))
         change.reply(Success(version))
 
     def _write(self, change: Change) -> None:
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -63,7 +63,8 @@
         )
         admission = Admission(self.context)
         claims = Claims(self.context)
-        apply = Apply(self.context)
+        configuration = ConfigurationController(self.context)
+        apply = Apply(self.context, accepted=configuration.accept)
         self.memory = StreamMemory(
             self.context, budget_bytes=settings.answer_memory_bytes
         )
@@ -71,7 +72,7 @@
             self.context,
             [
                 self.membership,
-                ConfigurationController(self.context),
+                configuration,
                 RunnerTableController(self.context),
                 apply,
                 claims,
