--- a/mulberrypaddle/controllers/membership/controller.py
+++ b/mulberrypaddle/controllers/membership/controller.py
@@ -11,11 +11,12 @@
 from mulberrypaddle.controllers.membership.lease import Lease
 from mulberrypaddle.controllers.membership.liveness import Liveness
 from mulberrypaddle.controllers.membership.options import (
-    DEAD_SECONDS,
     HANDOVER_SECONDS,
     HOLDERS,
+    JOIN_ALONE_SECONDS,
     LEASE_SECONDS,
     LEAVE_SECONDS,
+    LOW_LEASE_SECONDS,
     MANY_MEMBERS,
     MAX_TURNS,
     MAX_WRITE_BACKOFF_SECONDS,
@@ -106,6 +107,8 @@
         self._attempts = 0
         self._next_write_seconds = 0.0
         self._next_renewal_seconds = 0.0
+        self._join_alone_seconds: float | None = None
+        self._joining: dict[str, MemberEntry] = {}
         self._store_heard_seconds = _NEVER
         self._outage_asked_seconds = _NEVER
         self._stop_seconds: float | None = None
@@ -163,7 +166,7 @@
         if now_seconds - self._outage_asked_seconds < REACHABLE_SECONDS:
             return True
         left_seconds = self._lease.until_seconds - now_seconds
-        return left_seconds < LEASE_SECONDS / 2 or self._stops_acting(
+        return left_seconds < LOW_LEASE_SECONDS or self._stops_acting(
             now_seconds
         )
 
@@ -191,6 +194,7 @@
         self._members = members_of(record)
         self._ranked = rank_holders(record)
         self._show_members()
+        self._forget_joined()
         self._lease.drop_outage()
         self._round.reset()
         self._liveness.track(self._members, now_seconds)
@@ -202,6 +206,7 @@
             self._next_write_seconds = (
                 now_seconds + REJOIN_SECONDS * self.context.rng.uniform(1, 2)
             )
+            self._join_alone_seconds = None
         if self._options.settle_wait:
             self._settlement.adopt(
                 record,
@@ -241,9 +246,17 @@
         if not self._is_listed():
             self._join(now_seconds)
             return
-        self._remove_dead(now_seconds)
+        self._change_others(now_seconds)
 
     def _join(self, now_seconds: float) -> None:
+        """Joins a fleet whose lease holders don't do it."""
+        if self._join_alone_seconds is None:
+            self._join_alone_seconds = (
+                now_seconds
+                + JOIN_ALONE_SECONDS * self.context.rng.uniform(1, 2)
+            )
+        if self._members and now_seconds < self._join_alone_seconds:
+            return
         old = self._members.get(self._own.member_id)
         self._write(
             "join",
@@ -259,31 +272,48 @@
             "leave", removed=[self._own], stopped=True, now_seconds=now_seconds
         )
 
-    def _remove_dead(self, now_seconds: float) -> None:
+    def _change_others(self, now_seconds: float) -> None:
+        """Adds those who asked and removes the dead, in one write."""
         if self._first_alive(now_seconds) != self._own.member_id:
             return
         dead = self._liveness.dead(self._holders(), now_seconds)
         if self._own.member_id not in self._holders():
             dead = [name for name in dead if name in self._holders()]
-        if not dead:
+        added = list(self._joining.values())
+        gone = [*dead, *(entry.member_id for entry in added)]
+        removed = []
+        for member_id in sorted(set(gone)):
+            entry = self._members.get(member_id)
+            if entry is not None:
+                removed.append(entry)
+        if not added and not removed:
             return
         self._write(
-            "remove",
-            removed=[self._members[member_id] for member_id in dead],
-            now_seconds=now_seconds,
+            "change", added=added, removed=removed, now_seconds=now_seconds
         )
 
+    def _take_join(self, sender: str, entry: MemberEntry) -> None:
+        """Keeps a router's wish to be added until the record lists it."""
+        known = self._members.get(sender)
+        if entry.member_id != sender or known == entry:
+            return
+        if known is None or known.incarnation < entry.incarnation:
+            self._joining[sender] = entry
+
+    def _forget_joined(self) -> None:
+        for member_id, entry in list(self._joining.items()):
+            known = self._members.get(member_id)
+            if known is not None and known.incarnation >= entry.incarnation:
+                del self._joining[member_id]
+
     def _first_alive(self, now_seconds: float) -> str:
         """Returns the first holder that is heard; others wait in turn."""
         own_position = self._ranked.index(self._own.member_id)
-        patience_seconds = DEAD_SECONDS + TURN_SECONDS * min(
-            own_position, MAX_TURNS
-        )
+        grace_seconds = TURN_SECONDS * min(own_position, MAX_TURNS)
         for member_id in self._holders()[:own_position]:
-            silence_seconds = self._liveness.silence_seconds(
-                member_id, now_seconds
-            )
-            if silence_seconds <= patience_seconds:
+            if not self._liveness.is_silent(
+                member_id, now_seconds, grace_seconds=grace_seconds
+            ):
                 return member_id
         return self._own.member_id
 
@@ -338,11 +368,21 @@
             epoch=self._record.epoch,
             incarnation=self._own.incarnation,
         )
+        if self._asks_to_join(now_seconds):
+            question.joins.CopyFrom(self._own)
         if self._own.member_id in self._holders():
             question.suspects.extend(self._liveness.suspects(now_seconds))
         for member_id in self._renewal_targets(now_seconds):
             self._send(member_id, question)
 
+    def _asks_to_join(self, now_seconds: float) -> bool:
+        if self._is_listed() or self._is_superseded():
+            return False
+        return (
+            self._stop_seconds is None
+            and now_seconds >= self._next_write_seconds
+        )
+
     def _renewal_targets(self, now_seconds: float) -> list[str]:
         targets = [
             member_id
@@ -350,10 +390,7 @@
             if member_id != self._own.member_id
         ]
         for member_id in targets:
-            if (
-                self._liveness.silence_seconds(member_id, now_seconds)
-                < DEAD_SECONDS
-            ):
+            if not self._liveness.is_silent(member_id, now_seconds):
                 return targets
         others = [
             member_id
@@ -429,6 +466,8 @@
             now_seconds=now_seconds,
         )
         self._liveness.set_suspects(sender, message.suspects)
+        if message.HasField("joins"):
+            self._take_join(sender, message.joins)
         answer = LeaseRenewed(
             number=message.number,
             epoch=self._record.epoch,
--- a/mulberrypaddle/controllers/membership/liveness.py
+++ b/mulberrypaddle/controllers/membership/liveness.py
@@ -7,6 +7,7 @@
 from mulberrypaddle.controllers.membership.options import (
     DEAD_MAJORITY_SECONDS,
     DEAD_SECONDS,
+    MANY_MEMBERS,
     REACHABLE_SECONDS,
 )
 
@@ -73,13 +74,21 @@
         )
         return now_seconds - heard_seconds
 
+    def is_silent(
+        self, member_id: str, now_seconds: float, *, grace_seconds: float = 0.0
+    ) -> bool:
+        """Returns whether a member has been silent for too long."""
+        many = len(self._known_since) > MANY_MEMBERS
+        patience_seconds = DEAD_SECONDS * (1 + many) + grace_seconds
+        return self.silence_seconds(member_id, now_seconds) > patience_seconds
+
     def suspects(self, now_seconds: float) -> list[str]:
         """Returns the members that have been silent for too long."""
         silent = []
         for member_id in sorted(self._known_since):
             if member_id == self._own.member_id:
                 continue
-            if self.silence_seconds(member_id, now_seconds) > DEAD_SECONDS:
+            if self.is_silent(member_id, now_seconds):
                 silent.append(member_id)
         return silent
 
--- a/mulberrypaddle/controllers/membership/options.py
+++ b/mulberrypaddle/controllers/membership/options.py
@@ -14,14 +14,19 @@
 HOLDERS = 3
 POLL_SECONDS = 1.0
 RENEW_SECONDS = 1.0
-# Above this many members each renews half as often.
+# Above this many members each renews half as often, and is given twice the
+# time before it counts as dead.
 MANY_MEMBERS = 64
+# A router whose lease is shorter reads the record itself.
+LOW_LEASE_SECONDS = 1.5
 # A member that is not heard for this long is removed.
 DEAD_SECONDS = 3.0
 # The same if most members are not heard, which is more often a partition.
 DEAD_MAJORITY_SECONDS = 10.0
 REACHABLE_SECONDS = 5.0
 REJOIN_SECONDS = 2.0
+# A router that no lease holder has added by then writes the record itself.
+JOIN_ALONE_SECONDS = 2.0
 # A stopping router stays owner for this long, so that duties are handed over.
 HANDOVER_SECONDS = 1.0
 # A stopping router that can't write the record goes all the same.
