--- a/mulberrypaddle/controllers/membership/controller.py
+++ b/mulberrypaddle/controllers/membership/controller.py
@@ -5,45 +5,30 @@
 import functools
 from typing import TYPE_CHECKING
 
-from mulberrypaddle.blackboard import SendToPeer, keys
+from mulberrypaddle.blackboard import keys
 from mulberrypaddle.blackboard.tables import Health, Membership
 from mulberrypaddle.controllers.base import Context, Controller
+from mulberrypaddle.controllers.membership.changes import RecordChanges
+from mulberrypaddle.controllers.membership.exchange import Exchange
 from mulberrypaddle.controllers.membership.lease import Lease
 from mulberrypaddle.controllers.membership.liveness import Liveness
 from mulberrypaddle.controllers.membership.options import (
     HANDOVER_SECONDS,
-    HOLDERS,
-    JOIN_ALONE_SECONDS,
     LEASE_SECONDS,
     LEAVE_SECONDS,
     LOW_LEASE_SECONDS,
-    MANY_MEMBERS,
-    MAX_TURNS,
-    MAX_WRITE_BACKOFF_SECONDS,
-    MIN_WRITE_BACKOFF_SECONDS,
     REACHABLE_SECONDS,
-    REJOIN_SECONDS,
-    RENEW_SECONDS,
-    TURN_SECONDS,
     MembershipOptions,
 )
-from mulberrypaddle.controllers.membership.outage import OutageRound
-from mulberrypaddle.controllers.membership.record import (
-    change_record,
-    members_of,
-    rank_holders,
-    stopped_entries,
-    to_member,
-)
 from mulberrypaddle.controllers.membership.settlement import Settlement
 from mulberrypaddle.controllers.membership.store_access import RecordStore
+from mulberrypaddle.controllers.membership.view import RecordView
 from mulberrypaddle.core import invariants
 from mulberrypaddle.core.invariants import Invariant
 from mulberrypaddle.peers.proto.membership_pb2 import (
     ConfirmOutage,
     LeaseRenewed,
     MemberEntry,
-    MembershipRecord,
     OutageConfirmed,
     RenewLease,
 )
@@ -51,10 +36,11 @@
 if TYPE_CHECKING:
     from google.protobuf.message import Message
 
-    from mulberrypaddle.blackboard.tables import Member
+    from mulberrypaddle.peers.proto.membership_pb2 import MembershipRecord
 
 RECORD_PREFIX = "members/"
 _NEVER = float("-inf")
+_ROUNDING_SECONDS = 1e-6
 
 
 class FleetMembership(Controller):
@@ -82,47 +68,63 @@
         super().__init__(context)
         self.left = False
         self._options = options or MembershipOptions()
-        self._own = MemberEntry(
+        own = MemberEntry(
             member_id=context.member_id,
             incarnation=context.incarnation,
             address=peer_address,
             data_centre=context.data_centre,
         )
-        self._record = MembershipRecord()
-        self._members: dict[str, MemberEntry] = {}
-        self._ranked: list[str] = []
-        self._shown_members: dict[str, Member] = {}
-        self._shown_departed: dict[str, Member] = {}
-        self._version = 0
-        self._loaded = False
         self._started_seconds = context.now_seconds()
+        self._stop_seconds: float | None = None
+        self._view = RecordView(own)
         self._store = RecordStore(
             context, RECORD_PREFIX + region, self._record_seen
         )
         self._lease = Lease(self._options)
-        self._settlement = Settlement(self._own)
-        self._liveness = Liveness(self._own)
-        self._round = OutageRound(self._own)
-        self._writes = 0
-        self._attempts = 0
-        self._next_write_seconds = 0.0
-        self._next_renewal_seconds = 0.0
-        self._join_alone_seconds: float | None = None
-        self._joining: dict[str, MemberEntry] = {}
-        self._store_heard_seconds = _NEVER
-        self._outage_asked_seconds = _NEVER
-        self._stop_seconds: float | None = None
-
-    # Steps.
+        self._settlement = Settlement(own)
+        self._liveness = Liveness(own)
+        self._changes = RecordChanges(
+            context,
+            view=self._view,
+            store=self._store,
+            liveness=self._liveness,
+            settlement=self._settlement,
+        )
+        self._exchange = Exchange(
+            context,
+            view=self._view,
+            store=self._store,
+            lease=self._lease,
+            liveness=self._liveness,
+            settlement=self._settlement,
+            options=self._options,
+        )
 
     def step(self, now_seconds: float) -> None:
         """Reads, writes and renews whatever is due."""
         self._settlement.prune(now_seconds)
         if self._needs_store(now_seconds):
             self._store.read_if_due(now_seconds)
-        self._change_record(now_seconds)
-        self._renew(now_seconds)
-        self._go_on_through_outage(now_seconds)
+        stopping = self._stop_seconds is not None
+        self._changes.step(
+            now_seconds,
+            stopping=stopping,
+            stopped_acting=self._stopped_acting(now_seconds),
+        )
+        self._exchange.renew(
+            now_seconds,
+            asks_to_join=(
+                not stopping and self._changes.asks_to_join(now_seconds)
+            ),
+        )
+        self._exchange.go_on_through_outage(now_seconds)
+        self._publish(now_seconds)
+
+    def receive(
+        self, sender: str, message: Message, now_seconds: float
+    ) -> None:
+        """Takes a message of another router's membership controller."""
+        _take(message, self, sender, now_seconds)
         self._publish(now_seconds)
 
     def woke_up(self, gap_seconds: float, now_seconds: float) -> None:
@@ -130,13 +132,13 @@
         if not self._options.distrust_pause:
             return
         self._lease.void(now_seconds)
-        self._round.reset()
+        self._exchange.round.reset()
         self._store.distrust(now_seconds)
         self._liveness.reset(now_seconds)
         self._publish(now_seconds)
         self.context.decide(
             "membership",
-            subject=self._own.member_id,
+            subject=self.context.member_id,
             outcome="lease_void",
             reason="pause",
             gap_seconds=f"{gap_seconds:.1f}",
@@ -148,25 +150,55 @@
             self._stop_seconds = now_seconds
         self._publish(now_seconds)
 
-    # The record.
+    def take_renewal(
+        self, sender: str, message: RenewLease, now_seconds: float
+    ) -> None:
+        """Answers a router that asks to renew its lease or to join."""
+        if message.HasField("joins"):
+            self._changes.joins.take(sender, message.joins, now_seconds)
+        self._exchange.answer_renewal(
+            sender,
+            message,
+            now_seconds,
+            stopping=self._stop_seconds is not None,
+        )
 
-    def _is_listed(self) -> bool:
-        return self._members.get(self._own.member_id) == self._own
+    def take_renewed(
+        self, sender: str, message: LeaseRenewed, now_seconds: float
+    ) -> None:
+        """Takes the answer of a lease holder."""
+        if message.HasField("record"):
+            self._adopt(message.record, message.record_version, now_seconds)
+        self._exchange.heard(
+            sender,
+            epoch=message.epoch,
+            incarnation=message.incarnation,
+            now_seconds=now_seconds,
+        )
+        self._exchange.take_renewed(message, now_seconds)
 
-    def _is_superseded(self) -> bool:
-        entry = self._members.get(self._own.member_id)
-        return entry is not None and entry.incarnation > self._own.incarnation
+    def take_question(
+        self, sender: str, message: ConfirmOutage, now_seconds: float
+    ) -> None:
+        """Says whether this router sees an outage."""
+        self._exchange.answer_question(
+            sender,
+            message,
+            now_seconds,
+            stopped_acting=self._stopped_acting(now_seconds),
+        )
 
-    def _holders(self) -> list[str]:
-        return self._ranked[:HOLDERS]
+    def take_answer(self, sender: str, message: OutageConfirmed) -> None:
+        """Takes the answer of a router that was asked about an outage."""
+        self._exchange.take_answer(sender, message)
 
     def _needs_store(self, now_seconds: float) -> bool:
-        if not self._is_listed() or self._own.member_id in self._holders():
+        if not self._view.is_listed or self._view.is_holder:
             return True
-        if now_seconds - self._outage_asked_seconds < REACHABLE_SECONDS:
+        if self._exchange.was_asked(now_seconds):
             return True
         left_seconds = self._lease.until_seconds - now_seconds
-        return left_seconds < LOW_LEASE_SECONDS or self._stops_acting(
+        return left_seconds < LOW_LEASE_SECONDS or self._stopped_acting(
             now_seconds
         )
 
@@ -174,39 +206,28 @@
         self, record: MembershipRecord, version: int, sent_seconds: float
     ) -> None:
         now_seconds = self.context.now_seconds()
-        self._loaded = True
         self._adopt(record, version, now_seconds)
-        if record.epoch == self._record.epoch:
+        if record.epoch == self._view.epoch:
             self._lease.prove(sent_seconds, LEASE_SECONDS, now_seconds)
         self._publish(now_seconds)
 
     def _adopt(
         self, record: MembershipRecord, version: int, now_seconds: float
     ) -> None:
-        """Takes a record if it is a later one."""
-        if record.epoch <= self._record.epoch:
+        """Puts a record in force if it is a later one."""
+        if record.epoch <= self._view.epoch:
             return
-        previous_epoch = self._record.epoch
-        was_listed = self._is_listed()
-        was_holder = self._own.member_id in self._holders()
-        self._record = record
-        self._version = version
-        self._members = members_of(record)
-        self._ranked = rank_holders(record)
-        self._show_members()
-        self._forget_joined()
+        previous_epoch = self._view.epoch
+        was_listed = self._view.is_listed
+        was_holder = self._view.is_holder
+        self._view.take(record, version)
+        # Confirmations hold for the epoch that they were given for.
         self._lease.drop_outage()
-        self._round.reset()
-        self._liveness.track(self._members, now_seconds)
+        self._exchange.round.reset()
+        self._liveness.track(self._view.members, now_seconds)
         if not was_holder:
             self._liveness.reset(now_seconds)
-        if self._is_listed():
-            self._attempts = 0
-        elif was_listed:
-            self._next_write_seconds = (
-                now_seconds + REJOIN_SECONDS * self.context.rng.uniform(1, 2)
-            )
-            self._join_alone_seconds = None
+        self._changes.adopted(now_seconds, was_listed=was_listed)
         if self._options.settle_wait:
             self._settlement.adopt(
                 record,
@@ -216,350 +237,42 @@
         self.context.decide(
             "membership",
             subject=f"epoch-{record.epoch}",
-            outcome=",".join(sorted(self._members)),
+            outcome=",".join(sorted(self._view.members)),
             reason="record_changed",
         )
 
-    def _show_members(self) -> None:
-        """Prepares what the blackboard shows of the record."""
-        self._shown_members = {}
-        for member_id, entry in self._members.items():
-            self._shown_members[member_id] = to_member(entry)
-        self._shown_departed = {}
-        for member_id, entry in stopped_entries(self._record).items():
-            if member_id not in self._members:
-                self._shown_departed[member_id] = to_member(entry)
-
-    def _change_record(self, now_seconds: float) -> None:
-        """Joins, leaves or removes the dead, by conditional update."""
-        if not self._loaded or now_seconds < self._next_write_seconds:
-            return
-        if self._store.failing(now_seconds) or not self._store.idle(
-            now_seconds
-        ):
-            return
-        if self._stops_acting(now_seconds):
-            self._leave(now_seconds)
-            return
-        if self._stop_seconds is not None or self._is_superseded():
-            return
-        if not self._is_listed():
-            self._join(now_seconds)
-            return
-        self._change_others(now_seconds)
-
-    def _join(self, now_seconds: float) -> None:
-        """Joins a fleet whose lease holders don't do it."""
-        if self._join_alone_seconds is None:
-            self._join_alone_seconds = (
-                now_seconds
-                + JOIN_ALONE_SECONDS * self.context.rng.uniform(1, 2)
-            )
-        if self._members and now_seconds < self._join_alone_seconds:
-            return
-        old = self._members.get(self._own.member_id)
-        self._write(
-            "join",
-            added=[self._own],
-            removed=[] if old is None else [old],
-            now_seconds=now_seconds,
-        )
-
-    def _leave(self, now_seconds: float) -> None:
-        if not self._is_listed():
-            return
-        self._write(
-            "leave", removed=[self._own], stopped=True, now_seconds=now_seconds
-        )
-
-    def _change_others(self, now_seconds: float) -> None:
-        """Adds those who asked and removes the dead, in one write."""
-        if self._first_alive(now_seconds) != self._own.member_id:
-            return
-        dead = self._liveness.dead(self._holders(), now_seconds)
-        if self._own.member_id not in self._holders():
-            dead = [name for name in dead if name in self._holders()]
-        added = list(self._joining.values())
-        gone = [*dead, *(entry.member_id for entry in added)]
-        removed = []
-        for member_id in sorted(set(gone)):
-            entry = self._members.get(member_id)
-            if entry is not None:
-                removed.append(entry)
-        if not added and not removed:
-            return
-        self._write(
-            "change", added=added, removed=removed, now_seconds=now_seconds
-        )
-
-    def _take_join(self, sender: str, entry: MemberEntry) -> None:
-        """Keeps a router's wish to be added until the record lists it."""
-        known = self._members.get(sender)
-        if entry.member_id != sender or known == entry:
-            return
-        if known is None or known.incarnation < entry.incarnation:
-            self._joining[sender] = entry
-
-    def _forget_joined(self) -> None:
-        for member_id, entry in list(self._joining.items()):
-            known = self._members.get(member_id)
-            if known is not None and known.incarnation >= entry.incarnation:
-                del self._joining[member_id]
-
-    def _first_alive(self, now_seconds: float) -> str:
-        """Returns the first holder that is heard; others wait in turn."""
-        own_position = self._ranked.index(self._own.member_id)
-        grace_seconds = TURN_SECONDS * min(own_position, MAX_TURNS)
-        for member_id in self._holders()[:own_position]:
-            if not self._liveness.is_silent(
-                member_id, now_seconds, grace_seconds=grace_seconds
-            ):
-                return member_id
-        return self._own.member_id
-
-    def _write(
-        self,
-        reason: str,
-        *,
-        added: list[MemberEntry] | None = None,
-        removed: list[MemberEntry] | None = None,
-        stopped: bool = False,
-        now_seconds: float,
-    ) -> None:
-        self._writes += 1
-        self._next_write_seconds = now_seconds + min(
-            MAX_WRITE_BACKOFF_SECONDS,
-            MIN_WRITE_BACKOFF_SECONDS * 2.0**self._attempts,
-        ) * self.context.rng.uniform(0.2, 1.0)
-        self._attempts = min(self._attempts + 1, 8)
-        record = change_record(
-            self._record,
-            added=added or [],
-            removed=removed or [],
-            stopped=stopped,
-            write_id=(
-                f"{self._own.member_id}/{self._own.incarnation}/{self._writes}"
-            ),
-            oldest_unsettled_epoch=self._settlement.oldest_epoch(
-                self._record.epoch
-            ),
-        )
-        self.context.decide(
-            "membership",
-            subject=f"epoch-{record.epoch}",
-            outcome="write",
-            reason=reason,
-            removed=",".join(entry.member_id for entry in removed or []),
-        )
-        self._store.write(
-            record, expected_version=self._version, now_seconds=now_seconds
-        )
-
-    # Leases.
-
-    def _renew(self, now_seconds: float) -> None:
-        """Asks the lease holders, and tells them that this router lives."""
-        if now_seconds < self._next_renewal_seconds or not self._members:
-            return
-        many = len(self._members) > MANY_MEMBERS
-        self._next_renewal_seconds = now_seconds + RENEW_SECONDS * (1 + many)
-        question = RenewLease(
-            number=self._lease.ask(now_seconds),
-            epoch=self._record.epoch,
-            incarnation=self._own.incarnation,
-        )
-        if self._asks_to_join(now_seconds):
-            question.joins.CopyFrom(self._own)
-        if self._own.member_id in self._holders():
-            question.suspects.extend(self._liveness.suspects(now_seconds))
-        for member_id in self._renewal_targets(now_seconds):
-            self._send(member_id, question)
-
-    def _asks_to_join(self, now_seconds: float) -> bool:
-        if self._is_listed() or self._is_superseded():
-            return False
-        return (
-            self._stop_seconds is None
-            and now_seconds >= self._next_write_seconds
-        )
-
-    def _renewal_targets(self, now_seconds: float) -> list[str]:
-        targets = [
-            member_id
-            for member_id in self._holders()
-            if member_id != self._own.member_id
-        ]
-        for member_id in targets:
-            if not self._liveness.is_silent(member_id, now_seconds):
-                return targets
-        others = [
-            member_id
-            for member_id in self._ranked[HOLDERS:]
-            if member_id != self._own.member_id
-        ]
-        count = min(2, len(others))
-        return targets + self.context.rng.sample(others, count)
-
-    def _go_on_through_outage(self, now_seconds: float) -> None:
-        """Renews by confirmations while the object API can't be reached."""
-        if not self._is_listed() or not self._store.failing(now_seconds):
-            return
-        if self._own.member_id not in self._holders():
-            return
-        if not self._options.confirm_outage:
-            self._lease.extend_through_outage(now_seconds + LEASE_SECONDS)
-            return
-        for member_id, question in self._round.step(self._record, now_seconds):
-            self._send(member_id, question)
-        self._take_round()
-
-    def _take_round(self) -> None:
-        self._lease.extend_through_outage(
-            self._round.lease_until_seconds(self._lease.proved_at_seconds)
-        )
-
-    def _stops_acting(self, now_seconds: float) -> bool:
+    def _stopped_acting(self, now_seconds: float) -> bool:
         if self._stop_seconds is None:
             return False
-        has_heirs = len(self._members) > 1
+        has_heirs = len(self._view.members) > 1
         return now_seconds >= self._stop_seconds + HANDOVER_SECONDS * has_heirs
 
-    # Messages.
-
-    def receive(
-        self, sender: str, message: Message, now_seconds: float
-    ) -> None:
-        """Takes a message of another router's membership controller."""
-        _take(message, self, sender, now_seconds)
-
-    def _send(self, member_id: str, message: Message) -> None:
-        self.context.board.intents.append(SendToPeer(member_id, message))
-
-    def _heard(
-        self, sender: str, *, epoch: int, incarnation: int, now_seconds: float
-    ) -> bool:
-        """Takes note of a sender; returns whether it is a listed process."""
-        if epoch > self._record.epoch:
-            self._store.hurry(now_seconds)
-        entry = self._members.get(sender)
-        if entry is None or entry.incarnation != incarnation:
+    def _has_left(self, now_seconds: float) -> bool:
+        if self._stop_seconds is None or not self._stopped_acting(now_seconds):
             return False
-        self._liveness.heard(entry, epoch=epoch, now_seconds=now_seconds)
-        self._settlement.heard(entry, epoch=epoch, now_seconds=now_seconds)
-        return True
-
-    def _all_moved_on(self) -> bool:
-        """Returns whether nobody can act by an earlier epoch any more."""
-        epoch = self._record.epoch
-        return self._liveness.moved_on(
-            self._settlement.participants(), epoch
-        ) and self._liveness.moved_on(self._members.values(), epoch)
-
-    def take_renewal(
-        self, sender: str, message: RenewLease, now_seconds: float
-    ) -> None:
-        """Answers a router that asks to renew its lease."""
-        listed = self._heard(
-            sender,
-            epoch=message.epoch,
-            incarnation=message.incarnation,
-            now_seconds=now_seconds,
-        )
-        self._liveness.set_suspects(sender, message.suspects)
-        if message.HasField("joins"):
-            self._take_join(sender, message.joins)
-        answer = LeaseRenewed(
-            number=message.number,
-            epoch=self._record.epoch,
-            incarnation=self._own.incarnation,
-            store_reachable=self._store.reachable(now_seconds),
-        )
-        if listed and self._may_renew():
-            until_seconds = self._lease.until_seconds
-            answer.remaining_seconds = max(0.0, until_seconds - now_seconds)
-            answer.during_outage = self._lease.stands_on_outage
-        if self._is_listed() and self._all_moved_on():
-            answer.settled_epoch = self._record.epoch
-        if message.epoch < self._record.epoch:
-            answer.record.CopyFrom(self._record)
-            answer.record_version = self._version
-        self._send(sender, answer)
-
-    def _may_renew(self) -> bool:
-        return self._is_listed() and self._stop_seconds is None
-
-    def take_renewed(
-        self, sender: str, message: LeaseRenewed, now_seconds: float
-    ) -> None:
-        """Takes the answer of a lease holder."""
-        if message.HasField("record"):
-            self._adopt(message.record, message.record_version, now_seconds)
-        self._heard(
-            sender,
-            epoch=message.epoch,
-            incarnation=message.incarnation,
-            now_seconds=now_seconds,
-        )
-        if message.store_reachable:
-            self._store_heard_seconds = now_seconds
-        if message.epoch != self._record.epoch:
-            return
-        if message.settled_epoch == self._record.epoch:
-            self._settlement.settle_below(self._record.epoch)
-        self._lease.renewed(message, now_seconds)
-        self._publish(now_seconds)
-
-    def take_question(
-        self, sender: str, message: ConfirmOutage, now_seconds: float
-    ) -> None:
-        """Says whether this router sees the outage too."""
-        if sender not in self._members:
-            return
-        self._outage_asked_seconds = now_seconds
-        if not self._store.failing(now_seconds):
-            self._store.hurry(now_seconds)
-        self._send(
-            sender,
-            OutageConfirmed(
-                number=message.number,
-                epoch=self._record.epoch,
-                incarnation=self._own.incarnation,
-                confirmed=(
-                    message.epoch == self._record.epoch
-                    and self._is_listed()
-                    and not self._stops_acting(now_seconds)
-                    and self._store.failing(now_seconds)
-                ),
-            ),
-        )
-
-    def take_answer(self, sender: str, message: OutageConfirmed) -> None:
-        """Takes the answer of a router that was asked about an outage."""
-        self._round.take(sender, message)
-        self._take_round()
-        self._publish(self.context.now_seconds())
-
-    # The blackboard.
+        if not self._view.is_listed:
+            return True
+        return now_seconds >= self._stop_seconds + LEAVE_SECONDS
 
     def _publish(self, now_seconds: float) -> None:
         until_seconds = self._lease.until_seconds
         invariants.check(
-            until_seconds <= now_seconds + LEASE_SECONDS + 1e-6,
+            until_seconds <= now_seconds + LEASE_SECONDS + _ROUNDING_SECONDS,
             Invariant.SINGLE_OWNER,
             f"lease of {until_seconds - now_seconds} s at epoch "
-            f"{self._record.epoch}",
+            f"{self._view.epoch}",
         )
-        if not self._is_listed() or self._stops_acting(now_seconds):
+        if not self._view.is_listed or self._stopped_acting(now_seconds):
             until_seconds = _NEVER
         self.left = self._has_left(now_seconds)
         self.context.board.write(
             keys.MEMBERSHIP,
             Membership(
-                epoch=self._record.epoch,
-                members=self._shown_members,
+                epoch=self._view.epoch,
+                members=self._view.shown_members,
                 lease_until_seconds=until_seconds,
                 unsettled=self._settlement.shown(),
-                departed=self._shown_departed,
+                departed=self._view.shown_departed,
             ),
             writer=self.name,
             now_seconds=now_seconds,
@@ -567,35 +280,25 @@
         self._publish_health(now_seconds)
 
     def _publish_health(self, now_seconds: float) -> None:
-        reachable = (
-            self._store.reachable(now_seconds)
-            or now_seconds - self._store_heard_seconds <= REACHABLE_SECONDS
-        )
+        reachable = self._store.reachable(
+            now_seconds
+        ) or self._exchange.store_heard(now_seconds)
         peers = self._liveness.reachable(now_seconds)
-        has_peers = len(self._members) > 1
+        alone = len(self._view.members) <= 1
         started_lately = now_seconds - self._started_seconds < REACHABLE_SECONDS
-        isolated = (
-            has_peers and not reachable and peers == 0 and not started_lately
-        )
+        isolated = not (reachable or peers or alone or started_lately)
         self.context.board.write(
             keys.HEALTH,
             Health(
                 store_reachable=reachable,
                 peers_reachable=peers,
                 stopping=self._stop_seconds is not None,
-                isolated=isolated or self._is_superseded(),
+                isolated=isolated or self._view.is_superseded,
             ),
             writer=self.name,
             now_seconds=now_seconds,
         )
 
-    def _has_left(self, now_seconds: float) -> bool:
-        if self._stop_seconds is None or not self._stops_acting(now_seconds):
-            return False
-        if not self._is_listed():
-            return True
-        return now_seconds >= self._stop_seconds + LEAVE_SECONDS
-
 
 @functools.singledispatch
 def _take(
--- a/mulberrypaddle/controllers/membership/store_access.py
+++ b/mulberrypaddle/controllers/membership/store_access.py
@@ -43,6 +43,9 @@
     A write is never answered by its own reply alone: whatever comes back,
     the record is read again unless the write surely took effect, so that a
     lost answer needs no case of its own.
+
+    Attributes:
+        loaded: Whether the record has been read once.
     """
 
     def __init__(self, context: Context, key: str, seen: Seen) -> None:
@@ -57,6 +60,7 @@
         self._context = context
         self._key = key
         self._seen = seen
+        self.loaded = False
         self._calling_since: float | None = None
         self._call_number = 0
         self._failures = 0
@@ -147,6 +151,7 @@
         except json_format.ParseError:
             self._fail(now_seconds, is_write=False)
             return
+        self.loaded = True
         self._failures = 0
         self._succeeded_at_seconds = now_seconds
         self._next_read_seconds = now_seconds + POLL_SECONDS
