--- /dev/null
+++ b/benchmarks/control_slopes.py
@@ -0,0 +1,166 @@
+"""What control costs a router as the region's fleet grows.
+
+Steps router instances with the membership and configuration controllers on a
+fake network and store, and prints platform calls, peer bytes and processor
+time a second for each router, with the slope between the sizes. The baseline
+reads the configuration from each router. Processor time is that of the
+controllers alone, without the links' own. Usage:
+`python -m benchmarks.control_slopes`.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.controllers.configuration import ConfigurationOptions
+from tests.support.configured import Configured, document
+
+if TYPE_CHECKING:
+    from google.protobuf.message import Message
+
+    from mulberrypaddle.blackboard import SendToPeer
+    from mulberrypaddle.controllers import Controller
+    from mulberrypaddle.node import Node
+
+SIZES = (7, 25, 50, 100)
+SETTLE_SECONDS = 40.0
+MEASURED_SECONDS = 20.0
+STEP_SECONDS = 0.1
+# The driver's steps a second over those of the simulation.
+DRIVER_STEPS = 5.0
+# An envelope's share and the wrapping of one message.
+OVERHEAD_BYTES = 70
+CHANGE_EVERY_SECONDS = 1.25
+
+
+class Costs:
+    """Totals of one run, by controller.
+
+    Attributes:
+        peer_bytes: Serialized messages sent, with their wrapping.
+        step_seconds: Processor time in steps.
+        receive_seconds: Processor time in taking messages.
+    """
+
+    __slots__ = ("peer_bytes", "receive_seconds", "step_seconds")
+
+    def __init__(self) -> None:
+        self.peer_bytes: dict[str, int] = {}
+        self.step_seconds: dict[str, float] = {}
+        self.receive_seconds: dict[str, float] = {}
+
+
+class MeasuredFleet(Configured):
+    """Counts bytes and processor time by controller."""
+
+    def __init__(self, count: int, *, spread: bool) -> None:
+        self.costs = Costs()
+        super().__init__(count, config=ConfigurationOptions(spread=spread))
+
+    def check_single_owner(self) -> float:
+        """Leaves the check out, which would dwarf what is measured."""
+        return 0.0
+
+    def start(self, member_id: str) -> Node:
+        """Starts a node whose controllers are timed."""
+        node = super().start(member_id)
+        for controller in node.controllers:
+            _time_controller(controller, self.costs)
+        return node
+
+    def send(self, sender: Node, intent: SendToPeer) -> None:
+        """Counts a message before it goes."""
+        for controller in sender.controllers:
+            if type(intent.message) not in controller.message_types:
+                continue
+            size_bytes = intent.message.ByteSize() + OVERHEAD_BYTES
+            known = self.costs.peer_bytes.get(controller.name, 0)
+            self.costs.peer_bytes[controller.name] = known + size_bytes
+        super().send(sender, intent)
+
+
+def _time_controller(controller: Controller, costs: Costs) -> None:
+    step = controller.step
+    receive = controller.receive
+    name = controller.name
+
+    def timed_step(now_seconds: float) -> None:
+        started = time.process_time()
+        step(now_seconds)
+        spent = time.process_time() - started
+        costs.step_seconds[name] = costs.step_seconds.get(name, 0.0) + spent
+
+    def timed_receive(
+        sender: str, message: Message, now_seconds: float
+    ) -> None:
+        started = time.process_time()
+        receive(sender, message, now_seconds)
+        spent = time.process_time() - started
+        known = costs.receive_seconds.get(name, 0.0)
+        costs.receive_seconds[name] = known + spent
+
+    controller.step = timed_step  # type: ignore[method-assign]
+    controller.receive = timed_receive  # type: ignore[method-assign]
+
+
+def measure(count: int, *, spread: bool) -> dict[str, float]:
+    """Returns costs a second of one router, by name.
+
+    Args:
+        count: Routers in the region.
+        spread: Whether peers spread the configuration.
+    """
+    fleet = MeasuredFleet(count, spread=spread)
+    fleet.run(SETTLE_SECONDS, step_seconds=STEP_SECONDS)
+    fleet.costs.__init__()  # type: ignore[misc]
+    reads, writes = fleet.store.reads, fleet.store.writes
+    end_seconds = fleet.clock.monotonic_seconds() + MEASURED_SECONDS
+    number = 0
+    while fleet.clock.monotonic_seconds() < end_seconds:
+        version = fleet.version("router-1")
+        text = document("out" if number % 2 == 0 else "in")
+        fleet.submit("router-1", text, expected_version=version)
+        number += 1
+        fleet.run(CHANGE_EVERY_SECONDS, step_seconds=STEP_SECONDS)
+    per_router = MEASURED_SECONDS * count
+    figures = {
+        "members": float(len(fleet.membership("router-1").members)),
+        "platform_calls": (
+            fleet.store.reads - reads + fleet.store.writes - writes
+        )
+        / MEASURED_SECONDS,
+    }
+    for name in ("membership", "configuration"):
+        sent = fleet.costs.peer_bytes.get(name, 0)
+        figures[f"{name}_bytes"] = sent / per_router
+        spent = fleet.costs.step_seconds[
+            name
+        ] * DRIVER_STEPS + fleet.costs.receive_seconds.get(name, 0.0)
+        figures[f"{name}_core_percent"] = 100 * spent / per_router
+    return figures
+
+
+def _show(count: int, way: str, figures: dict[str, float]) -> None:
+    shown = " ".join(f"{key}={value:.4f}" for key, value in figures.items())
+    print(f"routers={count} way={way} {shown}", flush=True)
+
+
+def main() -> None:
+    """Prints each size and the slopes between the ends."""
+    logging.disable(logging.CRITICAL)
+    for way, spread in (("each_reads", False), ("spread", True)):
+        first = last = None
+        for count in SIZES:
+            last = measure(count, spread=spread)
+            first = first or last
+            _show(count, way, last)
+        assert first is not None and last is not None
+        for key, value in last.items():
+            slope = (value - first[key]) / (SIZES[-1] - SIZES[0])
+            print(f"way={way} slope_per_router={key} value={slope:.6f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -6,6 +6,8 @@
 import random
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.backends.budgeted_store import BudgetedStore
+from mulberrypaddle.backends.call_budget import CallBudget
 from mulberrypaddle.backends.http_object_store import HttpObjectStore
 from mulberrypaddle.backends.http_runner import HttpRunnerClient
 from mulberrypaddle.blackboard import Board
@@ -65,7 +67,8 @@
         credits = Credits(self.context)
         admission = Admission(self.context, credits)
         claims = Claims(self.context)
-        apply = Apply(self.context)
+        configuration = ConfigurationController(self.context)
+        apply = Apply(self.context, accepted=configuration.accept)
         self.memory = StreamMemory(
             self.context, budget_bytes=settings.answer_memory_bytes
         )
@@ -74,7 +77,7 @@
             self.context,
             [
                 self.membership,
-                ConfigurationController(self.context),
+                configuration,
                 RunnerTableController(self.context),
                 apply,
                 claims,
@@ -93,7 +96,11 @@
         self._driver = Driver(
             self.node,
             Adapters(
-                store=self._store, links=self.links, runners=self._runners
+                store=BudgetedStore(
+                    self._store, CallBudget(clock, self.context.rng)
+                ),
+                links=self.links,
+                runners=self._runners,
             ),
             journal=self.journal,
         )
