--- a/mulberrypaddle/controllers/quarantine/controller.py
+++ b/mulberrypaddle/controllers/quarantine/controller.py
@@ -8,11 +8,10 @@
 from returns.result import Failure, Result, Success
 
 from mulberrypaddle.blackboard import SendToPeer
+from mulberrypaddle.controllers import duties
 from mulberrypaddle.controllers.base import Context, Controller
-from mulberrypaddle.controllers.duties import membership
 from mulberrypaddle.controllers.quarantine.owner import SuspectsOwner, duty_of
 from mulberrypaddle.core.errors import ErrorKind, Problem
-from mulberrypaddle.core.ownership import owner_of
 from mulberrypaddle.core.request import AttemptState
 from mulberrypaddle.peers.proto import strikes_pb2 as pb
 
@@ -293,8 +292,7 @@
         return owned
 
     def _owner(self, service: str) -> str | None:
-        members = membership(self.context).members
-        return owner_of(duty_of(service), members)
+        return duties.owner(self.context, duty_of(service))
 
     def _post(self, member_id: str | None, message: Message) -> None:
         if member_id is None:
@@ -394,7 +392,7 @@
             owned.is_empty = not told.suspects
             if was_empty and owned.is_empty:
                 continue
-            for member_id in membership(self.context).members:
+            for member_id in duties.membership(self.context).members:
                 self._post(member_id, told)
 
 
--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -11,6 +11,8 @@
     Intent,
     ListObjects,
     ReadObject,
+    ReadReport,
+    SendToPeer,
     WriteObject,
 )
 from mulberrypaddle.observe import log_decision
@@ -19,9 +21,10 @@
     from collections.abc import Coroutine
     from typing import Any
 
-    from mulberrypaddle.backends import ObjectStore
+    from mulberrypaddle.backends import ObjectStore, RunnerClient
     from mulberrypaddle.node import Node
     from mulberrypaddle.operators.journal import Journal
+    from mulberrypaddle.peers import PeerLinks
 
 STEP_SECONDS = 0.02
 
@@ -31,12 +34,18 @@
 
     Attributes:
         store: The platform's object API.
+        links: Links to the other routers.
+        runners: The endpoints that execute requests.
     """
 
-    __slots__ = ("store",)
+    __slots__ = ("links", "runners", "store")
 
-    def __init__(self, *, store: ObjectStore) -> None:
+    def __init__(
+        self, *, store: ObjectStore, links: PeerLinks, runners: RunnerClient
+    ) -> None:
         self.store = store
+        self.links = links
+        self.runners = runners
 
 
 @functools.singledispatch
@@ -81,6 +90,16 @@
     )
 
 
+@carry_out.register(ReadReport)
+async def _report(intent: ReadReport, adapters: Adapters) -> None:
+    intent.reply(await adapters.runners.report(intent.runner))
+
+
+@carry_out.register(SendToPeer)
+async def _send(intent: SendToPeer, adapters: Adapters) -> None:
+    adapters.links.send(intent.member_id, intent.message)
+
+
 class Driver:
     """Runs one node on the event loop."""
 
