--- /dev/null
+++ b/benchmarks/ejection.py
@@ -0,0 +1,62 @@
+"""Compares ways to eject failing runners: none, consecutive, outliers.
+
+Each of seven routers judges by its own attempts; no request is retried.
+Five in a thousand requests fail on healthy runners too.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.controllers.ejection.outliers import OutlierDetector
+from tests.support.consecutive_failures import ConsecutiveFailures
+from tests.support.failing_runners import FailingRunners, Fault
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypaddle.controllers.ejection.detector import Detector
+
+FAILING = (6, 18)
+
+
+def _never() -> Detector:
+    return ConsecutiveFailures(recovery_seconds=0.0)
+
+
+def _quick_probe() -> Detector:
+    return ConsecutiveFailures(recovery_seconds=10.0)
+
+
+WAYS: dict[str, Callable[[], Detector]] = {
+    "none": _never,
+    "consecutive_60s": ConsecutiveFailures,
+    "consecutive_10s": _quick_probe,
+    "outliers": OutlierDetector,
+}
+
+
+def main() -> None:
+    """Runs the whole measurement."""
+    for failing in FAILING:
+        for fault in Fault:
+            if fault is Fault.NONE and failing != FAILING[0]:
+                continue
+            for name, make_detector in WAYS.items():
+                tally = FailingRunners(
+                    seed=1,
+                    fault=fault,
+                    failing=failing,
+                    make_detector=make_detector,
+                ).run()
+                print(
+                    f"fault={fault.value} failing={failing}/60 way={name} "
+                    f"requests={tally.requests} failed={tally.failed} "
+                    f"slow={tally.slow} "
+                    f"healthy_ejected_share={tally.healthy_out:.4f} "
+                    f"peak_ejected={tally.peak_out}"
+                )
+
+
+if __name__ == "__main__":
+    main()
