Route every attempt through quarantine, retry budget and ejection

Cause: a request that crashes its runner was retried on runner after runner, retries had no budget, and nothing took a failing runner out.

Change: the pipeline asks for clearance before each attempt, asks the retry budget after each failure, and tells the outcome to admission, quarantine and ejection. A returning runner that had answered nothing before goes out again at its first failure.

--- a/benchmarks/ejection.py
+++ b/benchmarks/ejection.py
@@ -48,7 +48,7 @@
                     fault=fault,
                     failing=failing,
                     make_detector=make_detector,
-                ).run()
+                ).run(fault_seconds=80.0, healed_seconds=40.0)
                 print(
                     f"fault={fault.value} failing={failing}/60 way={name} "
                     f"requests={tally.requests} failed={tally.failed} "
--- a/mulberrypaddle/controllers/ejection/outliers.py
+++ b/mulberrypaddle/controllers/ejection/outliers.py
@@ -36,7 +36,9 @@
 RETURN_SHARES = (0.1, 0.25, 0.5)
 RETURN_STAGE_SECONDS = 4.0
 RETURN_SLOT_SECONDS = 0.4
+# Failures that end a return; one is enough where nothing succeeded before.
 RETURN_FAILURES = 2
+RETURN_FAILURES_AFTER_LOSS = 1
 _SLOTS_PER_TURN = 20
 _HEALTHY = ""
 
@@ -61,6 +63,7 @@
         "phase",
         "reason",
         "samples",
+        "was_lost",
     )
 
     def __init__(self, runner_id: str) -> None:
@@ -68,6 +71,7 @@
         self.ejections = 0
         self.out_until_seconds = float("-inf")
         self.reason = _HEALTHY
+        self.was_lost = False
         # Spreads the open slots of different runners.
         self.phase = zlib.crc32(runner_id.encode()) % _SLOTS_PER_TURN
 
@@ -150,6 +154,8 @@
         needed = LEAST_FAILURES
         if history.returning(now_seconds):
             needed = RETURN_FAILURES
+            if history.was_lost:
+                needed = RETURN_FAILURES_AFTER_LOSS
         if seen.failed and history.failures() >= needed:
             share = history.failure_share()
             median = self._median_failure_share()
@@ -188,6 +194,7 @@
         EJECT_SECONDS * 2**history.ejections, MAX_EJECT_SECONDS
     )
     history.ejections += 1
+    history.was_lost = history.failures() == len(history.samples)
     history.reason = reason
     history.out_until_seconds = now_seconds + length_seconds
     history.samples.clear()
--- a/mulberrypaddle/frontdoor/pipeline.py
+++ b/mulberrypaddle/frontdoor/pipeline.py
@@ -21,13 +21,18 @@
     from mulberrypaddle.backends import Completion, RunnerClient
     from mulberrypaddle.controllers.admission import Admission, AdmissionReply
     from mulberrypaddle.controllers.claims import Claims
+    from mulberrypaddle.controllers.ejection import Ejection
+    from mulberrypaddle.controllers.quarantine import (
+        Clearance,
+        ClearanceReply,
+        Quarantine,
+    )
+    from mulberrypaddle.controllers.retries import Retries
     from mulberrypaddle.core.clock import Clock
     from mulberrypaddle.frontdoor.relay import Relay
 
 T = TypeVar("T")
 
-MAX_ATTEMPTS = 3
-
 # After these the same runner may do better on another attempt.
 _BREAKS = frozenset({ErrorKind.STREAM_BROKEN, ErrorKind.OUTCOME_UNKNOWN})
 
@@ -56,9 +61,15 @@
         *,
         admission: Admission,
         claims: Claims,
+        quarantine: Quarantine,
+        retries: Retries,
+        ejection: Ejection,
         runners: RunnerClient,
         clock: Clock,
     ) -> None:
+        self._quarantine = quarantine
+        self._retries = retries
+        self._ejection = ejection
         self._admission = admission
         self._claims = claims
         self._runners = runners
@@ -115,6 +126,12 @@
 
         return await _reply_of(ask)
 
+    async def _clear(self, request: Request) -> Result[Clearance, Problem]:
+        def ask(reply: ClearanceReply) -> None:
+            self._quarantine.check(request, reply)
+
+        return await _reply_of(ask)
+
     async def _attempts(
         self, request: Request, relay: Relay
     ) -> Result[Completion | KeptAnswer, Problem]:
@@ -122,14 +139,23 @@
         latest = ""
         failures = 0
         problem = Problem(ErrorKind.NO_RUNNER, "no attempt was made")
-        while failures < MAX_ATTEMPTS:
+        self._retries.started(request)
+        while True:
             if not relay.try_reserve():
                 return Failure(_worse(problem, _no_memory()))
+            cleared = await self._clear(request)
+            if not isinstance(cleared, Success):
+                return Failure(_worse(problem, cleared.failure()))
             may_repeat = relay.started or problem.kind in _BREAKS
             admitted = await self._admit_anywhere(
-                request, tried, latest, may_repeat=may_repeat
+                request,
+                tried,
+                latest,
+                may_repeat=may_repeat,
+                avoid=cleared.unwrap().avoid,
             )
             if not isinstance(admitted, Success):
+                self._quarantine.give_back(request)
                 return Failure(_worse(problem, admitted.failure()))
             ticket = admitted.unwrap()
             if relay.ended is not None:
@@ -149,6 +175,12 @@
             problem = failure.problem
             if not _may_retry(request, failure, relay):
                 break
+            wait_seconds = self._retries.may_retry(
+                request, failure.state, attempts=failures
+            )
+            if wait_seconds is None:
+                break
+            await asyncio.sleep(wait_seconds)
         return Failure(problem)
 
     async def _admit_anywhere(
@@ -158,13 +190,16 @@
         latest: str,
         *,
         may_repeat: bool,
+        avoid: frozenset[str],
     ) -> Result[Ticket, Problem]:
         """Admits to a runner not tried yet, or after a break to any.
 
         The runner of the latest attempt comes last, since it may be the one
         that refuses to resume.
         """
-        passed_over = [frozenset(tried)]
+        passed_over = [frozenset(tried) | avoid]
+        if avoid:
+            passed_over.append(frozenset(tried))
         if may_repeat:
             passed_over += [frozenset((latest,)), frozenset()]
         for runner_ids in passed_over:
@@ -186,6 +221,7 @@
         )
 
     def _release_unsent(self, ticket: Ticket) -> None:
+        self._quarantine.give_back(ticket.request)
         self._admission.release(
             AttemptOutcome(
                 ticket,
@@ -204,6 +240,7 @@
             return Failure(
                 AttemptFailure(allowed.failure(), AttemptState.UNSENT)
             )
+        self._quarantine.sent(ticket)
         sent_at_seconds = self._clock.monotonic_seconds()
         timeout_seconds = ticket.request.deadline_at_seconds - sent_at_seconds
         state = AttemptState.MAYBE_RUN
@@ -227,7 +264,7 @@
             relay.history.end(state)
             relay.end_attempt()
             self._claims.attempt_ended(ticket.request, state)
-            self._admission.release(
+            self._learn(
                 AttemptOutcome(
                     ticket,
                     state=state,
@@ -240,6 +277,12 @@
             )
         return result
 
+    def _learn(self, outcome: AttemptOutcome) -> None:
+        """Tells every controller that learns from attempts."""
+        self._admission.release(outcome)
+        self._quarantine.observe(outcome)
+        self._ejection.observe(outcome)
+
     async def _cancel(self, ticket: Ticket, state: AttemptState) -> bool:
         """Returns whether an engine surely holds an attempt no longer."""
         if state is not AttemptState.MAYBE_RUN:
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -14,7 +14,10 @@
 from mulberrypaddle.controllers.claims import Claims
 from mulberrypaddle.controllers.configuration import ConfigurationController
 from mulberrypaddle.controllers.credits import Credits
+from mulberrypaddle.controllers.ejection import Ejection
 from mulberrypaddle.controllers.membership import FleetMembership
+from mulberrypaddle.controllers.quarantine import Quarantine
+from mulberrypaddle.controllers.retries import Retries
 from mulberrypaddle.controllers.runner_table import RunnerTableController
 from mulberrypaddle.controllers.stream_memory import StreamMemory
 from mulberrypaddle.core.clock import Clock, SystemClock
@@ -65,6 +68,9 @@
         credits = Credits(self.context)
         admission = Admission(self.context, credits)
         claims = Claims(self.context)
+        quarantine = Quarantine(self.context)
+        retries = Retries(self.context)
+        ejection = Ejection(self.context)
         apply = Apply(self.context)
         self.memory = StreamMemory(
             self.context, budget_bytes=settings.answer_memory_bytes
@@ -78,6 +84,9 @@
                 RunnerTableController(self.context),
                 apply,
                 claims,
+                quarantine,
+                retries,
+                ejection,
                 credits,
                 admission,
                 self.memory,
@@ -103,6 +112,9 @@
             pipeline=Pipeline(
                 admission=admission,
                 claims=claims,
+                quarantine=quarantine,
+                retries=retries,
+                ejection=ejection,
                 runners=self._runners,
                 clock=clock,
             ),
