Wait on stop until owners know how claims ended; split long modules

Cause: an outcome that its owner had not confirmed was lost when the router stopped, so a resend was told "unknown" after a planned stop. log.py and two controllers held several jobs each.

Change: a stopping router waits up to 2 s for unconfirmed outcomes. The batches of a log, the resends that join and the values of the quarantine have modules of their own.

--- a/mulberrypaddle/controllers/claims/claimant.py
+++ b/mulberrypaddle/controllers/claims/claimant.py
@@ -175,7 +175,7 @@
         if member_id is None or now_seconds < self.next_post_seconds:
             return
         asks = self.state is ClaimState.ASKED
-        if not asks and not self._reports():
+        if not asks and not self.is_unconfirmed():
             return
         wait_seconds = RESEND_SECONDS if asks else REPORT_SECONDS
         jitter = 0.5 + rng.random()
@@ -185,7 +185,8 @@
             return
         post(member_id, self._report())
 
-    def _reports(self) -> bool:
+    def is_unconfirmed(self) -> bool:
+        """Returns whether the owner still has to confirm the outcome."""
         if self.state is not ClaimState.ENDED:
             return False
         has_outcome = self.outcome != pb.CLAIM_OUTCOME_NONE
--- a/mulberrypaddle/controllers/claims/controller.py
+++ b/mulberrypaddle/controllers/claims/controller.py
@@ -13,7 +13,6 @@
     GIVEN_UP,
     Claim,
     ClaimState,
-    fingerprint_of,
     give_verdict,
 )
 from mulberrypaddle.controllers.claims.idempotency_key import (
@@ -22,6 +21,7 @@
     check_key,
     key_digest,
 )
+from mulberrypaddle.controllers.claims.joining import answer_of, join
 from mulberrypaddle.controllers.claims.owner import RangeOwner
 from mulberrypaddle.controllers.claims.types import (
     ClaimReply,
@@ -42,7 +42,6 @@
 
 # Claims that this router holds at once, unconfirmed outcomes included.
 MAX_CLAIMS = 20_000
-MAX_WAITERS = 16
 # A sent claim whose end was never told counts as unknown after this.
 FORGET_SECONDS = 600.0
 
@@ -97,6 +96,14 @@
         """Returns how many of its own claims this router holds."""
         return len(self._claims)
 
+    @property
+    def unconfirmed(self) -> int:
+        """Returns how many outcomes no owner has confirmed yet."""
+        count = 0
+        for claim in self._claims.values():
+            count += claim.is_unconfirmed()
+        return count
+
     @property
     def records(self) -> int:
         """Returns how many claims this router holds as an owner."""
@@ -167,7 +174,7 @@
         digest = key_digest(request.organisation, request.idempotency_key)
         running = self._by_digest.get(digest)
         if running is not None:
-            _join(running, request, reply)
+            join(running, request, reply)
             return
         if len(self._claims) >= MAX_CLAIMS:
             reply(
@@ -350,57 +357,7 @@
         claim.waiters = []
         if wakes:
             for reply in waiters:
-                reply(_answer_of(claim))
+                reply(answer_of(claim))
         claim.drop_large_answer()
         self._send(claim, self.context.now_seconds())
         return waiters
-
-
-def _join(running: Claim, request: Request, reply: ClaimReply) -> None:
-    """Lets a resend wait for the answer of the running request."""
-    if running.fingerprint != fingerprint_of(request):
-        reply(
-            Failure(
-                Problem(
-                    ErrorKind.KEY_REUSED,
-                    "this Idempotency-Key is in use with other content",
-                )
-            )
-        )
-        return
-    if running.state is ClaimState.ENDED:
-        reply(_answer_of(running))
-        return
-    if len(running.waiters) >= MAX_WAITERS:
-        reply(
-            Failure(
-                Problem(
-                    ErrorKind.OUTCOME_UNKNOWN,
-                    f"more than {MAX_WAITERS} resends wait for this "
-                    f"Idempotency-Key, which is running",
-                )
-            )
-        )
-        return
-    running.waiters.append(reply)
-
-
-def _answer_of(claim: Claim) -> Result[ClaimStart | KeptAnswer, Problem]:
-    """Returns what a resend that joined is told."""
-    if claim.outcome == pb.CLAIM_OUTCOME_NOT_RUN:
-        return Failure(GIVEN_UP)
-    if claim.answer is not None:
-        return Success(claim.answer)
-    if claim.outcome == pb.CLAIM_OUTCOME_DONE:
-        return Failure(
-            Problem(
-                ErrorKind.ALREADY_RAN,
-                "the request that this one joined ran; its answer is not kept",
-            )
-        )
-    return Failure(
-        Problem(
-            ErrorKind.OUTCOME_UNKNOWN,
-            "the outcome of the request that this one joined is not known",
-        )
-    )
--- a/mulberrypaddle/controllers/claims/log.py
+++ b/mulberrypaddle/controllers/claims/log.py
@@ -8,7 +8,6 @@
 
 import enum
 from collections import deque
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from returns.result import Result, Success
@@ -21,6 +20,7 @@
     WriteObject,
 )
 from mulberrypaddle.controllers.claims import segments
+from mulberrypaddle.controllers.claims.batch import Batch, Line, Written
 from mulberrypaddle.controllers.claims.segments import ClosedSegment, Tail
 from mulberrypaddle.controllers.claims.takeover import Loaded, Takeover
 from mulberrypaddle.controllers.duties import membership
@@ -28,11 +28,11 @@
 from mulberrypaddle.peers.proto.claims_pb2 import ClaimEntry, ClaimSegment
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mulberrypaddle.controllers.base import Context
     from mulberrypaddle.controllers.claims.types import Protections
 
-# A tail that has grown beyond this is followed by a new segment.
-SEGMENT_BYTES = 65_536
 # Most bytes that one write adds.
 BATCH_BYTES = 524_288
 # Eight ranges at one write each 90 ms are 89 writes/s.
@@ -43,8 +43,6 @@
 # A call without any reply (the process slept through it) is in doubt.
 CALL_TIMEOUT_SECONDS = 10.0
 
-Written = Callable[[bool], None]
-
 
 class LogState(enum.Enum):
     """What the log is doing."""
@@ -56,65 +54,6 @@
     IN_DOUBT = "in_doubt"
 
 
-class _Line:
-    """An entry that waits to be written, and whom to tell."""
-
-    __slots__ = ("due_at_seconds", "encoded", "entry", "keep", "written")
-
-    def __init__(
-        self,
-        entry: ClaimEntry,
-        written: Written,
-        *,
-        keep: bool,
-        due_at_seconds: float,
-    ) -> None:
-        self.due_at_seconds = due_at_seconds
-        self.entry = entry
-        self.encoded = segments.encode(entry)
-        self.written = written
-        self.keep = keep
-
-
-class _Batch:
-    """Entries that are written together.
-
-    Attributes:
-        lines: The entries.
-        write_id: Id in the written value, by which it is read back.
-        content: Segment with the entries, without its last header.
-        rolls: Whether the segment is a new one.
-        doubtful: Whether an earlier try may have taken effect.
-        tries: Counts the tries; a reply to an earlier one is ignored.
-        sent_at_seconds: Monotonic time of the latest call.
-        reading: Whether a read-back is under way.
-    """
-
-    __slots__ = (
-        "content",
-        "doubtful",
-        "lines",
-        "reading",
-        "rolls",
-        "sent_at_seconds",
-        "tries",
-        "write_id",
-    )
-
-    def __init__(
-        self, lines: list[_Line], *, write_id: str, tail: Tail
-    ) -> None:
-        added = b"".join(line.encoded for line in lines)
-        self.lines = lines
-        self.write_id = write_id
-        self.rolls = len(tail.content) >= SEGMENT_BYTES
-        self.content = added if self.rolls else tail.content + added
-        self.doubtful = False
-        self.tries = 0
-        self.sent_at_seconds = 0.0
-        self.reading = False
-
-
 class RangeLog:
     """Writes and reads the log of one range.
 
@@ -138,8 +77,8 @@
         self._range = range_number
         self._protections = protections
         self._takeover: Takeover | None = None
-        self._queue: deque[_Line] = deque()
-        self._batch: _Batch | None = None
+        self._queue: deque[Line] = deque()
+        self._batch: Batch | None = None
         self._tail = Tail(0, version=0, content=b"")
         self._old: list[ClosedSegment] = []
         self._write_ids = 0
@@ -212,7 +151,7 @@
         if keep:
             due_at_seconds += DEFERRED_SECONDS
         self._queue.append(
-            _Line(entry, written, keep=keep, due_at_seconds=due_at_seconds)
+            Line(entry, written, keep=keep, due_at_seconds=due_at_seconds)
         )
         self._due_at_seconds = min(self._due_at_seconds, due_at_seconds)
 
@@ -231,7 +170,7 @@
         if self.state is not LogState.OPEN or not self._queue:
             return
         if now_seconds >= self._due_at_seconds:
-            self._batch = _Batch(
+            self._batch = Batch(
                 self._take_lines(),
                 write_id=self._next_write_id(),
                 tail=self._tail,
@@ -296,8 +235,8 @@
             self._old.append(segment.closed())
         self._on_loaded(entries)
 
-    def _take_lines(self) -> list[_Line]:
-        lines: list[_Line] = []
+    def _take_lines(self) -> list[Line]:
+        lines: list[Line] = []
         size_bytes = 0
         while self._queue and size_bytes < BATCH_BYTES:
             line = self._queue.popleft()
@@ -307,13 +246,13 @@
         self._due_at_seconds = 0.0 if self._queue else float("inf")
         return lines
 
-    def _target(self, batch: _Batch) -> tuple[str, int]:
+    def _target(self, batch: Batch) -> tuple[str, int]:
         """Returns the object to write and its expected version."""
         if batch.rolls:
             return self._key(self._tail.number + 1), 0
         return self._key(self._tail.number), self._tail.version
 
-    def _write(self, batch: _Batch, now_seconds: float) -> None:
+    def _write(self, batch: Batch, now_seconds: float) -> None:
         self.state = LogState.WRITING
         self._not_before_seconds = now_seconds + WRITE_INTERVAL_SECONDS
         batch.tries += 1
@@ -337,7 +276,7 @@
         )
 
     def _answered(
-        self, batch: _Batch, result: Result[StoredObject, Problem]
+        self, batch: Batch, result: Result[StoredObject, Problem]
     ) -> None:
         if isinstance(result, Success):
             self._committed(batch, result.unwrap().version)
@@ -355,14 +294,14 @@
             return
         self._doubt(batch, now_seconds)
 
-    def _doubt(self, batch: _Batch, now_seconds: float) -> None:
+    def _doubt(self, batch: Batch, now_seconds: float) -> None:
         self.state = LogState.IN_DOUBT
         batch.doubtful = True
         batch.reading = False
         batch.tries += 1
         self._wait(now_seconds)
 
-    def _read_back(self, batch: _Batch, now_seconds: float) -> None:
+    def _read_back(self, batch: Batch, now_seconds: float) -> None:
         if batch.reading:
             waited_seconds = now_seconds - batch.sent_at_seconds
             if waited_seconds > CALL_TIMEOUT_SECONDS:
@@ -382,7 +321,7 @@
         )
 
     def _was_read(
-        self, batch: _Batch, result: Result[StoredObject, Problem]
+        self, batch: Batch, result: Result[StoredObject, Problem]
     ) -> None:
         now_seconds = self._context.now_seconds()
         batch.reading = False
@@ -400,7 +339,7 @@
             return
         self.close()
 
-    def _committed(self, batch: _Batch, version: int) -> None:
+    def _committed(self, batch: Batch, version: int) -> None:
         if batch.rolls:
             self._old.append(self._tail.closed(self._key(self._tail.number)))
             self._tail = Tail(self._tail.number + 1, version=0, content=b"")
@@ -414,7 +353,7 @@
             line.written(True)
         self.flush(self._context.now_seconds())
 
-    def _refused(self, batch: _Batch, now_seconds: float) -> None:
+    def _refused(self, batch: Batch, now_seconds: float) -> None:
         self._batch = None
         self.state = LogState.OPEN
         self._wait(now_seconds)
--- a/mulberrypaddle/controllers/quarantine/__init__.py
+++ b/mulberrypaddle/controllers/quarantine/__init__.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from mulberrypaddle.controllers.quarantine.controller import (
+from mulberrypaddle.controllers.quarantine.controller import Quarantine
+from mulberrypaddle.controllers.quarantine.types import (
     Clearance,
     ClearanceReply,
-    Quarantine,
 )
 
 __all__ = ["Clearance", "ClearanceReply", "Quarantine"]
--- a/mulberrypaddle/controllers/quarantine/controller.py
+++ b/mulberrypaddle/controllers/quarantine/controller.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from mulberrypaddle.blackboard import SendToPeer
 from mulberrypaddle.controllers import duties
 from mulberrypaddle.controllers.base import Context, Controller
 from mulberrypaddle.controllers.quarantine.owner import SuspectsOwner, duty_of
+from mulberrypaddle.controllers.quarantine.types import (
+    Clearance,
+    ClearanceReply,
+    KnownSuspects,
+    Report,
+    Waiting,
+)
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.core.request import AttemptState
 from mulberrypaddle.peers.proto import strikes_pb2 as pb
@@ -26,7 +32,6 @@
 # Without any word from the owner a suspect is sent after this all the same.
 OWNER_SILENT_SECONDS = 3.0
 RESEND_SECONDS = 0.5
-GIVE_UP_SECONDS = 30.0
 TELL_SECONDS = 10.0
 # A list that is not told again is forgotten after this.
 LIST_SECONDS = 60.0
@@ -35,77 +40,6 @@
 MAX_REPORTS = 4096
 
 
-class Clearance:
-    """What a request may do about its next attempt.
-
-    Attributes:
-        avoid: Runners that another suspect is on.
-        turn_id: Id of a suspect's turn; empty for any other request.
-    """
-
-    __slots__ = ("avoid", "turn_id")
-
-    def __init__(
-        self, avoid: frozenset[str] = frozenset(), *, turn_id: str = ""
-    ) -> None:
-        self.avoid = avoid
-        self.turn_id = turn_id
-
-
-ClearanceReply = Callable[[Result[Clearance, Problem]], None]
-
-
-class _Waiting:
-    """A suspect that waits for its turn."""
-
-    __slots__ = (
-        "asked",
-        "deadline_at_seconds",
-        "heard_at_seconds",
-        "next_ask_seconds",
-        "reply",
-        "request_id",
-    )
-
-    def __init__(
-        self,
-        request: Request,
-        asked: pb.TurnRequest,
-        reply: ClearanceReply,
-        now_seconds: float,
-    ) -> None:
-        self.request_id = request.request_id
-        self.deadline_at_seconds = request.deadline_at_seconds
-        self.asked = asked
-        self.reply = reply
-        self.heard_at_seconds = now_seconds
-        self.next_ask_seconds = now_seconds
-
-
-class _Report:
-    """A message that is repeated until the owner confirms it."""
-
-    __slots__ = ("message", "next_send_seconds", "until_seconds")
-
-    def __init__(
-        self, message: pb.StrikeReport | pb.TurnEnd, now_seconds: float
-    ) -> None:
-        self.message = message
-        self.next_send_seconds = now_seconds
-        self.until_seconds = now_seconds + GIVE_UP_SECONDS
-
-
-class _KnownSuspects:
-    """What the owner told last of one service."""
-
-    __slots__ = ("told_at_seconds", "until_seconds")
-
-    def __init__(self, told_at_seconds: float) -> None:
-        self.told_at_seconds = told_at_seconds
-        # By fingerprint; at most the present where not in quarantine.
-        self.until_seconds: dict[bytes, float] = {}
-
-
 class Quarantine(Controller):
     """Finds content that crashes runners and refuses it for a while.
 
@@ -130,10 +64,10 @@
         super().__init__(context)
         self._shares_blame = shares_blame
         self._owned: dict[str, SuspectsOwner] = {}
-        self._known: dict[str, _KnownSuspects] = {}
-        self._waiting: dict[str, _Waiting] = {}
+        self._known: dict[str, KnownSuspects] = {}
+        self._waiting: dict[str, Waiting] = {}
         self._turn_ids: dict[str, str] = {}
-        self._reports: dict[str, _Report] = {}
+        self._reports: dict[str, Report] = {}
         self._marked: dict[bytes, float] = {}
         self._turns = 0
         self._next_tell_seconds = 0.0
@@ -179,7 +113,7 @@
         asked = pb.TurnRequest(
             service=request.service, fingerprint=fingerprint, turn_id=turn_id
         )
-        waiting = _Waiting(request, asked, reply, now_seconds)
+        waiting = Waiting(request, asked, reply, now_seconds)
         self._waiting[turn_id] = waiting
         self._ask_again(waiting, now_seconds)
 
@@ -306,20 +240,20 @@
         self, report_id: str, message: pb.StrikeReport | pb.TurnEnd
     ) -> None:
         now_seconds = self.context.now_seconds()
-        report = _Report(message, now_seconds)
+        report = Report(message, now_seconds)
         self._reports[report_id] = report
         while len(self._reports) > MAX_REPORTS:
             del self._reports[next(iter(self._reports))]
         self._send_report(report, now_seconds)
 
-    def _send_report(self, report: _Report, now_seconds: float) -> None:
+    def _send_report(self, report: Report, now_seconds: float) -> None:
         if now_seconds < report.next_send_seconds:
             return
         jitter = 0.5 + self.context.rng.random()
         report.next_send_seconds = now_seconds + RESEND_SECONDS * jitter
         self._post(self._owner(report.message.service), report.message)
 
-    def _ask_again(self, waiting: _Waiting, now_seconds: float) -> None:
+    def _ask_again(self, waiting: Waiting, now_seconds: float) -> None:
         if now_seconds >= waiting.deadline_at_seconds:
             del self._waiting[waiting.asked.turn_id]
             problem = Problem(
@@ -366,7 +300,7 @@
         waiting.reply(Success(Clearance(avoid, turn_id=turn.turn_id)))
 
     def _learn(self, told: pb.SuspectList, now_seconds: float) -> None:
-        known = _KnownSuspects(now_seconds)
+        known = KnownSuspects(now_seconds)
         for suspect in told.suspects:
             known.until_seconds[suspect.fingerprint] = (
                 now_seconds + suspect.quarantined_seconds
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -34,6 +34,9 @@
 if TYPE_CHECKING:
     from mulberrypaddle.settings import RouterSettings
 
+# A stop waits this long for owners to confirm the outcomes of claims.
+CONFIRM_SECONDS = 2.0
+
 
 class Router:
     """One running router.
@@ -68,6 +71,7 @@
         credits = Credits(self.context)
         admission = Admission(self.context, credits)
         claims = Claims(self.context)
+        self._claims = claims
         quarantine = Quarantine(self.context)
         retries = Retries(self.context)
         ejection = Ejection(self.context)
@@ -148,6 +152,13 @@
                 return
             await asyncio.sleep(STEP_SECONDS)
 
+    async def _confirm_outcomes(self) -> None:
+        """Waits, within a bound, until owners know how claims ended."""
+        waited_seconds = 0.0
+        while waited_seconds < CONFIRM_SECONDS and self._claims.unconfirmed:
+            await asyncio.sleep(STEP_SECONDS)
+            waited_seconds += STEP_SECONDS
+
     async def stop(self) -> None:
         """Stops gracefully: takes nothing new, finishes what is in hand."""
         self.door.begin_stop()
@@ -157,6 +168,7 @@
         )
         self._server.stop()
         await self._server.close_all_connections()
+        await self._confirm_outcomes()
         await self._leave()
         if self._task is not None:
             self._task.cancel()
--- a/tests/controllers/claims/test_claims.py
+++ b/tests/controllers/claims/test_claims.py
@@ -50,6 +50,7 @@
         fleet.fleet.run(1.0)
         self.assertEqual(key.encode(), again.result.unwrap().body)
         self.assertEqual({key: 1}, fleet.runs)
+        self.assertEqual(0, fleet.claims["router-1"].unconfirmed)
 
     def test_of_a_large_answer_is_told_that_it_ran(self) -> None:
         fleet = self.make()
