--- a/mulberrypaddle/controllers/claims/owner.py
+++ b/mulberrypaddle/controllers/claims/owner.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.controllers import duties
 from mulberrypaddle.controllers.claims.idempotency_key import (
     CLOCK_TOLERANCE_SECONDS,
 )
 from mulberrypaddle.controllers.claims.log import RangeLog
-from mulberrypaddle.controllers.duties import may_act, membership
 from mulberrypaddle.core import invariants
 from mulberrypaddle.core.invariants import Invariant
-from mulberrypaddle.core.ownership import Duty, owner_of
+from mulberrypaddle.core.ownership import Duty
 from mulberrypaddle.peers.proto import claims_pb2 as pb
 
 if TYPE_CHECKING:
@@ -96,8 +96,6 @@
         self._queued: dict[bytes, _QueuedClaim] = {}
         self._answers_bytes = 0
         self._next_delete_seconds = 0.0
-        self._epoch = -1
-        self._member_id: str | None = None
         self._log = RangeLog(
             context,
             range_number,
@@ -179,19 +177,15 @@
         self._log.flush(now_seconds)
 
     def member_id(self) -> str | None:
-        """Returns the range's owner; hashes once a membership."""
-        present = membership(self._context)
-        if present.epoch != self._epoch:
-            self._epoch = present.epoch
-            self._member_id = owner_of(self.duty, present.members)
-        return self._member_id
+        """Returns the range's owner by the present membership."""
+        return duties.owner(self._context, self.duty)
 
     def _owns(self, now_seconds: float) -> bool:
         if self.member_id() != self._context.member_id:
             return False
         if not self._protections.settle_wait:
             return True
-        return may_act(self._context, self.duty, now_seconds)
+        return duties.may_act(self._context, self.duty, now_seconds)
 
     def _is_expired(self, key_millis: int) -> bool:
         if not self._protections.retention:
--- a/tests/support/serving.py
+++ b/tests/support/serving.py
@@ -263,7 +263,7 @@
             Invariant.CREDITS_WITHIN_CAPACITY,
             f"{organisation}: {len(attempts)} in flight",
         )
-        self._push(
+        self.schedule(
             self.clock.monotonic_seconds() + self._delay(),
             None,
             lambda: self._arrive(node, ticket, run_seconds),
@@ -299,7 +299,7 @@
             fake.completed += 1
             self._end(node, ticket, AttemptState.DONE)
 
-        self._push(now_seconds + run_seconds, None, finish)
+        self.schedule(now_seconds + run_seconds, None, finish)
 
     def _end(self, node: Node, ticket: Ticket, state: AttemptState) -> None:
         """Tells the router, if it still runs, how an attempt ended."""
