Let groups form, leave service and repair themselves

Cause: an engine's replica spans several VMs and nothing formed it, noticed a lost VM or made it whole again. Change: one stored object a fabric domain holds all its groups and VM claims and is written by conditional update; the domain's owner detects broken groups, stops, forms and loads them; placement picks domains; one queue orders loads before the weight store; group rows spread by peers; the runner table derives engine runners from serving groups. Before: no groups.

--- a/mulberrypaddle/blackboard/intents.py
+++ b/mulberrypaddle/blackboard/intents.py
@@ -15,6 +15,8 @@
     from returns.result import Result
 
     from mulberrypaddle.core.errors import Problem
+    from mulberrypaddle.core.fleet import Vm
+    from mulberrypaddle.core.groups import VmReport
 
 
 class Priority(enum.IntEnum):
@@ -191,3 +193,88 @@
         self.argument = argument
         self.vm_ids = vm_ids
         self.reply = reply
+
+
+class VmList:
+    """The platform's list of VMs at one version.
+
+    Attributes:
+        version: Version of the list.
+        vms: The VMs, or None if the version was known already.
+    """
+
+    __slots__ = ("version", "vms")
+
+    def __init__(self, version: int, vms: tuple[Vm, ...] | None) -> None:
+        self.version = version
+        self.vms = vms
+
+
+class ReadVms(Intent):
+    """Reads the platform's list of VMs unless `known_version` is current."""
+
+    __slots__ = ("known_version", "reply")
+
+    def __init__(
+        self,
+        *,
+        known_version: int,
+        reply: Callable[[Result[VmList, Problem]], None],
+    ) -> None:
+        self.known_version = known_version
+        self.reply = reply
+
+
+class ReadVmReport(Intent):
+    """Asks one VM which generation it executes for.
+
+    Attributes:
+        vm_id: Which VM.
+        address: `host:port` of the VM.
+        reply: Called with what the VM says.
+    """
+
+    __slots__ = ("address", "reply", "vm_id")
+
+    def __init__(
+        self,
+        vm_id: str,
+        *,
+        address: str,
+        reply: Callable[[Result[VmReport, Problem]], None],
+    ) -> None:
+        self.vm_id = vm_id
+        self.address = address
+        self.reply = reply
+
+
+class ReserveLoad(Intent):
+    """Asks the weight store for one load; LIMIT_REACHED means not now.
+
+    Attributes:
+        load_id: Names the load; asking twice reserves once.
+        model: What is loaded.
+        reply: Called with the seconds until the reservation expires.
+    """
+
+    __slots__ = ("load_id", "model", "reply")
+
+    def __init__(
+        self,
+        load_id: str,
+        *,
+        model: str,
+        reply: Callable[[Result[float, Problem]], None],
+    ) -> None:
+        self.load_id = load_id
+        self.model = model
+        self.reply = reply
+
+
+class ReleaseLoad(Intent):
+    """Tells the weight store that a load ended, well or not."""
+
+    __slots__ = ("load_id",)
+
+    def __init__(self, load_id: str) -> None:
+        self.load_id = load_id
--- a/mulberrypaddle/blackboard/keys.py
+++ b/mulberrypaddle/blackboard/keys.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from mulberrypaddle.blackboard.tables import (
         Configuration,
+        FleetStatus,
+        GroupTable,
         Health,
         Membership,
         RunnerTable,
@@ -21,5 +23,7 @@
 # Plain runners come from configuration, engine runners from groups.
 RUNNERS: Key[RunnerTable] = Key("runners", writer="runner_table")
 VMS: Key[VmTable] = Key("vms", writer="vm_table")
+GROUPS: Key[GroupTable] = Key("groups", writer="group_table")
+FLEET_STATUS: Key[FleetStatus] = Key("fleet_status", writer="fleet_status")
 # Runner ids that failure detection has taken out, with the reason.
 EJECTED: Key[dict[str, str]] = Key("ejected", writer="ejection")
--- a/mulberrypaddle/blackboard/tables.py
+++ b/mulberrypaddle/blackboard/tables.py
@@ -13,6 +13,7 @@
         Service,
         Vm,
     )
+    from mulberrypaddle.core.groups import StoredDomain
 
 
 class Configuration:
@@ -167,3 +168,120 @@
         self.peers_reachable = peers_reachable
         self.stopping = stopping
         self.isolated = isolated
+
+
+class GroupTable:
+    """Groups of the region as this router knows them.
+
+    Attributes:
+        domains: Latest stored state by fabric domain.
+        lost: Generations seen broken but not yet written so, by fabric
+            domain, with the monotonic time until which that is believed.
+    """
+
+    __slots__ = ("domains", "lost")
+
+    def __init__(
+        self,
+        domains: dict[str, StoredDomain],
+        lost: dict[str, dict[int, float]],
+    ) -> None:
+        self.domains = domains
+        self.lost = lost
+
+
+class GroupStatus:
+    """Why one group does not serve, and what is being done.
+
+    Attributes:
+        group_id: Which group.
+        service: Its service.
+        fabric_domain: Where it stands.
+        state: State by name.
+        reason: Why it left service.
+        doing: What happens next.
+        down_seconds: How long it has not served.
+    """
+
+    __slots__ = (
+        "doing",
+        "down_seconds",
+        "fabric_domain",
+        "group_id",
+        "reason",
+        "service",
+        "state",
+    )
+
+    def __init__(
+        self,
+        group_id: str,
+        *,
+        service: str,
+        fabric_domain: str,
+        state: str,
+        reason: str,
+        doing: str,
+        down_seconds: float,
+    ) -> None:
+        self.group_id = group_id
+        self.service = service
+        self.fabric_domain = fabric_domain
+        self.state = state
+        self.reason = reason
+        self.doing = doing
+        self.down_seconds = down_seconds
+
+
+class ServiceStatus:
+    """Replicas of one engine service in data centres that are in.
+
+    Attributes:
+        service: Which service.
+        wanted: Replicas that configuration asks for.
+        serving: Groups that serve.
+        downtime_seconds: Group seconds missed since this router started.
+        stranded_accelerators: Idle accelerators that missing groups could use.
+    """
+
+    __slots__ = (
+        "downtime_seconds",
+        "serving",
+        "service",
+        "stranded_accelerators",
+        "wanted",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        *,
+        wanted: int,
+        serving: int,
+        downtime_seconds: float,
+        stranded_accelerators: int,
+    ) -> None:
+        self.service = service
+        self.wanted = wanted
+        self.serving = serving
+        self.downtime_seconds = downtime_seconds
+        self.stranded_accelerators = stranded_accelerators
+
+
+class FleetStatus:
+    """What `status` and `explain` show of groups.
+
+    Attributes:
+        groups: Groups that do not serve.
+        services: By service name.
+    """
+
+    __slots__ = ("groups", "services")
+
+    def __init__(
+        self,
+        groups: tuple[GroupStatus, ...],
+        services: dict[str, ServiceStatus],
+    ) -> None:
+        self.groups = groups
+        self.services = services
--- /dev/null
+++ b/properties/test_groups.py
@@ -0,0 +1,209 @@
+"""Groups under random losses, pauses, partitions and store outages."""
+
+from __future__ import annotations
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulberrypaddle.core.fleet import VmState
+from tests.support.vm_world import SERVICE, VmWorld
+
+ROUTERS = ["r1", "r2", "r3", "r4", "r5", "r6", "r7"]
+DOMAINS = {"a-1": 9, "a-2": 6, "b-1": 9, "c-1": 9}
+REPLICAS = 5
+STEP_SECONDS = 0.1
+
+KINDS = (
+    "kill_vm",
+    "silent_vm",
+    "restart_vm",
+    "cut_vm",
+    "leave_vm",
+    "return_vm",
+    "lose_domain",
+    "kill_router",
+    "pause_router",
+    "partition_router",
+    "heal_router",
+    "store_down",
+    "store_up",
+    "lose_answers",
+    "data_centre_out",
+    "data_centre_in",
+    "new_model",
+)
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(KINDS),
+        st.integers(min_value=0, max_value=999),
+        st.floats(min_value=0.2, max_value=7.0),
+    ),
+    min_size=4,
+    max_size=14,
+)
+
+
+class Chaos:
+    """Applies events to a world and heals it again."""
+
+    def __init__(self, world: VmWorld) -> None:
+        self.world = world
+        self._models = 1
+
+    def apply(self, kind: str, number: int) -> None:
+        """Brings about one event."""
+        getattr(self, f"_{kind}")(number)
+
+    def heal(self) -> None:
+        """Ends every fault."""
+        self.world.fleet.store.down = False
+        self.world.late_share = 0.0
+        for member_id in ROUTERS:
+            self.world.heal_router(member_id)
+        for vm_id in self.world.agents:
+            self._bring_back(vm_id)
+        for name in ("a", "b", "c"):
+            self.world.put_data_centre(name, "in")
+
+    def _vm(self, number: int) -> str:
+        vm_ids = sorted(self.world.agents)
+        return vm_ids[number % len(vm_ids)]
+
+    def _bring_back(self, vm_id: str) -> None:
+        agent = self.world.agents[vm_id]
+        agent.unreachable = False
+        if agent.dead:
+            agent.restart()
+        self.world.set_state(vm_id, VmState.LIVE)
+
+    def _kill_vm(self, number: int) -> None:
+        self.world.kill_vm(self._vm(number))
+
+    def _silent_vm(self, number: int) -> None:
+        self.world.kill_vm(self._vm(number), listed=False)
+
+    def _restart_vm(self, number: int) -> None:
+        self.world.agents[self._vm(number)].restart()
+
+    def _cut_vm(self, number: int) -> None:
+        self.world.agents[self._vm(number)].unreachable = True
+
+    def _leave_vm(self, number: int) -> None:
+        self.world.set_state(self._vm(number), VmState.LEAVING)
+
+    def _return_vm(self, number: int) -> None:
+        self._bring_back(self._vm(number))
+
+    def _lose_domain(self, number: int) -> None:
+        names = sorted(DOMAINS)
+        name = names[number % len(names)]
+        for vm_id in self.world.agents:
+            if vm_id.startswith(f"{name}."):
+                self.world.kill_vm(vm_id, listed=False)
+
+    def _router(self, number: int) -> str | None:
+        able = []
+        for member_id in sorted(self.world.fleet.nodes):
+            if member_id not in self.world.cut_off:
+                able.append(member_id)
+        return able[number % len(able)] if len(able) > 2 else None
+
+    def _kill_router(self, number: int) -> None:
+        member_id = self._router(number)
+        if member_id is not None:
+            self.world.kill_router(member_id)
+
+    def _pause_router(self, number: int) -> None:
+        member_id = self._router(number)
+        if member_id is not None:
+            self.world.cut_router(member_id, paused=True)
+
+    def _partition_router(self, number: int) -> None:
+        member_id = self._router(number)
+        if member_id is not None:
+            self.world.cut_router(member_id, paused=False)
+
+    def _heal_router(self, number: int) -> None:
+        self.world.heal_router(ROUTERS[number % len(ROUTERS)])
+
+    def _store_down(self, number: int) -> None:
+        self.world.fleet.store.down = True
+
+    def _store_up(self, number: int) -> None:
+        self.world.fleet.store.down = False
+
+    def _lose_answers(self, number: int) -> None:
+        self.world.fleet.store.lose_answers += 1 + number % 3
+
+    def _data_centre_out(self, number: int) -> None:
+        self._switch(number, "out")
+
+    def _data_centre_in(self, number: int) -> None:
+        self._switch(number, "in")
+
+    def _switch(self, number: int, state: str) -> None:
+        if not self.world.fleet.store.down:
+            self.world.put_data_centre("abc"[number % 3], state)
+
+    def _new_model(self, number: int) -> None:
+        if self.world.fleet.store.down:
+            return
+        self._models += 1
+        self.world.put_service(
+            SERVICE, replicas=REPLICAS, model=f"m{self._models}"
+        )
+
+
+def run_chaos(world: VmWorld, events: list[tuple[str, int, float]]) -> Chaos:
+    """Runs events; every invariant is asserted on the way."""
+    chaos = Chaos(world)
+    world.run(10.0, step_seconds=STEP_SECONDS)
+    for kind, number, wait_seconds in events:
+        chaos.apply(kind, number)
+        world.run(wait_seconds, step_seconds=STEP_SECONDS)
+    return chaos
+
+
+class GroupsProperty(testtools.TestCase):
+    """No VM in two groups, no part of a group serves, repair completes."""
+
+    def _check(
+        self,
+        events: list[tuple[str, int, float]],
+        seed: int,
+        checks_fencing: bool,
+    ) -> None:
+        world = VmWorld(
+            ROUTERS,
+            domains=DOMAINS,
+            replicas=REPLICAS,
+            seed=seed,
+            loss=0.05,
+            list_lag_seconds=2.0,
+            checks_fencing=checks_fencing,
+        )
+        world.late_share = 0.2
+        chaos = run_chaos(world, events)
+        chaos.heal()
+        world.run(60.0, step_seconds=STEP_SECONDS)
+        serving = world.groups()
+        self.assertGreaterEqual(len(serving), REPLICAS, events)
+        for group in serving:
+            for vm_id in group.vm_ids:
+                agent = world.agents[vm_id]
+                self.assertEqual(group.generation, agent.generation)
+
+    @settings(max_examples=12)
+    @given(EVENTS, st.integers(min_value=0, max_value=10_000))
+    def test_vms_that_check_fencing(
+        self, events: list[tuple[str, int, float]], seed: int
+    ) -> None:
+        self._check(events, seed, True)
+
+    @settings(max_examples=12)
+    @given(EVENTS, st.integers(min_value=0, max_value=10_000))
+    def test_vms_that_ignore_fencing(
+        self, events: list[tuple[str, int, float]], seed: int
+    ) -> None:
+        self._check(events, seed, False)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -15,6 +15,10 @@
     ListObjects,
     OrderRunner,
     ReadObject,
+    ReadVmReport,
+    ReadVms,
+    ReleaseLoad,
+    ReserveLoad,
     SendToPeer,
     WriteObject,
 )
@@ -42,6 +46,8 @@
         loss: Share of messages that are lost.
         decisions: All decisions made, in order, with the member id.
         order_runner: Answers orders to runners; tests replace it.
+        outside: Answers orders, VM reports, the VM list and the weight store
+            when it is set; it goes before `order_runner`.
     """
 
     def __init__(
@@ -65,6 +71,7 @@
         self.delay_seconds = delay_seconds
         self.decisions: list[tuple[str, Decision]] = []
         self.order_runner: Callable[[OrderRunner], None] | None = None
+        self.outside: Callable[[Intent, Node], None] | None = None
         self._build = build
         self._data_centres = data_centres
         self._incarnations = itertools.count(1)
@@ -130,6 +137,11 @@
         )
         self._push(due_seconds, node, act)
 
+    def call_after(self, delay_seconds: float, act: Callable[[], None]) -> None:
+        """Runs `act` after a delay, whatever becomes of its sender."""
+        due_seconds = self.clock.monotonic_seconds() + delay_seconds
+        heapq.heappush(self._events, (due_seconds, next(self._numbers), act))
+
     def _push(
         self, due_seconds: float, node: Node, act: Callable[[], None]
     ) -> None:
@@ -180,10 +192,22 @@
 
 @carry_out.register(OrderRunner)
 def _order(intent: OrderRunner, fleet: FakeFleet, node: Node) -> None:
+    if fleet.outside is not None:
+        fleet.outside(intent, node)
+        return
     if fleet.order_runner is not None:
         fleet.order_runner(intent)
 
 
+@carry_out.register(ReadVms)
+@carry_out.register(ReadVmReport)
+@carry_out.register(ReserveLoad)
+@carry_out.register(ReleaseLoad)
+def _outside(intent: Intent, fleet: FakeFleet, node: Node) -> None:
+    if fleet.outside is not None:
+        fleet.outside(intent, node)
+
+
 def _on_store(
     fleet: FakeFleet, node: Node, act: Callable[[], object], reply: Callable
 ) -> None:
--- a/tests/support/membership.py
+++ b/tests/support/membership.py
@@ -35,6 +35,18 @@
         self._member_ids = list(member_ids)
         self.epoch += 1
 
+    def adopt(
+        self,
+        epoch: int,
+        member_ids: list[str],
+        unsettled: tuple[PastMembers, ...],
+    ) -> None:
+        """Takes a membership as another router knows it."""
+        self.epoch = epoch
+        self.renews = True
+        self._member_ids = list(member_ids)
+        self._unsettled = unsettled
+
     def step(self, now_seconds: float) -> None:
         if self.renews:
             self._lease_until_seconds = now_seconds + self.lease_seconds
