--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -15,11 +15,15 @@
 from mulberrypaddle.controllers.configuration import ConfigurationController
 from mulberrypaddle.controllers.membership import SoloMembership
 from mulberrypaddle.controllers.runner_table import RunnerTableController
+from mulberrypaddle.controllers.stream_memory import StreamMemory
 from mulberrypaddle.core.clock import Clock, SystemClock
 from mulberrypaddle.driver import Adapters, Driver
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
+from mulberrypaddle.operators import Journal
+from mulberrypaddle.operators.apply import Apply
+from mulberrypaddle.operators.handlers import OperatorDesk, operator_routes
 
 if TYPE_CHECKING:
     from mulberrypaddle.settings import RouterSettings
@@ -30,7 +34,9 @@
 
     Attributes:
         context: The controllers' context, with the blackboard.
+        memory: Budget of answer bytes.
         node: The controllers in step.
+        journal: Recent decisions, to be explained.
     """
 
     def __init__(
@@ -47,6 +53,10 @@
         )
         admission = Admission(self.context)
         claims = Claims(self.context)
+        apply = Apply(self.context)
+        self.memory = StreamMemory(
+            self.context, budget_bytes=settings.answer_memory_bytes
+        )
         self.node = Node(
             self.context,
             [
@@ -55,8 +65,10 @@
                 ),
                 ConfigurationController(self.context),
                 RunnerTableController(self.context),
+                apply,
                 claims,
                 admission,
+                self.memory,
             ],
         )
         self._store = HttpObjectStore(
@@ -64,10 +76,14 @@
             timeout_seconds=settings.object_api_timeout_seconds,
         )
         self._runners = HttpRunnerClient()
-        self._driver = Driver(self.node, Adapters(store=self._store))
+        self.journal = Journal()
+        self._driver = Driver(
+            self.node, Adapters(store=self._store), journal=self.journal
+        )
         self._server = serve_front_door(
             FrontDoor(
                 context=self.context,
+                memory=self.memory,
                 pipeline=Pipeline(
                     admission=admission,
                     claims=claims,
@@ -75,7 +91,15 @@
                     clock=clock,
                 ),
                 settings=settings,
-            )
+            ),
+            operator_routes(
+                OperatorDesk(
+                    context=self.context,
+                    apply=apply,
+                    journal=self.journal,
+                    key_sha256=settings.operator_key_sha256,
+                )
+            ),
         )
         self._task: asyncio.Task[None] | None = None
 
