--- /dev/null
+++ b/properties/groups_soak.py
@@ -0,0 +1,45 @@
+"""A longer seeded run of the groups' properties.
+
+Run as `python -m properties.groups_soak [RUNS] [FIRST_SEED]`; prints one
+key=value line and the seeds that failed.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+
+from properties.test_groups import KINDS, check_repair
+
+DEFAULT_RUNS = 200
+MAX_EVENTS = 20
+
+
+def random_events(rng: random.Random) -> list[tuple[str, int, float]]:
+    """Returns a schedule of events."""
+    events = []
+    for _ in range(rng.randint(4, MAX_EVENTS)):
+        events.append(
+            (rng.choice(KINDS), rng.randrange(1000), rng.uniform(0.2, 7.0))
+        )
+    return events
+
+
+def main(runs: int, first_seed: int) -> int:
+    """Returns how many of the runs failed."""
+    failed = 0
+    for seed in range(first_seed, first_seed + runs):
+        rng = random.Random(seed)
+        events = random_events(rng)
+        try:
+            check_repair(events, seed, checks_fencing=seed % 2 == 0)
+        except AssertionError as error:
+            failed += 1
+            print(f"failed seed={seed} detail={str(error)!r}", flush=True)
+    print(f"runs={runs} first_seed={first_seed} failed={failed}")
+    return failed
+
+
+if __name__ == "__main__":
+    arguments = [int(text) for text in sys.argv[1:]]
+    sys.exit(min(1, main(*(arguments + [DEFAULT_RUNS, 0][len(arguments) :]))))
