Carry orders, VM reports, the VM list and loads over HTTP

Cause: groups lived only in tests. Change: backends and stand-ins for the VM list, the weight store and the VM agents; the driver carries their intents out; an order that outlives its sender's lease is dropped before it leaves; routers run the controllers.

--- /dev/null
+++ b/mulberrypaddle/backends/json_calls.py
@@ -0,0 +1,75 @@
+"""Calls that send and take JSON, for the platform's smaller interfaces."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import tornado.httpclient
+from returns.result import Failure, Result, Success
+
+from mulberrypaddle.backends.curl import CurlClient, make_client, was_unsent
+from mulberrypaddle.core.errors import ErrorKind, Problem
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+_KINDS = {
+    409: ErrorKind.RUNNER_REFUSED,
+    429: ErrorKind.LIMIT_REACHED,
+    503: ErrorKind.STORE_UNAVAILABLE,
+}
+
+
+class JsonCalls:
+    """A client whose answers are JSON values or problems."""
+
+    def __init__(self, *, timeout_seconds: float) -> None:
+        self._timeout_seconds = timeout_seconds
+        self._client: CurlClient = make_client()
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        body: Mapping[str, Any] | None = None,
+    ) -> Result[Any, Problem]:
+        """Sends one request.
+
+        Args:
+            method: HTTP method.
+            url: Whole URL, by IP number.
+            body: Sent as JSON, or None.
+
+        Returns:
+            The JSON value; RUNNER_UNREACHABLE if nothing was sent;
+            OUTCOME_UNKNOWN if the answer was lost; else what the status says.
+        """
+        request = tornado.httpclient.HTTPRequest(
+            url,
+            method=method,
+            body=None if body is None else json.dumps(body),
+            connect_timeout=self._timeout_seconds,
+            request_timeout=self._timeout_seconds,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (tornado.httpclient.HTTPError, OSError) as error:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            if was_unsent(error):
+                kind = ErrorKind.RUNNER_UNREACHABLE
+            return Failure(Problem(kind, f"{method} {url}: {error}"))
+        try:
+            value = json.loads(response.body or b"{}")
+        except ValueError as error:
+            return Failure(
+                Problem(ErrorKind.OUTCOME_UNKNOWN, f"{method} {url}: {error}")
+            )
+        if response.code == 200:
+            return Success(value)
+        kind = _KINDS.get(response.code, ErrorKind.OUTCOME_UNKNOWN)
+        return Failure(Problem(kind, f"{method} {url}: {response.code}"))
+
+    def close(self) -> None:
+        """Closes the client."""
+        self._client.close()
--- /dev/null
+++ b/mulberrypaddle/backends/vm_orders.py
@@ -0,0 +1,71 @@
+"""Orders to VMs and their reports, over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from mulberrypaddle.backends.json_calls import JsonCalls
+from mulberrypaddle.core.groups import VmPhase, VmReport
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from mulberrypaddle.blackboard import OrderRunner
+    from mulberrypaddle.core.errors import Problem
+
+TIMEOUT_SECONDS = 1.0
+
+
+class HttpVmOrders:
+    """Speaks to the agents on the VMs."""
+
+    def __init__(self) -> None:
+        self._calls = JsonCalls(timeout_seconds=TIMEOUT_SECONDS)
+
+    async def order(self, intent: OrderRunner) -> Result[int, Problem]:
+        """Returns the generation that the VM confirms."""
+        result = await self._calls.call(
+            "POST",
+            f"http://{intent.address}/v1/orders",
+            {
+                "order": intent.order.value,
+                "group_id": intent.group_id,
+                "generation": intent.generation,
+                "fencing": intent.fencing,
+                "argument": intent.argument,
+                "vm_ids": list(intent.vm_ids),
+            },
+        )
+        return result.map(lambda value: int(value["generation"]))
+
+    async def report(self, address: str) -> Result[VmReport, Problem]:
+        """Returns what a VM says of itself."""
+        result = await self._calls.call("GET", f"http://{address}/v1/vm-report")
+        return result.map(_parse_report)
+
+    def close(self) -> None:
+        """Closes the client."""
+        self._calls.close()
+
+
+def report_to_json(report: VmReport) -> dict[str, Any]:
+    """Returns a report in the form that goes over the wire."""
+    return {
+        "vm_id": report.vm_id,
+        "incarnation": report.incarnation,
+        "generation": report.generation,
+        "phase": report.phase.value,
+        "member_vm_ids": list(report.member_vm_ids),
+        "running_requests": report.running_requests,
+    }
+
+
+def _parse_report(value: dict[str, Any]) -> VmReport:
+    return VmReport(
+        value["vm_id"],
+        incarnation=value["incarnation"],
+        generation=value["generation"],
+        phase=VmPhase(value["phase"]),
+        member_vm_ids=tuple(value["member_vm_ids"]),
+        running_requests=value["running_requests"],
+    )
--- a/mulberrypaddle/blackboard/intents.py
+++ b/mulberrypaddle/blackboard/intents.py
@@ -159,6 +159,8 @@
         fencing: Fencing number; VMs that check refuse lower ones.
         argument: Model, adapter or role, depending on the order.
         vm_ids: All VMs of the group.
+        valid_until_seconds: Monotonic time from which the order must not be
+            sent any more, since its sender's lease has lapsed.
         reply: Called with the confirmed generation.
     """
 
@@ -170,6 +172,7 @@
         "group_id",
         "order",
         "reply",
+        "valid_until_seconds",
         "vm_ids",
     )
 
@@ -183,6 +186,7 @@
         fencing: int,
         argument: str = "",
         vm_ids: tuple[str, ...] = (),
+        valid_until_seconds: float = float("inf"),
         reply: Callable[[Result[int, Problem]], None],
     ) -> None:
         self.address = address
@@ -192,6 +196,7 @@
         self.fencing = fencing
         self.argument = argument
         self.vm_ids = vm_ids
+        self.valid_until_seconds = valid_until_seconds
         self.reply = reply
 
 
--- a/mulberrypaddle/controllers/groups/__init__.py
+++ b/mulberrypaddle/controllers/groups/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from mulberrypaddle.controllers.groups.group_table import GroupTableController
 from mulberrypaddle.controllers.groups.load_queue import LoadQueue
 from mulberrypaddle.controllers.groups.placement import Placement
@@ -9,6 +11,10 @@
 from mulberrypaddle.controllers.groups.status import FleetStatusController
 from mulberrypaddle.controllers.groups.vm_table import VmTableController
 
+if TYPE_CHECKING:
+    from mulberrypaddle.controllers.base import Context, Controller
+    from mulberrypaddle.controllers.groups.evolve import Protections
+
 __all__ = [
     "FleetStatusController",
     "GroupTableController",
@@ -16,4 +22,32 @@
     "Placement",
     "Repair",
     "VmTableController",
+    "group_controllers",
 ]
+
+
+def group_controllers(
+    context: Context, *, protections: Protections | None = None
+) -> list[Controller]:
+    """Returns the controllers of groups, in the order of their steps.
+
+    Args:
+        context: This router's context.
+        protections: All on but in tests.
+    """
+    group_table = GroupTableController(context)
+    load_queue = LoadQueue(context)
+    repair = Repair(
+        context,
+        group_table=group_table,
+        load_queue=load_queue,
+        protections=protections,
+    )
+    return [
+        VmTableController(context),
+        group_table,
+        load_queue,
+        repair,
+        Placement(context, repair=repair),
+        FleetStatusController(context),
+    ]
--- a/mulberrypaddle/controllers/groups/contact.py
+++ b/mulberrypaddle/controllers/groups/contact.py
@@ -63,6 +63,7 @@
         evidence: Evidence,
         *,
         clock: Callable[[], float],
+        lease: Callable[[], float],
         quiet_from_seconds: float,
     ) -> None:
         """Takes where calls go and where evidence is kept.
@@ -71,12 +72,14 @@
             board: Takes the intents.
             evidence: Written with every answer.
             clock: Returns monotonic seconds.
+            lease: Returns when this router's lease lapses.
             quiet_from_seconds: Time from which no order of an earlier owner
                 can still arrive.
         """
         self._board = board
         self._evidence = evidence
         self._clock = clock
+        self._lease = lease
         self._quiet_from_seconds = quiet_from_seconds
         self._contacts: dict[str, _VmContact] = {}
 
@@ -269,6 +272,7 @@
                 fencing=fencing,
                 argument="" if group is None else group.model,
                 vm_ids=() if group is None else group.vm_ids,
+                valid_until_seconds=self._lease(),
                 reply=reply,
             )
         )
--- a/mulberrypaddle/controllers/groups/keeper.py
+++ b/mulberrypaddle/controllers/groups/keeper.py
@@ -161,6 +161,7 @@
             self._context.board,
             self.evidence,
             clock=self._context.now_seconds,
+            lease=lambda: membership(self._context).lease_until_seconds,
             quiet_from_seconds=self._context.now_seconds()
             + ORDER_FLIGHT_SECONDS,
         )
--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -10,7 +10,12 @@
     DeleteObject,
     Intent,
     ListObjects,
+    OrderRunner,
     ReadObject,
+    ReadVmReport,
+    ReadVms,
+    ReleaseLoad,
+    ReserveLoad,
     WriteObject,
 )
 from mulberrypaddle.observe import log_decision
@@ -20,6 +25,7 @@
     from typing import Any
 
     from mulberrypaddle.backends import ObjectStore
+    from mulberrypaddle.backends.vm_platform import VmPlatform
     from mulberrypaddle.node import Node
     from mulberrypaddle.operators.journal import Journal
 
@@ -31,12 +37,14 @@
 
     Attributes:
         store: The platform's object API.
+        vms: VMs, their list and the weight store.
     """
 
-    __slots__ = ("store",)
+    __slots__ = ("store", "vms")
 
-    def __init__(self, *, store: ObjectStore) -> None:
+    def __init__(self, *, store: ObjectStore, vms: VmPlatform) -> None:
         self.store = store
+        self.vms = vms
 
 
 @functools.singledispatch
@@ -81,6 +89,31 @@
     )
 
 
+@carry_out.register(ReadVms)
+async def _read_vms(intent: ReadVms, adapters: Adapters) -> None:
+    await adapters.vms.read_vms(intent)
+
+
+@carry_out.register(ReadVmReport)
+async def _read_vm_report(intent: ReadVmReport, adapters: Adapters) -> None:
+    await adapters.vms.read_report(intent)
+
+
+@carry_out.register(OrderRunner)
+async def _order(intent: OrderRunner, adapters: Adapters) -> None:
+    await adapters.vms.order(intent)
+
+
+@carry_out.register(ReserveLoad)
+async def _reserve(intent: ReserveLoad, adapters: Adapters) -> None:
+    await adapters.vms.reserve(intent)
+
+
+@carry_out.register(ReleaseLoad)
+async def _release(intent: ReleaseLoad, adapters: Adapters) -> None:
+    await adapters.vms.release(intent)
+
+
 class Driver:
     """Runs one node on the event loop."""
 
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -8,11 +8,13 @@
 
 from mulberrypaddle.backends.http_object_store import HttpObjectStore
 from mulberrypaddle.backends.http_runner import HttpRunnerClient
+from mulberrypaddle.backends.vm_platform import VmPlatform
 from mulberrypaddle.blackboard import Board
 from mulberrypaddle.controllers.admission import Admission
 from mulberrypaddle.controllers.base import Context
 from mulberrypaddle.controllers.claims import Claims
 from mulberrypaddle.controllers.configuration import ConfigurationController
+from mulberrypaddle.controllers.groups import group_controllers
 from mulberrypaddle.controllers.membership import SoloMembership
 from mulberrypaddle.controllers.runner_table import RunnerTableController
 from mulberrypaddle.controllers.stream_memory import StreamMemory
@@ -64,6 +66,7 @@
                     self.context, peer_address=settings.peer_address
                 ),
                 ConfigurationController(self.context),
+                *group_controllers(self.context),
                 RunnerTableController(self.context),
                 apply,
                 claims,
@@ -76,9 +79,15 @@
             timeout_seconds=settings.object_api_timeout_seconds,
         )
         self._runners = HttpRunnerClient()
+        self._vms = VmPlatform(
+            vm_list_address=settings.vm_list_address,
+            weight_store_address=settings.weight_store_address,
+        )
         self.journal = Journal()
         self._driver = Driver(
-            self.node, Adapters(store=self._store), journal=self.journal
+            self.node,
+            Adapters(store=self._store, vms=self._vms),
+            journal=self.journal,
         )
         self._server = serve_front_door(
             FrontDoor(
@@ -116,3 +125,4 @@
             self._task.cancel()
         self._store.close()
         self._runners.close()
+        self._vms.close()
--- a/mulberrypaddle/settings/settings.py
+++ b/mulberrypaddle/settings/settings.py
@@ -43,6 +43,8 @@
         peer_address: `host:port` for other routers.
         object_api_address: `host:port` of the platform's object API.
         object_api_timeout_seconds: Longest wait for one platform call.
+        vm_list_address: `host:port` of the list of VMs, or empty.
+        weight_store_address: `host:port` of the weight store, or empty.
         body_bytes: Largest request body.
         header_bytes: Largest request header.
         answer_memory_bytes: Most answer bytes held for all readers.
@@ -65,6 +67,8 @@
         "peer_tls",
         "region",
         "stop_seconds",
+        "vm_list_address",
+        "weight_store_address",
     )
 
     def __init__(
@@ -77,6 +81,8 @@
         peer_address: str,
         object_api_address: str,
         object_api_timeout_seconds: float = 2.0,
+        vm_list_address: str = "",
+        weight_store_address: str = "",
         body_bytes: int = 4 * MIB_BYTES,
         header_bytes: int = 65_536,
         answer_memory_bytes: int = 64 * MIB_BYTES,
@@ -91,6 +97,8 @@
         self.peer_address = peer_address
         self.object_api_address = object_api_address
         self.object_api_timeout_seconds = object_api_timeout_seconds
+        self.vm_list_address = vm_list_address
+        self.weight_store_address = weight_store_address
         self.body_bytes = body_bytes
         self.header_bytes = header_bytes
         self.answer_memory_bytes = answer_memory_bytes
@@ -111,6 +119,8 @@
         peer_address=value["listen"]["peers"],
         object_api_address=object_api["address"],
         object_api_timeout_seconds=object_api.get("timeout_seconds", 2.0),
+        vm_list_address=value.get("vm_list", {}).get("address", ""),
+        weight_store_address=value.get("weight_store", {}).get("address", ""),
         operator_key_sha256=tuple(value.get("operator_key_sha256", [])),
         peer_tls=None if tls is None else PeerTls(**tls),
         **limits,
--- a/mulberrypaddle/standins/engine.py
+++ b/mulberrypaddle/standins/engine.py
@@ -11,13 +11,16 @@
 import time
 import uuid
 import zlib
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import tornado.iostream
 import tornado.web
 
 from mulberrypaddle.standins.web import JsonHandler, LocalServer
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 CRASH_MARK = "crash-the-engine"
 
 
@@ -103,9 +106,13 @@
 class _EngineHandler(JsonHandler):
     """Knows the engine's state and how to cut a connection."""
 
-    def initialize(self, state: EngineState) -> None:
-        """Takes the engine to serve."""
+    def initialize(
+        self, state: EngineState, before: Callable[[], None] | None = None
+    ) -> None:
+        """Takes the engine to serve, and what to call before each request."""
         self.state = state
+        if before is not None:
+            before()
 
     def cut(self) -> None:
         """Closes the connection with no answer."""
@@ -264,14 +271,23 @@
         self.answer(200, {"cancelled": known})
 
 
+def engine_routes(
+    state: EngineState, *, before: Callable[[], None] | None = None
+) -> list[Any]:
+    """Returns the routes of an engine.
+
+    Args:
+        state: The engine.
+        before: Called before each request, or None.
+    """
+    arguments = {"state": state, "before": before}
+    return [
+        (r"/v1/completions", _CompletionHandler, arguments),
+        (r"/v1/report", _ReportHandler, arguments),
+        (r"/v1/cancel/(.+)", _CancelHandler, arguments),
+    ]
+
+
 def serve_engine(state: EngineState, *, port: int = 0) -> LocalServer:
     """Starts the stand-in on the loopback address."""
-    arguments = {"state": state}
-    application = tornado.web.Application(
-        [
-            (r"/v1/completions", _CompletionHandler, arguments),
-            (r"/v1/report", _ReportHandler, arguments),
-            (r"/v1/cancel/(.+)", _CancelHandler, arguments),
-        ]
-    )
-    return LocalServer(application, port=port)
+    return LocalServer(tornado.web.Application(engine_routes(state)), port=port)
--- a/tests/support/vm_world.py
+++ b/tests/support/vm_world.py
@@ -23,14 +23,7 @@
     RunnerTable,
 )
 from mulberrypaddle.controllers import Controller
-from mulberrypaddle.controllers.groups import (
-    FleetStatusController,
-    GroupTableController,
-    LoadQueue,
-    Placement,
-    Repair,
-    VmTableController,
-)
+from mulberrypaddle.controllers.groups import group_controllers
 from mulberrypaddle.controllers.groups.codec import PREFIX, decode_domain
 from mulberrypaddle.controllers.groups.evolve import Protections
 from mulberrypaddle.controllers.runner_table import RunnerTableController
@@ -159,23 +152,10 @@
         membership = FixedMembership(context, self._member_ids)
         membership.adopt(self.epoch, self._member_ids, self._unsettled)
         self.memberships[context.member_id] = membership
-        group_table = GroupTableController(context)
-        load_queue = LoadQueue(context)
-        repair = Repair(
-            context,
-            group_table=group_table,
-            load_queue=load_queue,
-            protections=self._protections,
-        )
         return [
             membership,
             _ConfigurationInForce(context, self),
-            VmTableController(context),
-            group_table,
-            load_queue,
-            repair,
-            Placement(context, repair=repair),
-            FleetStatusController(context),
+            *group_controllers(context, protections=self._protections),
             RunnerTableController(context, marks_leaving=self._marks_leaving),
         ]
 
