--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -16,6 +16,7 @@
     ReadVms,
     ReleaseLoad,
     ReserveLoad,
+    SendToPeer,
     WriteObject,
 )
 from mulberrypaddle.observe import log_decision
@@ -28,6 +29,7 @@
     from mulberrypaddle.backends.vm_platform import VmPlatform
     from mulberrypaddle.node import Node
     from mulberrypaddle.operators.journal import Journal
+    from mulberrypaddle.peers import PeerLinks
 
 STEP_SECONDS = 0.02
 
@@ -37,13 +39,17 @@
 
     Attributes:
         store: The platform's object API.
+        links: Links to the other routers.
         vms: VMs, their list and the weight store.
     """
 
-    __slots__ = ("store", "vms")
+    __slots__ = ("links", "store", "vms")
 
-    def __init__(self, *, store: ObjectStore, vms: VmPlatform) -> None:
+    def __init__(
+        self, *, store: ObjectStore, links: PeerLinks, vms: VmPlatform
+    ) -> None:
         self.store = store
+        self.links = links
         self.vms = vms
 
 
@@ -114,6 +120,11 @@
     await adapters.vms.release(intent)
 
 
+@carry_out.register(SendToPeer)
+async def _send(intent: SendToPeer, adapters: Adapters) -> None:
+    adapters.links.send(intent.member_id, intent.message)
+
+
 class Driver:
     """Runs one node on the event loop."""
 
