--- a/mulberrypaddle/operators/handlers.py
+++ b/mulberrypaddle/operators/handlers.py
@@ -17,11 +17,15 @@
     Priority,
     ReadObject,
     StoredObject,
+    keys,
 )
+from mulberrypaddle.controllers.data_centres import check_move, reported_load
 from mulberrypaddle.core.errors import ErrorKind, Problem
+from mulberrypaddle.core.fleet import DataCentreState
 from mulberrypaddle.frontdoor.problems import problem_to_json
 from mulberrypaddle.operators.documents import DocumentKind
 from mulberrypaddle.operators.status import status_tables
+from mulberrypaddle.settings.objects import parse_data_centre
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -230,6 +234,10 @@
                 Problem(ErrorKind.INVALID_CONFIG, f"{name}: not UTF-8: {error}")
             )
             return
+        unsafe = self._unsafe_move(kind.unwrap(), name, text)
+        if unsafe is not None:
+            self.refuse(unsafe)
+            return
         key = kind.unwrap().key_of(name)
         applied = await _ask(
             lambda reply: self.desk.apply.submit(
@@ -248,6 +256,32 @@
             }
         )
 
+    def _unsafe_move(
+        self, kind: DocumentKind, name: str, text: str
+    ) -> Problem | None:
+        """Returns why a data centre must not leave, unless overridden."""
+        if kind is not DocumentKind.DATA_CENTRE:
+            return None
+        if self.get_query_argument("override", "") == "true":
+            return None
+        parsed = parse_data_centre(text, source=name)
+        if not isinstance(parsed, Success):
+            return None
+        if parsed.unwrap() is not DataCentreState.OUT:
+            return None
+        board = self.desk.context.board
+        configuration = board.entry(keys.CONFIGURATION)
+        runners = board.entry(keys.RUNNERS)
+        if configuration is None or runners is None:
+            return None
+        advice = check_move(
+            configuration.value,
+            runners.value.runners.values(),
+            reported_load(runners.value),
+            name,
+        )
+        return None if isinstance(advice, Success) else advice.failure()
+
 
 class _StatusHandler(_OperatorHandler):
     """Shows the fleet as this router sees it."""
--- a/mulberrypaddle/operators/status.py
+++ b/mulberrypaddle/operators/status.py
@@ -5,7 +5,11 @@
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.blackboard import keys
-from mulberrypaddle.blackboard.tables import Configuration, RunnerTable
+from mulberrypaddle.blackboard.tables import (
+    Configuration,
+    FleetStatus,
+    RunnerTable,
+)
 from mulberrypaddle.controllers.duties import membership
 from mulberrypaddle.core.fleet import DataCentreState
 
@@ -53,6 +57,10 @@
     return board.latest(keys.RUNNERS, RunnerTable(runners={}, reports={}))
 
 
+def _fleet(context: Context) -> FleetStatus:
+    return context.board.latest(keys.FLEET_STATUS, FleetStatus((), {}))
+
+
 def _services(context: Context) -> StatusTable:
     board = context.board
     configuration = _configuration(board)
@@ -129,7 +137,62 @@
     return StatusTable("routers", columns, rows)
 
 
-_SECTIONS = (_services, _data_centres, _organisations, _routers)
+def _replicas(context: Context) -> StatusTable:
+    rows = []
+    for name, status in sorted(_fleet(context).services.items()):
+        rows.append(
+            (
+                name,
+                str(status.serving),
+                str(status.wanted),
+                f"{status.downtime_seconds:.0f}",
+                str(status.stranded_accelerators),
+            )
+        )
+    columns = (
+        "service",
+        "groups_serving",
+        "groups_wanted",
+        "group_downtime_seconds",
+        "stranded_accelerators",
+    )
+    return StatusTable("replicas", columns, rows)
+
+
+def _groups(context: Context) -> StatusTable:
+    rows = []
+    for group in _fleet(context).groups:
+        rows.append(
+            (
+                group.group_id,
+                group.service,
+                group.fabric_domain,
+                group.state,
+                f"{group.down_seconds:.0f}",
+                group.reason,
+                group.doing,
+            )
+        )
+    columns = (
+        "group",
+        "service",
+        "fabric_domain",
+        "state",
+        "down_seconds",
+        "reason",
+        "doing",
+    )
+    return StatusTable("groups_down", columns, rows)
+
+
+_SECTIONS = (
+    _services,
+    _replicas,
+    _groups,
+    _data_centres,
+    _organisations,
+    _routers,
+)
 
 
 def status_tables(context: Context) -> list[StatusTable]:
--- a/tests/cli/test_processes.py
+++ b/tests/cli/test_processes.py
@@ -162,7 +162,13 @@
             self.command("contract", "get", "museum")[1],
         )
 
-        self.assertEqual(0, self.command("data-centre", "take-out", "south")[0])
+        take_out = ("data-centre", "take-out", "south")
+        status, _, error = self.command(*take_out)
+        self.assertEqual(5, status)
+        self.assertThat(error, matchers.StartsWith("unsafe_move: "))
+        self.assertThat(error, matchers.Contains("0 of 16 slots remain"))
+        self.assertEqual(200, self.ask()[0])
+        self.assertEqual(0, self.command(*take_out, "--override")[0])
         self.wait_until(lambda: self.ask()[0] == 503)
         refusal = json.loads(self.ask()[1])
         self.assertEqual("not run", refusal["ran"])
