Measure group downtime and data centre moves; share one fleet view

Cause: nothing measured repair; each controller of groups built its own view with every new configuration object; a new row of a domain forgot suspicions of its other groups for up to a second. Change: benchmarks.group_downtime and benchmarks.data_centre_move; one fleet_view entry on the blackboard, rebuilt only when services, data centres, VMs or groups change; suspicions are spread at once and expire by themselves.

--- /dev/null
+++ b/benchmarks/data_centre_move.py
@@ -0,0 +1,270 @@
+"""Service while one of three data centres leaves and returns.
+
+Run as `python -m benchmarks.data_centre_move [SEED]`. Seven routers before 60
+groups on fake VMs, at 60 % load. The data centre is taken out, its VMs stop a
+while later, come back empty, and it is brought in. The request model is
+simple: a request takes a free slot of a routable runner or waits at its
+router; a runner that has just begun to serve bears few requests and more each
+second. In the baseline the VMs are stopped without taking the data centre
+out, and routers learn it from the platform's list alone.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import sys
+from typing import TYPE_CHECKING
+
+from tests.support.vm_world import VmWorld
+
+if TYPE_CHECKING:
+    from mulberrypaddle.core.fleet import Runner
+
+ROUTERS = ["r1", "r2", "r3", "r4", "r5", "r6", "r7"]
+REPLICAS = 60
+SLOTS = 16
+LOAD_SHARE = 0.6
+SERVICE_SECONDS = 2.0
+DEADLINE_SECONDS = 6.0
+COLD_SLOTS = 2
+SLOTS_A_SECOND = 0.5
+TAKE_OUT_SECONDS = 30.0
+STOP_SECONDS = 50.0
+RETURN_SECONDS = 80.0
+BRING_IN_SECONDS = 85.0
+END_SECONDS = 130.0
+STEP_SECONDS = 0.1
+LIST_LAG_SECONDS = 5.0
+LEAVING = "a"
+
+
+class Request:
+    """One request of the model.
+
+    Attributes:
+        arrived_seconds: When it came.
+        router: Which router it came to.
+    """
+
+    __slots__ = ("arrived_seconds", "router")
+
+    def __init__(self, arrived_seconds: float, router: str) -> None:
+        self.arrived_seconds = arrived_seconds
+        self.router = router
+
+
+class Model:
+    """Requests on the routers' runner tables.
+
+    Attributes:
+        sent_late_seconds: Latest send to the data centre after its take-out.
+        sent_late: Sends to it later than three seconds after that.
+        failed: Requests cut off or sent to a VM that has stopped.
+        latencies: Pairs of arrival and latency, both in seconds.
+        unanswered: Requests that still waited at the end.
+    """
+
+    def __init__(self, world: VmWorld, seed: int) -> None:
+        self.sent_late_seconds = 0.0
+        self.sent_late = 0
+        self.failed = 0
+        self.latencies: list[tuple[float, float]] = []
+        self._world = world
+        self._rng = random.Random(seed)
+        self._waiting: list[Request] = []
+        self._running: list[tuple[float, int, Request, str, int]] = []
+        self._in_hand: dict[str, int] = {}
+        self._since: dict[str, tuple[int, float]] = {}
+        self._number = 0
+        self._rate = LOAD_SHARE * REPLICAS * SLOTS / SERVICE_SECONDS
+
+    @property
+    def unanswered(self) -> int:
+        """Returns how many requests still wait."""
+        return len(self._waiting)
+
+    def step(self, now_seconds: float) -> None:
+        """Ends, takes and sends the requests of one step."""
+        self._finish(now_seconds)
+        arrivals = self._rate * STEP_SECONDS
+        count = int(arrivals) + (self._rng.random() < arrivals % 1)
+        for _ in range(count):
+            router = self._rng.choice(ROUTERS)
+            self._waiting.append(Request(now_seconds, router))
+        tables = {}
+        for router in ROUTERS:
+            tables[router] = self._world.routable(router)
+        still_waiting = []
+        for request in self._waiting:
+            if not self._send(request, tables[request.router], now_seconds):
+                still_waiting.append(request)
+        self._waiting = still_waiting
+
+    def _bears(self, runner: Runner, now_seconds: float) -> int:
+        known = self._since.get(runner.runner_id)
+        if known is None or known[0] != runner.generation:
+            # Groups that serve before the first step are warm.
+            since_seconds = now_seconds if now_seconds > 1.0 else -1e3
+            known = (runner.generation, since_seconds)
+            self._since[runner.runner_id] = known
+        warm_seconds = now_seconds - known[1]
+        return min(SLOTS, int(COLD_SLOTS + SLOTS_A_SECOND * warm_seconds))
+
+    def _send(
+        self,
+        request: Request,
+        table: dict[str, Runner],
+        now_seconds: float,
+    ) -> bool:
+        best: Runner | None = None
+        best_free = 0
+        for runner_id, runner in table.items():
+            free = self._bears(runner, now_seconds)
+            free -= self._in_hand.get(runner_id, 0)
+            if free > best_free:
+                best = runner
+                best_free = free
+        if best is None:
+            return False
+        late_seconds = now_seconds - TAKE_OUT_SECONDS
+        if (
+            best.data_centre == LEAVING
+            and 0 < late_seconds < BRING_IN_SECONDS - TAKE_OUT_SECONDS
+        ):
+            self.sent_late_seconds = max(self.sent_late_seconds, late_seconds)
+            self.sent_late += late_seconds > 3.0
+        self._in_hand[best.runner_id] = self._in_hand.get(best.runner_id, 0) + 1
+        self._number += 1
+        length_seconds = SERVICE_SECONDS * self._rng.uniform(0.5, 1.5)
+        heapq.heappush(
+            self._running,
+            (
+                now_seconds + length_seconds,
+                self._number,
+                request,
+                best.runner_id,
+                best.generation,
+            ),
+        )
+        return True
+
+    def _finish(self, now_seconds: float) -> None:
+        broken = self._broken_groups()
+        running = []
+        for item in self._running:
+            if (item[3], item[4]) not in broken:
+                running.append(item)
+                continue
+            self.failed += 1
+            self._in_hand[item[3]] -= 1
+        heapq.heapify(running)
+        self._running = running
+        while self._running and self._running[0][0] <= now_seconds:
+            end_seconds, _, request, runner_id, _ = heapq.heappop(self._running)
+            self._in_hand[runner_id] -= 1
+            latency_seconds = end_seconds - request.arrived_seconds
+            self.latencies.append((request.arrived_seconds, latency_seconds))
+
+    def _broken_groups(self) -> set[tuple[str, int]]:
+        broken = set()
+        for group in self._world.groups():
+            for vm_id in group.vm_ids:
+                agent = self._world.agents[vm_id]
+                if agent.generation != group.generation:
+                    broken.add((group.group_id, group.generation))
+        return broken
+
+
+def run(seed: int, *, takes_out: bool) -> Model:
+    """Runs one move.
+
+    Args:
+        seed: Of the requests and the network.
+        takes_out: Whether the operator takes the data centre out first.
+    """
+    domains = {}
+    for data_centre in "abc":
+        for number in range(5):
+            domains[f"{data_centre}-{number}"] = 17
+    world = VmWorld(
+        ROUTERS,
+        domains=domains,
+        replicas=REPLICAS,
+        seed=seed,
+        slots=30,
+        load_seconds=10.0,
+        list_lag_seconds=LIST_LAG_SECONDS,
+    )
+    while len(world.routable("r1")) < REPLICAS:
+        world.run_unchecked(1.0, step_seconds=STEP_SECONDS)
+    world.run_unchecked(5.0, step_seconds=STEP_SECONDS)
+    model = Model(world, seed)
+    acts = [
+        (TAKE_OUT_SECONDS, "out"),
+        (STOP_SECONDS, "stop"),
+        (RETURN_SECONDS, "return"),
+        (BRING_IN_SECONDS, "in"),
+    ]
+    now_seconds = 0.0
+    while now_seconds < END_SECONDS:
+        while acts and acts[0][0] <= now_seconds:
+            _act(world, acts.pop(0)[1], takes_out)
+        world.run_unchecked(STEP_SECONDS, step_seconds=STEP_SECONDS)
+        model.step(now_seconds)
+        now_seconds += STEP_SECONDS
+    return model
+
+
+def _act(world: VmWorld, name: str, takes_out: bool) -> None:
+    if name in ("out", "in"):
+        if takes_out:
+            world.put_data_centre(LEAVING, name)
+        return
+    for vm_id in world.agents:
+        if not vm_id.startswith(f"{LEAVING}-"):
+            continue
+        if name == "stop":
+            world.kill_vm(vm_id)
+            continue
+        world.return_vm(vm_id)
+
+
+def _quantile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def report(name: str, model: Model) -> None:
+    """Prints the figures of one run."""
+    in_time = 0
+    before = []
+    during = []
+    for arrived_seconds, latency_seconds in model.latencies:
+        in_time += latency_seconds <= DEADLINE_SECONDS
+        if arrived_seconds < TAKE_OUT_SECONDS:
+            before.append(latency_seconds)
+            continue
+        during.append(latency_seconds)
+    total = len(model.latencies) + model.failed + model.unanswered
+    added_p50 = _quantile(during, 0.5) - _quantile(before, 0.5)
+    added_p99 = _quantile(during, 0.99) - _quantile(before, 0.99)
+    print(
+        f"{name}_requests={total} {name}_failed={model.failed} "
+        f"{name}_in_time_share={in_time / total:.5f} "
+        f"{name}_sent_after_3s={model.sent_late} "
+        f"{name}_last_sent_after_seconds={model.sent_late_seconds:.1f} "
+        f"{name}_added_p50_seconds={added_p50:.2f} "
+        f"{name}_added_p99_seconds={added_p99:.2f}"
+    )
+
+
+def main(seed: int) -> None:
+    """Runs the baseline and the present way."""
+    print(f"seed={seed} routers={len(ROUTERS)} replicas={REPLICAS}")
+    report("baseline", run(seed, takes_out=False))
+    report("present", run(seed, takes_out=True))
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 1)
--- /dev/null
+++ b/benchmarks/group_downtime.py
@@ -0,0 +1,344 @@
+"""Group downtime and stranded accelerators over a seeded day.
+
+Run as `python -m benchmarks.group_downtime [SEED]`. 60 replicas of four VMs
+in three data centres; the present way runs one router's controllers on fake
+VMs, the baseline lets each group wait for its own VMs and loads in the order
+of failure. The bound is detection plus one load for each group that broke.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import sys
+
+from mulberrypaddle.controllers.groups.contact import (
+    CALL_INTERVAL_SECONDS,
+    CALL_TIMEOUT_SECONDS,
+)
+from mulberrypaddle.core.fleet import VmState
+from mulberrypaddle.core.groups import GroupState
+from tests.support.vm_world import VmWorld
+
+DAY_SECONDS = 86_400.0
+REPLICAS = 60
+VMS_PER_GROUP = 4
+ACCELERATORS = 8
+LOAD_SECONDS = 120.0
+LOAD_SLOTS = 6
+LOSSES = 24
+RESTARTS = 24
+RESTART_SECONDS = 60.0
+DOMAIN_OUTAGE_SECONDS = 3_600.0
+STEP_SECONDS = 0.5
+SETTLE_SECONDS = 60.0
+DETECTION_SECONDS = CALL_INTERVAL_SECONDS + 2 * CALL_TIMEOUT_SECONDS
+
+_BUSY = frozenset(
+    {
+        GroupState.FORMING,
+        GroupState.LOADING,
+        GroupState.STOPPING,
+        GroupState.DRAINING,
+    }
+)
+
+
+def make_domains() -> dict[str, int]:
+    """Returns VMs by fabric domain: 270, of which 240 are needed."""
+    domains = {}
+    for data_centre in "abc":
+        for number in range(5):
+            domains[f"{data_centre}-{number}"] = 17
+        domains[f"{data_centre}-5"] = 5
+    return domains
+
+
+class Outage:
+    """One VM that is gone for a while.
+
+    Attributes:
+        vm_id: Which VM.
+        from_seconds: When it stops.
+        until_seconds: When it is back, empty.
+        listed: Whether the platform's list shows it gone meanwhile.
+    """
+
+    __slots__ = ("from_seconds", "listed", "until_seconds", "vm_id")
+
+    def __init__(
+        self,
+        vm_id: str,
+        from_seconds: float,
+        until_seconds: float,
+        *,
+        listed: bool,
+    ) -> None:
+        self.vm_id = vm_id
+        self.from_seconds = from_seconds
+        self.until_seconds = until_seconds
+        self.listed = listed
+
+
+def make_outages(seed: int) -> list[Outage]:
+    """Returns the day's losses, restarts and one lost domain, in order."""
+    rng = random.Random(seed)
+    domains = make_domains()
+    vm_ids = []
+    for domain, count in domains.items():
+        for number in range(count):
+            vm_ids.append(f"{domain}.{number:02d}")
+    outages = []
+    for _ in range(LOSSES):
+        begin_seconds = rng.uniform(300, DAY_SECONDS - 7_200)
+        length_seconds = rng.uniform(1_200, 3_600)
+        outages.append(
+            Outage(
+                rng.choice(vm_ids),
+                begin_seconds,
+                begin_seconds + length_seconds,
+                listed=True,
+            )
+        )
+    for _ in range(RESTARTS):
+        begin_seconds = rng.uniform(300, DAY_SECONDS - 7_200)
+        outages.append(
+            Outage(
+                rng.choice(vm_ids),
+                begin_seconds,
+                begin_seconds + RESTART_SECONDS,
+                listed=False,
+            )
+        )
+    begin_seconds = rng.uniform(20_000, 60_000)
+    for vm_id in vm_ids:
+        if vm_id.startswith("b-2."):
+            outages.append(
+                Outage(
+                    vm_id,
+                    begin_seconds,
+                    begin_seconds + DOMAIN_OUTAGE_SECONDS,
+                    listed=False,
+                )
+            )
+    return _without_overlaps(sorted(outages, key=lambda o: o.from_seconds))
+
+
+def _without_overlaps(outages: list[Outage]) -> list[Outage]:
+    """Drops an outage of a VM that is gone already."""
+    until: dict[str, float] = {}
+    kept = []
+    for outage in outages:
+        if outage.from_seconds < until.get(outage.vm_id, 0.0) + 600.0:
+            continue
+        until[outage.vm_id] = outage.until_seconds
+        kept.append(outage)
+    return kept
+
+
+class Totals:
+    """What a day cost.
+
+    Attributes:
+        downtime_seconds: Group seconds without service.
+        stranded_seconds: Idle accelerator seconds that groups lacked.
+        breaks: Groups that left service unplanned.
+    """
+
+    __slots__ = ("breaks", "downtime_seconds", "stranded_seconds")
+
+    def __init__(self) -> None:
+        self.breaks = 0
+        self.downtime_seconds = 0.0
+        self.stranded_seconds = 0.0
+
+    def add(
+        self,
+        elapsed_seconds: float,
+        *,
+        serving: int,
+        loading: int,
+        live_vms: int,
+    ) -> None:
+        """Adds a stretch of time with a constant state."""
+        missing = max(0, REPLICAS - serving)
+        self.downtime_seconds += missing * elapsed_seconds
+        idle_vms = live_vms - VMS_PER_GROUP * (serving + loading)
+        wanted_vms = VMS_PER_GROUP * max(0, missing - loading)
+        stranded_vms = max(0, min(idle_vms, wanted_vms))
+        self.stranded_seconds += stranded_vms * ACCELERATORS * elapsed_seconds
+
+
+def run_present(outages: list[Outage]) -> Totals:
+    """Runs the controllers over the day."""
+    world = VmWorld(
+        ["r1"],
+        domains=make_domains(),
+        replicas=REPLICAS,
+        vms_per_group=VMS_PER_GROUP,
+        slots=LOAD_SLOTS,
+        load_seconds=1.0,
+        list_lag_seconds=30.0,
+    )
+    while len(world.groups()) < REPLICAS:
+        world.run_unchecked(1.0, step_seconds=STEP_SECONDS)
+    for agent in world.agents.values():
+        agent.load_seconds = LOAD_SECONDS
+    totals = Totals()
+    start_seconds = world.fleet.clock.monotonic_seconds()
+    events: list[tuple[float, int, Outage, bool]] = []
+    for number, outage in enumerate(outages):
+        heapq.heappush(events, (outage.from_seconds, number, outage, False))
+        heapq.heappush(
+            events, (outage.until_seconds, number + 10_000, outage, True)
+        )
+    quiet_from_seconds = 0.0
+    while True:
+        now_seconds = world.fleet.clock.monotonic_seconds() - start_seconds
+        if now_seconds >= DAY_SECONDS:
+            return totals
+        while events and events[0][0] <= now_seconds:
+            _, _, outage, back = heapq.heappop(events)
+            _apply(world, outage, back)
+            quiet_from_seconds = now_seconds + SETTLE_SECONDS
+        step_seconds = STEP_SECONDS
+        if now_seconds >= quiet_from_seconds and not _is_busy(world):
+            next_seconds = events[0][0] if events else DAY_SECONDS
+            step_seconds = max(STEP_SECONDS, next_seconds - now_seconds)
+        serving_before = len(world.groups())
+        totals.add(
+            step_seconds,
+            serving=_truly_serving(world),
+            loading=len(world.groups(GroupState.LOADING)),
+            live_vms=sum(not a.dead for a in world.agents.values()),
+        )
+        world.fleet.clock.advance(step_seconds)
+        world.fleet.turn()
+        totals.breaks += max(0, serving_before - len(world.groups()))
+
+
+def _is_busy(world: VmWorld) -> bool:
+    for domain in world.domains().values():
+        for group in domain.groups.values():
+            if group.state in _BUSY:
+                return True
+    return False
+
+
+def _truly_serving(world: VmWorld) -> int:
+    """Counts groups whose VMs all live, seen by the system or not."""
+    count = 0
+    for group in world.groups():
+        whole = True
+        for vm_id in group.vm_ids:
+            agent = world.agents[vm_id]
+            if agent.dead or agent.generation != group.generation:
+                whole = False
+        count += whole
+    return count
+
+
+def _apply(world: VmWorld, outage: Outage, back: bool) -> None:
+    if back:
+        world.return_vm(outage.vm_id)
+        return
+    world.agents[outage.vm_id].kill()
+    if outage.listed:
+        world.set_state(outage.vm_id, VmState.GONE)
+
+
+def run_baseline(outages: list[Outage]) -> Totals:
+    """Lets each group wait for its own VMs and load in order of failure."""
+    homes, spares = _baseline_groups()
+    missing: dict[str, int] = dict.fromkeys(homes.values(), 0)
+    queue: list[str] = []
+    loading: dict[str, int] = {}
+    down: dict[str, bool] = {}
+    totals = Totals()
+    live_vms = len(homes) + spares
+    last_seconds = 0.0
+    events: list[tuple[float, int, str, str]] = []
+    number = 0
+    for outage in outages:
+        number += 2
+        events.append((outage.from_seconds, number, "lost", outage.vm_id))
+        events.append((outage.until_seconds, number + 1, "back", outage.vm_id))
+    heapq.heapify(events)
+    while events:
+        at_seconds, _, kind, name = heapq.heappop(events)
+        if at_seconds > DAY_SECONDS:
+            break
+        totals.add(
+            at_seconds - last_seconds,
+            serving=REPLICAS - sum(down.values()),
+            loading=len(loading),
+            live_vms=live_vms,
+        )
+        last_seconds = at_seconds
+        if kind == "loaded":
+            group, _, ticket = name.partition("#")
+            if loading.get(group) == int(ticket):
+                del loading[group]
+                down[group] = False
+        else:
+            live_vms += 1 if kind == "back" else -1
+            home = homes.get(name)
+            if home is not None and kind == "lost":
+                totals.breaks += not down.get(home, False)
+                down[home] = True
+                missing[home] += 1
+                loading.pop(home, None)
+                if home in queue:
+                    queue.remove(home)
+            if home is not None and kind == "back":
+                missing[home] -= 1
+                if missing[home] == 0:
+                    queue.append(home)
+        while queue and len(loading) < LOAD_SLOTS:
+            group = queue.pop(0)
+            number += 1
+            loading[group] = number
+            heapq.heappush(
+                events,
+                (
+                    at_seconds + LOAD_SECONDS,
+                    number,
+                    "loaded",
+                    f"{group}#{number}",
+                ),
+            )
+    return totals
+
+
+def _baseline_groups() -> tuple[dict[str, str], int]:
+    """Returns the group of each VM that has one, and how many have none."""
+    homes = {}
+    spares = 0
+    for domain, count in make_domains().items():
+        for number in range(count):
+            group = number // VMS_PER_GROUP
+            if count < 17 or group >= count // VMS_PER_GROUP:
+                spares += 1
+                continue
+            homes[f"{domain}.{number:02d}"] = f"{domain}/{group}"
+    return homes, spares
+
+
+def main(seed: int) -> None:
+    """Prints the figures."""
+    outages = make_outages(seed)
+    baseline = run_baseline(outages)
+    present = run_present(outages)
+    bound_seconds = present.breaks * (DETECTION_SECONDS + LOAD_SECONDS)
+    print(f"seed={seed} vms=270 replicas={REPLICAS} outages={len(outages)}")
+    for name, totals in (("baseline", baseline), ("present", present)):
+        print(
+            f"{name}_group_downtime_seconds={totals.downtime_seconds:.0f} "
+            f"{name}_stranded_accelerator_seconds="
+            f"{totals.stranded_seconds:.0f} {name}_breaks={totals.breaks}"
+        )
+    print(f"bound_group_downtime_seconds={bound_seconds:.0f}")
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 1)
--- a/mulberrypaddle/blackboard/keys.py
+++ b/mulberrypaddle/blackboard/keys.py
@@ -16,6 +16,7 @@
         RunnerTable,
         VmTable,
     )
+    from mulberrypaddle.controllers.groups.fleet_view import FleetView
 
 CONFIGURATION: Key[Configuration] = Key("configuration", writer="configuration")
 MEMBERSHIP: Key[Membership] = Key("membership", writer="membership")
@@ -24,6 +25,7 @@
 RUNNERS: Key[RunnerTable] = Key("runners", writer="runner_table")
 VMS: Key[VmTable] = Key("vms", writer="vm_table")
 GROUPS: Key[GroupTable] = Key("groups", writer="group_table")
+FLEET_VIEW: Key[FleetView] = Key("fleet_view", writer="fleet_view")
 FLEET_STATUS: Key[FleetStatus] = Key("fleet_status", writer="fleet_status")
 # Runner ids that failure detection has taken out, with the reason.
 EJECTED: Key[dict[str, str]] = Key("ejected", writer="ejection")
--- a/mulberrypaddle/controllers/groups/__init__.py
+++ b/mulberrypaddle/controllers/groups/__init__.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.controllers.groups.fleet_view import FleetViewController
 from mulberrypaddle.controllers.groups.group_table import GroupTableController
 from mulberrypaddle.controllers.groups.load_queue import LoadQueue
 from mulberrypaddle.controllers.groups.placement import Placement
@@ -17,6 +18,7 @@
 
 __all__ = [
     "FleetStatusController",
+    "FleetViewController",
     "GroupTableController",
     "LoadQueue",
     "Placement",
@@ -46,6 +48,7 @@
     return [
         VmTableController(context),
         group_table,
+        FleetViewController(context),
         load_queue,
         repair,
         Placement(context, repair=repair),
--- a/mulberrypaddle/controllers/groups/fleet_view.py
+++ b/mulberrypaddle/controllers/groups/fleet_view.py
@@ -10,6 +10,7 @@
     GroupTable,
     VmTable,
 )
+from mulberrypaddle.controllers.base import Controller
 from mulberrypaddle.core.fleet import (
     DataCentreState,
     Service,
@@ -33,35 +34,56 @@
 
 
 class FleetView:
-    """Configuration, VMs and groups of this moment.
+    """Services, data centres, VMs and groups of this moment.
 
     Attributes:
-        configuration: In force.
+        services: By name.
+        data_centres: State by name.
         vms: By VM id.
         table: Groups by fabric domain.
         domain_vms: VMs by fabric domain and VM id.
     """
 
-    __slots__ = ("_surplus", "configuration", "domain_vms", "table", "vms")
+    __slots__ = (
+        "_by_service",
+        "_surplus",
+        "data_centres",
+        "domain_vms",
+        "services",
+        "table",
+        "vms",
+    )
 
     def __init__(
         self,
         configuration: Configuration,
         vms: dict[str, Vm],
         table: GroupTable,
+        *,
+        domain_vms: dict[str, dict[str, Vm]] | None = None,
     ) -> None:
-        self.configuration = configuration
+        """Takes what the view shows.
+
+        Args:
+            configuration: In force.
+            vms: The platform's list.
+            table: Groups.
+            domain_vms: `vms` by fabric domain, if that is known already.
+        """
+        self.services = configuration.services
+        self.data_centres = configuration.data_centres
         self.vms = vms
         self.table = table
-        self.domain_vms: dict[str, dict[str, Vm]] = {}
+        if domain_vms is None:
+            domain_vms = _vms_by_domain(vms)
+        self.domain_vms = domain_vms
         self._surplus: frozenset[str] | None = None
-        for vm in vms.values():
-            self.domain_vms.setdefault(vm.fabric_domain, {})[vm.vm_id] = vm
+        self._by_service: dict[str, list[tuple[str, Group]]] | None = None
 
     def engine_services(self) -> dict[str, Service]:
         """Returns the services whose replicas are groups."""
         found = {}
-        for name, service in self.configuration.services.items():
+        for name, service in self.services.items():
             if service.kind is ServiceKind.ENGINE and service.replicas > 0:
                 found[name] = service
         return found
@@ -75,17 +97,21 @@
     def is_in(self, domain: str) -> bool:
         """Returns whether a domain's data centre may receive new work."""
         data_centre = self.data_centre_of(domain)
-        state = self.configuration.data_centres.get(data_centre)
+        state = self.data_centres.get(data_centre)
         return state is not DataCentreState.OUT
 
     def groups_of(self, service: str) -> list[tuple[str, Group]]:
         """Returns a service's groups with their fabric domains."""
-        found = []
+        if self._by_service is None:
+            self._by_service = self._index_groups()
+        return self._by_service.get(service, [])
+
+    def _index_groups(self) -> dict[str, list[tuple[str, Group]]]:
+        index: dict[str, list[tuple[str, Group]]] = {}
         for name in sorted(self.table.domains):
             for group in self.table.domains[name].domain.groups.values():
-                if group.service == service:
-                    found.append((name, group))
-        return found
+                index.setdefault(group.service, []).append((name, group))
+        return index
 
     def coming(self, service: str) -> int:
         """Returns how many groups serve or will, where they may be used."""
@@ -117,27 +143,73 @@
         return free
 
 
-class FleetViewReader:
-    """Builds a view only when something on the blackboard has changed."""
+class FleetViewController(Controller):
+    """Writes a new view when something that it shows has changed."""
 
-    __slots__ = ("_context", "_parts", "_view")
+    name = "fleet_view"
 
     def __init__(self, context: Context) -> None:
-        self._context = context
-        self._parts: tuple[Configuration, VmTable, GroupTable] | None = None
-        self._view = FleetView(_NO_CONFIGURATION, {}, _NO_GROUPS)
-
-    def view(self) -> FleetView:
-        """Returns the view of this moment."""
-        board = self._context.board
+        super().__init__(context)
+        self._configuration = _NO_CONFIGURATION
+        self._vms = _NO_VMS
+        self._table = _NO_GROUPS
+        self._view: FleetView | None = None
+
+    def step(self, now_seconds: float) -> None:
+        """Compares what the view rests on with what it shows."""
+        board = self.context.board
         configuration = board.latest(keys.CONFIGURATION, _NO_CONFIGURATION)
         vms = board.latest(keys.VMS, _NO_VMS)
         table = board.latest(keys.GROUPS, _NO_GROUPS)
-        if self._parts is not None:
-            known_configuration, known_vms, known_table = self._parts
-            same = configuration is known_configuration and vms is known_vms
-            if same and table is known_table:
-                return self._view
-        self._parts = (configuration, vms, table)
-        self._view = FleetView(configuration, vms.vms, table)
-        return self._view
+        same_vms = vms is self._vms
+        if (
+            self._view is not None
+            and same_vms
+            and table is self._table
+            and _shows_the_same(configuration, self._configuration)
+        ):
+            return
+        domain_vms = None
+        if self._view is not None and same_vms:
+            domain_vms = self._view.domain_vms
+        self._configuration = configuration
+        self._vms = vms
+        self._table = table
+        self._view = FleetView(
+            configuration, vms.vms, table, domain_vms=domain_vms
+        )
+        board.write(
+            keys.FLEET_VIEW,
+            self._view,
+            writer=self.name,
+            now_seconds=now_seconds,
+        )
+
+
+def fleet_view(context: Context) -> FleetView:
+    """Returns the latest view, empty before the first one."""
+    entry = context.board.entry(keys.FLEET_VIEW)
+    if entry is None:
+        return FleetView(_NO_CONFIGURATION, {}, _NO_GROUPS)
+    return entry.value
+
+
+def _vms_by_domain(vms: dict[str, Vm]) -> dict[str, dict[str, Vm]]:
+    found: dict[str, dict[str, Vm]] = {}
+    for vm in vms.values():
+        found.setdefault(vm.fabric_domain, {})[vm.vm_id] = vm
+    return found
+
+
+def _shows_the_same(one: Configuration, other: Configuration) -> bool:
+    """Returns whether two configurations differ in contracts at most."""
+    if one is other:
+        return True
+    if one.data_centres != other.data_centres:
+        return False
+    if one.services.keys() != other.services.keys():
+        return False
+    for name, service in one.services.items():
+        if service.version != other.services[name].version:
+            return False
+    return True
--- a/mulberrypaddle/controllers/groups/group_table.py
+++ b/mulberrypaddle/controllers/groups/group_table.py
@@ -85,7 +85,6 @@
         if known is not None and known.version >= stored.version:
             return
         self._domains[name] = stored
-        self._lost.pop(name, None)
         self._changed = True
         if not spread:
             return
--- a/mulberrypaddle/controllers/groups/load_queue.py
+++ b/mulberrypaddle/controllers/groups/load_queue.py
@@ -11,7 +11,7 @@
 from mulberrypaddle.controllers.duties import may_act
 from mulberrypaddle.controllers.groups.fleet_view import (
     FleetView,
-    FleetViewReader,
+    fleet_view,
 )
 from mulberrypaddle.core.fleet import DataCentreState
 from mulberrypaddle.core.groups import GroupState
@@ -72,7 +72,6 @@
     def __init__(self, context: Context) -> None:
         super().__init__(context)
         self.on_grant: Callable[[str], None] = lambda load_id: None
-        self._reader = FleetViewReader(context)
         self._waiting: dict[str, _Waiting] = {}
         self._granted: dict[str, float] = {}
         self._answer_due_seconds = 0.0
@@ -115,7 +114,7 @@
             return
         if not self._waiting or now_seconds < self._next_ask_seconds:
             return
-        first = self._first(self._reader.view())
+        first = self._first(fleet_view(self.context))
         load_id = first.wish.load_id
         self._answer_due_seconds = now_seconds + CALL_TIMEOUT_SECONDS
 
@@ -174,7 +173,7 @@
         """Returns loads whose generation no longer loads."""
         loading = set()
         forming = set()
-        for name, stored in self._reader.view().table.domains.items():
+        for name, stored in fleet_view(self.context).table.domains.items():
             for group in stored.domain.groups.values():
                 load_id = load_id_of(name, group.generation)
                 if group.state is GroupState.LOADING:
@@ -200,7 +199,7 @@
     the share of the service's replicas that is missing, so that a service
     with no replica goes before one that a returning data centre tops up.
     """
-    service = view.configuration.services.get(wish.service)
+    service = view.services.get(wish.service)
     value = 0 if service is None else service.value
     replicas = 1 if service is None else max(1, service.replicas)
     serving = 0
@@ -208,6 +207,6 @@
         if group.state is GroupState.SERVING:
             serving += 1
     missing_share = max(0.0, 1.0 - serving / replicas)
-    state = view.configuration.data_centres.get(wish.data_centre)
+    state = view.data_centres.get(wish.data_centre)
     is_out = state is DataCentreState.OUT
     return (float(is_out), -value, -missing_share, -wish.down_seconds)
--- a/mulberrypaddle/controllers/groups/placement.py
+++ b/mulberrypaddle/controllers/groups/placement.py
@@ -9,7 +9,7 @@
 from mulberrypaddle.controllers.duties import may_act, owner
 from mulberrypaddle.controllers.groups.fleet_view import (
     FleetView,
-    FleetViewReader,
+    fleet_view,
 )
 from mulberrypaddle.core.groups import Group, GroupState
 from mulberrypaddle.core.ownership import Duty
@@ -44,7 +44,6 @@
         """
         super().__init__(context)
         self._repair = repair
-        self._reader = FleetViewReader(context)
         self._next_step_seconds = 0.0
         self._surplus_since: dict[str, float] = {}
 
@@ -53,7 +52,7 @@
         if now_seconds < self._next_step_seconds:
             return
         self._next_step_seconds = now_seconds + STEP_SECONDS
-        view = self._reader.view()
+        view = fleet_view(self.context)
         for name, service in sorted(view.engine_services().items()):
             duty = Duty("placement", name)
             if not may_act(self.context, duty, now_seconds):
--- a/mulberrypaddle/controllers/groups/repair.py
+++ b/mulberrypaddle/controllers/groups/repair.py
@@ -8,7 +8,7 @@
 from mulberrypaddle.controllers.base import Context, Controller
 from mulberrypaddle.controllers.duties import membership, owner
 from mulberrypaddle.controllers.groups.evolve import Protections, Wish
-from mulberrypaddle.controllers.groups.fleet_view import FleetViewReader
+from mulberrypaddle.controllers.groups.fleet_view import fleet_view
 from mulberrypaddle.controllers.groups.keeper import DomainKeeper
 from mulberrypaddle.controllers.groups.load_queue import (
     LOAD_QUEUE,
@@ -35,6 +35,7 @@
 
 STEP_SECONDS = 0.1
 WISH_SECONDS = 1.0
+SUSPECT_SECONDS = 1.0
 
 
 class Repair(Controller):
@@ -63,10 +64,10 @@
         self._group_table = group_table
         self._load_queue = load_queue
         self._protections = protections or Protections()
-        self._reader = FleetViewReader(context)
         self._keepers: dict[str, DomainKeeper] = {}
         self._owned_for: tuple[int, frozenset[str], frozenset[str]] | None
         self._owned_for = None
+        self._suspected: dict[str, dict[int, float]] = {}
         self._next_step_seconds = 0.0
         self._next_wish_seconds = 0.0
         load_queue.on_grant = self._take_grant
@@ -76,13 +77,14 @@
         if now_seconds < self._next_step_seconds:
             return
         self._next_step_seconds = now_seconds + STEP_SECONDS
-        view = self._reader.view()
+        view = fleet_view(self.context)
         self._choose_domains(view)
         services = view.engine_services()
         for keeper in self._keepers.values():
             keeper.step(
                 view.domain_vms.get(keeper.name, {}), services, view.surplus()
             )
+            self._report_suspects(keeper, now_seconds)
         if now_seconds < self._next_wish_seconds:
             return
         self._next_wish_seconds = now_seconds + WISH_SECONDS
@@ -148,13 +150,25 @@
     def _learn(self, stored: StoredDomain) -> None:
         self._group_table.learn(stored, spread=True)
 
+    def _report_suspects(
+        self, keeper: DomainKeeper, now_seconds: float
+    ) -> None:
+        """Tells every router at once, and again while a suspicion lasts."""
+        reported_seconds = self._suspected.get(keeper.name, {})
+        due = False
+        for generation in keeper.suspects:
+            last_seconds = reported_seconds.get(generation, float("-inf"))
+            due = due or now_seconds - last_seconds >= SUSPECT_SECONDS
+        if not due:
+            return
+        self._suspected[keeper.name] = dict.fromkeys(
+            keeper.suspects, now_seconds
+        )
+        self._group_table.report_lost(keeper.name, keeper.suspects, now_seconds)
+
     def _send_wishes(
         self, view: FleetView, keeper: DomainKeeper, now_seconds: float
     ) -> None:
-        if keeper.suspects:
-            self._group_table.report_lost(
-                keeper.name, keeper.suspects, now_seconds
-            )
         queue_owner = owner(self.context, LOAD_QUEUE)
         if queue_owner is None:
             return
--- a/mulberrypaddle/controllers/groups/status.py
+++ b/mulberrypaddle/controllers/groups/status.py
@@ -13,7 +13,7 @@
 from mulberrypaddle.controllers.base import Context, Controller
 from mulberrypaddle.controllers.groups.fleet_view import (
     FleetView,
-    FleetViewReader,
+    fleet_view,
 )
 from mulberrypaddle.core.fleet import Service, VmState
 from mulberrypaddle.core.groups import Group, GroupState
@@ -39,7 +39,6 @@
 
     def __init__(self, context: Context) -> None:
         super().__init__(context)
-        self._reader = FleetViewReader(context)
         self._last_seconds: float | None = None
         self._downtime_seconds: dict[str, float] = {}
 
@@ -52,7 +51,7 @@
         if now_seconds - last_seconds < STEP_SECONDS:
             return
         self._last_seconds = now_seconds
-        view = self._reader.view()
+        view = fleet_view(self.context)
         services = {}
         for name, service in view.engine_services().items():
             services[name] = self._service_status(
--- a/mulberrypaddle/controllers/runner_table.py
+++ b/mulberrypaddle/controllers/runner_table.py
@@ -12,7 +12,7 @@
 from mulberrypaddle.controllers.base import Context, Controller
 from mulberrypaddle.controllers.groups.fleet_view import (
     FleetView,
-    FleetViewReader,
+    fleet_view,
 )
 from mulberrypaddle.core.fleet import (
     DataCentreState,
@@ -46,7 +46,6 @@
         """
         super().__init__(context)
         self._marks_leaving = marks_leaving
-        self._reader = FleetViewReader(context)
         self._next_read_seconds = 0.0
         self._reading = False
         self._listed_once = False
@@ -62,7 +61,7 @@
                     RUNNER_PREFIX, priority=Priority.CONFIG, reply=self._listed
                 )
             )
-        view = self._reader.view()
+        view = fleet_view(self.context)
         if not self._listed_once or view is self._view:
             return
         self._view = view
@@ -138,12 +137,12 @@
             runners[runner.runner_id] = runner
         self._objects = runners
         self._listed_once = True
-        self._publish(self._reader.view(), now_seconds)
+        self._publish(fleet_view(self.context), now_seconds)
 
 
 def _is_leaving(view: FleetView, runner: Runner) -> bool:
     """Returns whether a runner must receive no new work."""
-    state = view.configuration.data_centres.get(runner.data_centre)
+    state = view.data_centres.get(runner.data_centre)
     if state is DataCentreState.OUT:
         return True
     for vm_id in runner.vm_ids:
--- a/tests/controllers/groups/test_repair.py
+++ b/tests/controllers/groups/test_repair.py
@@ -155,6 +155,26 @@
         world.run(2)
         self.assertEqual(6, len(world.routable("r2")))
 
+    def test_dark_data_centre_leaves_the_tables(self) -> None:
+        world = VmWorld(
+            ROUTERS, domains={"a-1": 8, "b-1": 8, "c-1": 9}, replicas=6
+        )
+        world.run(15)
+        for vm_id in world.agents:
+            if vm_id.startswith("a-"):
+                world.kill_vm(vm_id, listed=False)
+        world.run(3)
+        for member_id in ROUTERS:
+            places = set()
+            for runner in world.routable(member_id).values():
+                places.add(runner.data_centre)
+            self.assertEqual({"b", "c"}, places)
+        for vm_id in world.agents:
+            if world.agents[vm_id].dead:
+                world.return_vm(vm_id)
+        world.run(15)
+        self.assertEqual(6, len(world.routable("r1")))
+
     def test_domain_lost_while_its_data_centre_is_out(self) -> None:
         world = VmWorld(ROUTERS, domains={"a-1": 4, "b-1": 8}, replicas=2)
         world.run(15)
--- a/tests/support/vm_world.py
+++ b/tests/support/vm_world.py
@@ -172,6 +172,7 @@
             vms_per_group=self._vms_per_group,
             value=value,
             checks_fencing=self._checks_fencing,
+            version=services[name].version + 1 if name in services else 1,
         )
         self._put(services, self.configuration.data_centres)
 
@@ -202,6 +203,14 @@
             self.fleet.turn()
             self.check_vms()
 
+    def run_unchecked(
+        self, duration_seconds: float, *, step_seconds: float
+    ) -> None:
+        """Runs a while with the program's own checks alone."""
+        for _ in range(round(duration_seconds / step_seconds)):
+            self.fleet.clock.advance(step_seconds)
+            self.fleet.turn()
+
     def change_members(self, member_ids: list[str]) -> None:
         """Tells every router that is not cut off the new members."""
         now_seconds = self.fleet.clock.monotonic_seconds()
