--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -12,6 +12,7 @@
     ListObjects,
     OrderRunner,
     ReadObject,
+    ReadReport,
     ReadVmReport,
     ReadVms,
     ReleaseLoad,
@@ -25,7 +26,7 @@
     from collections.abc import Coroutine
     from typing import Any
 
-    from mulberrypaddle.backends import ObjectStore
+    from mulberrypaddle.backends import ObjectStore, RunnerClient
     from mulberrypaddle.backends.vm_platform import VmPlatform
     from mulberrypaddle.node import Node
     from mulberrypaddle.operators.journal import Journal
@@ -41,15 +42,22 @@
         store: The platform's object API.
         links: Links to the other routers.
         vms: VMs, their list and the weight store.
+        runners: The endpoints that execute requests.
     """
 
-    __slots__ = ("links", "store", "vms")
+    __slots__ = ("links", "runners", "store", "vms")
 
     def __init__(
-        self, *, store: ObjectStore, links: PeerLinks, vms: VmPlatform
+        self,
+        *,
+        store: ObjectStore,
+        links: PeerLinks,
+        runners: RunnerClient,
+        vms: VmPlatform,
     ) -> None:
         self.store = store
         self.links = links
+        self.runners = runners
         self.vms = vms
 
 
@@ -120,6 +128,11 @@
     await adapters.vms.release(intent)
 
 
+@carry_out.register(ReadReport)
+async def _report(intent: ReadReport, adapters: Adapters) -> None:
+    intent.reply(await adapters.runners.report(intent.runner))
+
+
 @carry_out.register(SendToPeer)
 async def _send(intent: SendToPeer, adapters: Adapters) -> None:
     adapters.links.send(intent.member_id, intent.message)
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -14,6 +14,7 @@
 from mulberrypaddle.controllers.base import Context
 from mulberrypaddle.controllers.claims import Claims
 from mulberrypaddle.controllers.configuration import ConfigurationController
+from mulberrypaddle.controllers.credits import Credits
 from mulberrypaddle.controllers.groups import group_controllers
 from mulberrypaddle.controllers.membership import FleetMembership
 from mulberrypaddle.controllers.runner_table import RunnerTableController
@@ -23,6 +24,7 @@
 from mulberrypaddle.frontdoor import FrontDoor, serve_front_door
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
+from mulberrypaddle.observe import metrics
 from mulberrypaddle.operators import Journal
 from mulberrypaddle.operators.apply import Apply
 from mulberrypaddle.operators.handlers import OperatorDesk, operator_routes
@@ -38,6 +40,7 @@
     Attributes:
         context: The controllers' context, with the blackboard.
         memory: Budget of answer bytes.
+        door: What callers' handlers share.
         node: The controllers in step.
         journal: Recent decisions, to be explained.
         links: Links to the other routers.
@@ -61,12 +64,14 @@
             region=settings.region,
             peer_address=settings.peer_address,
         )
-        admission = Admission(self.context)
+        credits = Credits(self.context)
+        admission = Admission(self.context, credits)
         claims = Claims(self.context)
         apply = Apply(self.context)
         self.memory = StreamMemory(
             self.context, budget_bytes=settings.answer_memory_bytes
         )
+        metrics.watch_memory(self.memory)
         self.node = Node(
             self.context,
             [
@@ -76,6 +81,7 @@
                 RunnerTableController(self.context),
                 apply,
                 claims,
+                credits,
                 admission,
                 self.memory,
             ],
@@ -93,21 +99,27 @@
         self.links = PeerLinks(self.node, settings)
         self._driver = Driver(
             self.node,
-            Adapters(store=self._store, links=self.links, vms=self._vms),
+            Adapters(
+                store=self._store,
+                links=self.links,
+                runners=self._runners,
+                vms=self._vms,
+            ),
             journal=self.journal,
         )
-        self._server = serve_front_door(
-            FrontDoor(
-                context=self.context,
-                memory=self.memory,
-                pipeline=Pipeline(
-                    admission=admission,
-                    claims=claims,
-                    runners=self._runners,
-                    clock=clock,
-                ),
-                settings=settings,
+        self.door = FrontDoor(
+            context=self.context,
+            memory=self.memory,
+            pipeline=Pipeline(
+                admission=admission,
+                claims=claims,
+                runners=self._runners,
+                clock=clock,
             ),
+            settings=settings,
+        )
+        self._server = serve_front_door(
+            self.door,
             operator_routes(
                 OperatorDesk(
                     context=self.context,
@@ -136,7 +148,11 @@
 
     async def stop(self) -> None:
         """Stops gracefully: takes nothing new, finishes what is in hand."""
+        self.door.begin_stop()
         self.node.stop()
+        await self.door.wait_until_idle(
+            timeout_seconds=self.door.settings.stop_seconds
+        )
         self._server.stop()
         await self._server.close_all_connections()
         await self._leave()
