Drain groups of removed services and take slots from the service

Cause: groups of a service that was removed served on for ever; engine runners had fixed slots. Change: such groups are drained and retired, but left alone if the service's object is there and can't be read; a service states slots, memory_tokens and cold_slots; a changed vms_per_group is rolled out like a new model.

--- a/mulberrypaddle/controllers/groups/evolve.py
+++ b/mulberrypaddle/controllers/groups/evolve.py
@@ -106,6 +106,7 @@
         vms: dict[str, Vm],
         services: dict[str, Service],
         surplus: frozenset[str],
+        unreadable: frozenset[str] = frozenset(),
         now_wall_seconds: float,
         protections: Protections,
     ) -> None:
@@ -117,6 +118,7 @@
             vms: VMs of the domain on the platform's list.
             services: Engine services in force.
             surplus: Services that have all the groups they want.
+            unreadable: Services whose groups are left as they are.
             now_wall_seconds: Wall time.
             protections: All on but in tests.
         """
@@ -126,6 +128,7 @@
         self._vms = vms
         self._services = services
         self._surplus = surplus
+        self._unreadable = unreadable
         self._now_wall_seconds = now_wall_seconds
         self._protections = protections
 
@@ -186,7 +189,7 @@
             self._serve_once_ready(group)
             return
         if group.state is GroupState.SERVING:
-            self._drain_leaving(group)
+            self._drain_unfit(group)
             return
         self._stop_once_drained(group)
 
@@ -226,7 +229,13 @@
         self._enter(group, GroupState.SERVING, "all_vms_ready")
         group.down_since_seconds = 0.0
 
-    def _drain_leaving(self, group: Group) -> None:
+    def _drain_unfit(self, group: Group) -> None:
+        """Drains a group whose service ended or that loses a VM soon."""
+        known = group.service in self._services
+        if not known and group.service not in self._unreadable:
+            group.retiring = True
+            self._drain(group, "service_removed")
+            return
         for vm_id in group.vm_ids:
             if self._vms[vm_id].state is VmState.LEAVING:
                 self._drain(group, f"vm_leaving:{vm_id}")
@@ -311,6 +320,8 @@
         return (-value, group.down_since_seconds, group.group_id)
 
     def _form_again(self, group: Group) -> None:
+        if group.service in self._unreadable:
+            return
         service = self._services.get(group.service)
         unwanted = group.retiring or group.service in self._surplus
         if service is None or unwanted:
--- a/mulberrypaddle/controllers/groups/fleet_view.py
+++ b/mulberrypaddle/controllers/groups/fleet_view.py
@@ -23,6 +23,8 @@
 if TYPE_CHECKING:
     from mulberrypaddle.controllers.base import Context
 
+SERVICE_PREFIX = "config/services/"
+
 _NO_CONFIGURATION = Configuration(
     contracts={}, services={}, data_centres={}, versions={}
 )
@@ -42,6 +44,8 @@
         vms: By VM id.
         table: Groups by fabric domain.
         domain_vms: VMs by fabric domain and VM id.
+        unreadable: Services whose object this release can't read; their
+            groups are left as they are.
     """
 
     __slots__ = (
@@ -51,6 +55,7 @@
         "domain_vms",
         "services",
         "table",
+        "unreadable",
         "vms",
     )
 
@@ -77,6 +82,7 @@
         if domain_vms is None:
             domain_vms = _vms_by_domain(vms)
         self.domain_vms = domain_vms
+        self.unreadable = _unreadable_services(configuration)
         self._surplus: frozenset[str] | None = None
         self._by_service: dict[str, list[tuple[str, Group]]] | None = None
 
@@ -194,6 +200,15 @@
     return entry.value
 
 
+def _unreadable_services(configuration: Configuration) -> frozenset[str]:
+    found = []
+    for key in configuration.versions:
+        name = key.removeprefix(SERVICE_PREFIX)
+        if name != key and name not in configuration.services:
+            found.append(name)
+    return frozenset(found)
+
+
 def _vms_by_domain(vms: dict[str, Vm]) -> dict[str, dict[str, Vm]]:
     found: dict[str, dict[str, Vm]] = {}
     for vm in vms.values():
@@ -209,6 +224,8 @@
         return False
     if one.services.keys() != other.services.keys():
         return False
+    if _unreadable_services(one) != _unreadable_services(other):
+        return False
     for name, service in one.services.items():
         if service.version != other.services[name].version:
             return False
--- a/mulberrypaddle/controllers/groups/keeper.py
+++ b/mulberrypaddle/controllers/groups/keeper.py
@@ -39,6 +39,7 @@
 
     from mulberrypaddle.blackboard import StoredObject
     from mulberrypaddle.controllers.base import Context
+    from mulberrypaddle.controllers.groups.fleet_view import FleetView
     from mulberrypaddle.core.errors import Problem
 
 RETRY_SECONDS = 1.0
@@ -111,19 +112,13 @@
         if wish.expected_version == self.stored.version:
             self._wishes.append(wish)
 
-    def step(
-        self,
-        vms: dict[str, Vm],
-        services: dict[str, Service],
-        surplus: frozenset[str],
-    ) -> None:
+    def step(self, view: FleetView) -> None:
         """Acts once on the stored state.
 
         Args:
-            vms: VMs of this domain on the platform's list.
-            services: Engine services in force.
-            surplus: Services that have all the groups they want.
+            view: The fleet.
         """
+        vms = view.domain_vms.get(self.name, {})
         now_seconds = self._context.now_seconds()
         acts = may_act(self._context, self.duty, now_seconds)
         if not acts:
@@ -139,9 +134,9 @@
             self._watch(vms, now_seconds)
             return
         if not self._waiting and now_seconds >= self._next_call_seconds:
-            self._evolve(vms, services, surplus, now_seconds)
+            self._evolve(view, vms, now_seconds)
         if self._taken_over:
-            self._speak(vms, services, now_seconds)
+            self._speak(vms, view.engine_services(), now_seconds)
 
     def waiting_for_load(self) -> list[Group]:
         """Returns the groups whose turn at the weight store must come."""
@@ -206,11 +201,7 @@
         return f"{self._context.member_id}/{self._context.incarnation}"
 
     def _evolve(
-        self,
-        vms: dict[str, Vm],
-        services: dict[str, Service],
-        surplus: frozenset[str],
-        now_seconds: float,
+        self, view: FleetView, vms: dict[str, Vm], now_seconds: float
     ) -> None:
         stored = self.stored
         if stored is None:
@@ -222,8 +213,9 @@
             stored.domain,
             evidence=self.evidence,
             vms=vms,
-            services=services,
-            surplus=surplus,
+            services=view.engine_services(),
+            surplus=view.surplus(),
+            unreadable=view.unreadable,
             now_wall_seconds=self._context.clock.wall_seconds(),
             protections=self._protections,
         )
--- a/mulberrypaddle/controllers/groups/placement.py
+++ b/mulberrypaddle/controllers/groups/placement.py
@@ -138,7 +138,8 @@
             if group.state is not GroupState.SERVING or not view.is_in(domain):
                 continue
             serving += 1
-            if group.model != service.model:
+            other_size = len(group.vm_ids) != service.vms_per_group
+            if group.model != service.model or other_size:
                 old.append((domain, group))
         allowed = max(1, int(service.replicas * DRAIN_SHARE))
         room = allowed - (service.replicas - serving)
--- a/mulberrypaddle/controllers/groups/repair.py
+++ b/mulberrypaddle/controllers/groups/repair.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from mulberrypaddle.blackboard import SendToPeer
+from mulberrypaddle.blackboard import SendToPeer, keys
 from mulberrypaddle.controllers.base import Context, Controller
 from mulberrypaddle.controllers.duties import membership, owner
 from mulberrypaddle.controllers.groups.evolve import Protections, Wish
@@ -77,13 +77,13 @@
         if now_seconds < self._next_step_seconds:
             return
         self._next_step_seconds = now_seconds + STEP_SECONDS
+        if self.context.board.entry(keys.CONFIGURATION) is None:
+            # Without it every service would look removed.
+            return
         view = fleet_view(self.context)
         self._choose_domains(view)
-        services = view.engine_services()
         for keeper in self._keepers.values():
-            keeper.step(
-                view.domain_vms.get(keeper.name, {}), services, view.surplus()
-            )
+            keeper.step(view)
             self._report_suspects(keeper, now_seconds)
         if now_seconds < self._next_wish_seconds:
             return
--- a/mulberrypaddle/controllers/runner_table.py
+++ b/mulberrypaddle/controllers/runner_table.py
@@ -106,6 +106,9 @@
             if vm is None or vm.state is VmState.GONE:
                 return None
         lead = view.vms[group.vm_ids[0]]
+        service = view.services.get(group.service)
+        if service is None:
+            return None
         runner = Runner(
             group.group_id,
             service=group.service,
@@ -115,6 +118,9 @@
             fabric_domain=domain,
             generation=group.generation,
             vm_ids=group.vm_ids,
+            slots=service.slots,
+            memory_tokens=service.memory_tokens,
+            cold_slots=service.cold_slots,
         )
         leaving = group.state is GroupState.DRAINING
         leaving = leaving or _is_leaving(view, runner)
--- a/mulberrypaddle/core/fleet.py
+++ b/mulberrypaddle/core/fleet.py
@@ -77,15 +77,21 @@
         vms_per_group: VMs in one replica.
         value: Order in the load queue; higher goes first.
         checks_fencing: Whether its runners refuse old fencing numbers.
+        slots: Most requests in hand at one of its groups once warm.
+        memory_tokens: Most prompt plus output tokens in hand at a group.
+        cold_slots: Requests that a group bears directly after a start.
         version: Object version in the platform's object API.
     """
 
     __slots__ = (
         "checks_fencing",
+        "cold_slots",
         "kind",
+        "memory_tokens",
         "model",
         "name",
         "replicas",
+        "slots",
         "value",
         "version",
         "vms_per_group",
@@ -101,6 +107,9 @@
         vms_per_group: int = 1,
         value: int = 1,
         checks_fencing: bool = True,
+        slots: int = 16,
+        memory_tokens: int = 262_144,
+        cold_slots: int = 2,
         version: int = 0,
     ) -> None:
         self.name = name
@@ -110,6 +119,9 @@
         self.vms_per_group = vms_per_group
         self.value = value
         self.checks_fencing = checks_fencing
+        self.slots = slots
+        self.memory_tokens = memory_tokens
+        self.cold_slots = cold_slots
         self.version = version
 
 
--- a/mulberrypaddle/settings/objects.py
+++ b/mulberrypaddle/settings/objects.py
@@ -87,6 +87,9 @@
             vms_per_group=value.get("vms_per_group", 1),
             value=value.get("value", 1),
             checks_fencing=value.get("checks_fencing", True),
+            slots=value.get("slots", 16),
+            memory_tokens=value.get("memory_tokens", 262_144),
+            cold_slots=value.get("cold_slots", 2),
             version=version,
         )
     )
--- a/tests/controllers/groups/test_repair.py
+++ b/tests/controllers/groups/test_repair.py
@@ -124,6 +124,45 @@
         self.assertEqual({"m2"}, models)
         self.assertEqual(4, len(world.groups()))
 
+    def test_groups_of_a_removed_service_are_drained(self) -> None:
+        world = VmWorld(ROUTERS, domains={"a-1": 8}, replicas=2)
+        world.run(12)
+        world.remove_service(SERVICE)
+        world.run(2)
+        self.assertEqual({}, world.routable("r1"))
+        world.run(15)
+        self.assertEqual({}, world.domains()["a-1"].groups)
+        self.assertEqual(set(), world.domains()["a-1"].claimed())
+
+    def test_groups_of_an_unreadable_service_are_left_alone(self) -> None:
+        world = VmWorld(ROUTERS, domains={"a-1": 8}, replicas=2)
+        world.run(12)
+        world.remove_service(SERVICE, unreadable=True)
+        world.run(15)
+        self.assertEqual(2, len(world.groups()))
+
+    def test_vm_that_its_lead_misses_is_replaced(self) -> None:
+        world = VmWorld(ROUTERS, domains={"a-1": 5}, replicas=1)
+        world.run(10)
+        (before,) = world.groups()
+        world.agents[before.vm_ids[3]].restart()
+        world.run(12)
+        (after,) = world.groups()
+        self.assertGreater(after.generation, before.generation)
+
+    def test_silent_vm_is_held_until_it_confirms_its_stop(self) -> None:
+        world = VmWorld(ROUTERS, domains={"a-1": 5}, replicas=1)
+        world.run(10)
+        world.agents["a-1.00"].unreachable = True
+        world.run(60)
+        domain = world.domains()["a-1"]
+        self.assertIn("a-1.00", domain.held)
+        self.assertGreater(world.agents["a-1.00"].generation, 0)
+        world.agents["a-1.00"].unreachable = False
+        world.run(5)
+        self.assertEqual({}, world.domains()["a-1"].held)
+        self.assertEqual(0, world.agents["a-1.00"].generation)
+
     def test_answer_lost_after_the_take_over_write(self) -> None:
         world = VmWorld(ROUTERS, domains={"a-1": 5}, replicas=1)
         world.run(10)
--- a/tests/support/vm_world.py
+++ b/tests/support/vm_world.py
@@ -176,6 +176,14 @@
         )
         self._put(services, self.configuration.data_centres)
 
+    def remove_service(self, name: str, *, unreadable: bool = False) -> None:
+        """Removes a service, or leaves an object that can't be read."""
+        services = dict(self.configuration.services)
+        del services[name]
+        self._put(services, self.configuration.data_centres)
+        if unreadable:
+            self.configuration.versions[f"config/services/{name}"] = 9
+
     def put_data_centre(self, name: str, state: str) -> None:
         """Takes a data centre out or in."""
         data_centres = dict(self.configuration.data_centres)
