--- a/mulberrypaddle/controllers/groups/fleet_view.py
+++ b/mulberrypaddle/controllers/groups/fleet_view.py
@@ -50,6 +50,7 @@
 
     __slots__ = (
         "_by_service",
+        "_out_domains",
         "_surplus",
         "data_centres",
         "domain_vms",
@@ -84,6 +85,7 @@
         self.domain_vms = domain_vms
         self.unreadable = _unreadable_services(configuration)
         self._surplus: frozenset[str] | None = None
+        self._out_domains: frozenset[str] | None = None
         self._by_service: dict[str, list[tuple[str, Group]]] | None = None
 
     def engine_services(self) -> dict[str, Service]:
@@ -96,15 +98,24 @@
 
     def data_centre_of(self, domain: str) -> str:
         """Returns where a fabric domain stands, or an empty name."""
-        for vm in self.domain_vms.get(domain, {}).values():
-            return vm.data_centre
-        return ""
+        vms = self.domain_vms.get(domain)
+        if not vms:
+            return ""
+        return next(iter(vms.values())).data_centre
 
     def is_in(self, domain: str) -> bool:
         """Returns whether a domain's data centre may receive new work."""
-        data_centre = self.data_centre_of(domain)
-        state = self.data_centres.get(data_centre)
-        return state is not DataCentreState.OUT
+        if self._out_domains is None:
+            self._out_domains = self._find_out_domains()
+        return domain not in self._out_domains
+
+    def _find_out_domains(self) -> frozenset[str]:
+        found = []
+        for domain in self.domain_vms:
+            state = self.data_centres.get(self.data_centre_of(domain))
+            if state is DataCentreState.OUT:
+                found.append(domain)
+        return frozenset(found)
 
     def groups_of(self, service: str) -> list[tuple[str, Group]]:
         """Returns a service's groups with their fabric domains."""
--- a/mulberrypaddle/controllers/groups/group_table.py
+++ b/mulberrypaddle/controllers/groups/group_table.py
@@ -30,6 +30,8 @@
     from mulberrypaddle.core.errors import Problem
 
 DIGEST_SECONDS = 2.0
+# Rows are spread when they change; digests only repair what was lost.
+DIGEST_SECONDS_PER_DOMAIN = 0.04
 READ_SECONDS = 5.0
 READ_SECONDS_PER_MEMBER = 1.5
 LOST_SECONDS = 3.0
@@ -60,7 +62,10 @@
                 )
             )
         if now_seconds >= self._next_digest_seconds:
-            self._next_digest_seconds = now_seconds + DIGEST_SECONDS
+            self._next_digest_seconds = now_seconds + max(
+                DIGEST_SECONDS,
+                DIGEST_SECONDS_PER_DOMAIN * len(self._domains),
+            )
             self._send_digest()
         self._forget_lost(now_seconds)
         if not self._changed:
--- a/mulberrypaddle/controllers/groups/status.py
+++ b/mulberrypaddle/controllers/groups/status.py
@@ -102,6 +102,8 @@
         service: An engine service.
         missing: How many of its groups do not serve.
     """
+    if missing == 0:
+        return 0
     working: set[str] = set()
     for stored in view.table.domains.values():
         for group in stored.domain.groups.values():
