Split what an owner sees of its VMs from its hold on a domain

Change: attention.py polls, orders and judges; keeper.py reads back, decides and writes. No change of behaviour.

--- a/mulberrypaddle/controllers/groups/repair.py
+++ b/mulberrypaddle/controllers/groups/repair.py
@@ -154,17 +154,16 @@
         self, keeper: DomainKeeper, now_seconds: float
     ) -> None:
         """Tells every router at once, and again while a suspicion lasts."""
+        suspects = keeper.attention.suspects
         reported_seconds = self._suspected.get(keeper.name, {})
         due = False
-        for generation in keeper.suspects:
+        for generation in suspects:
             last_seconds = reported_seconds.get(generation, float("-inf"))
             due = due or now_seconds - last_seconds >= SUSPECT_SECONDS
         if not due:
             return
-        self._suspected[keeper.name] = dict.fromkeys(
-            keeper.suspects, now_seconds
-        )
-        self._group_table.report_lost(keeper.name, keeper.suspects, now_seconds)
+        self._suspected[keeper.name] = dict.fromkeys(suspects, now_seconds)
+        self._group_table.report_lost(keeper.name, suspects, now_seconds)
 
     def _send_wishes(
         self, view: FleetView, keeper: DomainKeeper, now_seconds: float
@@ -197,4 +196,4 @@
         domain, generation = parse_load_id(load_id)
         keeper = self._keepers.get(domain)
         if keeper is not None:
-            keeper.evidence.granted.add(generation)
+            keeper.attention.evidence.granted.add(generation)
