--- a/mulberrypaddle/controllers/groups/__init__.py
+++ b/mulberrypaddle/controllers/groups/__init__.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from mulberrypaddle.controllers.base import Context, Controller
-    from mulberrypaddle.controllers.groups.evolve import Protections
+    from mulberrypaddle.controllers.groups.plan import Protections
 
 __all__ = [
     "FleetStatusController",
--- a/mulberrypaddle/controllers/groups/attention.py
+++ b/mulberrypaddle/controllers/groups/attention.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from mulberrypaddle.controllers.base import Context
-    from mulberrypaddle.controllers.groups.evolve import Protections
+    from mulberrypaddle.controllers.groups.plan import Protections
 
 # A VM that a fresh list has not named for this long executes nothing.
 GONE_SECONDS = 30.0
--- a/mulberrypaddle/controllers/groups/keeper.py
+++ b/mulberrypaddle/controllers/groups/keeper.py
@@ -14,12 +14,7 @@
     decode_domain,
     encode_domain,
 )
-from mulberrypaddle.controllers.groups.evolve import (
-    Change,
-    Evolution,
-    Protections,
-    Wish,
-)
+from mulberrypaddle.controllers.groups.evolve import Evolution
 from mulberrypaddle.core.groups import (
     Domain,
     Group,
@@ -35,6 +30,7 @@
     from mulberrypaddle.blackboard import StoredObject
     from mulberrypaddle.controllers.base import Context
     from mulberrypaddle.controllers.groups.fleet_view import FleetView
+    from mulberrypaddle.controllers.groups.plan import Change, Protections, Wish
     from mulberrypaddle.core.errors import Problem
     from mulberrypaddle.core.fleet import Vm
 
--- a/mulberrypaddle/controllers/groups/repair.py
+++ b/mulberrypaddle/controllers/groups/repair.py
@@ -7,7 +7,6 @@
 from mulberrypaddle.blackboard import SendToPeer, keys
 from mulberrypaddle.controllers.base import Context, Controller
 from mulberrypaddle.controllers.duties import membership, owner
-from mulberrypaddle.controllers.groups.evolve import Protections, Wish
 from mulberrypaddle.controllers.groups.fleet_view import fleet_view
 from mulberrypaddle.controllers.groups.keeper import DomainKeeper
 from mulberrypaddle.controllers.groups.load_queue import (
@@ -15,6 +14,7 @@
     load_id_of,
     parse_load_id,
 )
+from mulberrypaddle.controllers.groups.plan import Protections, Wish
 from mulberrypaddle.core.ownership import Duty, owner_of
 from mulberrypaddle.peers.proto.groups_pb2 import (
     DrainGroup,
--- /dev/null
+++ b/mulberrypaddle/observe/group_metrics.py
@@ -0,0 +1,72 @@
+"""Metrics of groups: downtime, replicas and stranded accelerators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import REGISTRY
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+from mulberrypaddle.blackboard import keys
+from mulberrypaddle.blackboard.tables import FleetStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from prometheus_client.core import Metric
+
+    from mulberrypaddle.blackboard import Board
+
+_LABELS = ("service",)
+
+
+class _GroupCollector(Collector):
+    """Reads the rows of `status` at the time of a scrape."""
+
+    def __init__(self) -> None:
+        self.board: Board | None = None
+
+    def collect(self) -> Iterator[Metric]:
+        """Yields one family for each figure."""
+        status = FleetStatus((), {})
+        if self.board is not None:
+            status = self.board.latest(keys.FLEET_STATUS, status)
+        serving = GaugeMetricFamily(
+            "mulberrypaddle_groups_serving", "Groups that serve.", None, _LABELS
+        )
+        wanted = GaugeMetricFamily(
+            "mulberrypaddle_groups_wanted", "Groups wanted.", None, _LABELS
+        )
+        stranded = GaugeMetricFamily(
+            "mulberrypaddle_stranded_accelerators",
+            "Idle accelerators that missing groups could use.",
+            None,
+            _LABELS,
+        )
+        downtime = CounterMetricFamily(
+            "mulberrypaddle_group_downtime_seconds",
+            "Group seconds missed since this router started.",
+            None,
+            _LABELS,
+        )
+        for name, row in status.services.items():
+            serving.add_metric([name], row.serving)
+            wanted.add_metric([name], row.wanted)
+            stranded.add_metric([name], row.stranded_accelerators)
+            downtime.add_metric([name], row.downtime_seconds)
+        yield from (serving, wanted, stranded, downtime)
+
+
+_COLLECTOR = _GroupCollector()
+REGISTRY.register(_COLLECTOR)
+
+
+def watch_groups(board: Board) -> None:
+    """Shows the groups of a router's blackboard from now on.
+
+    Args:
+        board: The blackboard; the latest one counts, since a process runs
+            one router.
+    """
+    _COLLECTOR.board = board
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -25,6 +25,7 @@
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
 from mulberrypaddle.observe import metrics
+from mulberrypaddle.observe.group_metrics import watch_groups
 from mulberrypaddle.operators import Journal
 from mulberrypaddle.operators.apply import Apply
 from mulberrypaddle.operators.handlers import OperatorDesk, operator_routes
@@ -130,6 +131,7 @@
             ),
         )
         self._task: asyncio.Task[None] | None = None
+        watch_groups(self.context.board)
 
     def start(self) -> None:
         """Begins to step the controllers on the running loop."""
--- a/tests/controllers/groups/test_repair.py
+++ b/tests/controllers/groups/test_repair.py
@@ -6,7 +6,7 @@
 
 from mulberrypaddle.blackboard import keys
 from mulberrypaddle.blackboard.tables import FleetStatus
-from mulberrypaddle.controllers.groups.evolve import Protections
+from mulberrypaddle.controllers.groups.plan import Protections
 from mulberrypaddle.core.fleet import VmState
 from mulberrypaddle.core.groups import GroupState
 from mulberrypaddle.core.invariants import InvariantBreachError
--- /dev/null
+++ b/tests/observe/test_group_metrics.py
@@ -0,0 +1,41 @@
+"""Metrics of groups."""
+
+from __future__ import annotations
+
+import prometheus_client
+import testtools
+from testtools import matchers
+
+from mulberrypaddle.blackboard import Board, keys
+from mulberrypaddle.blackboard.tables import FleetStatus, ServiceStatus
+from mulberrypaddle.observe.group_metrics import watch_groups
+
+
+class GroupMetricsTest(testtools.TestCase):
+    """What a scrape shows."""
+
+    def test_shows_the_rows_of_the_blackboard(self) -> None:
+        board = Board()
+        row = ServiceStatus(
+            "hints",
+            wanted=3,
+            serving=2,
+            downtime_seconds=7.5,
+            stranded_accelerators=16,
+        )
+        board.write(
+            keys.FLEET_STATUS,
+            FleetStatus((), {"hints": row}),
+            writer="fleet_status",
+            now_seconds=1.0,
+        )
+        watch_groups(board)
+        self.addCleanup(watch_groups, Board())
+        text = prometheus_client.generate_latest().decode()
+        for line in (
+            'mulberrypaddle_groups_serving{service="hints"} 2.0',
+            'mulberrypaddle_groups_wanted{service="hints"} 3.0',
+            'mulberrypaddle_stranded_accelerators{service="hints"} 16.0',
+            'mulberrypaddle_group_downtime_seconds_total{service="hints"} 7.5',
+        ):
+            self.assertThat(text, matchers.Contains(line))
--- a/tests/support/vm_world.py
+++ b/tests/support/vm_world.py
@@ -25,7 +25,7 @@
 from mulberrypaddle.controllers import Controller
 from mulberrypaddle.controllers.groups import group_controllers
 from mulberrypaddle.controllers.groups.codec import PREFIX, decode_domain
-from mulberrypaddle.controllers.groups.evolve import Protections
+from mulberrypaddle.controllers.groups.plan import Protections
 from mulberrypaddle.controllers.runner_table import RunnerTableController
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.core.fleet import (
