--- a/mulberrypaddle/controllers/groups/status.py
+++ b/mulberrypaddle/controllers/groups/status.py
@@ -44,6 +44,9 @@
 
     def step(self, now_seconds: float) -> None:
         """Writes the rows once a second."""
+        if self.context.board.entry(keys.VMS) is None:
+            # Without a list of VMs this fleet forms no groups.
+            return
         last_seconds = self._last_seconds
         if last_seconds is None:
             self._last_seconds = now_seconds
