Keep reserves from stopping every stream

Cause: the receive buffers that streams reserve could fill the budget up to the largest share, after which no stream could hold a byte and none ended: with a budget of 1 MiB, at 102 streams of one organisation.

--- a/mulberrypaddle/controllers/stream_memory/memory.py
+++ b/mulberrypaddle/controllers/stream_memory/memory.py
@@ -24,6 +24,10 @@
 # One organisation may hold up to this multiple of the free bytes.
 SHARE_OF_FREE = 4.0
 
+# Reserves may take this part of the budget; were it all of it, no stream
+# could hold a byte and none would ever end.
+RESERVED_PART = 0.5
+
 STALL_CHECK_SECONDS = 0.5
 
 
@@ -49,6 +53,7 @@
         self.peak_reader_bytes = 0
         self.sheds = 0
         self.stalls = 0
+        self._reserved_bytes = 0
         self._streams: dict[AnswerStream, None] = {}
         self._shares: dict[str, OrganisationShare] = {}
         self._short: dict[AnswerStream, None] = {}
@@ -79,17 +84,27 @@
         share.streams += 1
         return stream
 
-    def reserve(self, stream: AnswerStream) -> bool:
+    def reserve(self, stream: AnswerStream, *, waits: bool = False) -> bool:
         """Sets aside the receive buffer before a sender starts.
 
+        Args:
+            stream: The stream.
+            waits: Whether `room` is to be called later if it was not.
+
         Returns:
-            Whether it was set aside; if not, `room` is called later.
+            Whether it was set aside.
         """
         if stream.reserved_bytes:
             return True
-        if not self._allows(stream, RECEIVE_BUFFER_BYTES):
-            self._wait(stream, RECEIVE_BUFFER_BYTES)
+        reserved_bytes = self._reserved_bytes + RECEIVE_BUFFER_BYTES
+        if (
+            reserved_bytes > self.budget_bytes * RESERVED_PART
+            or not self._allows(stream, RECEIVE_BUFFER_BYTES)
+        ):
+            if waits:
+                self._wait(stream, RECEIVE_BUFFER_BYTES)
             return False
+        self._reserved_bytes = reserved_bytes
         stream.reserved_bytes = RECEIVE_BUFFER_BYTES
         self._charge(stream, RECEIVE_BUFFER_BYTES)
         return True
@@ -97,6 +112,7 @@
     def unreserve(self, stream: AnswerStream) -> None:
         """Gives the receive buffer back once the sender has ended."""
         reserved_bytes = stream.reserved_bytes
+        self._reserved_bytes -= reserved_bytes
         stream.reserved_bytes = 0
         stream.wanted_bytes = 0
         self._short.pop(stream, None)
@@ -156,6 +172,7 @@
         del self._streams[stream]
         self._short.pop(stream, None)
         self._charge(stream, -stream.charged_bytes)
+        self._reserved_bytes -= stream.reserved_bytes
         stream.held_bytes = 0
         stream.reserved_bytes = 0
         stream.share.streams -= 1
--- a/mulberrypaddle/frontdoor/relay.py
+++ b/mulberrypaddle/frontdoor/relay.py
@@ -152,7 +152,7 @@
         await self._idle.wait()
         while self.ended is None:
             self._room.clear()
-            if self._memory.reserve(self._stream):
+            if self._memory.reserve(self._stream, waits=True):
                 break
             await self._room.wait()
         self.parked = False
--- a/tests/controllers/stream_memory/test_memory.py
+++ b/tests/controllers/stream_memory/test_memory.py
@@ -107,13 +107,25 @@
             WINDOW_BYTES - RECEIVE_BUFFER_BYTES, self._fill(memory, small)
         )
 
+    def test_reserves_alone_never_stop_every_stream(self) -> None:
+        memory = self._memory(1 << 20)
+        started = []
+        for _ in range(1_000):
+            stream, _ = self._open(memory)
+            if memory.reserve(stream):
+                started.append(stream)
+        self.assertThat(len(started), matchers.GreaterThan(50))
+        for stream in started:
+            self.assertTrue(memory.take(stream, RECEIVE_BUFFER_BYTES))
+            memory.drained(stream, RECEIVE_BUFFER_BYTES)
+
     def test_waiting_stream_goes_on_when_another_drains(self) -> None:
         memory = self._memory(1 << 17)
         streams = [self._open(memory) for _ in range(8)]
         for stream, _ in streams:
             self._fill(memory, stream)
         last, listener = streams[-1]
-        self.assertFalse(memory.reserve(last))
+        self.assertFalse(memory.reserve(last, waits=True))
         for stream, _ in streams[:-1]:
             memory.close(stream)
         self.assertEqual(1, listener.rooms)
