--- a/tests/frontdoor/test_streams.py
+++ b/tests/frontdoor/test_streams.py
@@ -59,7 +59,9 @@
         self._fleet = fleet
         self.received = b""
 
-    async def send(self, path: str, body: dict[str, Any]) -> None:
+    async def send(
+        self, path: str, body: dict[str, Any], *, lines: str = ""
+    ) -> None:
         """Connects with a small receive buffer and sends one request."""
         host, port = self._fleet.addresses[0].split(":")
         self.reader, self.writer = await asyncio.open_connection(
@@ -68,7 +70,7 @@
         data = json.dumps(body)
         self.writer.write(
             f"POST {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
-            f"Authorization: Bearer {KEY}\r\n"
+            f"Authorization: Bearer {KEY}\r\n{lines}"
             f"Content-Length: {len(data)}\r\n\r\n{data}".encode()
         )
         await self.writer.drain()
@@ -219,6 +221,34 @@
         self.assertEqual(list(range(9)), offsets)
         self.assertThat(answer, matchers.EndsWith(b"\r\n0\r\n\r\n"))
 
+    def test_slow_runner_is_cancelled_at_the_deadline(self) -> None:
+        async def scenario(stream: bool) -> tuple[bytes, int]:
+            async with SmallFleet() as fleet:
+                # The first request gets the router its credit.
+                await fleet.call(
+                    "card-writer", "/v1/completions", completion(1)
+                )
+                fleet.engine.token_seconds = 0.02
+                reader = RawReader(fleet)
+                await reader.send(
+                    COMPLETIONS,
+                    {"prompt": "x", "max_tokens": 5_000, "stream": stream},
+                    lines="Request-Timeout: 1\r\n",
+                )
+                answer = await reader.read_all()
+                await until(lambda: bool(fleet.engine.cancels))
+                return answer, len(fleet.engine.cancels)
+
+        streamed, cancels = run(scenario(True))
+        self.assertThat(streamed, matchers.Contains(b"event: error\n"))
+        self.assertThat(streamed, matchers.Contains(b"deadline_passed"))
+        self.assertFalse(streamed.endswith(b"0\r\n\r\n"))
+        self.assertEqual(1, cancels)
+        whole, cancels = run(scenario(False))
+        self.assertThat(whole, matchers.StartsWith(b"HTTP/1.1 504 "))
+        self.assertThat(whole, matchers.Contains(b'"ran": "unknown"'))
+        self.assertEqual(1, cancels)
+
     def test_early_clean_end_is_no_answer(self) -> None:
         async def scenario() -> bytes:
             async with SmallFleet() as fleet:
