--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -47,6 +47,7 @@
         loss: Share of messages that are lost.
         decisions: All decisions made, in order, with the member id.
         order_runner: Answers orders to runners; tests replace it.
+        sent_bytes: Bytes of peer messages by sender, lost ones included.
         read_report: Returns a runner's report; tests replace it.
     """
 
@@ -70,6 +71,7 @@
         self.loss = loss
         self.delay_seconds = delay_seconds
         self.decisions: list[tuple[str, Decision]] = []
+        self.sent_bytes: dict[str, int] = {}
         self.order_runner: Callable[[OrderRunner], None] | None = None
         self.read_report: (
             Callable[[Runner, Node], Result[RunnerReport, Problem]] | None
@@ -137,12 +139,15 @@
         due_seconds = self.clock.monotonic_seconds() + self.rng.uniform(
             0, 2 * self.delay_seconds
         )
-        self._push(due_seconds, node, act)
+        self.schedule(due_seconds, node, act)
 
-    def _push(
+    def schedule(
         self, due_seconds: float, node: Node | None, act: Callable[[], None]
     ) -> None:
-        """Schedules `act`; without a node, it happens outside the routers."""
+        """Runs `act` at a monotonic time, later if `node` is paused then.
+
+        Without a node it happens outside the routers.
+        """
 
         def deliver() -> None:
             if node is None:
@@ -153,7 +158,7 @@
                 return
             if member_id in self.paused:
                 retry_seconds = self.clock.monotonic_seconds() + 0.05
-                self._push(retry_seconds, node, act)
+                self.schedule(retry_seconds, node, act)
                 return
             act()
 
@@ -164,6 +169,8 @@
     def send(self, sender: Node, intent: SendToPeer) -> None:
         """Puts a message on the network, or loses it."""
         sender_id = sender.context.member_id
+        sent_bytes = self.sent_bytes.get(sender_id, 0)
+        self.sent_bytes[sender_id] = sent_bytes + intent.message.ByteSize()
         target = self.nodes.get(intent.member_id)
         if target is None:
             return
@@ -237,7 +244,12 @@
 @carry_out.register(ListObjects)
 def _list(intent: ListObjects, fleet: FakeFleet, node: Node) -> None:
     _on_store(
-        fleet, node, lambda: fleet.store.list(intent.prefix), intent.reply
+        fleet,
+        node,
+        lambda: fleet.store.list(
+            intent.prefix, after_version=intent.after_version
+        ),
+        intent.reply,
     )
 
 
--- a/tests/support/serving.py
+++ b/tests/support/serving.py
@@ -8,7 +8,11 @@
 from returns.result import Failure, Result, Success
 
 from mulberrypaddle.blackboard import keys
-from mulberrypaddle.blackboard.tables import Configuration, RunnerTable
+from mulberrypaddle.blackboard.tables import (
+    Configuration,
+    PastMembers,
+    RunnerTable,
+)
 from mulberrypaddle.controllers import Context, Controller
 from mulberrypaddle.controllers.admission import Admission
 from mulberrypaddle.controllers.credits import Credits, Protections
@@ -27,13 +31,14 @@
 from tests.support.membership import FixedMembership
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from mulberrypaddle.node import Node
 
 SERVICE = "card-writer"
 DEADLINE_SECONDS = 6.0
 DOUBLE_SECONDS = 2.0
+LEASE_SECONDS = 6.0
 
 
 class FakeRunner:
@@ -45,6 +50,7 @@
         self.started_at_seconds = 0.0
         self.up_at_seconds = 0.0
         self.in_hand: dict[str, int] = {}
+        self.breaks: dict[str, Callable[[], None]] = {}
         self.completed = 0
         self.peak_share = 0.0
         self.member_vm_ids = runner.vm_ids
@@ -57,8 +63,11 @@
         return min(self.runner.slots, by_time, cold_slots + self.completed)
 
     def restart(self, now_seconds: float, down_seconds: float) -> None:
-        """Drops everything; comes back cold after a while."""
+        """Breaks every connection; comes back cold after a while."""
         self.in_hand.clear()
+        for tell in self.breaks.values():
+            tell()
+        self.breaks.clear()
         self.incarnation += 1
         self.completed = 0
         self.up_at_seconds = now_seconds + down_seconds
@@ -119,7 +128,8 @@
     Attributes:
         runners: By runner id.
         member_ids: The members, as every node is told in the end.
-        in_flight: Attempts in hand of live routers, by organisation.
+        in_flight: Attempts sent and not ended, by organisation; those of
+            routers that were killed are no caller's any more.
         completed: Requests that completed, by organisation.
         waited_seconds: Time from submission to admission, by organisation.
         refused: Refusals by kind.
@@ -143,6 +153,7 @@
         self.protections = protections or Protections()
         self.member_ids = [f"r{index}" for index in range(member_count)]
         self.epoch = 1
+        self.past: list[PastMembers] = []
         self.report_lag_seconds = report_lag_seconds
         self.memberships: dict[str, FixedMembership] = {}
         self.credits: dict[str, Credits] = {}
@@ -160,8 +171,12 @@
 
     def _controllers(self, context: Context) -> list[Controller]:
         member_id = context.member_id
-        membership = FixedMembership(context, self.member_ids)
-        membership.epoch = self.epoch
+        membership = FixedMembership(
+            context,
+            self.member_ids,
+            epoch=self.epoch,
+            unsettled=tuple(self.past),
+        )
         credits = Credits(context, protections=self.protections)
         admission = Admission(context, credits)
         self.memberships[member_id] = membership
@@ -187,6 +202,10 @@
 
     def change_members(self, member_ids: list[str]) -> None:
         """Tells every running router of new members."""
+        settled_at_seconds = self.clock.monotonic_seconds() + LEASE_SECONDS
+        self.past.append(
+            PastMembers(frozenset(self.member_ids), settled_at_seconds)
+        )
         self.member_ids = list(member_ids)
         self.epoch += 1
         for member_id in sorted(self.nodes):
@@ -244,7 +263,7 @@
             Invariant.CREDITS_WITHIN_CAPACITY,
             f"{organisation}: {len(attempts)} in flight",
         )
-        self._push(
+        self.schedule(
             self.clock.monotonic_seconds() + self._delay(),
             None,
             lambda: self._arrive(node, ticket, run_seconds),
@@ -268,23 +287,26 @@
                 f"bears {bears}",
             )
         incarnation = fake.incarnation
+        fake.breaks[ticket.attempt_id] = lambda: self._end(
+            node, ticket, AttemptState.MAYBE_RUN
+        )
 
         def finish() -> None:
             if fake.incarnation != incarnation:
-                self._end(node, ticket, AttemptState.MAYBE_RUN)
                 return
             del fake.in_hand[ticket.attempt_id]
+            del fake.breaks[ticket.attempt_id]
             fake.completed += 1
             self._end(node, ticket, AttemptState.DONE)
 
-        self._push(now_seconds + run_seconds, None, finish)
+        self.schedule(now_seconds + run_seconds, None, finish)
 
     def _end(self, node: Node, ticket: Ticket, state: AttemptState) -> None:
         """Tells the router, if it still runs, how an attempt ended."""
+        organisation = ticket.request.organisation
+        self.in_flight[organisation].pop(ticket.attempt_id, None)
 
         def act() -> None:
-            organisation = ticket.request.organisation
-            self.in_flight[organisation].pop(ticket.attempt_id, None)
             if state is AttemptState.DONE:
                 done = self.completed.get(organisation, 0)
                 self.completed[organisation] = done + 1
