Step only claims that still have something to send

Cause: each step went over every claim held, the ended ones of the last minute included, and unconfirmed outcomes were repeated every second.

Change: ended and confirmed claims leave the stepped set and are swept each second; reports are repeated ever more slowly, up to 8 s apart.

The processor time saved was not measured.

--- a/mulberrypaddle/controllers/claims/claimant.py
+++ b/mulberrypaddle/controllers/claims/claimant.py
@@ -32,8 +32,9 @@
 # A grant that was not used by then is given back.
 GRANT_SECONDS = 30.0
 RESEND_SECONDS = 0.25
-# Outcomes are repeated this often until the owner confirms them.
+# Outcomes are repeated, ever more slowly, until the owner confirms them.
 REPORT_SECONDS = 1.0
+MAX_REPORT_SECONDS = 8.0
 # After this a claim that was given up no longer answers a late grant.
 LINGER_SECONDS = 60.0
 FINGERPRINT_BYTES = 16
@@ -72,6 +73,7 @@
         expires_at_seconds: Monotonic time from which the grant is void.
         next_post_seconds: When to send the next message.
         spent: Whether an attempt may have run.
+        reports: How often the outcome was reported.
         outcome: What is reported to the owner.
         answer: The answer that is reported, or None.
         confirmed_at_seconds: When the owner confirmed, or None.
@@ -91,6 +93,7 @@
         "outcome",
         "range_number",
         "reply",
+        "reports",
         "request_id",
         "spent",
         "state",
@@ -122,6 +125,7 @@
         )
         self.next_post_seconds = now_seconds
         self.spent = False
+        self.reports = 0
         self.outcome = pb.CLAIM_OUTCOME_NONE
         self.answer: KeptAnswer | None = None
         self.confirmed_at_seconds: float | None = None
@@ -145,6 +149,10 @@
         if answer is not None and len(answer.body) > KEPT_ANSWER_BYTES:
             self.answer = None
 
+    def is_settled(self) -> bool:
+        """Returns whether there is nothing left to send or to give up."""
+        return self.state is ClaimState.ENDED and not self.is_unconfirmed()
+
     def is_over(self, now_seconds: float) -> bool:
         """Returns whether the claim may be forgotten."""
         if self.state is not ClaimState.ENDED:
@@ -177,7 +185,13 @@
         asks = self.state is ClaimState.ASKED
         if not asks and not self.is_unconfirmed():
             return
-        wait_seconds = RESEND_SECONDS if asks else REPORT_SECONDS
+        wait_seconds = RESEND_SECONDS
+        if not asks:
+            wait_seconds = min(
+                REPORT_SECONDS * 2 ** min(self.reports, 8),
+                MAX_REPORT_SECONDS,
+            )
+            self.reports += 1
         jitter = 0.5 + rng.random()
         self.next_post_seconds = now_seconds + wait_seconds * jitter
         if asks:
--- a/mulberrypaddle/controllers/claims/controller.py
+++ b/mulberrypaddle/controllers/claims/controller.py
@@ -44,6 +44,7 @@
 MAX_CLAIMS = 20_000
 # A sent claim whose end was never told counts as unknown after this.
 FORGET_SECONDS = 600.0
+SWEEP_SECONDS = 1.0
 
 _SURELY_NOT_RUN = (AttemptState.UNSENT, AttemptState.REFUSED)
 
@@ -76,9 +77,12 @@
         self._protections = protections or Protections()
         self._retention_seconds = retention_seconds
         self._claims: dict[str, Claim] = {}
+        # Those of them that still have something to send or to give up.
+        self._active: dict[str, Claim] = {}
         self._by_request: dict[str, Claim] = {}
         self._by_digest: dict[bytes, Claim] = {}
         self._grants = 0
+        self._next_sweep_seconds = 0.0
         self._owners: list[RangeOwner] = []
         for number in range(RANGES):
             self._owners.append(
@@ -100,7 +104,7 @@
     def unconfirmed(self) -> int:
         """Returns how many outcomes no owner has confirmed yet."""
         count = 0
-        for claim in self._claims.values():
+        for claim in self._active.values():
             count += claim.is_unconfirmed()
         return count
 
@@ -113,18 +117,18 @@
         """Writes as owner; repeats messages and gives up as claimant."""
         for owner in self._owners:
             owner.step(now_seconds)
-        for claim in list(self._claims.values()):
+        for claim in list(self._active.values()):
             self._give_up_late(claim, now_seconds)
             self._send(claim, now_seconds)
-            if claim.is_over(now_seconds):
-                self._claims.pop(claim.grant_id, None)
-                self._forget_digest(claim)
+            if claim.is_settled():
+                del self._active[claim.grant_id]
+        self._sweep(now_seconds)
 
     def woke_up(self, gap_seconds: float, now_seconds: float) -> None:
         """Loads its ranges again and gives back what has expired."""
         for owner in self._owners:
             owner.woke_up()
-        for claim in list(self._claims.values()):
+        for claim in list(self._active.values()):
             self._give_up_late(claim, now_seconds)
 
     def receive(
@@ -257,6 +261,17 @@
             return
         self._end(claim, pb.CLAIM_OUTCOME_NONE)
 
+    def _sweep(self, now_seconds: float) -> None:
+        """Forgets claims that are over."""
+        if now_seconds < self._next_sweep_seconds:
+            return
+        self._next_sweep_seconds = now_seconds + SWEEP_SECONDS
+        for claim in list(self._claims.values()):
+            if claim.is_over(now_seconds):
+                self._claims.pop(claim.grant_id, None)
+                self._active.pop(claim.grant_id, None)
+                self._forget_digest(claim)
+
     def _check_key(self, key: str) -> Result[int, Problem]:
         retention_seconds = self._retention_seconds
         if not self._protections.retention:
@@ -278,6 +293,7 @@
             now_seconds=context.now_seconds(),
         )
         self._claims[claim.grant_id] = claim
+        self._active[claim.grant_id] = claim
         self._by_request[request.request_id] = claim
         self._by_digest[claim.digest] = claim
         self._send(claim, claim.asked_at_seconds)
@@ -302,6 +318,7 @@
         if claim.state is ClaimState.ENDED and granted:
             # The owner doesn't know yet how this one ended.
             claim.confirmed_at_seconds = None
+            self._active[claim.grant_id] = claim
             return
         if claim.state is not ClaimState.ASKED:
             return
