--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -14,6 +14,7 @@
     ReadReport,
     SendToPeer,
     WriteObject,
+    keys,
 )
 from mulberrypaddle.observe import log_decision
 
@@ -21,12 +22,14 @@
     from collections.abc import Coroutine
     from typing import Any
 
-    from mulberrypaddle.backends import ObjectStore, RunnerClient
+    from mulberrypaddle.backends import RunnerClient
+    from mulberrypaddle.backends.budgeted_store import BudgetedStore
     from mulberrypaddle.node import Node
     from mulberrypaddle.operators.journal import Journal
     from mulberrypaddle.peers import PeerLinks
 
 STEP_SECONDS = 0.02
+WAKE_SECONDS = 0.002
 
 
 class Adapters:
@@ -41,7 +44,11 @@
     __slots__ = ("links", "runners", "store")
 
     def __init__(
-        self, *, store: ObjectStore, links: PeerLinks, runners: RunnerClient
+        self,
+        *,
+        store: BudgetedStore,
+        links: PeerLinks,
+        runners: RunnerClient,
     ) -> None:
         self.store = store
         self.links = links
@@ -64,19 +71,30 @@
 
 @carry_out.register(ReadObject)
 async def _read(intent: ReadObject, adapters: Adapters) -> None:
-    intent.reply(await adapters.store.read(intent.key))
+    intent.reply(
+        await adapters.store.read(intent.key, priority=intent.priority)
+    )
 
 
 @carry_out.register(ListObjects)
 async def _list(intent: ListObjects, adapters: Adapters) -> None:
-    intent.reply(await adapters.store.list(intent.prefix))
+    intent.reply(
+        await adapters.store.list(
+            intent.prefix,
+            after_version=intent.after_version,
+            priority=intent.priority,
+        )
+    )
 
 
 @carry_out.register(WriteObject)
 async def _write(intent: WriteObject, adapters: Adapters) -> None:
     intent.reply(
         await adapters.store.write(
-            intent.key, intent.value, expected_version=intent.expected_version
+            intent.key,
+            intent.value,
+            expected_version=intent.expected_version,
+            priority=intent.priority,
         )
     )
 
@@ -85,7 +103,9 @@
 async def _delete(intent: DeleteObject, adapters: Adapters) -> None:
     intent.reply(
         await adapters.store.delete(
-            intent.key, expected_version=intent.expected_version
+            intent.key,
+            expected_version=intent.expected_version,
+            priority=intent.priority,
         )
     )
 
@@ -110,17 +130,37 @@
         self._adapters = adapters
         self._journal = journal
         self._tasks: set[asyncio.Task[None]] = set()
+        self._due = asyncio.Event()
+        self._woken = False
 
     async def run(self) -> None:
         """Steps the node until cancelled."""
+        loop = asyncio.get_running_loop()
         while True:
+            self._woken = False
             self.turn()
-            await asyncio.sleep(STEP_SECONDS)
+            self._due.clear()
+            timer = loop.call_later(STEP_SECONDS, self._due.set)
+            await self._due.wait()
+            timer.cancel()
+
+    def wake(self) -> None:
+        """Makes the next turn come soon: something waits for it.
+
+        The short delay joins what many requests leave at the same time.
+        """
+        if self._woken:
+            return
+        self._woken = True
+        asyncio.get_running_loop().call_later(WAKE_SECONDS, self._due.set)
 
     def turn(self) -> None:
         """Steps the node once and starts what it asked for."""
         self._node.step()
         board = self._node.context.board
+        entry = board.entry(keys.MEMBERSHIP)
+        if entry is not None:
+            self._adapters.store.budget.share(len(entry.value.members))
         while board.decisions:
             decision = board.decisions.popleft()
             self._journal.add(decision)
@@ -131,4 +171,9 @@
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._carried_out)
+
+    def _carried_out(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if self._node.context.board.intents:
+            self.wake()
--- a/mulberrypaddle/frontdoor/headers.py
+++ b/mulberrypaddle/frontdoor/headers.py
@@ -174,13 +174,13 @@
                 f"{method} {path} may run only once: got no Idempotency-Key",
             )
         )
+    checked_path = check_path(method, path, service.kind)
+    if not isinstance(checked_path, Success):
+        return Failure(checked_path.failure())
     if not idempotent:
         shaped = key_millis(key)
         if not isinstance(shaped, Success):
             return Failure(shaped.failure())
-    checked_path = check_path(method, path, service.kind)
-    if not isinstance(checked_path, Success):
-        return Failure(checked_path.failure())
     body = http_request.body
     prompt_tokens = len(body) // BYTES_PER_TOKEN + 1
     max_output_tokens = 0
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -6,6 +6,8 @@
 import random
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.backends.budgeted_store import BudgetedStore
+from mulberrypaddle.backends.call_budget import CallBudget
 from mulberrypaddle.backends.http_object_store import HttpObjectStore
 from mulberrypaddle.backends.http_runner import HttpRunnerClient
 from mulberrypaddle.blackboard import Board
@@ -71,11 +73,12 @@
         credits = Credits(self.context)
         admission = Admission(self.context, credits)
         claims = Claims(self.context)
+        configuration = ConfigurationController(self.context)
         self._claims = claims
         quarantine = Quarantine(self.context)
         retries = Retries(self.context)
         ejection = Ejection(self.context)
-        apply = Apply(self.context)
+        apply = Apply(self.context, accepted=configuration.accept)
         self.memory = StreamMemory(
             self.context, budget_bytes=settings.answer_memory_bytes
         )
@@ -84,7 +87,7 @@
             self.context,
             [
                 self.membership,
-                ConfigurationController(self.context),
+                configuration,
                 RunnerTableController(self.context),
                 apply,
                 claims,
@@ -106,7 +109,11 @@
         self._driver = Driver(
             self.node,
             Adapters(
-                store=self._store, links=self.links, runners=self._runners
+                store=BudgetedStore(
+                    self._store, CallBudget(clock, self.context.rng)
+                ),
+                links=self.links,
+                runners=self._runners,
             ),
             journal=self.journal,
         )
@@ -121,6 +128,7 @@
                 ejection=ejection,
                 runners=self._runners,
                 clock=clock,
+                wake=self._driver.wake,
             ),
             settings=settings,
         )
