Blame content only for runners that were really lost

Cause: a stream whose connection broke on two runners was taken for content that crashes runners, so its third attempt was refused as quarantined (tests/frontdoor/test_streams.py, test_broken_stream_goes_on_at_its_offset).

Change: the owner of a service's suspects asks the runner for its report; a runner that started before the attempt lived on. A repeated strike tells how long ago its attempt began.

--- a/mulberrypaddle/controllers/quarantine/controller.py
+++ b/mulberrypaddle/controllers/quarantine/controller.py
@@ -251,7 +251,12 @@
             return
         jitter = 0.5 + self.context.rng.random()
         report.next_send_seconds = now_seconds + RESEND_SECONDS * jitter
-        self._post(self._owner(report.message.service), report.message)
+        message = report.message
+        if isinstance(message, pb.StrikeReport):
+            # A repeated report tells of an attempt that began earlier.
+            message.age_seconds += now_seconds - report.made_at_seconds
+            report.made_at_seconds = now_seconds
+        self._post(self._owner(message.service), message)
 
     def _ask_again(self, waiting: Waiting, now_seconds: float) -> None:
         if now_seconds >= waiting.deadline_at_seconds:
--- a/mulberrypaddle/controllers/quarantine/owner.py
+++ b/mulberrypaddle/controllers/quarantine/owner.py
@@ -4,15 +4,19 @@
 
 from typing import TYPE_CHECKING
 
-from mulberrypaddle.blackboard import keys
+from returns.result import Result, Success
+
+from mulberrypaddle.blackboard import ReadReport, keys
 from mulberrypaddle.blackboard.tables import RunnerTable
-from mulberrypaddle.controllers.quarantine.strikes import StrikeBook
+from mulberrypaddle.controllers.quarantine.strikes import LossEvent, StrikeBook
 from mulberrypaddle.controllers.quarantine.turns import Turns
 from mulberrypaddle.core.ownership import Duty
 from mulberrypaddle.peers.proto import strikes_pb2 as pb
 
 if TYPE_CHECKING:
     from mulberrypaddle.controllers.base import Context
+    from mulberrypaddle.core.errors import Problem
+    from mulberrypaddle.core.fleet import RunnerReport
 
 DUTY_KIND = "fingerprint"
 
@@ -52,7 +56,7 @@
 
     def strike(self, report: pb.StrikeReport, now_seconds: float) -> None:
         """Takes note of an attempt that ended with the loss of its runner."""
-        self._book.add(
+        event = self._book.add(
             report.fingerprint,
             runner_id=report.runner_id,
             fabric_domain=report.fabric_domain,
@@ -60,6 +64,7 @@
             now_seconds=now_seconds,
         )
         self.changed = True
+        self._verify(event, report.runner_id)
         self._context.decide(
             "strike",
             subject=report.fingerprint.hex(),
@@ -69,6 +74,28 @@
             runner=report.runner_id,
         )
 
+    def _verify(self, event: LossEvent, runner_id: str) -> None:
+        """Asks a runner whether it was lost, or only a connection to it."""
+        table = self._context.board.latest(
+            keys.RUNNERS, RunnerTable(runners={}, reports={})
+        )
+        runner = table.runners.get(runner_id)
+        known = runner_id in event.unverified or runner_id in event.refuted
+        if runner is None or known:
+            return
+        event.unverified.add(runner_id)
+
+        def answered(result: Result[RunnerReport, Problem]) -> None:
+            started_at_seconds: float | None = None
+            if isinstance(result, Success):
+                started_at_seconds = (
+                    self._context.now_seconds() - result.unwrap().uptime_seconds
+                )
+            event.verify(runner_id, started_at_seconds=started_at_seconds)
+            self.changed = True
+
+        self._context.board.intents.append(ReadReport(runner, reply=answered))
+
     def adopt(self, known: dict[bytes, float], now_seconds: float) -> None:
         """Takes over what an earlier owner told of."""
         for fingerprint, until_seconds in known.items():
--- a/mulberrypaddle/controllers/quarantine/strikes.py
+++ b/mulberrypaddle/controllers/quarantine/strikes.py
@@ -21,6 +21,10 @@
 RECORD_SECONDS = 3600.0
 # Late reports of the same event may still share the blame until then.
 SETTLE_SECONDS = 0.2
+# A lost runner that has not answered until then counts as lost.
+VERIFY_SECONDS = 2.0
+# How exactly a runner's uptime tells when it started.
+START_SLACK_SECONDS = 0.5
 MAX_RECORDS = 1024
 MAX_EVENTS = 256
 
@@ -33,6 +37,9 @@
         fabric_domain: Of the first runner; may be empty.
         by_runner: Fingerprints by runner id.
         suspects: Fingerprints that were suspect before.
+        started_at_seconds: Monotonic time at which the earliest attempt began.
+        unverified: Runners that are being asked whether they live.
+        refuted: Runners that turned out to have lived on.
     """
 
     __slots__ = (
@@ -40,7 +47,10 @@
         "at_seconds",
         "by_runner",
         "fabric_domain",
+        "refuted",
+        "started_at_seconds",
         "suspects",
+        "unverified",
     )
 
     def __init__(
@@ -55,6 +65,31 @@
         self.fabric_domain = fabric_domain
         self.by_runner: dict[str, set[bytes]] = {}
         self.suspects: set[bytes] = set()
+        self.started_at_seconds = at_seconds
+        self.unverified: set[str] = set()
+        self.refuted: set[str] = set()
+
+    def is_settled(self, now_seconds: float) -> bool:
+        """Returns whether reports and answers of its runners are in."""
+        age_seconds = now_seconds - self.at_seconds
+        if age_seconds >= VERIFY_SECONDS:
+            return True
+        return age_seconds >= SETTLE_SECONDS and not self.unverified
+
+    def verify(
+        self, runner_id: str, *, started_at_seconds: float | None
+    ) -> None:
+        """Takes note of when a runner that was asked had started.
+
+        Args:
+            runner_id: The runner.
+            started_at_seconds: Monotonic time; None if it doesn't answer.
+        """
+        self.unverified.discard(runner_id)
+        if started_at_seconds is None:
+            return
+        if started_at_seconds < self.started_at_seconds - START_SLACK_SECONDS:
+            self.refuted.add(runner_id)
 
     def takes(
         self,
@@ -82,14 +117,19 @@
     def blame(self, fingerprint: bytes) -> float:
         """Returns one content's share of the blame, from 0 to 1."""
         if not self._shares_blame:
-            return 1.0
+            return 1.0 if len(self.by_runner) > len(self.refuted) else 0.0
         blamed = self._blamed()
         if fingerprint not in blamed:
             return 0.0
         return 1.0 / len(blamed)
 
     def _blamed(self) -> set[bytes]:
-        contents = list(self.by_runner.values())
+        contents = []
+        for runner_id, fingerprints in self.by_runner.items():
+            if runner_id not in self.refuted:
+                contents.append(fingerprints)
+        if not contents:
+            return set()
         common = set.intersection(*contents)
         if len(contents) > 1:
             return common
@@ -131,13 +171,20 @@
         fabric_domain: str,
         started_at_seconds: float,
         now_seconds: float,
-    ) -> None:
-        """Takes note of an attempt that ended with the loss of its runner."""
+    ) -> LossEvent:
+        """Takes note of an attempt that ended with the loss of its runner.
+
+        Returns:
+            The event that the loss belongs to.
+        """
         event = self._event_of(
             runner_id, fabric_domain, started_at_seconds, now_seconds
         )
         if self.is_suspect(fingerprint, now_seconds):
             event.suspects.add(fingerprint)
+        event.started_at_seconds = min(
+            event.started_at_seconds, started_at_seconds
+        )
         event.by_runner.setdefault(runner_id, set()).add(fingerprint)
         record = self._records.pop(fingerprint, None) or _Record()
         if event not in record.events:
@@ -145,6 +192,7 @@
         self._records[fingerprint] = record
         while len(self._records) > MAX_RECORDS:
             del self._records[next(iter(self._records))]
+        return event
 
     def clear(self, fingerprint: bytes, now_seconds: float) -> None:
         """Forgets a suspect that ran without loss."""
@@ -180,7 +228,7 @@
         record = self._records.get(fingerprint)
         if record is None:
             return True
-        return now_seconds - record.last_seconds() >= SETTLE_SECONDS
+        return record.events[-1].is_settled(now_seconds)
 
     def runners_lost(self, fingerprint: bytes) -> set[str]:
         """Returns the runners that were lost with this content."""
--- a/mulberrypaddle/controllers/quarantine/types.py
+++ b/mulberrypaddle/controllers/quarantine/types.py
@@ -66,12 +66,18 @@
 class Report:
     """A message that is repeated until the owner confirms it."""
 
-    __slots__ = ("message", "next_send_seconds", "until_seconds")
+    __slots__ = (
+        "made_at_seconds",
+        "message",
+        "next_send_seconds",
+        "until_seconds",
+    )
 
     def __init__(
         self, message: pb.StrikeReport | pb.TurnEnd, now_seconds: float
     ) -> None:
         self.message = message
+        self.made_at_seconds = now_seconds
         self.next_send_seconds = now_seconds
         self.until_seconds = now_seconds + GIVE_UP_SECONDS
 
--- a/tests/controllers/quarantine/test_quarantine.py
+++ b/tests/controllers/quarantine/test_quarantine.py
@@ -41,6 +41,13 @@
         fleet = self._send_again(seed=1, protects=False)
         self.assertThat(len(fleet.lost), matchers.GreaterThan(20))
 
+    def test_broken_connections_to_living_runners_convict_nobody(self) -> None:
+        fleet = CrashFleet(seed=1)
+        fleet.only_connections = True
+        send_again(fleet, times=10, innocents_per_second=100.0)
+        refusals = {call.refusal for call in fleet.calls}
+        self.assertEqual({None}, refusals)
+
     def test_stays_refused_after_its_owner_is_lost(self) -> None:
         fleet = self._send_again(seed=1)
         owner = owner_of(duty_of(SERVICE), ROUTERS)
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -5,15 +5,15 @@
 import random
 from typing import TYPE_CHECKING
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from mulberrypaddle.blackboard import keys
 from mulberrypaddle.blackboard.tables import RunnerTable
 from mulberrypaddle.controllers import Context, Controller
 from mulberrypaddle.controllers.quarantine import Quarantine
 from mulberrypaddle.core.contract import Urgency
-from mulberrypaddle.core.errors import ErrorKind
-from mulberrypaddle.core.fleet import Runner, ServiceKind
+from mulberrypaddle.core.errors import ErrorKind, Problem
+from mulberrypaddle.core.fleet import Runner, RunnerReport, ServiceKind
 from mulberrypaddle.core.request import AttemptState, Request
 from mulberrypaddle.core.ticket import AttemptOutcome, Ticket
 from tests.support.fleet import FakeFleet
@@ -25,7 +25,6 @@
     from returns.result import Result
 
     from mulberrypaddle.controllers.quarantine import Clearance
-    from mulberrypaddle.core.errors import Problem
     from mulberrypaddle.node import Node
 
 ROUTERS = [f"router-{number}" for number in range(1, 8)]
@@ -73,6 +72,8 @@
         fleet: The fake network and clock.
         lost: Ids of runners that the culprit killed, in order.
         calls: Every call, in order.
+        only_connections: Whether "lost" runners live on and only the
+            connections to them break.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         shares_blame: bool = True,
     ) -> None:
         self.shares_blame = shares_blame
+        self.only_connections = False
         self.rng = random.Random(seed)
         self.protects = protects
         self.lost: list[str] = []
@@ -110,6 +112,7 @@
             self.runners[runner.runner_id] = runner
             self._in_hand[runner.runner_id] = {}
         self.fleet = FakeFleet(ROUTERS, self._build, seed=seed, loss=loss)
+        self.fleet.read_report = self._read_report
         self.fleet.run(0.2)
 
     @property
@@ -165,6 +168,23 @@
             quarantine,
         ]
 
+    def _read_report(
+        self, runner: Runner, node: Node
+    ) -> Result[RunnerReport, Problem]:
+        up_at_seconds = self._down_until.get(runner.runner_id, -1000.0)
+        if up_at_seconds > self.now:
+            return Failure(Problem(ErrorKind.RUNNER_UNREACHABLE, "down"))
+        return Success(
+            RunnerReport(
+                runner.runner_id,
+                incarnation="1",
+                reported_at_seconds=self.now,
+                uptime_seconds=self.now - up_at_seconds,
+                running_requests=0,
+                held_tokens=0,
+            )
+        )
+
     def _quarantine(self, call: Call) -> Quarantine:
         return self.quarantines[call.node.context.member_id]
 
@@ -224,7 +244,8 @@
             self._lose(runner_id)
 
     def _lose(self, runner_id: str) -> None:
-        self._down_until[runner_id] = self.now + RESTART_SECONDS
+        if not self.only_connections:
+            self._down_until[runner_id] = self.now + RESTART_SECONDS
         in_hand = self._in_hand[runner_id]
         self._in_hand[runner_id] = {}
         for call, ticket in in_hand.items():
