Hold claims in less memory and load a long log in small steps

Cause: a claim took 828 bytes, and a window of an hour at 1,000 claims/s is 450,000 claims a range, more than the 200,000 that a range accepts. Loading such a log in one step takes longer than a second, which looks like a pause and starts the takeover again.

Change: records hold plain fields; the window is 1,200 s; a takeover reads eight segments a step.

--- a/mulberrypaddle/controllers/claims/idempotency_key.py
+++ b/mulberrypaddle/controllers/claims/idempotency_key.py
@@ -10,7 +10,7 @@
 from mulberrypaddle.core.errors import ErrorKind, Problem
 
 # A key older than this is refused, so its claim may be forgotten.
-RETENTION_SECONDS = 3600.0
+RETENTION_SECONDS = 1200.0
 # Most that the wall clocks of two routers, or of a caller and a router,
 # may differ.
 CLOCK_TOLERANCE_SECONDS = 60.0
--- a/mulberrypaddle/controllers/claims/log.py
+++ b/mulberrypaddle/controllers/claims/log.py
@@ -21,7 +21,11 @@
 )
 from mulberrypaddle.controllers.claims import segments
 from mulberrypaddle.controllers.claims.batch import Batch, Line, Written
-from mulberrypaddle.controllers.claims.segments import ClosedSegment, Tail
+from mulberrypaddle.controllers.claims.segments import (
+    ClosedSegment,
+    Segment,
+    Tail,
+)
 from mulberrypaddle.controllers.claims.takeover import Loaded, Takeover
 from mulberrypaddle.controllers.duties import membership
 from mulberrypaddle.core.errors import ErrorKind, Problem
@@ -40,6 +44,8 @@
 # An entry that nobody waits for rides on the next claim's write until then.
 DEFERRED_SECONDS = 0.2
 RETRY_SECONDS = 0.3
+# Segments that one step reads while a log is loaded.
+SEGMENTS_PER_STEP = 8
 # A call without any reply (the process slept through it) is in doubt.
 CALL_TIMEOUT_SECONDS = 10.0
 
@@ -68,15 +74,18 @@
         *,
         protections: Protections,
         loaded: Callable[[list[ClaimEntry]], None],
+        opened: Callable[[], None],
         closed: Callable[[], None],
     ) -> None:
         self.state = LogState.CLOSED
         self._on_loaded = loaded
+        self._on_opened = opened
         self._on_closed = closed
         self._context = context
         self._range = range_number
         self._protections = protections
         self._takeover: Takeover | None = None
+        self._unread: deque[Segment] = deque()
         self._queue: deque[Line] = deque()
         self._batch: Batch | None = None
         self._tail = Tail(0, version=0, content=b"")
@@ -97,7 +106,10 @@
         return len(self._queue)
 
     def open(self, now_seconds: float) -> None:
-        """Begins to load and fence the log, if it is closed."""
+        """Begins to load and fence the log if it is closed, or goes on."""
+        if self._unread:
+            self._load_some()
+            return
         takeover = self._takeover
         if takeover is not None:
             waited_seconds = now_seconds - takeover.started_at_seconds
@@ -127,6 +139,7 @@
         if self._takeover is not None:
             self._takeover.cancel()
         self._takeover = None
+        self._unread.clear()
         self._batch = None
         self._queue.clear()
         self._due_at_seconds = float("inf")
@@ -224,16 +237,25 @@
         if loaded is None:
             self.close()
             return
-        self.state = LogState.OPEN
-        self._not_before_seconds = 0.0
         self._tail = Tail(
             loaded.number, version=loaded.version, content=loaded.content
         )
-        entries: list[ClaimEntry] = []
-        for segment in loaded.found:
-            entries.extend(segment.parsed.entries)
+        self._unread.extend(loaded.found)
+        self._load_some()
+
+    def _load_some(self) -> None:
+        """Reads a few segments, so that no step takes long."""
+        for _ in range(SEGMENTS_PER_STEP):
+            if not self._unread:
+                break
+            segment = self._unread.popleft()
             self._old.append(segment.closed())
-        self._on_loaded(entries)
+            self._on_loaded(list(segment.parsed.entries))
+        if self._unread:
+            return
+        self.state = LogState.OPEN
+        self._not_before_seconds = 0.0
+        self._on_opened()
 
     def _take_lines(self) -> list[Line]:
         lines: list[Line] = []
--- a/mulberrypaddle/controllers/claims/owner.py
+++ b/mulberrypaddle/controllers/claims/owner.py
@@ -39,19 +39,33 @@
 
 
 class _Record:
-    """A durable claim.
+    """A durable claim, held in little memory.
 
     Attributes:
-        claim: The claim's entry.
+        key: Digest of organisation and key.
+        key_millis: Time in the key.
+        fingerprint: Digest of the request's content.
+        grant_id: The grant that it was claimed under.
         outcome: How it ended, as far as that is durable.
         answer: The kept answer, or None.
         ending: Its outcome while that is being written, or None.
     """
 
-    __slots__ = ("answer", "claim", "ending", "outcome")
-
-    def __init__(self, claim: pb.ClaimEntry) -> None:
-        self.claim = claim
+    __slots__ = (
+        "answer",
+        "ending",
+        "fingerprint",
+        "grant_id",
+        "key",
+        "key_millis",
+        "outcome",
+    )
+
+    def __init__(self, key: bytes, claim: pb.ClaimEntry) -> None:
+        self.key = key
+        self.key_millis = claim.key_millis
+        self.fingerprint = claim.fingerprint
+        self.grant_id = claim.grant_id
         self.outcome = pb.CLAIM_OUTCOME_NONE
         self.answer: pb.ClaimAnswer | None = None
         self.ending: pb.ClaimEntry | None = None
@@ -101,6 +115,7 @@
             range_number,
             protections=protections,
             loaded=self._loaded,
+            opened=self._opened,
             closed=self._forget,
         )
 
@@ -166,7 +181,7 @@
             queued.given_up = report.kind == pb.CLAIM_OUTCOME_NOT_RUN
             return
         record = self._records.get(report.key)
-        known = record is not None and record.claim.grant_id == report.grant_id
+        known = record is not None and record.grant_id == report.grant_id
         if record is None or not known or record.outcome:
             self._post(sender, pb.ClaimOutcomeAck(grant_id=report.grant_id))
             return
@@ -209,7 +224,7 @@
     def _answer_from(
         self, record: _Record, sender: str, request: pb.ClaimRequest
     ) -> None:
-        if record.claim.fingerprint != request.fingerprint:
+        if record.fingerprint != request.fingerprint:
             self._answer(sender, request, pb.CLAIM_VERDICT_KEY_REUSED)
             return
         outcome = record.outcome
@@ -220,7 +235,7 @@
         if outcome == pb.CLAIM_OUTCOME_DONE:
             self._answer(sender, request, pb.CLAIM_VERDICT_ALREADY_RAN, answer)
             return
-        same_grant = record.claim.grant_id == request.grant_id
+        same_grant = record.grant_id == request.grant_id
         if outcome == pb.CLAIM_OUTCOME_NOT_RUN:
             # Another grant has to wait until this is durable.
             if same_grant:
@@ -292,9 +307,9 @@
         sender: str,
     ) -> None:
         entry = pb.ClaimEntry(
-            key=record.claim.key,
-            key_millis=record.claim.key_millis,
-            grant_id=record.claim.grant_id,
+            key=record.key,
+            key_millis=record.key_millis,
+            grant_id=record.grant_id,
             outcome=kind,
         )
         if answer is not None and self._has_room(answer):
@@ -311,14 +326,15 @@
         return self._answers_bytes + len(answer.body) <= ANSWERS_BYTES
 
     def _put(self, entry: pb.ClaimEntry) -> _Record:
-        old = self._records.get(entry.key)
+        key = entry.key
+        old = self._records.get(key)
         invariants.check(
             old is None or old.outcome == pb.CLAIM_OUTCOME_NOT_RUN,
             Invariant.AT_MOST_ONCE,
             f"grant {entry.grant_id} was claimed over an earlier claim",
         )
-        record = _Record(entry)
-        self._records[entry.key] = record
+        record = _Record(key, entry)
+        self._records[key] = record
         return record
 
     def _end(self, record: _Record, entry: pb.ClaimEntry) -> None:
@@ -342,9 +358,11 @@
                 self._put(entry)
                 continue
             record = self._records.get(entry.key)
-            if record is None or record.claim.grant_id != entry.grant_id:
+            if record is None or record.grant_id != entry.grant_id:
                 continue
             self._end(record, entry)
+
+    def _opened(self) -> None:
         self._context.decide(
             "claims_taken_over",
             subject=str(self.duty),
@@ -370,4 +388,4 @@
     """Returns whether an earlier claim surely did not run and is over."""
     if record.outcome != pb.CLAIM_OUTCOME_NOT_RUN:
         return False
-    return record.claim.grant_id != request.grant_id
+    return record.grant_id != request.grant_id
--- a/mulberrypaddle/controllers/claims/segments.py
+++ b/mulberrypaddle/controllers/claims/segments.py
@@ -21,17 +21,23 @@
         number: Place in the log; the highest is the tail.
         version: Version in the object API.
         content: Serialised ClaimSegment.
-        parsed: The same, parsed.
     """
 
-    __slots__ = ("content", "key", "number", "parsed", "version")
+    __slots__ = ("_parsed", "content", "key", "number", "version")
 
     def __init__(self, stored: StoredObject) -> None:
         self.key = stored.key
         self.number = int(stored.key.rsplit("/", 1)[1].split("-")[0])
         self.version = stored.version
         self.content = stored.value
-        self.parsed = ClaimSegment.FromString(stored.value)
+        self._parsed: ClaimSegment | None = None
+
+    @property
+    def parsed(self) -> ClaimSegment:
+        """Returns the content, parsed when it is first asked for."""
+        if self._parsed is None:
+            self._parsed = ClaimSegment.FromString(self.content)
+        return self._parsed
 
     def closed(self) -> ClosedSegment:
         """Returns what is kept of the segment once it is loaded."""
--- a/tests/support/claims_fleet.py
+++ b/tests/support/claims_fleet.py
@@ -14,6 +14,10 @@
     KeptAnswer,
     Protections,
 )
+from mulberrypaddle.controllers.claims.idempotency_key import (
+    key_digest,
+    range_of,
+)
 from mulberrypaddle.core.contract import Urgency
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
 from mulberrypaddle.core.request import AttemptState, Request
@@ -126,6 +130,14 @@
         wall_seconds = self.fleet.clock.wall_seconds() - age_seconds
         return uuid7(wall_seconds, self.rng)
 
+    def key_beside(self, key: str) -> str:
+        """Returns a fresh key of the same range as another."""
+        number = range_of(key_digest("museum", key))
+        while True:
+            other = self.new_key()
+            if range_of(key_digest("museum", other)) == number:
+                return other
+
     def change_members(self, member_ids: list[str]) -> None:
         """Changes the membership for all that run and hear of it."""
         first = next(iter(self.memberships.values()))
