Put the loopback VMs of tests into one stand-in

Cause: the test over HTTP built its servers by hand. Change: standins/vm_fleet.py; a test that loses a VM under load.

--- /dev/null
+++ b/mulberrypaddle/standins/vm_fleet.py
@@ -0,0 +1,98 @@
+"""VMs, their list and the weight store, all on loopback."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.core.fleet import Vm, VmState
+from mulberrypaddle.standins.engine import EngineState
+from mulberrypaddle.standins.vm_agent import VmAgent
+from mulberrypaddle.standins.vm_list import VmListState
+from mulberrypaddle.standins.vm_servers import (
+    VmServerState,
+    serve_vm,
+    serve_vm_platform,
+)
+from mulberrypaddle.standins.weight_store import WeightStoreState
+
+if TYPE_CHECKING:
+    from mulberrypaddle.standins.web import LocalServer
+
+
+class VmFleet:
+    """VMs that routers form into groups.
+
+    Attributes:
+        agents: By VM id.
+        engines: By VM id; a group's first VM executes its requests.
+        list: What the platform tells of the VMs.
+        weights: The weight store.
+        address: `host:port` of the list and the weight store.
+    """
+
+    def __init__(
+        self, *, load_slots: int = 4, list_lag_seconds: float = 0.0
+    ) -> None:
+        """Starts the list and the weight store.
+
+        Args:
+            load_slots: Most loads at once.
+            list_lag_seconds: How late the list shows a change.
+        """
+        self.agents: dict[str, VmAgent] = {}
+        self.engines: dict[str, EngineState] = {}
+        self.list = VmListState(lag_seconds=list_lag_seconds)
+        self.weights = WeightStoreState(slots=load_slots)
+        platform = serve_vm_platform(self.list, self.weights)
+        self.address = platform.address
+        self._servers: list[LocalServer] = [platform]
+
+    def add_vms(
+        self,
+        fabric_domain: str,
+        count: int,
+        *,
+        data_centre: str,
+        load_seconds: float = 0.2,
+    ) -> None:
+        """Starts VMs of one fabric domain and lists them.
+
+        Args:
+            fabric_domain: Their fast network.
+            count: How many.
+            data_centre: Where they stand.
+            load_seconds: How long a load takes.
+        """
+        for number in range(count):
+            vm_id = f"{fabric_domain}-{number}"
+            agent = VmAgent(vm_id, load_seconds=load_seconds)
+            engine = EngineState(vm_id)
+            self.agents[vm_id] = agent
+            self.engines[vm_id] = engine
+            server = serve_vm(VmServerState(agent, self.agents, engine))
+            self._servers.append(server)
+            vm = Vm(
+                vm_id,
+                address=server.address,
+                data_centre=data_centre,
+                fabric_domain=fabric_domain,
+            )
+            # They have been up for longer than the list lags.
+            listed_seconds = time.monotonic() - self.list.lag_seconds
+            self.list.put(vm, now_seconds=listed_seconds)
+
+    def kill(self, vm_id: str) -> None:
+        """Ends a VM without notice; the list shows it after its lag."""
+        self.agents[vm_id].kill()
+        self.engines[vm_id].dead = True
+        self.list.change(vm_id, VmState.GONE, now_seconds=time.monotonic())
+
+    def begun_requests(self) -> int:
+        """Returns how many requests all VMs began."""
+        return sum(len(engine.runs) for engine in self.engines.values())
+
+    async def close(self) -> None:
+        """Closes every server."""
+        for server in self._servers:
+            await server.close()
--- a/tests/backends/test_vm_platform.py
+++ b/tests/backends/test_vm_platform.py
@@ -1,27 +1,18 @@
-"""A group over HTTP: list, orders, load, and a request through a router."""
+"""Groups over HTTP: list, orders, loads, and requests through routers."""
 
 from __future__ import annotations
 
 import asyncio
-import time
 
 import testtools
 
-from mulberrypaddle.core.fleet import Vm
-from mulberrypaddle.standins.engine import EngineState
 from mulberrypaddle.standins.local_fleet import LocalFleet, digest_of
-from mulberrypaddle.standins.vm_agent import VmAgent
-from mulberrypaddle.standins.vm_list import VmListState
-from mulberrypaddle.standins.vm_servers import (
-    VmServerState,
-    serve_vm,
-    serve_vm_platform,
-)
-from mulberrypaddle.standins.weight_store import WeightStoreState
+from mulberrypaddle.standins.vm_fleet import VmFleet
 from tests.support.asynchronous import run
 
 KEY = "caller-key"
 TRIES = 150
+REQUESTS = 60
 CONTRACT = f"""
 organisation: museum
 key_sha256: ['{digest_of(KEY)}']
@@ -29,66 +20,76 @@
 - {{service: card-writer, in_flight_requests: 8, urgency: high,
    deadline_seconds: 20}}
 """
-SERVICE = """
-service: card-writer
-kind: engine
-model: cards-1
-replicas: 1
-vms_per_group: 2
-"""
+
+
+def service_text(replicas: int) -> str:
+    return (
+        "service: card-writer\nkind: engine\nmodel: cards-1\n"
+        f"replicas: {replicas}\nvms_per_group: 2\n"
+    )
 
 
 class VmPlatformTest(testtools.TestCase):
-    """Three VMs, one of which dies."""
+    """Groups of two VMs on loopback."""
 
     def test_group_serves_and_is_repaired_over_http(self) -> None:
         async def scenario() -> tuple[int, int]:
-            vm_list = VmListState()
-            platform = serve_vm_platform(vm_list, WeightStoreState())
-            agents: dict[str, VmAgent] = {}
-            servers = [platform]
-            for number in range(3):
-                vm_id = f"vm-{number}"
-                agents[vm_id] = VmAgent(vm_id, load_seconds=0.2)
-                server = serve_vm(
-                    VmServerState(agents[vm_id], agents, EngineState(vm_id))
-                )
-                servers.append(server)
-                vm = Vm(
-                    vm_id,
-                    address=server.address,
-                    data_centre="south",
-                    fabric_domain="south-1",
-                )
-                vm_list.put(vm, now_seconds=time.monotonic())
-            fleet = LocalFleet(
-                vm_list_address=platform.address,
-                weight_store_address=platform.address,
-            )
-            fleet.put("config/contracts/museum", CONTRACT)
-            fleet.put("config/services/card-writer", SERVICE)
-            async with fleet:
+            vms = VmFleet()
+            vms.add_vms("south-1", 3, data_centre="south")
+            async with _fleet(vms, routers=1, replicas=1) as fleet:
                 first = await _call_until_served(fleet)
-                agents["vm-0"].kill()
-                await asyncio.sleep(2.5)
+                vms.kill("south-1-0")
                 second = await _call_until_served(fleet)
-            for server in servers:
-                await server.close()
+            await vms.close()
             return first, second
 
         self.assertEqual((200, 200), run(scenario()))
 
+    def test_vm_lost_under_load_costs_no_answer(self) -> None:
+        async def scenario() -> list[int]:
+            vms = VmFleet(list_lag_seconds=30.0)
+            vms.add_vms("south-1", 5, data_centre="south")
+            async with _fleet(vms, routers=2, replicas=2) as fleet:
+                for router in range(2):
+                    await _call_until_served(fleet, router=router)
+                statuses = []
+                for number in range(REQUESTS):
+                    if number == REQUESTS // 3:
+                        vms.kill("south-1-0")
+                    statuses.append(await _call(fleet, router=number % 2))
+                    await asyncio.sleep(0.05)
+            await vms.close()
+            return statuses
+
+        self.assertEqual([200] * REQUESTS, run(scenario()))
+
+
+def _fleet(vms: VmFleet, *, routers: int, replicas: int) -> LocalFleet:
+    fleet = LocalFleet(
+        router_count=routers,
+        vm_list_address=vms.address,
+        weight_store_address=vms.address,
+    )
+    fleet.put("config/contracts/museum", CONTRACT)
+    fleet.put("config/services/card-writer", service_text(replicas))
+    return fleet
+
+
+async def _call(fleet: LocalFleet, *, router: int = 0) -> int:
+    answer = await fleet.call(
+        "card-writer",
+        "/v1/completions",
+        {"prompt": "a card", "max_tokens": 2},
+        key=KEY,
+        router=router,
+    )
+    return answer.code
+
 
-async def _call_until_served(fleet: LocalFleet) -> int:
+async def _call_until_served(fleet: LocalFleet, *, router: int = 0) -> int:
     status = 0
     for _ in range(TRIES):
-        answer = await fleet.call(
-            "card-writer",
-            "/v1/completions",
-            {"prompt": "a card", "max_tokens": 2},
-            key=KEY,
-        )
-        status = answer.code
+        status = await _call(fleet, router=router)
         if status == 200:
             return status
         await asyncio.sleep(0.1)
