--- a/mulberrypaddle/frontdoor/pipeline.py
+++ b/mulberrypaddle/frontdoor/pipeline.py
@@ -7,37 +7,47 @@
 
 from returns.result import Failure, Result, Success
 
+from mulberrypaddle.backends import AttemptFailure
 from mulberrypaddle.controllers.claims import ClaimReply, ClaimStart, KeptAnswer
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
 from mulberrypaddle.core.fleet import ServiceKind
 from mulberrypaddle.core.request import AttemptState, Request
 from mulberrypaddle.core.ticket import AttemptOutcome, Ticket
+from mulberrypaddle.frontdoor.kept import kept_answer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypaddle.backends import (
-        AttemptFailure,
-        Completion,
-        RunnerClient,
-    )
+    from mulberrypaddle.backends import Completion, RunnerClient
     from mulberrypaddle.controllers.admission import Admission, AdmissionReply
     from mulberrypaddle.controllers.claims import Claims
+    from mulberrypaddle.controllers.ejection import Ejection
+    from mulberrypaddle.controllers.quarantine import (
+        Clearance,
+        ClearanceReply,
+        Quarantine,
+    )
+    from mulberrypaddle.controllers.retries import Retries
     from mulberrypaddle.core.clock import Clock
     from mulberrypaddle.frontdoor.relay import Relay
 
 T = TypeVar("T")
 
-MAX_ATTEMPTS = 3
-
 # After these the same runner may do better on another attempt.
 _BREAKS = frozenset({ErrorKind.STREAM_BROKEN, ErrorKind.OUTCOME_UNKNOWN})
 
 
 async def _reply_of(
     ask: Callable[[Callable[[Result[T, Problem]], None]], None],
+    *,
+    wake: Callable[[], None],
 ) -> Result[T, Problem]:
-    """Waits for the one reply of a controller."""
+    """Waits for the one reply of a controller.
+
+    Args:
+        ask: Asks it, with the function that takes the reply.
+        wake: Called when the reply does not come at once.
+    """
     future: asyncio.Future[Result[T, Problem]] = (
         asyncio.get_running_loop().create_future()
     )
@@ -47,9 +57,15 @@
             future.set_result(result)
 
     ask(reply)
+    if not future.done():
+        wake()
     return await future
 
 
+def _no_wake() -> None:
+    """Leaves the controllers to their own pace."""
+
+
 class Pipeline:
     """The stages of one request, in order."""
 
@@ -58,9 +74,29 @@
         *,
         admission: Admission,
         claims: Claims,
+        quarantine: Quarantine,
+        retries: Retries,
+        ejection: Ejection,
         runners: RunnerClient,
         clock: Clock,
+        wake: Callable[[], None] = _no_wake,
     ) -> None:
+        """Takes what the stages need.
+
+        Args:
+            admission: Admits and picks runners.
+            claims: Claims what must run at most once.
+            quarantine: Keeps back requests that crash runners.
+            retries: Says whether another attempt is affordable.
+            ejection: Learns from how attempts end.
+            runners: Sends attempts.
+            clock: Source of time.
+            wake: Makes the controllers' next step come soon.
+        """
+        self._wake = wake
+        self._quarantine = quarantine
+        self._retries = retries
+        self._ejection = ejection
         self._admission = admission
         self._claims = claims
         self._runners = runners
@@ -93,7 +129,13 @@
         start = claim.unwrap()
         if start is not ClaimStart.RUN:
             return Success(start)
-        return await self._attempts(request, relay)
+        try:
+            return await self._attempts(request, relay)
+        finally:
+            # Also when the handler is cancelled: the owner must learn of it.
+            self._claims.finish(
+                request, relay.history.worst, kept_answer(relay)
+            )
 
     async def _claim(
         self, request: Request
@@ -101,7 +143,7 @@
         def ask(reply: ClaimReply) -> None:
             self._claims.begin(request, reply)
 
-        return await _reply_of(ask)
+        return await _reply_of(ask, wake=self._wake)
 
     async def _admit(
         self, request: Request, passed_over: frozenset[str]
@@ -109,7 +151,13 @@
         def ask(reply: AdmissionReply) -> None:
             self._admission.submit(request, reply, passed_over=passed_over)
 
-        return await _reply_of(ask)
+        return await _reply_of(ask, wake=self._wake)
+
+    async def _clear(self, request: Request) -> Result[Clearance, Problem]:
+        def ask(reply: ClearanceReply) -> None:
+            self._quarantine.check(request, reply)
+
+        return await _reply_of(ask, wake=self._wake)
 
     async def _attempts(
         self, request: Request, relay: Relay
@@ -118,14 +166,23 @@
         latest = ""
         failures = 0
         problem = Problem(ErrorKind.NO_RUNNER, "no attempt was made")
-        while failures < MAX_ATTEMPTS:
+        self._retries.started(request)
+        while True:
             if not relay.try_reserve():
                 return Failure(_worse(problem, _no_memory()))
+            cleared = await self._clear(request)
+            if not isinstance(cleared, Success):
+                return Failure(_worse(problem, cleared.failure()))
             may_repeat = relay.started or problem.kind in _BREAKS
             admitted = await self._admit_anywhere(
-                request, tried, latest, may_repeat=may_repeat
+                request,
+                tried,
+                latest,
+                may_repeat=may_repeat,
+                avoid=cleared.unwrap().avoid,
             )
             if not isinstance(admitted, Success):
+                self._quarantine.give_back(request)
                 return Failure(_worse(problem, admitted.failure()))
             ticket = admitted.unwrap()
             if relay.ended is not None:
@@ -145,6 +202,12 @@
             problem = failure.problem
             if not _may_retry(request, failure, relay):
                 break
+            wait_seconds = self._retries.may_retry(
+                request, failure.state, attempts=failures
+            )
+            if wait_seconds is None:
+                break
+            await asyncio.sleep(wait_seconds)
         return Failure(problem)
 
     async def _admit_anywhere(
@@ -154,13 +217,16 @@
         latest: str,
         *,
         may_repeat: bool,
+        avoid: frozenset[str],
     ) -> Result[Ticket, Problem]:
         """Admits to a runner not tried yet, or after a break to any.
 
         The runner of the latest attempt comes last, since it may be the one
         that refuses to resume.
         """
-        passed_over = [frozenset(tried)]
+        passed_over = [frozenset(tried) | avoid]
+        if avoid:
+            passed_over.append(frozenset(tried))
         if may_repeat:
             passed_over += [frozenset((latest,)), frozenset()]
         for runner_ids in passed_over:
@@ -182,6 +248,7 @@
         )
 
     def _release_unsent(self, ticket: Ticket) -> None:
+        self._quarantine.give_back(ticket.request)
         self._admission.release(
             AttemptOutcome(
                 ticket,
@@ -194,6 +261,13 @@
     async def _attempt(
         self, ticket: Ticket, relay: Relay
     ) -> Result[Completion, AttemptFailure]:
+        allowed = self._claims.may_send(ticket.request)
+        if not isinstance(allowed, Success):
+            self._release_unsent(ticket)
+            return Failure(
+                AttemptFailure(allowed.failure(), AttemptState.UNSENT)
+            )
+        self._quarantine.sent(ticket)
         sent_at_seconds = self._clock.monotonic_seconds()
         timeout_seconds = ticket.request.deadline_at_seconds - sent_at_seconds
         state = AttemptState.MAYBE_RUN
@@ -216,7 +290,8 @@
         finally:
             relay.history.end(state)
             relay.end_attempt()
-            self._admission.release(
+            self._claims.attempt_ended(ticket.request, state)
+            self._learn(
                 AttemptOutcome(
                     ticket,
                     state=state,
@@ -229,6 +304,12 @@
             )
         return result
 
+    def _learn(self, outcome: AttemptOutcome) -> None:
+        """Tells every controller that learns from attempts."""
+        self._admission.release(outcome)
+        self._quarantine.observe(outcome)
+        self._ejection.observe(outcome)
+
     async def _cancel(self, ticket: Ticket, state: AttemptState) -> bool:
         """Returns whether an engine surely holds an attempt no longer."""
         if state is not AttemptState.MAYBE_RUN:
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -6,6 +6,8 @@
 import random
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.backends.budgeted_store import BudgetedStore
+from mulberrypaddle.backends.call_budget import CallBudget
 from mulberrypaddle.backends.http_object_store import HttpObjectStore
 from mulberrypaddle.backends.http_runner import HttpRunnerClient
 from mulberrypaddle.backends.vm_platform import VmPlatform
@@ -15,8 +17,11 @@
 from mulberrypaddle.controllers.claims import Claims
 from mulberrypaddle.controllers.configuration import ConfigurationController
 from mulberrypaddle.controllers.credits import Credits
+from mulberrypaddle.controllers.ejection import Ejection
 from mulberrypaddle.controllers.groups import group_controllers
 from mulberrypaddle.controllers.membership import FleetMembership
+from mulberrypaddle.controllers.quarantine import Quarantine
+from mulberrypaddle.controllers.retries import Retries
 from mulberrypaddle.controllers.runner_table import RunnerTableController
 from mulberrypaddle.controllers.stream_memory import StreamMemory
 from mulberrypaddle.core.clock import Clock, SystemClock
@@ -34,6 +39,9 @@
 if TYPE_CHECKING:
     from mulberrypaddle.settings import RouterSettings
 
+# A stop waits this long for owners to confirm the outcomes of claims.
+CONFIRM_SECONDS = 2.0
+
 
 class Router:
     """One running router.
@@ -68,7 +76,12 @@
         credits = Credits(self.context)
         admission = Admission(self.context, credits)
         claims = Claims(self.context)
-        apply = Apply(self.context)
+        configuration = ConfigurationController(self.context)
+        self._claims = claims
+        quarantine = Quarantine(self.context)
+        retries = Retries(self.context)
+        ejection = Ejection(self.context)
+        apply = Apply(self.context, accepted=configuration.accept)
         self.memory = StreamMemory(
             self.context, budget_bytes=settings.answer_memory_bytes
         )
@@ -77,11 +90,14 @@
             self.context,
             [
                 self.membership,
-                ConfigurationController(self.context),
+                configuration,
                 *group_controllers(self.context),
                 RunnerTableController(self.context),
                 apply,
                 claims,
+                quarantine,
+                retries,
+                ejection,
                 credits,
                 admission,
                 self.memory,
@@ -101,7 +117,9 @@
         self._driver = Driver(
             self.node,
             Adapters(
-                store=self._store,
+                store=BudgetedStore(
+                    self._store, CallBudget(clock, self.context.rng)
+                ),
                 links=self.links,
                 runners=self._runners,
                 vms=self._vms,
@@ -114,8 +132,12 @@
             pipeline=Pipeline(
                 admission=admission,
                 claims=claims,
+                quarantine=quarantine,
+                retries=retries,
+                ejection=ejection,
                 runners=self._runners,
                 clock=clock,
+                wake=self._driver.wake,
             ),
             settings=settings,
         )
@@ -148,6 +170,13 @@
                 return
             await asyncio.sleep(STEP_SECONDS)
 
+    async def _confirm_outcomes(self) -> None:
+        """Waits, within a bound, until owners know how claims ended."""
+        waited_seconds = 0.0
+        while waited_seconds < CONFIRM_SECONDS and self._claims.unconfirmed:
+            await asyncio.sleep(STEP_SECONDS)
+            waited_seconds += STEP_SECONDS
+
     async def stop(self) -> None:
         """Stops gracefully: takes nothing new, finishes what is in hand."""
         self.door.begin_stop()
@@ -157,6 +186,7 @@
         )
         self._server.stop()
         await self._server.close_all_connections()
+        await self._confirm_outcomes()
         await self._leave()
         if self._task is not None:
             self._task.cancel()
--- a/mulberrypaddle/standins/local_fleet.py
+++ b/mulberrypaddle/standins/local_fleet.py
@@ -159,8 +159,7 @@
     async def stop(self) -> None:
         """Stops the routers gracefully and closes the stand-ins."""
         self.client.close()
-        for router in self.routers:
-            await router.stop()
+        await asyncio.gather(*(router.stop() for router in self.routers))
         for server in self._servers:
             await server.close()
 
--- a/tests/support/membership.py
+++ b/tests/support/membership.py
@@ -18,14 +18,16 @@
         member_ids: list[str],
         *,
         lease_seconds: float = 6.0,
+        epoch: int = 1,
+        unsettled: tuple[PastMembers, ...] = (),
     ) -> None:
         super().__init__(context)
-        self.epoch = 1
+        self.epoch = epoch
         self.lease_seconds = lease_seconds
         self.renews = True
         self._lease_until_seconds = 0.0
         self._member_ids = list(member_ids)
-        self._unsettled: tuple[PastMembers, ...] = ()
+        self._unsettled = unsettled
 
     def change(self, member_ids: list[str]) -> None:
         """Changes the members; the old ones settle after a lease."""
@@ -37,14 +39,14 @@
 
     def adopt(
         self,
-        epoch: int,
         member_ids: list[str],
+        *,
+        epoch: int,
         unsettled: tuple[PastMembers, ...],
     ) -> None:
-        """Takes a membership as another router knows it."""
-        self.epoch = epoch
-        self.renews = True
+        """Takes over a membership that others agreed on meanwhile."""
         self._member_ids = list(member_ids)
+        self.epoch = epoch
         self._unsettled = unsettled
 
     def step(self, now_seconds: float) -> None:
--- a/tests/support/vm_world.py
+++ b/tests/support/vm_world.py
@@ -150,7 +150,9 @@
 
     def _build(self, context: Context) -> list[Controller]:
         membership = FixedMembership(context, self._member_ids)
-        membership.adopt(self.epoch, self._member_ids, self._unsettled)
+        membership.adopt(
+            self._member_ids, epoch=self.epoch, unsettled=self._unsettled
+        )
         self.memberships[context.member_id] = membership
         return [
             membership,
@@ -232,8 +234,10 @@
     def _tell_members(self, member_id: str) -> None:
         if member_id in self.cut_off:
             return
-        self.memberships[member_id].adopt(
-            self.epoch, self._member_ids, self._unsettled
+        membership = self.memberships[member_id]
+        membership.renews = True
+        membership.adopt(
+            self._member_ids, epoch=self.epoch, unsettled=self._unsettled
         )
 
     def kill_router(self, member_id: str) -> None:
@@ -402,7 +406,8 @@
     if world.fleet.rng.random() < world.late_share:
         delay_seconds = world.fleet.rng.uniform(0, world.late_seconds)
     # An order that is on its way arrives though its sender has ended.
-    world.fleet.call_after(delay_seconds, arrive)
+    now_seconds = world.fleet.clock.monotonic_seconds()
+    world.fleet.schedule(now_seconds + delay_seconds, None, arrive)
 
 
 @_answer.register(ReserveLoad)
