Give group writes their own priority and spare a read

Cause: writes of groups went before claims and configuration in the call budget, and a call that was refused unsent cost another read. Change: Priority.PLACEMENT; only a write that may have happened is read back.

--- a/mulberrypaddle/controllers/groups/keeper.py
+++ b/mulberrypaddle/controllers/groups/keeper.py
@@ -15,6 +15,7 @@
     encode_domain,
 )
 from mulberrypaddle.controllers.groups.evolve import Evolution
+from mulberrypaddle.core.errors import ErrorKind
 from mulberrypaddle.core.groups import (
     Domain,
     Group,
@@ -154,7 +155,7 @@
 
         self._context.board.intents.append(
             ReadObject(
-                PREFIX + self.name, priority=Priority.FENCING, reply=answered
+                PREFIX + self.name, priority=Priority.PLACEMENT, reply=answered
             )
         )
 
@@ -231,9 +232,11 @@
                 return
             self._waiting = False
             if not isinstance(result, Success):
-                # The write may have happened, or another owner wrote: only
-                # what is read back is acted on.
-                self._must_read = True
+                # Unless it surely did not happen, the write may have, or
+                # another owner wrote: only what is read back is acted on.
+                kind = result.failure().kind
+                if kind is not ErrorKind.STORE_UNAVAILABLE:
+                    self._must_read = True
                 self._back_off()
                 return
             self._taken_over = True
@@ -246,7 +249,7 @@
                 PREFIX + self.name,
                 value,
                 expected_version=self.stored.version,
-                priority=Priority.FENCING,
+                priority=Priority.PLACEMENT,
                 reply=answered,
             )
         )
