--- a/tests/support/vm_world.py
+++ b/tests/support/vm_world.py
@@ -406,7 +406,8 @@
     if world.fleet.rng.random() < world.late_share:
         delay_seconds = world.fleet.rng.uniform(0, world.late_seconds)
     # An order that is on its way arrives though its sender has ended.
-    world.fleet.call_after(delay_seconds, arrive)
+    now_seconds = world.fleet.clock.monotonic_seconds()
+    world.fleet.schedule(now_seconds + delay_seconds, None, arrive)
 
 
 @_answer.register(ReserveLoad)
