--- a/mulberrypaddle/standins/local_fleet.py
+++ b/mulberrypaddle/standins/local_fleet.py
@@ -222,14 +222,22 @@
         except HTTPClientError:
             return HTTPResponse(request, CUT_STATUS)
 
-    async def set_data_centre(self, name: str, state: str) -> HTTPResponse:
-        """Takes a data centre `out` or brings it `in`, as an operator."""
+    async def set_data_centre(
+        self, name: str, state: str, *, override: bool = False
+    ) -> HTTPResponse:
+        """Takes a data centre `out` or brings it `in`, as an operator.
+
+        Args:
+            name: The data centre.
+            state: `in` or `out`.
+            override: Accept it although the others can't carry the load.
+        """
         path = f"/operator/documents/data-centre/{name}"
         read = await self.fetch("GET", path, key=self.operator_key)
         version = json.loads(read.body)["version"]
         return await self.fetch(
             "PUT",
-            path,
+            path + ("?override=true" if override else ""),
             key=self.operator_key,
             body=f"data_centre: {name}\nstate: {state}\n",
             headers={"If-Match": str(version)},
