Greet an owner again when the epochs of an ask and its answer differ

Cause: A holder took an owner for greeted under the epoch of the answer's arrival, or although the owner was still at an earlier epoch. An idle holder then never told such an owner that it holds nothing, so that pools stayed shut for up to 60 s after routers joined. Change: An answer names the owner's epoch, and only an ask under the same one counts.

--- a/mulberrypaddle/controllers/credits/ledger.py
+++ b/mulberrypaddle/controllers/credits/ledger.py
@@ -119,6 +119,7 @@
             owner_incarnation=heard,
             ask_sequence=ask.sequence,
             sent_milliseconds=int(now_seconds * 1000),
+            epoch=duties.membership(self._context).epoch,
         )
         for demand in ask.demands:
             seen_grant = demand.seen_grant
--- a/mulberrypaddle/controllers/credits/wallet.py
+++ b/mulberrypaddle/controllers/credits/wallet.py
@@ -30,10 +30,13 @@
 class _SentAsk:
     """What one ask told its owner."""
 
-    __slots__ = ("doubtful", "greets", "sent_at_seconds")
+    __slots__ = ("doubtful", "epoch", "greets", "sent_at_seconds")
 
-    def __init__(self, sent_at_seconds: float, *, greets: bool) -> None:
+    def __init__(
+        self, sent_at_seconds: float, *, epoch: int, greets: bool
+    ) -> None:
         self.sent_at_seconds = sent_at_seconds
+        self.epoch = epoch
         self.greets = greets
         self.doubtful: dict[str, Amount] = {}
 
@@ -215,8 +218,8 @@
             link.greeted = -1
             link.echo_milliseconds = 0
             link.next_full_at_seconds = float("-inf")
-        elif sent is not None and sent.greets:
-            link.greeted = duties.membership(self._context).epoch
+        elif sent is not None and sent.greets and sent.epoch == message.epoch:
+            link.greeted = sent.epoch
         link.answered_at_seconds = self._context.now_seconds()
         link.echo_milliseconds = max(
             link.echo_milliseconds, message.sent_milliseconds
@@ -300,7 +303,7 @@
             echo_milliseconds=link.echo_milliseconds,
         )
         ask.silent_owners.extend(self.silent_owners(now_seconds))
-        sent = _SentAsk(now_seconds, greets=ask.complete)
+        sent = _SentAsk(now_seconds, epoch=epoch, greets=ask.complete)
         for known in listed:
             is_new_owner = (known.owner, known.owner_incarnation) != (
                 owner,
