Give the driver's test store the priority that calls carry

Cause: the driver hands each call's priority to the store, which the fake store of tests/test_driver.py did not take, so that its test never ended. Change: the fake takes the priority; what is asserted stays as it is.

--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -36,7 +36,7 @@
     def __init__(self) -> None:
         self._store = MemoryStore()
 
-    async def read(self, key: str) -> Result[Any, Any]:
+    async def read(self, key: str, *, priority: Priority) -> Result[Any, Any]:
         return self._store.read(key)
 
 
