--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -16,6 +16,10 @@
     OrderRunner,
     ReadObject,
     ReadReport,
+    ReadVmReport,
+    ReadVms,
+    ReleaseLoad,
+    ReserveLoad,
     SendToPeer,
     WriteObject,
 )
@@ -49,6 +53,8 @@
         order_runner: Answers orders to runners; tests replace it.
         sent_bytes: Bytes of peer messages by sender, lost ones included.
         read_report: Returns a runner's report; tests replace it.
+        outside: Answers orders, VM reports, the VM list and the weight store
+            when it is set; it goes before `order_runner`.
     """
 
     def __init__(
@@ -76,6 +82,7 @@
         self.read_report: (
             Callable[[Runner, Node], Result[RunnerReport, Problem]] | None
         ) = None
+        self.outside: Callable[[Intent, Node], None] | None = None
         self._build = build
         self._data_centres = data_centres
         self._incarnations = itertools.count(1)
@@ -141,6 +148,11 @@
         )
         self.schedule(due_seconds, node, act)
 
+    def call_after(self, delay_seconds: float, act: Callable[[], None]) -> None:
+        """Runs `act` after a delay, whatever becomes of its sender."""
+        due_seconds = self.clock.monotonic_seconds() + delay_seconds
+        heapq.heappush(self._events, (due_seconds, next(self._numbers), act))
+
     def schedule(
         self, due_seconds: float, node: Node | None, act: Callable[[], None]
     ) -> None:
@@ -201,10 +213,22 @@
 
 @carry_out.register(OrderRunner)
 def _order(intent: OrderRunner, fleet: FakeFleet, node: Node) -> None:
+    if fleet.outside is not None:
+        fleet.outside(intent, node)
+        return
     if fleet.order_runner is not None:
         fleet.order_runner(intent)
 
 
+@carry_out.register(ReadVms)
+@carry_out.register(ReadVmReport)
+@carry_out.register(ReserveLoad)
+@carry_out.register(ReleaseLoad)
+def _outside(intent: Intent, fleet: FakeFleet, node: Node) -> None:
+    if fleet.outside is not None:
+        fleet.outside(intent, node)
+
+
 @carry_out.register(ReadReport)
 def _report(intent: ReadReport, fleet: FakeFleet, node: Node) -> None:
     """Reads the runner after one delay; the answer comes after another."""
