--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -91,7 +91,9 @@
         spread: Whether peers spread changes; otherwise each router polls.
     """
     fleet = Configured(
-        ROUTERS, config=ConfigurationOptions(spread=spread), seed=11
+        ROUTERS,
+        config=ConfigurationOptions(spread=spread, ask_peers=spread),
+        seed=11,
     )
     fleet.delay_seconds = DELAY_SECONDS
     fleet.run(10, step_seconds=STEP_SECONDS)
