--- a/mulberrypaddle/driver.py
+++ b/mulberrypaddle/driver.py
@@ -4,14 +4,20 @@
 
 import asyncio
 import functools
+import logging
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.blackboard import (
     DeleteObject,
     Intent,
     ListObjects,
+    OrderRunner,
     ReadObject,
     ReadReport,
+    ReadVmReport,
+    ReadVms,
+    ReleaseLoad,
+    ReserveLoad,
     SendToPeer,
     WriteObject,
     keys,
@@ -24,10 +30,13 @@
 
     from mulberrypaddle.backends import RunnerClient
     from mulberrypaddle.backends.budgeted_store import BudgetedStore
+    from mulberrypaddle.backends.vm_platform import VmPlatform
     from mulberrypaddle.node import Node
     from mulberrypaddle.operators.journal import Journal
     from mulberrypaddle.peers import PeerLinks
 
+_LOGGER = logging.getLogger("mulberrypaddle.driver")
+
 STEP_SECONDS = 0.02
 WAKE_SECONDS = 0.002
 
@@ -38,10 +47,11 @@
     Attributes:
         store: The platform's object API.
         links: Links to the other routers.
+        vms: VMs, their list and the weight store.
         runners: The endpoints that execute requests.
     """
 
-    __slots__ = ("links", "runners", "store")
+    __slots__ = ("links", "runners", "store", "vms")
 
     def __init__(
         self,
@@ -49,10 +59,12 @@
         store: BudgetedStore,
         links: PeerLinks,
         runners: RunnerClient,
+        vms: VmPlatform,
     ) -> None:
         self.store = store
         self.links = links
         self.runners = runners
+        self.vms = vms
 
 
 @functools.singledispatch
@@ -110,6 +122,31 @@
     )
 
 
+@carry_out.register(ReadVms)
+async def _read_vms(intent: ReadVms, adapters: Adapters) -> None:
+    await adapters.vms.read_vms(intent)
+
+
+@carry_out.register(ReadVmReport)
+async def _read_vm_report(intent: ReadVmReport, adapters: Adapters) -> None:
+    await adapters.vms.read_report(intent)
+
+
+@carry_out.register(OrderRunner)
+async def _order(intent: OrderRunner, adapters: Adapters) -> None:
+    await adapters.vms.order(intent)
+
+
+@carry_out.register(ReserveLoad)
+async def _reserve(intent: ReserveLoad, adapters: Adapters) -> None:
+    await adapters.vms.reserve(intent)
+
+
+@carry_out.register(ReleaseLoad)
+async def _release(intent: ReleaseLoad, adapters: Adapters) -> None:
+    await adapters.vms.release(intent)
+
+
 @carry_out.register(ReadReport)
 async def _report(intent: ReadReport, adapters: Adapters) -> None:
     intent.reply(await adapters.runners.report(intent.runner))
@@ -175,5 +212,8 @@
 
     def _carried_out(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            # Without this line an intent would vanish with its reply.
+            _LOGGER.error("intent_failed", exc_info=task.exception())
         if self._node.context.board.intents:
             self.wake()
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -10,6 +10,7 @@
 from mulberrypaddle.backends.call_budget import CallBudget
 from mulberrypaddle.backends.http_object_store import HttpObjectStore
 from mulberrypaddle.backends.http_runner import HttpRunnerClient
+from mulberrypaddle.backends.vm_platform import VmPlatform
 from mulberrypaddle.blackboard import Board
 from mulberrypaddle.controllers.admission import Admission
 from mulberrypaddle.controllers.base import Context
@@ -17,6 +18,7 @@
 from mulberrypaddle.controllers.configuration import ConfigurationController
 from mulberrypaddle.controllers.credits import Credits
 from mulberrypaddle.controllers.ejection import Ejection
+from mulberrypaddle.controllers.groups import group_controllers
 from mulberrypaddle.controllers.membership import FleetMembership
 from mulberrypaddle.controllers.quarantine import Quarantine
 from mulberrypaddle.controllers.retries import Retries
@@ -28,6 +30,7 @@
 from mulberrypaddle.frontdoor.pipeline import Pipeline
 from mulberrypaddle.node import Node
 from mulberrypaddle.observe import metrics
+from mulberrypaddle.observe.group_metrics import watch_groups
 from mulberrypaddle.operators import Journal
 from mulberrypaddle.operators.apply import Apply
 from mulberrypaddle.operators.handlers import OperatorDesk, operator_routes
@@ -88,6 +91,7 @@
             [
                 self.membership,
                 configuration,
+                *group_controllers(self.context),
                 RunnerTableController(self.context),
                 apply,
                 claims,
@@ -104,6 +108,10 @@
             timeout_seconds=settings.object_api_timeout_seconds,
         )
         self._runners = HttpRunnerClient()
+        self._vms = VmPlatform(
+            vm_list_address=settings.vm_list_address,
+            weight_store_address=settings.weight_store_address,
+        )
         self.journal = Journal()
         self.links = PeerLinks(self.node, settings)
         self._driver = Driver(
@@ -114,6 +122,7 @@
                 ),
                 links=self.links,
                 runners=self._runners,
+                vms=self._vms,
             ),
             journal=self.journal,
         )
@@ -144,6 +153,7 @@
             ),
         )
         self._task: asyncio.Task[None] | None = None
+        watch_groups(self.context.board)
 
     def start(self) -> None:
         """Begins to step the controllers on the running loop."""
@@ -183,3 +193,4 @@
         await self.links.close()
         self._store.close()
         self._runners.close()
+        self._vms.close()
