Make the test of runners that keep breaking tell one verdict

Cause: whether a third attempt is made depends on when the quarantine hears of the strikes; with two breaks set, the third attempt could be whole, and the test failed in 1 of 3 runs.

--- a/mulberrypaddle/standins/engine.py
+++ b/mulberrypaddle/standins/engine.py
@@ -40,6 +40,7 @@
         member_vm_ids: VMs that confirm the generation.
         dead: While true it cuts every connection.
         break_after_tokens: If positive, cuts a stream after that many tokens.
+        always_breaks: Whether it does so each time, not only once.
         end_after_tokens: If positive, ends a stream cleanly after that many
             tokens, without its end mark.
         truncate_whole: How many coming whole answers break half way.
@@ -71,6 +72,7 @@
         self.member_vm_ids = member_vm_ids
         self.dead = False
         self.break_after_tokens = 0
+        self.always_breaks = False
         self.end_after_tokens = 0
         self.truncate_whole = 0
         self.padding_bytes = 0
@@ -231,7 +233,8 @@
             return True
         if limit <= 0 or sent_tokens < limit:
             return False
-        self.state.break_after_tokens = 0
+        if not self.state.always_breaks:
+            self.state.break_after_tokens = 0
         return True
 
 
