--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint types proto binary reference docs
+.PHONY: demo test lint types proto binary reference docs golden capacity
 
 $(VENV)/.installed-main: requirements/main.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -40,3 +40,11 @@
 docs: $(VENV)/.installed-dev
 	$(BIN)/python tools/make_reference.py --check
 	$(BIN)/python tools/check_links.py
+
+golden: $(VENV)/.installed-dev
+	MULBERRYPADDLE_WRITE_GOLDEN=1 $(BIN)/python -m pytest tests/test_golden.py
+
+capacity: $(VENV)/.installed-dev
+	for name in control_slopes group_control_cost cold_runners never_twice router_process; do \
+	  $(BIN)/python -m benchmarks.$$name || exit 1; \
+	done
--- a/tests/support/golden.py
+++ b/tests/support/golden.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import difflib
 import os
 import pathlib
@@ -14,10 +15,13 @@
     from mulberrypaddle.standins.local_fleet import LocalFleet
 
 FOLDER = pathlib.Path(__file__).parents[1] / "golden"
+TURN_SECONDS = 0.005
 WRITE_VARIABLE = "MULBERRYPADDLE_WRITE_GOLDEN"
 
 _REQUEST_ID = re.compile(r"r-(router-\d+)-\d+-(\d+)")
 _ADDRESS = re.compile(r"127\.0\.0\.1:\d+")
+_ATTEMPT_ID = re.compile(r"(router-\d+)-\d{10,}-(\d+)")
+_UUID = re.compile(r"[0-9a-f]{8}(?:-[0-9a-f]{4}){3}-[0-9a-f]{12}")
 _SHOWN_HEADERS = (
     "Content-Type",
     "Retry-After",
@@ -69,6 +73,10 @@
                 self._lines.append(f"<   {line}")
 
     async def _write_decisions(self, request_id: str, router: int) -> None:
+        board = self._fleet.routers[router].context.board
+        while board.decisions:
+            # The next turn of the driver remembers them.
+            await asyncio.sleep(TURN_SECONDS)
         for decision in self._fleet.routers[router].journal.about(request_id):
             self._lines.append(
                 f"= {decision.kind}: {decision.outcome}, "
@@ -79,6 +87,8 @@
         """Returns the session with ids and addresses made comparable."""
         text = "\n".join(self._lines) + "\n"
         text = _REQUEST_ID.sub(r"r-\1-\2", text)
+        text = _ATTEMPT_ID.sub(r"\1-\2", text)
+        text = _UUID.sub("UUID", text)
         return _ADDRESS.sub("ADDRESS", text)
 
 
