Keep a fault of one controller from stopping the others

Cause: an error raised while a peer's message was taken ended that peer's stream, and one raised in a step ended the driver's task, unseen. Conclusion: the router goes on and says so.

--- a/mulberrypaddle/core/invariants.py
+++ b/mulberrypaddle/core/invariants.py
@@ -51,6 +51,11 @@
     _POLICY.raises = enabled
 
 
+def breaches_raise() -> bool:
+    """Returns whether a breach raises, as under test."""
+    return _POLICY.raises
+
+
 def breach_count(invariant: Invariant) -> int:
     """Returns how often `invariant` was found broken in this process."""
     return _POLICY.breaches.get(invariant, 0)
--- a/mulberrypaddle/node.py
+++ b/mulberrypaddle/node.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import functools
+import logging
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.core import invariants
+
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from google.protobuf.message import Message
 
     from mulberrypaddle.controllers.base import Context, Controller
 
+_LOGGER = logging.getLogger("mulberrypaddle.node")
+
 # A gap between steps that is longer than this is treated as a pause.
 PAUSE_SECONDS = 1.0
 
@@ -42,7 +48,9 @@
         self._distrust_after_pause(now_seconds)
         self._last_step_seconds = now_seconds
         for controller in self.controllers:
-            controller.step(now_seconds)
+            self._guard(
+                controller, functools.partial(controller.step, now_seconds)
+            )
 
     def receive(self, sender: str, message: Message) -> None:
         """Hands a peer's message to the controller that takes its type.
@@ -57,7 +65,10 @@
         controller = self._receivers.get(type(message))
         if controller is None:
             return
-        controller.receive(sender, message, now_seconds)
+        self._guard(
+            controller,
+            functools.partial(controller.receive, sender, message, now_seconds),
+        )
 
     def stop(self) -> None:
         """Begins a graceful stop in every controller."""
@@ -75,3 +86,17 @@
         self._last_step_seconds = now_seconds
         for controller in self.controllers:
             controller.woke_up(gap_seconds, now_seconds)
+
+    def _guard(self, controller: Controller, act: Callable[[], None]) -> None:
+        """Keeps a fault of one controller from stopping the others.
+
+        Under test the fault is raised, so that none goes unseen.
+        """
+        try:
+            act()
+        except Exception:
+            if invariants.breaches_raise():
+                raise
+            _LOGGER.exception(
+                "controller_failed", extra={"controller": controller.name}
+            )
