--- a/mulberrypaddle/cli/commands.py
+++ b/mulberrypaddle/cli/commands.py
@@ -32,6 +32,45 @@
     return unwrap(make_operator_client(router))
 
 
+def _read_document(
+    client: OperatorClient, kind: DocumentKind, name: str
+) -> Any:
+    return unwrap(client.get(f"documents/{kind.value}/{name}"))
+
+
+def _present_version(
+    client: OperatorClient, kind: DocumentKind, name: str
+) -> int:
+    """Returns the version of a document, zero if there is none."""
+    found = client.get(f"documents/{kind.value}/{name}")
+    if isinstance(found, Success):
+        return int(found.unwrap()["version"])
+    problem = found.failure()
+    if problem.kind is not ErrorKind.NOT_FOUND:
+        fail(problem)
+    return 0
+
+
+def _put_document(
+    client: OperatorClient,
+    kind: DocumentKind,
+    name: str,
+    text: str,
+    *,
+    version: int,
+    json: bool,
+    override: bool = False,
+) -> None:
+    """Puts a document in force and prints the accepted version."""
+    query = "?override=true" if override else ""
+    path = f"documents/{kind.value}/{name}{query}"
+    accepted = unwrap(client.put(path, text, expected_version=version))
+    if json:
+        print_json(accepted)
+        return
+    print(f"{kind.value} {name}: accepted as version {accepted['version']}")
+
+
 class DocumentCommands:
     """Reads, checks and applies documents of one kind."""
 
@@ -72,7 +111,7 @@
             router: Address of a router, as host:port.
             json: Print JSON with the version.
         """
-        found = self._read(_client(router), str(name))
+        found = _read_document(_client(router), self._kind, str(name))
         if json:
             print_json(found)
             return
@@ -101,8 +140,10 @@
         name = value[self._kind.name_field]
         client = _client(router)
         if version is None:
-            version = self._present_version(client, name)
-        self._put(client, name, text, version=version, json=json)
+            version = _present_version(client, self._kind, name)
+        _put_document(
+            client, self._kind, name, text, version=version, json=json
+        )
 
     def edit(
         self, name: str, *assignments: str, router: str = "", json: bool = False
@@ -117,53 +158,24 @@
             json: Print JSON.
         """
         client = _client(router)
-        found = self._read(client, str(name))
+        found = _read_document(client, self._kind, str(name))
         text = found["document"]
         for assignment in assignments:
             text = unwrap(set_value(text, str(assignment)))
         unwrap(validate_document(self._kind, text, source=str(name)))
-        self._put(client, str(name), text, version=found["version"], json=json)
-
-    def _read(self, client: OperatorClient, name: str) -> Any:
-        return unwrap(client.get(f"documents/{self._kind.value}/{name}"))
-
-    def _present_version(self, client: OperatorClient, name: str) -> int:
-        found = client.get(f"documents/{self._kind.value}/{name}")
-        if isinstance(found, Success):
-            return int(found.unwrap()["version"])
-        problem = found.failure()
-        if problem.kind is ErrorKind.NOT_FOUND:
-            return 0
-        fail(problem)
-        return None
-
-    def _put(
-        self,
-        client: OperatorClient,
-        name: str,
-        text: str,
-        *,
-        version: int,
-        json: bool,
-        query: str = "",
-    ) -> None:
-        path = f"documents/{self._kind.value}/{name}{query}"
-        accepted = unwrap(client.put(path, text, expected_version=version))
-        if json:
-            print_json(accepted)
-            return
-        print(
-            f"{self._kind.value} {name}: accepted as version "
-            f"{accepted['version']}"
+        _put_document(
+            client,
+            self._kind,
+            str(name),
+            text,
+            version=found["version"],
+            json=json,
         )
 
 
 class DataCentreCommands:
     """Takes data centres out of service and brings them back."""
 
-    def __init__(self) -> None:
-        self._documents = DocumentCommands(DocumentKind.DATA_CENTRE)
-
     def list(self, *, router: str = "", json: bool = False) -> None:
         """Lists the data centres with their states.
 
@@ -211,14 +223,15 @@
         self, name: str, state: str, *, router: str, override: bool, json: bool
     ) -> None:
         client = _client(router)
-        version = self._documents._present_version(client, name)
-        self._documents._put(
+        kind = DocumentKind.DATA_CENTRE
+        _put_document(
             client,
+            kind,
             name,
             f"data_centre: {name}\nstate: {state}\n",
-            version=version,
+            version=_present_version(client, kind, name),
             json=json,
-            query="?override=true" if override else "",
+            override=override,
         )
 
 
--- a/mulberrypaddle/cli/demo.py
+++ b/mulberrypaddle/cli/demo.py
@@ -6,8 +6,7 @@
 import json
 from typing import TYPE_CHECKING
 
-from mulberrypaddle.blackboard import keys
-from mulberrypaddle.blackboard.tables import RunnerTable
+from mulberrypaddle.blackboard.reading import runner_table
 from mulberrypaddle.observe import configure_logging
 from mulberrypaddle.standins.local_fleet import LocalFleet, digest_of
 from mulberrypaddle.standins.vm_fleet import VmFleet
@@ -139,7 +138,7 @@
     def _groups(self) -> list[Runner]:
         """Returns the groups that the first router may send to."""
         board = self._fleet.routers[0].context.board
-        table = board.latest(keys.RUNNERS, RunnerTable(runners={}, reports={}))
+        table = runner_table(board)
         serving = []
         for _, runner in sorted(table.runners.items()):
             if not runner.leaving:
--- a/mulberrypaddle/controllers/admission/choice.py
+++ b/mulberrypaddle/controllers/admission/choice.py
@@ -14,7 +14,10 @@
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.blackboard import keys
-from mulberrypaddle.blackboard.tables import Configuration, RunnerTable
+from mulberrypaddle.blackboard.reading import (
+    configuration_in_force,
+    runner_table,
+)
 from mulberrypaddle.controllers import duties
 from mulberrypaddle.controllers.credits import (
     Amount,
@@ -68,7 +71,7 @@
         self, service: str, passed_over: frozenset[str] = frozenset()
     ) -> list[Runner]:
         """Returns the runners that may get new work of a service now."""
-        configuration = _configuration(self._context)
+        configuration = configuration_in_force(self._context.board)
         ejected = self._context.board.latest(keys.EJECTED, {})
         found = []
         for runner in self._held(service):
@@ -152,9 +155,7 @@
         held = self._by_service.get(service)
         if held is not None:
             return held
-        table = self._context.board.latest(
-            keys.RUNNERS, RunnerTable(runners={}, reports={})
-        )
+        table = runner_table(self._context.board)
         listed = []
         for runner in table.runners.values():
             if runner.service == service:
@@ -184,10 +185,3 @@
 
     engines.sort(key=weight, reverse=True)
     return engines[:PREFERRED_RUNNERS]
-
-
-def _configuration(context: Context) -> Configuration:
-    return context.board.latest(
-        keys.CONFIGURATION,
-        Configuration(contracts={}, services={}, data_centres={}, versions={}),
-    )
--- a/mulberrypaddle/controllers/credits/ledger.py
+++ b/mulberrypaddle/controllers/credits/ledger.py
@@ -6,8 +6,11 @@
 
 from returns.result import Result, Success
 
-from mulberrypaddle.blackboard import ReadReport, keys
-from mulberrypaddle.blackboard.tables import Configuration, RunnerTable
+from mulberrypaddle.blackboard import ReadReport
+from mulberrypaddle.blackboard.reading import (
+    configuration_in_force,
+    runner_table,
+)
 from mulberrypaddle.controllers import duties
 from mulberrypaddle.controllers.credits.amount import NOTHING, Amount
 from mulberrypaddle.controllers.credits.pool import DOUBTFUL, Pool
@@ -25,7 +28,7 @@
     from mulberrypaddle.controllers.base import Context
     from mulberrypaddle.controllers.credits.owners import Owners
     from mulberrypaddle.core.errors import Problem
-    from mulberrypaddle.core.fleet import Runner, RunnerReport
+    from mulberrypaddle.core.fleet import RunnerReport
 
 RUNNER_DUTY = "runner"
 ORGANISATION_DUTY = "organisation"
@@ -260,7 +263,7 @@
 
     def _follow_runners(self, now_seconds: float) -> None:
         """Watches the runners that this router owns, and no others."""
-        table = _runners(self._context)
+        table = runner_table(self._context.board).runners
         for runner_id, runner in table.items():
             watch = self.watches.get(runner_id)
             if watch is not None:
@@ -447,23 +450,9 @@
         self._lowered.append((member_id, message))
 
 
-def _runners(context: Context) -> dict[str, Runner]:
-    table = context.board.latest(
-        keys.RUNNERS, RunnerTable(runners={}, reports={})
-    )
-    return table.runners
-
-
-def _configuration(context: Context) -> Configuration:
-    return context.board.latest(
-        keys.CONFIGURATION,
-        Configuration(contracts={}, services={}, data_centres={}, versions={}),
-    )
-
-
 def contract_limit(context: Context, organisation: str, service: str) -> Amount:
     """Returns what a contract allows in hand over all routers."""
-    contract = _configuration(context).contracts.get(organisation)
+    contract = configuration_in_force(context.board).contracts.get(organisation)
     terms = None if contract is None else contract.terms.get(service)
     if terms is None:
         return NOTHING
@@ -473,7 +462,7 @@
 def longest_deadline_seconds(context: Context, service: str) -> float:
     """Returns the longest time that a request to a service may take."""
     longest_seconds = 0.0
-    for contract in _configuration(context).contracts.values():
+    for contract in configuration_in_force(context.board).contracts.values():
         terms = contract.terms.get(service)
         if terms is not None:
             longest_seconds = max(longest_seconds, terms.deadline_seconds)
--- a/mulberrypaddle/controllers/ejection/controller.py
+++ b/mulberrypaddle/controllers/ejection/controller.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.blackboard import keys
-from mulberrypaddle.blackboard.tables import RunnerTable
+from mulberrypaddle.blackboard.reading import runner_table
 from mulberrypaddle.controllers.base import Context, Controller
 from mulberrypaddle.controllers.ejection.detector import Detector, Observation
 from mulberrypaddle.controllers.ejection.outliers import OutlierDetector
@@ -103,9 +103,7 @@
         )
 
     def _service_sizes(self) -> dict[str, int]:
-        table = self.context.board.latest(
-            keys.RUNNERS, RunnerTable(runners={}, reports={})
-        )
+        table = runner_table(self.context.board)
         sizes: dict[str, int] = {}
         for runner in table.runners.values():
             sizes[runner.service] = sizes.get(runner.service, 0) + 1
--- a/mulberrypaddle/controllers/quarantine/owner.py
+++ b/mulberrypaddle/controllers/quarantine/owner.py
@@ -6,8 +6,8 @@
 
 from returns.result import Result, Success
 
-from mulberrypaddle.blackboard import ReadReport, keys
-from mulberrypaddle.blackboard.tables import RunnerTable
+from mulberrypaddle.blackboard import ReadReport
+from mulberrypaddle.blackboard.reading import runner_table
 from mulberrypaddle.controllers.quarantine.strikes import LossEvent, StrikeBook
 from mulberrypaddle.controllers.quarantine.turns import Turns
 from mulberrypaddle.core.ownership import Duty
@@ -76,9 +76,7 @@
 
     def _verify(self, event: LossEvent, runner_id: str) -> None:
         """Asks a runner whether it was lost, or only a connection to it."""
-        table = self._context.board.latest(
-            keys.RUNNERS, RunnerTable(runners={}, reports={})
-        )
+        table = runner_table(self._context.board)
         runner = table.runners.get(runner_id)
         known = runner_id in event.unverified or runner_id in event.refuted
         if runner is None or known:
@@ -160,9 +158,7 @@
 
     def _max_turns(self) -> int:
         """Returns one suspect less than there are runners, and at least one."""
-        table = self._context.board.latest(
-            keys.RUNNERS, RunnerTable(runners={}, reports={})
-        )
+        table = runner_table(self._context.board)
         runners = 0
         for runner in table.runners.values():
             runners += runner.service == self.service
--- a/mulberrypaddle/operators/status.py
+++ b/mulberrypaddle/operators/status.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.blackboard import keys
+from mulberrypaddle.blackboard.reading import (
+    configuration_in_force,
+    runner_table,
+)
 from mulberrypaddle.blackboard.tables import (
-    Configuration,
     FleetStatus,
-    RunnerTable,
 )
 from mulberrypaddle.controllers.duties import membership
 from mulberrypaddle.core.fleet import DataCentreState
@@ -16,7 +18,6 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from mulberrypaddle.blackboard import Board
     from mulberrypaddle.controllers.base import Context
 
 
@@ -46,30 +47,19 @@
         return [dict(zip(self.columns, row, strict=True)) for row in self.rows]
 
 
-def _configuration(board: Board) -> Configuration:
-    return board.latest(
-        keys.CONFIGURATION,
-        Configuration(contracts={}, services={}, data_centres={}, versions={}),
-    )
-
-
-def _runners(board: Board) -> RunnerTable:
-    return board.latest(keys.RUNNERS, RunnerTable(runners={}, reports={}))
-
-
 def _fleet(context: Context) -> FleetStatus:
     return context.board.latest(keys.FLEET_STATUS, FleetStatus((), {}))
 
 
 def _services(context: Context) -> StatusTable:
     board = context.board
-    configuration = _configuration(board)
+    configuration = configuration_in_force(board)
     ejected = board.latest(keys.EJECTED, {})
     rows = []
     for name, service in sorted(configuration.services.items()):
         routable = 0
         barred = 0
-        for runner in _runners(board).runners.values():
+        for runner in runner_table(board).runners.values():
             if runner.service != name:
                 continue
             state = configuration.data_centres.get(runner.data_centre)
@@ -86,10 +76,12 @@
 def _data_centres(context: Context) -> StatusTable:
     board = context.board
     counts: dict[str, int] = {}
-    for runner in _runners(board).runners.values():
+    for runner in runner_table(board).runners.values():
         counts[runner.data_centre] = counts.get(runner.data_centre, 0) + 1
     rows = []
-    for name, state in sorted(_configuration(board).data_centres.items()):
+    for name, state in sorted(
+        configuration_in_force(board).data_centres.items()
+    ):
         rows.append((name, state.value, str(counts.get(name, 0))))
     return StatusTable(
         "data_centres", ("data_centre", "state", "runners"), rows
@@ -98,7 +90,7 @@
 
 def _organisations(context: Context) -> StatusTable:
     rows = []
-    contracts = _configuration(context.board).contracts
+    contracts = configuration_in_force(context.board).contracts
     for name, contract in sorted(contracts.items()):
         for terms in contract.terms.values():
             rows.append(
