Explain the repair in the demo, and count an engine's held tokens

Cause: the demo showed a repair but not why it went as it did; the engine's stand-in reported the prompt's characters as held tokens, more than a router reserves for a long prompt with a short answer. Change: the demo prints what the routers remember about the group; the stand-in counts prompt tokens and the whole answer.

--- a/mulberrypaddle/cli/demo.py
+++ b/mulberrypaddle/cli/demo.py
@@ -27,6 +27,7 @@
 TRY_SECONDS = 0.1
 SETTLE_SECONDS = 3.0
 REQUESTS = 6
+OK_STATUS = 200
 
 CONTRACT = f"""organisation: card-museum
 key_sha256: ['{digest_of(CALLER_KEY)}']
@@ -109,7 +110,8 @@
 
     async def lose_vm(self) -> None:
         """Ends a VM of a serving group and waits for the repair."""
-        lost = self._groups()[0].vm_ids[0]
+        group = self._groups()[0]
+        lost = group.vm_ids[0]
         self._vms.kill(lost)
         served = await self._serve_some()
         repaired = await self._until(lambda: self._repaired_without(lost))
@@ -118,6 +120,25 @@
             f"VM {lost} was lost: {served} of {REQUESTS} requests served",
         )
         self.expect(repaired, "the group was repaired from a spare VM")
+        await self._explain(group.runner_id)
+
+    async def _explain(self, subject: str) -> None:
+        """Prints what the routers remember deciding about a subject."""
+        print(f"     explain {subject}:")
+        for router in range(ROUTERS):
+            answer = await self._fleet.fetch(
+                "GET",
+                f"/operator/explain/{subject}",
+                router=router,
+                key=self._fleet.operator_key,
+            )
+            if answer.code != OK_STATUS:
+                continue
+            for item in json.loads(answer.body):
+                print(
+                    f"       {item['router']}: {item['outcome']}, "
+                    f"because {item['reason']}"
+                )
 
     async def _serve_some(self) -> int:
         served = 0
--- a/mulberrypaddle/standins/engine.py
+++ b/mulberrypaddle/standins/engine.py
@@ -22,6 +22,8 @@
     from collections.abc import Callable
 
 CRASH_MARK = "crash-the-engine"
+CHARACTERS_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 16
 
 
 class EngineState:
@@ -33,7 +35,7 @@
         started_at_seconds: Monotonic time of the start.
         token_seconds: Time between tokens.
         slots: Requests that it bears; more are refused.
-        running: Attempts in hand, by attempt id.
+        running: Tokens held by each attempt in hand, by attempt id.
         peak_running: Most attempts that were ever in hand.
         runs: How often each request id was begun.
         generation: Group generation that it confirms.
@@ -93,6 +95,12 @@
         self.started_at_seconds = time.monotonic()
 
 
+def held_tokens(value: dict[str, Any], prompt: str) -> int:
+    """Returns what a request holds at worst: prompt and whole answer."""
+    output_tokens = int(value.get("max_tokens", DEFAULT_OUTPUT_TOKENS))
+    return len(prompt) // CHARACTERS_PER_TOKEN + output_tokens
+
+
 def token_text(prompt: str, offset: int) -> str:
     """Returns the token at an offset; the same for every run."""
     words = prompt.split() or ["empty"]
@@ -151,7 +159,7 @@
             self.state.crash()
             self.cut()
             return
-        self.state.running[attempt_id] = len(prompt)
+        self.state.running[attempt_id] = held_tokens(value, prompt)
         self.state.peak_running = max(
             self.state.peak_running, len(self.state.running)
         )
@@ -164,7 +172,7 @@
             self.state.running.pop(attempt_id, None)
 
     async def _generate(self, value: dict[str, Any], prompt: str) -> None:
-        max_tokens = int(value.get("max_tokens", 16))
+        max_tokens = int(value.get("max_tokens", DEFAULT_OUTPUT_TOKENS))
         headers = self.request.headers
         attempt_id = headers.get("X-Attempt-Id", "")
         self.set_header("X-Attempt-Id", attempt_id)
