Wait for a controller's reply in one place

Cause: the pipeline and the operators' handlers each had the same wait for the one reply of a controller. Change: frontdoor/replies.py holds reply_of; both call it. Conclusion: no behaviour changed.

--- a/mulberrypaddle/frontdoor/pipeline.py
+++ b/mulberrypaddle/frontdoor/pipeline.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING
 
 from returns.result import Failure, Result, Success
 
@@ -14,6 +14,7 @@
 from mulberrypaddle.core.request import AttemptState, Request
 from mulberrypaddle.core.ticket import AttemptOutcome, Ticket
 from mulberrypaddle.frontdoor.kept import kept_answer
+from mulberrypaddle.frontdoor.replies import no_wake, reply_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,41 +32,10 @@
     from mulberrypaddle.core.clock import Clock
     from mulberrypaddle.frontdoor.relay import Relay
 
-T = TypeVar("T")
-
 # After these the same runner may do better on another attempt.
 _BREAKS = frozenset({ErrorKind.STREAM_BROKEN, ErrorKind.OUTCOME_UNKNOWN})
 
 
-async def _reply_of(
-    ask: Callable[[Callable[[Result[T, Problem]], None]], None],
-    *,
-    wake: Callable[[], None],
-) -> Result[T, Problem]:
-    """Waits for the one reply of a controller.
-
-    Args:
-        ask: Asks it, with the function that takes the reply.
-        wake: Called when the reply does not come at once.
-    """
-    future: asyncio.Future[Result[T, Problem]] = (
-        asyncio.get_running_loop().create_future()
-    )
-
-    def reply(result: Result[T, Problem]) -> None:
-        if not future.done():
-            future.set_result(result)
-
-    ask(reply)
-    if not future.done():
-        wake()
-    return await future
-
-
-def _no_wake() -> None:
-    """Leaves the controllers to their own pace."""
-
-
 class Pipeline:
     """The stages of one request, in order."""
 
@@ -79,7 +49,7 @@
         ejection: Ejection,
         runners: RunnerClient,
         clock: Clock,
-        wake: Callable[[], None] = _no_wake,
+        wake: Callable[[], None] = no_wake,
     ) -> None:
         """Takes what the stages need.
 
@@ -143,7 +113,7 @@
         def ask(reply: ClaimReply) -> None:
             self._claims.begin(request, reply)
 
-        return await _reply_of(ask, wake=self._wake)
+        return await reply_of(ask, wake=self._wake)
 
     async def _admit(
         self, request: Request, passed_over: frozenset[str]
@@ -151,13 +121,13 @@
         def ask(reply: AdmissionReply) -> None:
             self._admission.submit(request, reply, passed_over=passed_over)
 
-        return await _reply_of(ask, wake=self._wake)
+        return await reply_of(ask, wake=self._wake)
 
     async def _clear(self, request: Request) -> Result[Clearance, Problem]:
         def ask(reply: ClearanceReply) -> None:
             self._quarantine.check(request, reply)
 
-        return await _reply_of(ask, wake=self._wake)
+        return await reply_of(ask, wake=self._wake)
 
     async def _attempts(
         self, request: Request, relay: Relay
--- a/mulberrypaddle/operators/handlers.py
+++ b/mulberrypaddle/operators/handlers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 import hmac
 import json
@@ -23,6 +22,7 @@
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.core.fleet import DataCentreState
 from mulberrypaddle.frontdoor.problems import problem_to_json
+from mulberrypaddle.frontdoor.replies import reply_of
 from mulberrypaddle.operators.documents import DocumentKind
 from mulberrypaddle.operators.status import status_tables
 from mulberrypaddle.settings.objects import parse_data_centre
@@ -31,7 +31,7 @@
     from collections.abc import Callable
 
     from mulberrypaddle.controllers.base import Context
-    from mulberrypaddle.operators.apply import Apply
+    from mulberrypaddle.operators.apply import Apply, ApplyReply
     from mulberrypaddle.operators.journal import Journal
 
 MAX_DOCUMENT_BYTES = 262_144
@@ -72,22 +72,6 @@
         return False
 
 
-async def _ask(
-    ask: Callable[[Callable[[Result[Any, Problem]], None]], None],
-) -> Result[Any, Problem]:
-    """Waits for the one reply of a controller or adapter."""
-    future: asyncio.Future[Result[Any, Problem]] = (
-        asyncio.get_running_loop().create_future()
-    )
-
-    def reply(result: Result[Any, Problem]) -> None:
-        if not future.done():
-            future.set_result(result)
-
-    ask(reply)
-    return await future
-
-
 class _OperatorHandler(tornado.web.RequestHandler):
     """Checks the operator's key before anything else."""
 
@@ -136,7 +120,7 @@
         self, make: Callable[[Callable[[Result[Any, Problem]], None]], Intent]
     ) -> Result[Any, Problem]:
         """Carries out one platform call through the blackboard."""
-        return await _ask(
+        return await reply_of(
             lambda reply: self.desk.context.board.intents.append(make(reply))
         )
 
@@ -239,11 +223,13 @@
             self.refuse(unsafe)
             return
         key = kind.unwrap().key_of(name)
-        applied = await _ask(
-            lambda reply: self.desk.apply.submit(
+
+        def ask(reply: ApplyReply) -> None:
+            self.desk.apply.submit(
                 key, text, expected_version=int(header), reply=reply
             )
-        )
+
+        applied = await reply_of(ask)
         if not isinstance(applied, Success):
             self.refuse(applied.failure())
             return
