--- /dev/null
+++ b/mulberrypaddle/platform/documents.py
@@ -0,0 +1,301 @@
+"""Decodes the platform's documents into the product's types, once."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from mulberrypaddle.fleet import (
+    CallerLimits,
+    EngineTraits,
+    GroupMembership,
+    MembershipState,
+    ModelSpec,
+    Organisation,
+    RepeatRule,
+    Route,
+    RunnerEntry,
+    ServiceSpec,
+    ServingConfig,
+)
+from mulberrypaddle.serving.documents import Decoder
+
+if TYPE_CHECKING:
+    from mulberrypaddle.serving.store import StoredItem
+
+_LOGGER = logging.getLogger("mulberrypaddle.documents")
+
+# Name of the one object that holds the configuration.
+CONFIG_NAME = "main"
+
+_REPEAT_RULES = {
+    "safe": RepeatRule.SAFE,
+    "unsafe": RepeatRule.UNSAFE,
+    "streaming": RepeatRule.STREAM,
+}
+
+_STATES = {"ready": False, "draining": True}
+
+# Errors that a document of another form raises.
+_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+
+# Limits that hold where the configuration names none: the platform's example.
+_DEFAULT_LIMITS = CallerLimits(
+    header_bytes=16_384,
+    body_bytes=4_194_304,
+    header_seconds=3.0,
+    idle_seconds=15.0,
+)
+
+
+class PlatformDecoder(Decoder):
+    """Reads configuration, runners and evacuations."""
+
+    def config(self, items: list[StoredItem]) -> ServingConfig | None:
+        """Returns the configuration, or None if it can't be read."""
+        for item in items:
+            if item.name != CONFIG_NAME:
+                continue
+            try:
+                return _read_config(item.content["spec"], item.revision)
+            except _UNREADABLE as error:
+                _LOGGER.exception(
+                    "unreadable_configuration",
+                    extra={"revision": item.revision, "reason": str(error)},
+                )
+        return None
+
+    def runner(
+        self, item: StoredItem, *, now_seconds: float
+    ) -> RunnerEntry | None:
+        """Returns a runner, or None if the entry names none to use."""
+        try:
+            return read_runner(
+                item.name, item.content["spec"], now_seconds=now_seconds
+            )
+        except _UNREADABLE as error:
+            _LOGGER.warning(
+                "unreadable_runner",
+                extra={
+                    "subject": item.name,
+                    "reason": f"{type(error).__name__}: {error}",
+                },
+            )
+            return None
+
+    def report(
+        self, entry: RunnerEntry, content: Any, *, now_seconds: float
+    ) -> RunnerEntry | None:
+        """Returns the entry brought up to date by a runner's own report."""
+        try:
+            return _read_report(entry, content, now_seconds)
+        except _UNREADABLE as error:
+            _LOGGER.warning(
+                "unreadable_report",
+                extra={
+                    "subject": entry.runner_id,
+                    "reason": f"{type(error).__name__}: {error}",
+                },
+            )
+            return None
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"got {value!r}, allowed is a text")
+    return value
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"got {value!r}, allowed is a whole number")
+    return value
+
+
+def read_runner(
+    runner_id: str, fields: dict[str, Any], *, now_seconds: float
+) -> RunnerEntry:
+    """Reads the entry of a runner.
+
+    Raises:
+        ValueError: If a field has another type or an unknown value.
+        KeyError: If a field is missing.
+    """
+    # The start in Unix milliseconds; a runner that keeps its id has another.
+    born = fields.get("born")
+    cold_ms = fields.get("coldRemainingMs", 0)
+    state = _text(fields["state"])
+    if state not in _STATES:
+        raise ValueError(f"got state {state!r}, allowed are {list(_STATES)}")
+    address = _text(fields["address"])
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"got address {address!r}, allowed is HOST:PORT")
+    return RunnerEntry(
+        runner_id,
+        born_ms=None if born is None else _whole(born),
+        service=_text(fields["service"]),
+        address=address,
+        data_centre=_text(fields["zone"]),
+        slots=_whole(fields["slots"]),
+        draining=_STATES[state],
+        cold_until_seconds=now_seconds + float(cold_ms or 0) / 1000,
+        models=_model_names(fields),
+        # Counts the orders that the runner began, not its heartbeats.
+        orders_taken=_whole(fields.get("sequence", 0)),
+        domain=str(fields.get("domain") or ""),
+        staged=_staged(fields),
+        group=_membership(fields.get("group")),
+    )
+
+
+def _read_report(
+    entry: RunnerEntry, fields: dict[str, Any], now_seconds: float
+) -> RunnerEntry | None:
+    born = fields.get("born", entry.born_ms)
+    if born != entry.born_ms:
+        return None
+    return RunnerEntry(
+        entry.runner_id,
+        born_ms=entry.born_ms,
+        service=entry.service,
+        address=entry.address,
+        data_centre=entry.data_centre,
+        slots=entry.slots,
+        draining=entry.draining,
+        cold_until_seconds=entry.cold_until_seconds,
+        models=_model_names(fields),
+        orders_taken=_whole(fields.get("sequence", 0)),
+        busy=bool(fields.get("busy", False)),
+        domain=str(fields.get("domain") or entry.domain),
+        staged=_staged(fields),
+        group=_membership(fields.get("group")),
+    )
+
+
+def _staged(fields: dict[str, Any]) -> tuple[str, ...]:
+    return tuple(_text(name) for name in fields.get("staged") or ())
+
+
+def _model_names(fields: dict[str, Any]) -> tuple[str, ...]:
+    return tuple(_text(model["name"]) for model in fields.get("models") or ())
+
+
+def _membership(fields: Any) -> GroupMembership | None:
+    if not fields:
+        return None
+    return GroupMembership(
+        _text(fields["name"]),
+        epoch=_whole(fields["epoch"]),
+        rank=_whole(fields["rank"]),
+        state=MembershipState(_text(fields["state"])),
+    )
+
+
+def _read_config(fields: dict[str, Any], revision: int) -> ServingConfig:
+    limits = _DEFAULT_LIMITS
+    if fields.get("limits"):
+        limits = _read_limits(fields["limits"])
+    return ServingConfig(
+        version=_whole(fields["version"]),
+        revision=revision,
+        routes=tuple(_read_route(route) for route in fields["routes"]),
+        services={
+            service["name"]: _read_service(service)
+            for service in fields["services"]
+        },
+        limits=limits,
+        organisations=_read_organisations(fields),
+    )
+
+
+def _read_limits(fields: dict[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=int(fields["maxHeaderBytes"]),
+        body_bytes=int(fields["maxBodyBytes"]),
+        header_seconds=fields["headerTimeoutMs"] / 1000,
+        idle_seconds=fields["idleTimeoutMs"] / 1000,
+    )
+
+
+def _read_route(fields: dict[str, Any]) -> Route:
+    shares: tuple[tuple[str, float], ...]
+    if fields.get("backends"):
+        shares = tuple(
+            (_text(share["service"]), float(share["weight"]))
+            for share in fields["backends"]
+        )
+    else:
+        shares = ((_text(fields["service"]), 1.0),)
+    timeout_ms = fields.get("timeoutMs") or 30_000
+    return Route(
+        name=_text(fields["name"]),
+        host=_text(fields["host"]).lower(),
+        path_prefix=_text(fields["pathPrefix"]),
+        repeat_rule=_REPEAT_RULES[fields["kind"]],
+        timeout_seconds=timeout_ms / 1000,
+        target_seconds=fields.get("targetLatencyMs", timeout_ms) / 1000,
+        # Longest pause between two events that is still on time.
+        pause_seconds=fields.get("gapAimMs", 0) / 1000,
+        urgency=int(fields.get("priority", 5)),
+        shares=shares,
+        max_runners=int(fields.get("maxAttempts", 1)),
+        public=bool(fields.get("public", False)),
+        resumable=bool(fields.get("resumable", False)),
+    )
+
+
+def _read_service(fields: dict[str, Any]) -> ServiceSpec:
+    engine = fields.get("engine")
+    return ServiceSpec(
+        name=_text(fields["name"]),
+        health_path=str(fields.get("healthPath", "/")),
+        cold_requests_per_second=float(fields.get("coldPerS") or 0),
+        engine=None if engine is None else _read_engine(engine),
+    )
+
+
+def _read_engine(fields: dict[str, Any]) -> EngineTraits:
+    usual = fields.get("usual") or {}
+    models = {
+        model["name"]: ModelSpec(
+            name=_text(model["name"]),
+            size=int(model["size"]),
+            demand_share=float(model["share"]),
+            pace=float(model["pace"]),
+            load_seconds=float(model["loadS"]),
+            warm_seconds=float(model["warmS"]),
+        )
+        for model in fields.get("models", ())
+    }
+    return EngineTraits(
+        slots=int(fields["slots"]),
+        models=models,
+        step_seconds=fields["step_ms"] / 1000,
+        step_seconds_per_request=fields["per_seq_ms"] / 1000,
+        prompt_tokens_per_second=float(fields["read_per_s"]),
+        steps_per_pass=int(fields.get("stride", 1)),
+        # Mean tokens of a request over the whole service.
+        usual_prompt_tokens=float(usual.get("prompt", 1000)),
+        usual_answer_tokens=float(usual.get("answer", 150)),
+        loads_per_second=float(fields.get("loadsPerS", 1)),
+        loads_at_once=int(fields.get("loads_at_once", 1)),
+        form_seconds=fields.get("formMs", 0) / 1000,
+    )
+
+
+def _read_organisations(
+    fields: dict[str, Any],
+) -> dict[str, Organisation] | None:
+    if "tenants" not in fields:
+        return None
+    by_key: dict[str, Organisation] = {}
+    for tenant in fields["tenants"]:
+        urgency = tenant.get("priority")
+        organisation = Organisation(
+            _text(tenant["name"]),
+            urgency=None if urgency is None else int(urgency),
+        )
+        for key in tenant["apiKeys"]:
+            by_key[_text(key)] = organisation
+    return by_key
--- /dev/null
+++ b/mulberrypaddle/platform/node_file.py
@@ -0,0 +1,91 @@
+"""Settings file that the platform lays beside each process."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Result, Success
+
+from mulberrypaddle.core.errors import ErrorKind, Problem
+from mulberrypaddle.fleet import Bounds, NodeSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# Variable that holds the path of the file.
+PATH_VARIABLE = "MULBERRYPADDLE_NODE_FILE"
+
+DEFAULT_PATH = "/etc/mulberrypaddle/node.toml"
+
+
+def node_file_path(environment: Mapping[str, str] = os.environ) -> str:
+    """Returns where the settings file lies."""
+    return environment.get(PATH_VARIABLE, DEFAULT_PATH)
+
+
+def load_node_file(path: str) -> Result[NodeSettings, Problem]:
+    """Reads and checks the settings file.
+
+    Args:
+        path: Where it lies.
+
+    Returns:
+        The settings, or INVALID_CONFIG with what was got and what is allowed.
+    """
+    try:
+        with open(path, "rb") as file:
+            fields = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        return _invalid(f"{path}: {error}")
+    try:
+        return Success(_read(fields))
+    except (KeyError, ValueError, TypeError, IndexError) as error:
+        return _invalid(f"{path}: {type(error).__name__}: {error}")
+
+
+def _invalid(detail: str) -> Result[NodeSettings, Problem]:
+    return Failure(Problem(ErrorKind.INVALID_CONFIG, detail))
+
+
+def _read(fields: dict[str, Any]) -> NodeSettings:
+    listen = fields["bindAddrs"]
+    return NodeSettings(
+        node=str(fields["node"]),
+        data_centre=str(fields["zone"]),
+        ip=str(fields["ip"]),
+        caller_address=_host_port(listen["frontend"]),
+        readiness_address=_host_port(listen["readiness"]),
+        peer_port=int(fields["internalPorts"][0]),
+        seed_ips=tuple(_host_port(seed)[0] for seed in fields.get("seeds", ())),
+        store_address=str(fields["platform"]["address"]),
+        first_start=bool(fields.get("bootstrap", False)),
+        bounds=_read_bounds(fields.get("bounds", {})),
+    )
+
+
+def _read_bounds(fields: dict[str, Any]) -> Bounds:
+    known = Bounds()
+    seconds = {
+        "stop_grace_seconds": ("graceS", 1.0),
+        "drain_seconds": ("drainMs", 0.001),
+        "config_apply_seconds": ("configApplyMs", 0.001),
+        "stall_seconds": ("stallMs", 0.001),
+        "retry_ratio": ("retryBudgetRatio", 1.0),
+        "retry_slack": ("retrySlack", 1.0),
+        "retry_window_seconds": ("budgetWindowS", 1.0),
+        "cold_excess": ("coldExcess", 1.0),
+        "load_window_seconds": ("ceilingWindowS", 1.0),
+    }
+    for attribute, (name, factor) in seconds.items():
+        if name in fields:
+            setattr(known, attribute, float(fields[name]) * factor)
+    return known
+
+
+def _host_port(text: str) -> tuple[str, int]:
+    host, _, port = str(text).rpartition(":")
+    if not host:
+        raise ValueError(f"got address {text!r}, allowed is HOST:PORT")
+    return host, int(port)
--- /dev/null
+++ b/mulberrypaddle/platform/orders.py
@@ -0,0 +1,153 @@
+"""Orders to runners and the reports that they give."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import pycurl
+import tornado.httpclient
+from returns.result import Failure, Result, Success
+
+from mulberrypaddle.backends.curl import make_client, was_unsent
+from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
+from mulberrypaddle.replicas.orders import (
+    CloseGroup,
+    GroupOrder,
+    JoinGroup,
+    LeaveGroup,
+    OpenGroup,
+    StageModel,
+)
+from mulberrypaddle.serving.runner_control import OrderOutcome, RunnerControl
+from mulberrypaddle.serving.sockets import probe_dead_peers
+
+if TYPE_CHECKING:
+    from mulberrypaddle.fleet import RunnerEntry
+
+# Time for a runner to answer; it takes a few milliseconds.
+ORDER_TIMEOUT_SECONDS = 0.6
+
+_OUTCOMES = {
+    200: OrderOutcome.HOLDS,
+    202: OrderOutcome.BEGUN,
+    409: OrderOutcome.UNFIT,
+    412: OrderOutcome.OUTDATED,
+    421: OrderOutcome.OTHER_RUNNER,
+}
+
+
+class PlatformRunnerControl(RunnerControl):
+    """Sends orders and asks for reports."""
+
+    def __init__(self) -> None:
+        self._client = make_client()
+
+    async def order(
+        self, entry: RunnerEntry, order: GroupOrder, *, fence: int
+    ) -> Result[OrderOutcome, Problem]:
+        """Sends one order."""
+        body = _body_of(order)
+        body["fencingToken"] = fence
+        # An order that arrives after a newer one then does nothing.
+        body["expect"] = entry.orders_taken
+        result = await self._call(entry, "/order", body=body)
+        if not isinstance(result, Success):
+            return Failure(result.failure())
+        status = result.unwrap().code
+        outcome = _OUTCOMES.get(status)
+        if outcome is None:
+            return Failure(
+                Problem(
+                    ErrorKind.RUNNER_REFUSED,
+                    f"{entry.runner_id}: got status {status} for an order",
+                    ran=Ran.UNKNOWN,
+                )
+            )
+        return Success(outcome)
+
+    async def report(self, entry: RunnerEntry) -> Result[Any, Problem]:
+        """Asks a runner for its report, undecoded."""
+        result = await self._call(entry, "/report")
+        if not isinstance(result, Success):
+            return Failure(result.failure())
+        response = result.unwrap()
+        if response.code != 200:
+            return Failure(
+                Problem(
+                    ErrorKind.RUNNER_REFUSED,
+                    f"{entry.runner_id}: report has status {response.code}",
+                )
+            )
+        try:
+            return Success(json.loads(response.body))
+        except ValueError as error:
+            return Failure(
+                Problem(
+                    ErrorKind.RUNNER_REFUSED,
+                    f"{entry.runner_id}: unreadable report: {error}",
+                )
+            )
+
+    async def _call(
+        self,
+        entry: RunnerEntry,
+        path: str,
+        *,
+        body: dict[str, Any] | None = None,
+    ) -> Result[tornado.httpclient.HTTPResponse, Problem]:
+        headers = {"X-Expect-Instance": entry.runner_id}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        request = tornado.httpclient.HTTPRequest(
+            f"http://{entry.address}{path}",
+            method="GET" if body is None else "POST",
+            body=None if body is None else json.dumps(body),
+            headers=headers,
+            connect_timeout=ORDER_TIMEOUT_SECONDS,
+            request_timeout=ORDER_TIMEOUT_SECONDS,
+            follow_redirects=False,
+            decompress_response=False,
+            prepare_curl_callback=_prepare,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (tornado.httpclient.HTTPError, OSError) as error:
+            return Failure(_unreachable(entry, error))
+        if response.code == 599:
+            return Failure(_unreachable(entry, response.error))
+        return Success(response)
+
+
+def _prepare(curl: pycurl.Curl) -> None:
+    # A kept connection that dies would make curl send an order twice.
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+    curl.setopt(pycurl.SOCKOPTFUNCTION, probe_dead_peers)
+
+
+def _unreachable(entry: RunnerEntry, error: BaseException | None) -> Problem:
+    unsent = error is not None and was_unsent(error)
+    return Problem(
+        ErrorKind.RUNNER_UNREACHABLE,
+        f"{entry.runner_id} at {entry.address}: {error}",
+        ran=Ran.NOT_RUN if unsent else Ran.UNKNOWN,
+    )
+
+
+def _body_of(order: GroupOrder) -> dict[str, Any]:
+    if isinstance(order, StageModel):
+        return {"operation": "stage", "model": order.model}
+    body: dict[str, Any] = {"group": order.group, "epoch": order.epoch}
+    if isinstance(order, JoinGroup):
+        body["operation"] = "join"
+        body["model"] = order.model
+        body["members"] = list(order.member_ids)
+    elif isinstance(order, OpenGroup):
+        body["operation"] = "open"
+    elif isinstance(order, CloseGroup):
+        body["operation"] = "close"
+        body["mode"] = "queue"
+    elif isinstance(order, LeaveGroup):
+        body["operation"] = "leave"
+    return body
--- /dev/null
+++ b/mulberrypaddle/platform/program.py
@@ -0,0 +1,56 @@
+"""Runs a router on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import sys
+
+from returns.result import Success
+
+from mulberrypaddle.fleet import NodeSettings
+from mulberrypaddle.observe.logs import configure_logging
+from mulberrypaddle.observe.pipe import DroppingPipe
+from mulberrypaddle.platform.documents import PlatformDecoder
+from mulberrypaddle.platform.headers import PlatformDialect
+from mulberrypaddle.platform.node_file import load_node_file, node_file_path
+from mulberrypaddle.platform.orders import PlatformRunnerControl
+from mulberrypaddle.platform.store import PlatformStore
+from mulberrypaddle.serving.router import ServingRouter
+
+# Exit status for settings that can't be used, as of the command line.
+EXIT_BAD_INPUT = 2
+
+# Collections of the youngest objects between two of all: a full collection
+# of a busy router stops its streams for some milliseconds.
+GC_THRESHOLDS = (5_000, 20, 50)
+
+
+async def _serve(settings: NodeSettings) -> None:
+    router = ServingRouter(
+        settings,
+        store=PlatformStore(settings.store_address),
+        decoder=PlatformDecoder(),
+        dialect=PlatformDialect(),
+        control=PlatformRunnerControl(),
+    )
+    await router.run()
+
+
+def run(path: str = "") -> None:
+    """Runs one router until it is told to stop.
+
+    Args:
+        path: Settings file of the platform; empty to find it by the
+            environment.
+    """
+    loaded = load_node_file(path or node_file_path())
+    if not isinstance(loaded, Success):
+        print(f"can't start: {loaded.failure().detail}", file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+    pipe = DroppingPipe(sys.stdout.fileno())
+    configure_logging(stream=pipe)  # type: ignore[arg-type]
+    logging.getLogger("tornado").setLevel(logging.WARNING)
+    gc.set_threshold(*GC_THRESHOLDS)
+    asyncio.run(_serve(loaded.unwrap()))
--- /dev/null
+++ b/mulberrypaddle/platform/store.py
@@ -0,0 +1,294 @@
+"""Client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import json
+import logging
+import urllib.parse
+from typing import TYPE_CHECKING, Any
+
+import pycurl
+import tornado.httpclient
+from returns.result import Failure, Result, Success
+
+from mulberrypaddle.backends.curl import make_client, was_unsent
+from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
+from mulberrypaddle.serving.sockets import probe_dead_peers
+from mulberrypaddle.serving.store import (
+    Changes,
+    Collection,
+    HistoryGoneError,
+    Listing,
+    ObjectStore,
+    StoredItem,
+)
+
+if TYPE_CHECKING:
+    from tornado.httpclient import HTTPResponse
+
+_LOGGER = logging.getLogger("mulberrypaddle.store")
+
+# Kinds of the store by collection; the last two are the system's own.
+_KINDS = {
+    Collection.CONFIGURATION: "config",
+    Collection.EVACUATIONS: "evacuations",
+    Collection.RUNNERS: "servers",
+    Collection.ROUTERS: "mulberrypaddle-routers",
+    Collection.DUTIES: "mulberrypaddle-duties",
+}
+
+# Time for a call that does not wait: the store answers in 4 ms, and in some
+# hundred when it is slow.
+CALL_TIMEOUT_SECONDS = 1.5
+
+# Added to the wait of a watch before it counts as lost.
+WATCH_SLACK_SECONDS = 2.0
+
+# Pages of a listing that are read before it counts as endless.
+MOST_PAGES = 200
+
+
+class PlatformStore(ObjectStore):
+    """Calls the store at one address."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}/objects/"
+        self._client = make_client()
+
+    async def list(
+        self, collection: Collection, *, may_be_stale: bool = False
+    ) -> Result[Listing, Problem]:
+        """Returns a whole collection, page by page."""
+        items: list[StoredItem] = []
+        revision = 0
+        after = ""
+        for _ in range(MOST_PAGES):
+            query = {"after": after} if after else {}
+            if may_be_stale:
+                query["serializable"] = "1"
+            result = await self._call("GET", _path(collection, query=query))
+            if not isinstance(result, Success):
+                return Failure(result.failure())
+            page = result.unwrap()
+            try:
+                items.extend(_read_items(page["items"]))
+                # Later pages may be newer; what changed between is watched.
+                revision = revision or int(page["storeRevision"])
+                more = bool(page.get("hasMore", False))
+                after = items[-1].name if items else ""
+            except (KeyError, TypeError, ValueError) as error:
+                return Failure(_unreadable("listing", error))
+            if not more:
+                return Success(Listing(items, revision=revision))
+        return Failure(
+            Problem(
+                ErrorKind.STORE_UNAVAILABLE,
+                f"got more than {MOST_PAGES} pages of {collection.value}",
+            )
+        )
+
+    async def watch(
+        self, collection: Collection, *, revision: int, wait_seconds: float
+    ) -> Result[Changes, Problem]:
+        """Waits for changes after a revision."""
+        query = {
+            "watch": str(revision),
+            "waitMs": str(int(wait_seconds * 1000)),
+        }
+        result = await self._call(
+            "GET",
+            _path(collection, query=query),
+            timeout_seconds=wait_seconds + WATCH_SLACK_SECONDS,
+        )
+        if not isinstance(result, Success):
+            return Failure(result.failure())
+        page = result.unwrap()
+        try:
+            return Success(_read_changes(page))
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(_unreadable("watch", error))
+
+    async def read(
+        self, collection: Collection, name: str
+    ) -> Result[StoredItem | None, Problem]:
+        """Returns one object, or None if there is none."""
+        result = await self._call("GET", _path(collection, name))
+        if isinstance(result, Success):
+            return _read_one(result.unwrap())
+        problem = result.failure()
+        if problem.kind is ErrorKind.NOT_FOUND:
+            return Success(None)
+        return Failure(problem)
+
+    async def create(
+        self, collection: Collection, name: str, value: dict[str, Any]
+    ) -> Result[StoredItem, Problem]:
+        """Makes an object; CONFLICT if it exists."""
+        body = {"metadata": {"name": name}, "spec": value}
+        result = await self._call("POST", _path(collection), body=body)
+        return result.bind(_read_one)
+
+    async def replace(
+        self,
+        collection: Collection,
+        name: str,
+        value: dict[str, Any],
+        *,
+        revision: int | None,
+    ) -> Result[StoredItem, Problem]:
+        """Replaces an object, under a condition on its revision if given."""
+        metadata: dict[str, Any] = {"name": name}
+        if revision is not None:
+            metadata["revision"] = revision
+        result = await self._call(
+            "PUT",
+            _path(collection, name),
+            body={"metadata": metadata, "spec": value},
+        )
+        return result.bind(_read_one)
+
+    def value_of(self, item: StoredItem) -> Any:
+        """Returns the value that the system wrote into an object."""
+        if isinstance(item.content, dict):
+            return item.content.get("spec")
+        return None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: dict[str, Any] | None = None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> Result[Any, Problem]:
+        request = tornado.httpclient.HTTPRequest(
+            self._base + path,
+            method=method,
+            body=None if body is None else json.dumps(body),
+            headers={"Content-Type": "application/json"} if body else None,
+            connect_timeout=CALL_TIMEOUT_SECONDS,
+            request_timeout=timeout_seconds,
+            follow_redirects=False,
+            decompress_response=False,
+            prepare_curl_callback=_prepare_write if body else _prepare_read,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (tornado.httpclient.HTTPError, OSError) as error:
+            ran = Ran.NOT_RUN if was_unsent(error) else Ran.UNKNOWN
+            return Failure(
+                Problem(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    f"{method} {path}: {error}",
+                    ran=ran,
+                )
+            )
+        return _read_response(method, path, response)
+
+
+def _prepare_read(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.SOCKOPTFUNCTION, probe_dead_peers)
+
+
+def _prepare_write(curl: pycurl.Curl) -> None:
+    # A write on a kept connection that dies would be sent twice by curl.
+    _prepare_read(curl)
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
+def _path(
+    collection: Collection,
+    name: str = "",
+    *,
+    query: dict[str, str] | None = None,
+) -> str:
+    path = _KINDS[collection]
+    if name:
+        path += "/" + urllib.parse.quote(name, safe="")
+    if query:
+        path += "?" + urllib.parse.urlencode(query)
+    return path
+
+
+def _read_response(
+    method: str, path: str, response: HTTPResponse
+) -> Result[Any, Problem]:
+    status = response.code
+    if status == 410:
+        raise HistoryGoneError(path)
+    if status == 404:
+        return Failure(Problem(ErrorKind.NOT_FOUND, path))
+    if status == 409:
+        return Failure(Problem(ErrorKind.CONFLICT, path))
+    if status in (429, 503):
+        return Failure(
+            Problem(
+                ErrorKind.STORE_UNAVAILABLE,
+                f"{method} {path}: status {status}",
+                ran=Ran.NOT_RUN,
+            )
+        )
+    if not 200 <= status < 300:
+        return Failure(
+            Problem(
+                ErrorKind.STORE_UNAVAILABLE,
+                f"{method} {path}: status {status} {response.error or ''}",
+                ran=Ran.UNKNOWN,
+            )
+        )
+    try:
+        return Success(json.loads(response.body or b"null"))
+    except ValueError as error:
+        return Failure(_unreadable(path, error))
+
+
+def _unreadable(what: str, error: Exception) -> Problem:
+    return Problem(
+        ErrorKind.STORE_UNAVAILABLE,
+        f"{what}: unreadable: {type(error).__name__}: {error}",
+        ran=Ran.UNKNOWN,
+    )
+
+
+def _read_one(content: Any) -> Result[StoredItem, Problem]:
+    try:
+        return Success(_read_item(content))
+    except (KeyError, TypeError, ValueError) as error:
+        return Failure(_unreadable("object", error))
+
+
+def _read_item(content: Any) -> StoredItem:
+    metadata = content["metadata"]
+    return StoredItem(
+        str(metadata["name"]),
+        revision=int(metadata["revision"]),
+        content=content,
+    )
+
+
+def _read_items(contents: Any) -> list[StoredItem]:
+    items: list[StoredItem] = []
+    for content in contents:
+        try:
+            items.append(_read_item(content))
+        except (KeyError, TypeError, ValueError) as error:
+            # Other writers may leave anything; the rest of the list holds.
+            _LOGGER.warning("unreadable_object", extra={"reason": str(error)})
+    return items
+
+
+def _read_changes(page: Any) -> Changes:
+    newest: dict[str, StoredItem | None] = {}
+    for event in page["events"]:
+        content = event.get("object")
+        try:
+            item = _read_item(content)
+        except (KeyError, TypeError, ValueError) as error:
+            _LOGGER.warning("unreadable_event", extra={"reason": str(error)})
+            continue
+        newest[item.name] = None if event.get("removed") else item
+    changed = [item for item in newest.values() if item is not None]
+    removed = [name for name, item in newest.items() if item is None]
+    return Changes(
+        changed, removed=removed, revision=int(page["storeRevision"])
+    )
--- /dev/null
+++ b/mulberrypaddle/replicas/picture.py
@@ -0,0 +1,106 @@
+"""Which groups stand, told from what the runners say."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.fleet.runners import MembershipState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from mulberrypaddle.fleet.config import EngineTraits, ModelSpec
+    from mulberrypaddle.fleet.runners import RunnerEntry
+
+
+class GroupPicture:
+    """One group as its members tell it.
+
+    Attributes:
+        name: Name of the group.
+        epoch: Epoch that it was formed with.
+        members: Members that are known, by rank.
+        spec: Model that it serves; None while no member has loaded it.
+    """
+
+    __slots__ = ("epoch", "members", "name", "spec")
+
+    def __init__(self, name: str, *, epoch: int) -> None:
+        self.name = name
+        self.epoch = epoch
+        self.members: dict[int, RunnerEntry] = {}
+        self.spec: ModelSpec | None = None
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Returns what tells it from other groups."""
+        return (self.name, self.epoch)
+
+    @property
+    def head(self) -> RunnerEntry | None:
+        """Returns the head, or None if it is not known."""
+        return self.members.get(0)
+
+    @property
+    def head_state(self) -> MembershipState | None:
+        """Returns what the head says of itself."""
+        head = self.head
+        if head is None or head.group is None:
+            return None
+        return head.group.state
+
+    @property
+    def whole(self) -> bool:
+        """Returns whether all members that the model needs are known."""
+        if self.spec is None:
+            return False
+        return set(self.members) == set(range(self.spec.size))
+
+    @property
+    def all_ready(self) -> bool:
+        """Returns whether all members are there and ready to be opened."""
+        if not self.whole:
+            return False
+        for member in self.members.values():
+            assert member.group is not None
+            if member.group.state is not MembershipState.READY:
+                return False
+        return True
+
+    @property
+    def leaving(self) -> bool:
+        """Returns whether a member is about to leave."""
+        return any(member.draining for member in self.members.values())
+
+    @property
+    def frees_members(self) -> bool:
+        """Returns whether its members may join another group.
+
+        That is so only once no head serves for it any more: it is gone or
+        has said that it broke.
+        """
+        return self.head_state in (None, MembershipState.BROKEN)
+
+
+def draw_groups(
+    entries: Iterable[RunnerEntry], traits: EngineTraits
+) -> dict[tuple[str, int], GroupPicture]:
+    """Returns all groups that some runner reports.
+
+    Args:
+        entries: Runners of one service.
+        traits: Traits of that service.
+    """
+    pictures: dict[tuple[str, int], GroupPicture] = {}
+    for entry in entries:
+        if entry.group is None:
+            continue
+        key = (entry.group.name, entry.group.epoch)
+        picture = pictures.get(key)
+        if picture is None:
+            picture = GroupPicture(key[0], epoch=key[1])
+            pictures[key] = picture
+        picture.members[entry.group.rank] = entry
+        if entry.models:
+            picture.spec = traits.models.get(entry.models[0], picture.spec)
+    return pictures
--- /dev/null
+++ b/mulberrypaddle/replicas/placement.py
@@ -0,0 +1,232 @@
+"""Chooses which groups to form, of which runners.
+
+Answers the steady loss of runners: those that come new hold no weights, and a
+load takes many times as long as a join of a runner that holds them.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from mulberrypaddle.fleet.config import EngineTraits, ModelSpec
+    from mulberrypaddle.fleet.runners import RunnerEntry
+
+# Load of a model's groups above which one more is formed; below it free
+# runners are kept for repairs.
+FORM_ABOVE_LOAD = 0.75
+
+# Load above which the weights that a free runner holds are given up for
+# another model.
+RESTAGE_ABOVE_LOAD = 1.1
+
+# Time over which a later start halves the worth of a group: about the time
+# until the next loss.
+WORTH_SECONDS = 6.0
+
+# Part of a domain that is kept free at the first start, to repair with.
+SPARE_PART = 0.15
+
+# Join of a runner whose last group served the same model.
+REJOIN_SECONDS = 0.2
+
+
+class ModelLoad:
+    """Demand for a model against the slots that serve it.
+
+    Attributes:
+        spec: The model.
+        wanted_slots: Slots that its requests keep busy.
+        groups: Groups that serve it or are being formed.
+    """
+
+    __slots__ = ("groups", "spec", "wanted_slots")
+
+    def __init__(
+        self, spec: ModelSpec, *, wanted_slots: float, groups: int
+    ) -> None:
+        self.spec = spec
+        self.wanted_slots = wanted_slots
+        self.groups = groups
+
+    def load(self, slots: int, *, extra_groups: int = 0) -> float:
+        """Returns wanted slots for each slot; infinite without a group."""
+        have = (self.groups + extra_groups) * slots
+        if have <= 0:
+            return math.inf if self.wanted_slots > 0 else 0.0
+        return self.wanted_slots / have
+
+
+class Formation:
+    """A group that is to be formed.
+
+    Attributes:
+        spec: Model that it will serve.
+        members: Its runners, the head first.
+    """
+
+    __slots__ = ("members", "spec")
+
+    def __init__(self, spec: ModelSpec, members: list[RunnerEntry]) -> None:
+        self.spec = spec
+        self.members = members
+
+    @property
+    def unstaged(self) -> list[RunnerEntry]:
+        """Returns the members whose hosts don't hold the weights."""
+        return [
+            member
+            for member in self.members
+            if self.spec.name not in member.staged
+        ]
+
+
+def by_domain(
+    runners: list[RunnerEntry],
+) -> dict[tuple[str, str], list[RunnerEntry]]:
+    """Returns runners by data centre and fabric domain."""
+    domains: dict[tuple[str, str], list[RunnerEntry]] = {}
+    for runner in runners:
+        key = (runner.data_centre, runner.domain)
+        domains.setdefault(key, []).append(runner)
+    return domains
+
+
+def choose_formations(
+    free: list[RunnerEntry],
+    *,
+    domain_sizes: dict[tuple[str, str], int],
+    traits: EngineTraits,
+    loads: list[ModelLoad],
+    first_start: bool,
+    most: int,
+) -> list[Formation]:
+    """Chooses groups for free runners, the most useful first.
+
+    Args:
+        free: Runners in no group.
+        domain_sizes: Runners of each domain, in groups or not.
+        traits: Traits of the service.
+        loads: Demand by model; counts of groups are raised with each choice.
+        first_start: Whether no traffic has come yet; loads are quick then,
+            and a part of each domain is kept free.
+        most: Groups to choose at most.
+    """
+    domains = by_domain(free)
+    chosen: list[Formation] = []
+    while len(chosen) < most:
+        best: Formation | None = None
+        best_score = 0.0
+        best_load: ModelLoad | None = None
+        for key, runners in domains.items():
+            reserve = 0
+            if first_start:
+                reserve = round(domain_sizes.get(key, 0) * SPARE_PART)
+            for load in loads:
+                if len(runners) - reserve < load.spec.size:
+                    continue
+                pressure = load.load(traits.slots)
+                if not first_start and pressure < FORM_ABOVE_LOAD:
+                    continue
+                formation = _pick_members(runners, load, traits, first_start)
+                if formation is None:
+                    continue
+                score = _score(formation, load, traits, first_start)
+                # Full domains first, so that spares stay spread.
+                score *= 1 + len(runners) / 1000
+                if score > best_score:
+                    best, best_score, best_load = formation, score, load
+        if best is None or best_load is None:
+            break
+        chosen.append(best)
+        best_load.groups += 1
+        taken = {member.runner_id for member in best.members}
+        for key in domains:
+            domains[key] = [
+                runner
+                for runner in domains[key]
+                if runner.runner_id not in taken
+            ]
+    return chosen
+
+
+def _pick_members(
+    runners: list[RunnerEntry],
+    load: ModelLoad,
+    traits: EngineTraits,
+    first_start: bool,
+) -> Formation | None:
+    name = load.spec.name
+
+    def cost(runner: RunnerEntry) -> tuple[int, str]:
+        if name in runner.staged:
+            return (0, runner.runner_id)
+        if not runner.staged:
+            return (1, runner.runner_id)
+        return (2, runner.runner_id)
+
+    members = sorted(runners, key=cost)[: load.spec.size]
+    holds_other = any(
+        member.staged and name not in member.staged for member in members
+    )
+    if holds_other and not first_start:
+        if load.load(traits.slots) < RESTAGE_ABOVE_LOAD:
+            return None
+    return Formation(load.spec, members)
+
+
+def _score(
+    formation: Formation,
+    load: ModelLoad,
+    traits: EngineTraits,
+    first_start: bool,
+) -> float:
+    seconds = load.spec.warm_seconds
+    if formation.unstaged and not first_start:
+        seconds = load.spec.load_seconds
+    pressure = load.load(traits.slots, extra_groups=0)
+    if math.isinf(pressure):
+        pressure = 10.0 + load.wanted_slots
+    # A group of few runners serves the same slots for less.
+    worth = pressure / math.sqrt(load.spec.size)
+    if first_start:
+        worth = pressure
+    return worth / (1 + seconds / WORTH_SECONDS)
+
+
+def choose_staging(
+    free: list[RunnerEntry],
+    *,
+    service_runners: list[RunnerEntry],
+    loads: list[ModelLoad],
+) -> list[tuple[RunnerEntry, str]]:
+    """Chooses the weights that empty free runners load, to repair with.
+
+    The largest group of a domain loses a member most often, and its
+    survivors are the most that one spare puts back to work.
+
+    Args:
+        free: Runners in no group and with no order under way.
+        service_runners: All runners of the service.
+        loads: Demand by model.
+    """
+    specs = {load.spec.name: load.spec for load in loads}
+    chosen: list[tuple[RunnerEntry, str]] = []
+    held = by_domain(service_runners)
+    for key, runners in by_domain(free).items():
+        counts: dict[str, int] = {}
+        for runner in held.get(key, ()):
+            for name in runner.staged[-1:]:
+                if name in specs:
+                    counts[name] = counts.get(name, 0) + 1
+        if counts:
+            wanted = max(
+                counts, key=lambda name: (counts[name], specs[name].size)
+            )
+        else:
+            wanted = max(loads, key=lambda load: load.wanted_slots).spec.name
+        for runner in runners:
+            if not runner.staged:
+                chosen.append((runner, wanted))
+    return chosen
--- /dev/null
+++ b/mulberrypaddle/serving/beat.py
@@ -0,0 +1,104 @@
+"""The message that each router sends to the others many times a second."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+# Name and version of the message; others are left out.
+FORM = 1
+
+
+class Beat:
+    """What one router tells the others.
+
+    Attributes:
+        node: Router that sends it.
+        incarnation: Process of that router.
+        ip: Address of its VM.
+        revisions: Revision of each of its feeds, by collection.
+        loads: Requests in hand by runner.
+        paused: Runners that it found failing.
+        stalled: Heads on which streams stand still, with their age in
+            milliseconds.
+        losses: Runners lost with one request in hand, by fingerprint.
+        demand: Slots that its arrivals keep busy, by model.
+        known: Addresses of the routers that it hears.
+        opening: Time until the next group of a model opens, in
+            milliseconds; from the owner of the groups only.
+        renewals: Renewals of its ownership of the groups; -1 if it is not
+            the owner.
+        lease_left: Milliseconds for which that ownership still holds.
+        stopping: Whether it is about to end.
+    """
+
+    __slots__ = (
+        "demand",
+        "incarnation",
+        "ip",
+        "known",
+        "lease_left",
+        "loads",
+        "losses",
+        "node",
+        "opening",
+        "paused",
+        "renewals",
+        "revisions",
+        "stalled",
+        "stopping",
+    )
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        incarnation: str,
+        ip: str,
+        revisions: dict[str, int],
+        loads: dict[str, int],
+        paused: list[str],
+        stalled: dict[str, int],
+        losses: dict[str, list[str]],
+        demand: dict[str, float],
+        known: list[str],
+        opening: dict[str, int],
+        renewals: int,
+        lease_left: int,
+        stopping: bool,
+    ) -> None:
+        self.node = node
+        self.incarnation = incarnation
+        self.ip = ip
+        self.revisions = revisions
+        self.loads = loads
+        self.paused = paused
+        self.stalled = stalled
+        self.losses = losses
+        self.demand = demand
+        self.known = known
+        self.opening = opening
+        self.renewals = renewals
+        self.lease_left = lease_left
+        self.stopping = stopping
+
+    def to_bytes(self) -> bytes:
+        """Returns the datagram."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        fields["form"] = FORM
+        return json.dumps(fields, separators=(",", ":")).encode()
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> Beat:
+        """Reads a datagram.
+
+        Raises:
+            ValueError: If it is no such message.
+        """
+        fields: Any = json.loads(data)
+        if not isinstance(fields, dict) or fields.pop("form", None) != FORM:
+            raise ValueError(f"got {data[:40]!r}, allowed is form {FORM}")
+        try:
+            return cls(**fields)
+        except TypeError as error:
+            raise ValueError(str(error)) from error
--- /dev/null
+++ b/mulberrypaddle/serving/board.py
@@ -0,0 +1,118 @@
+"""What the parts of one router read and write."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.dispatch import (
+    Chooser,
+    ColdRate,
+    CrashRecords,
+    Loads,
+    RetryBudget,
+    Soundness,
+    WaitingLine,
+)
+from mulberrypaddle.fleet import FleetView
+from mulberrypaddle.serving.demand import DemandMeter
+
+if TYPE_CHECKING:
+    from mulberrypaddle.backends.curl import CurlClient
+    from mulberrypaddle.fleet import NodeSettings, ServingConfig
+    from mulberrypaddle.serving.dialect import Dialect
+
+
+class ServingBoard:
+    """State of one router that more than one part uses.
+
+    Attributes:
+        settings: Settings of the process.
+        dialect: What callers and runners say in headers.
+        client: curl client for calls to runners.
+        config: Configuration in force; None before the first one.
+        view: Runners as far as they are known.
+        live_routers: Routers that may be alive, this one counted.
+        opening_in: When the next group of a model opens, by model, in
+            seconds, as the owner of the groups told.
+        stopping: Whether the process is about to end.
+        in_hand: Requests in hand.
+    """
+
+    __slots__ = (
+        "chooser",
+        "client",
+        "cold",
+        "config",
+        "crashes",
+        "demand",
+        "dialect",
+        "in_hand",
+        "lines",
+        "live_routers",
+        "loads",
+        "loop",
+        "opening_in",
+        "retries",
+        "rng",
+        "settings",
+        "soundness",
+        "stalled_heads",
+        "stopping",
+        "view",
+    )
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        *,
+        dialect: Dialect,
+        client: CurlClient,
+        rng: random.Random,
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.settings = settings
+        self.dialect = dialect
+        self.client = client
+        self.rng = rng
+        self.config: ServingConfig | None = None
+        self.view = FleetView()
+        self.loads = Loads()
+        self.soundness = Soundness()
+        self.cold = ColdRate()
+        self.crashes = CrashRecords()
+        self.demand = DemandMeter()
+        self.lines: dict[tuple[str, str], WaitingLine] = {}
+        self.retries = RetryBudget(
+            ratio=settings.bounds.retry_ratio,
+            slack=settings.bounds.retry_slack,
+            window_seconds=settings.bounds.retry_window_seconds,
+            started_at_seconds=self.loop.time(),
+        )
+        self.chooser = Chooser(
+            self.view,
+            loads=self.loads,
+            soundness=self.soundness,
+            cold=self.cold,
+            rng=rng,
+        )
+        self.live_routers = 1
+        self.opening_in: dict[str, float] = {}
+        # Heads on which streams stood still, by time of the last such sight.
+        self.stalled_heads: dict[str, float] = {}
+        self.stopping = False
+        self.in_hand = 0
+
+    def now(self) -> float:
+        """Returns the loop's monotonic time in seconds."""
+        return self.loop.time()
+
+    def line(self, service: str, model: str) -> WaitingLine:
+        """Returns the waiting line of a service and model."""
+        key = (service, model)
+        line = self.lines.get(key)
+        if line is None:
+            line = WaitingLine()
+            self.lines[key] = line
+        return line
--- /dev/null
+++ b/mulberrypaddle/serving/exchange.py
@@ -0,0 +1,565 @@
+"""The life of one request, from its last byte to the end of its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.core.errors import ANSWERS, ErrorKind
+from mulberrypaddle.dispatch import Demand, judge
+from mulberrypaddle.dispatch.crash_records import fingerprint
+from mulberrypaddle.dispatch.patience import (
+    LEAST_SEND_SECONDS,
+    retry_after,
+    stream_gap_seconds,
+)
+from mulberrypaddle.dispatch.waiting import Waiter, order_of
+from mulberrypaddle.fleet import RepeatRule
+from mulberrypaddle.serving.attempt import (
+    Attempt,
+    AttemptEnd,
+    PlainAttempt,
+    StreamAttempt,
+)
+from mulberrypaddle.serving.events_log import log_request, log_success
+
+if TYPE_CHECKING:
+    from mulberrypaddle.dispatch import WaitingLine
+    from mulberrypaddle.fleet import (
+        Organisation,
+        Route,
+        RunnerEntry,
+        ServiceSpec,
+    )
+    from mulberrypaddle.serving.board import ServingBoard
+    from mulberrypaddle.serving.caller import Caller
+    from mulberrypaddle.serving.dialect import CallerFields
+
+# Pause before a request that all runners turned away is offered again.
+TURNED_AWAY_PAUSE_SECONDS = 0.06
+
+# Sends beyond what the route allows, for runners that were lost meanwhile.
+SENDS_FOR_LOST_RUNNERS = 2
+
+# Urgency of a stream that goes on after a break: its caller is waiting.
+RESUMED_URGENCY = 0
+
+# Urgencies that runners know, 0 first.
+LEAST_URGENCY = 9
+
+
+class RequestLine:
+    """Method, target and body of a request, as the caller sent them."""
+
+    __slots__ = ("body", "host", "method", "target")
+
+    def __init__(
+        self, method: str, *, target: str, host: str, body: bytes
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.host = host
+        self.body = body
+
+    @property
+    def path(self) -> str:
+        """Returns the target without its query."""
+        return self.target.split("?", 1)[0]
+
+
+class _Verdict(enum.Enum):
+    """What follows from the end of an attempt."""
+
+    DONE = "done"
+    AGAIN = "again"
+    UNKNOWN = "unknown"
+
+
+class Exchange:
+    """Answers one request."""
+
+    def __init__(
+        self,
+        board: ServingBoard,
+        caller: Caller,
+        *,
+        line: RequestLine,
+        fields: CallerFields,
+    ) -> None:
+        self._board = board
+        self._caller = caller
+        self._line = line
+        self._fields = fields
+        self._arrived_at = board.now()
+        self._route: Route
+        self._service: ServiceSpec
+        self._organisation: Organisation | None = None
+        self._deadline = 0.0
+        self._busy_seconds = 0.0
+        self._mark = ""
+        self._excluded: set[str] = set()
+        self._attempt: Attempt | None = None
+        self._waiter: Waiter | None = None
+        self._sends = 0
+        self._first_counted = False
+        self._may_have_run = False
+        # Sends that may have run and whose runner is not known to be lost.
+        self._counted_runs = 0
+        self.last_event_id = fields.last_event_id
+
+    async def run(self) -> None:
+        """Answers the request, or refuses it."""
+        self._caller.on_gone(self._caller_gone)
+        if not self._admit():
+            return
+        if self._board.crashes.refuses(self._mark, self._arrived_at):
+            self._refuse(ErrorKind.QUARANTINED, "it has ended several runners")
+            return
+        self._board.demand.arrived(
+            self._fields.model,
+            busy_seconds=self._busy_seconds,
+            now_seconds=self._arrived_at,
+        )
+        while not self._caller.gone:
+            entry = await self._place()
+            if entry is None or self._caller.gone:
+                if entry is not None:
+                    self._board.loads.end(entry.runner_id)
+                return
+            verdict = await self._send(entry)
+            if verdict is _Verdict.DONE:
+                return
+            if verdict is _Verdict.UNKNOWN:
+                self._end_unknown()
+                return
+
+    # Admission.
+
+    def _admit(self) -> bool:
+        """Finds route, organisation and service; answers if one is missing."""
+        board = self._board
+        config = board.config
+        if config is None:
+            self._refuse(ErrorKind.NOT_IN_FORCE, "no configuration is known")
+            return False
+        route = config.route_for(self._line.host, self._line.path)
+        if route is None:
+            self._refuse(
+                ErrorKind.UNKNOWN_SERVICE,
+                f"no route for {self._line.path!r}",
+            )
+            return False
+        self._route = route
+        if config.organisations is not None:
+            self._organisation = config.organisations.get(self._fields.key)
+            if self._organisation is None and not route.public:
+                self._refuse(ErrorKind.UNAUTHENTICATED, "unknown key")
+                return False
+        if not self._fields.request_id:
+            self._refuse(ErrorKind.BAD_REQUEST, "got no request id")
+            return False
+        service = config.services.get(self._choose_service(route))
+        if service is None:
+            self._refuse(
+                ErrorKind.NO_RUNNER, "the route's service is not configured"
+            )
+            return False
+        self._service = service
+        wait = route.timeout_seconds
+        if self._fields.wait_seconds is not None:
+            wait = min(wait, self._fields.wait_seconds)
+        self._deadline = self._arrived_at + wait
+        self._busy_seconds = self._expected_busy_seconds()
+        self._mark = fingerprint(
+            self._organisation.name if self._organisation else "",
+            self._line.target,
+            self._line.body,
+        )
+        return True
+
+    def _choose_service(self, route: Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0][0]
+        names = [name for name, _ in route.shares]
+        weights = [max(0.0, weight) for _, weight in route.shares]
+        if not any(weights):
+            return names[0]
+        return self._board.rng.choices(names, weights)[0]
+
+    def _expected_busy_seconds(self) -> float:
+        """Returns how long the request will hold a slot."""
+        engine = self._service.engine
+        if engine is None:
+            return self._route.target_seconds / 4
+        spec = engine.models.get(self._fields.model)
+        if spec is None:
+            return 0.0
+        usual = engine.busy_seconds(spec)
+        tokens = self._fields.expected_tokens
+        if tokens <= 0:
+            return usual
+        if self._fields.answer_tokens:
+            tokens = min(tokens, self._fields.answer_tokens)
+        # Estimates are far off at times; half of it is trusted.
+        ratio = 0.5 + 0.5 * tokens / max(1.0, engine.usual_answer_tokens)
+        return usual * ratio
+
+    @property
+    def _is_stream(self) -> bool:
+        return self._route.repeat_rule is RepeatRule.STREAM
+
+    @property
+    def _urgency(self) -> int:
+        if self._organisation is not None:
+            if self._organisation.urgency is not None:
+                return self._organisation.urgency
+        return self._route.urgency
+
+    # Placing.
+
+    def _demand(self) -> Demand:
+        return Demand(
+            self._service,
+            model=self._fields.model if self._service.engine else "",
+            excluded=frozenset(self._excluded),
+        )
+
+    async def _place(self) -> RunnerEntry | None:
+        """Returns a runner that counts the request already, or None.
+
+        None means that the request was answered or its caller has left.
+        """
+        board = self._board
+        line = board.line(self._service.name, self._fields.model)
+        order = order_of(
+            arrived_at_seconds=self._arrived_at,
+            urgency=RESUMED_URGENCY if self._sends else self._urgency,
+            busy_seconds=self._busy_seconds,
+        )
+        waited = False
+        while not self._caller.gone:
+            now = board.now()
+            if self._deadline - now < LEAST_SEND_SECONDS:
+                self._end_late()
+                return None
+            demand = self._demand()
+            if waited or line.ahead_of(order) == 0:
+                entry = self._pick(demand, now)
+                if entry is not None:
+                    return entry
+            if self._excluded and board.chooser.sound(demand, now_seconds=now):
+                # Another try at the same runners is better than none.
+                if not self._others_sound(now):
+                    self._excluded.clear()
+                    await asyncio.sleep(TURNED_AWAY_PAUSE_SECONDS)
+                    continue
+            if not await self._wait(demand, line, order, now):
+                return None
+            waited = True
+        return None
+
+    def _pick(self, demand: Demand, now: float) -> RunnerEntry | None:
+        board = self._board
+        entry = board.chooser.pick(
+            demand, routers=board.live_routers, now_seconds=now
+        )
+        if entry is None:
+            return None
+        board.loads.begin(entry.runner_id)
+        board.chooser.sent(entry, now_seconds=now)
+        return entry
+
+    def _others_sound(self, now: float) -> bool:
+        sound = self._board.chooser.sound(self._demand(), now_seconds=now)
+        return any(entry.runner_id not in self._excluded for entry in sound)
+
+    async def _wait(
+        self, demand: Demand, line: WaitingLine, order: float, now: float
+    ) -> bool:
+        """Waits for a place.
+
+        Returns:
+            Whether there may be one now; if not, the request was answered.
+        """
+        board = self._board
+        serving = board.chooser.sound(demand, now_seconds=now)
+        give_up_at = self._deadline
+        if self._is_stream:
+            give_up_at = self._last_sign_at() + stream_gap_seconds(
+                target_seconds=self._route.target_seconds,
+                pause_seconds=self._route.pause_seconds,
+            )
+        patience = judge(
+            now_seconds=now,
+            give_up_at_seconds=give_up_at,
+            deadline_seconds=self._deadline,
+            is_stream=self._is_stream,
+            serving_slots=sum(max(1, entry.slots) for entry in serving),
+            # Other routers have as many waiting, on the mean.
+            ahead=line.ahead_of(order) * board.live_routers,
+            busy_seconds=self._busy_seconds,
+            ready_in_seconds=board.opening_in.get(self._fields.model),
+        )
+        if patience.until_seconds is None or patience.until_seconds <= now:
+            self._refuse_full(patience.retry_after_seconds, len(serving))
+            return False
+        waiter = Waiter(
+            order,
+            until_seconds=patience.until_seconds,
+            turn=board.loop.create_future(),
+        )
+        self._waiter = waiter
+        line.add(waiter)
+        try:
+            in_time = await waiter.turn
+        finally:
+            line.drop(waiter)
+            self._waiter = None
+        if self._caller.gone:
+            return False
+        if not in_time:
+            self._refuse_full(
+                retry_after(
+                    self._busy_seconds,
+                    now_seconds=board.now(),
+                    deadline_seconds=self._deadline,
+                ),
+                len(serving),
+            )
+        return in_time
+
+    def _last_sign_at(self) -> float:
+        """Returns when the caller last got something of its stream."""
+        if isinstance(self._attempt, StreamAttempt):
+            return max(self._arrived_at, self._attempt.last_event_at)
+        return self._arrived_at
+
+    # Sending.
+
+    async def _send(self, entry: RunnerEntry) -> _Verdict:
+        board = self._board
+        now = board.now()
+        if not self._first_counted:
+            self._first_counted = True
+            board.retries.sent_first(self._service.name, now)
+        elif self._sends and not board.retries.take(
+            self._service.name, routers=board.live_routers, now_seconds=now
+        ):
+            board.loads.end(entry.runner_id)
+            log_request(
+                "retry_refused",
+                request_id=self._fields.request_id,
+                service=self._service.name,
+                sends=self._sends,
+            )
+            if self._may_have_run:
+                return _Verdict.UNKNOWN
+            self._refuse_full(self._soon(), 0)
+            return _Verdict.DONE
+        self._sends += 1
+        attempt = self._make_attempt(entry)
+        try:
+            end = await attempt.run(self._line, self._headers_for(entry, now))
+        finally:
+            board.loads.end(entry.runner_id)
+        return self._judge_end(entry, attempt, end)
+
+    def _make_attempt(self, entry: RunnerEntry) -> Attempt:
+        kind = StreamAttempt if self._is_stream else PlainAttempt
+        previous = self._attempt
+        attempt = kind(
+            self._board,
+            self._caller,
+            entry=entry,
+            request_id=self._fields.request_id,
+            route=self._route,
+            deadline_seconds=self._deadline,
+            previous=previous,
+            can_move=self._can_move,
+        )
+        self._attempt = attempt
+        return attempt
+
+    def _headers_for(
+        self, entry: RunnerEntry, now: float
+    ) -> list[tuple[str, str]]:
+        last_event_id = self._fields.last_event_id
+        if isinstance(self._attempt, StreamAttempt):
+            last_event_id = self._attempt.resume_after(last_event_id)
+        urgency = self._urgency if self._sends == 1 else RESUMED_URGENCY
+        return self._board.dialect.runner_headers(
+            self._fields,
+            organisation=self._organisation.name if self._organisation else "",
+            runner_id=entry.runner_id,
+            urgency=min(LEAST_URGENCY, urgency),
+            remaining_seconds=max(0.0, self._deadline - now),
+            last_event_id=last_event_id,
+        )
+
+    def _can_move(self, runner_id: str) -> bool:
+        """Returns whether the request may leave a runner for another one."""
+        if not self._route.may_repeat or not self._may_send_again(lost=True):
+            return False
+        board = self._board
+        demand = Demand(
+            self._service,
+            model=self._fields.model if self._service.engine else "",
+            excluded=frozenset({*self._excluded, runner_id}),
+        )
+        now = board.now()
+        return any(
+            entry.runner_id not in demand.excluded
+            for entry in board.chooser.sound(demand, now_seconds=now)
+        )
+
+    def _may_send_again(self, *, lost: bool) -> bool:
+        most = self._route.max_runners
+        if lost:
+            most += SENDS_FOR_LOST_RUNNERS
+        return self._counted_runs < most
+
+    def _judge_end(
+        self, entry: RunnerEntry, attempt: Attempt, end: AttemptEnd
+    ) -> _Verdict:
+        board = self._board
+        now = board.now()
+        runner_id = entry.runner_id
+        if end is AttemptEnd.DELIVERED:
+            board.soundness.succeeded(runner_id)
+            log_success(
+                request_id=self._fields.request_id,
+                runner=runner_id,
+                status=attempt.status,
+                sends=self._sends,
+                seconds=round(now - self._arrived_at, 3),
+            )
+            return _Verdict.DONE
+        if end is AttemptEnd.CALLER_GONE:
+            log_request(
+                "caller_gone",
+                request_id=self._fields.request_id,
+                runner=runner_id,
+                seconds=round(now - self._arrived_at, 3),
+            )
+            return _Verdict.DONE
+        log_request(
+            "attempt_failed",
+            request_id=self._fields.request_id,
+            runner=runner_id,
+            end=end.value,
+            status=attempt.status,
+            detail=attempt.detail,
+            sends=self._sends,
+            age=round(now - self._arrived_at, 3),
+        )
+        self._excluded.add(runner_id)
+        if end is AttemptEnd.UNSENT:
+            self._sends -= 1
+            board.soundness.unreachable(runner_id, now)
+            return _Verdict.AGAIN
+        if end is AttemptEnd.NOT_RUN:
+            if attempt.runner_at_fault:
+                board.soundness.failed(runner_id, now)
+            return _Verdict.AGAIN
+        self._may_have_run = True
+        self._counted_runs += 1
+        if end is AttemptEnd.TIMED_OUT and now >= self._deadline - 0.01:
+            return _Verdict.UNKNOWN
+        if end is AttemptEnd.STALLED:
+            board.soundness.unreachable(runner_id, now)
+            board.stalled_heads[runner_id] = now
+        else:
+            board.soundness.failed(runner_id, now)
+        if end is AttemptEnd.BROKEN:
+            board.crashes.broke(self._mark, entry.life, now)
+        lost = end in (AttemptEnd.BROKEN, AttemptEnd.STALLED)
+        if not self._route.may_repeat or not self._may_send_again(lost=lost):
+            return self._pass_failure(attempt)
+        if end is AttemptEnd.FAILED and not self._others_sound(now):
+            return self._pass_failure(attempt)
+        return _Verdict.AGAIN
+
+    def _pass_failure(self, attempt: Attempt) -> _Verdict:
+        """Passes a runner's own failure on, if there is one."""
+        if attempt.pass_failure():
+            return _Verdict.DONE
+        return _Verdict.UNKNOWN
+
+    # Endings.
+
+    def _soon(self) -> float:
+        return retry_after(
+            self._busy_seconds,
+            now_seconds=self._board.now(),
+            deadline_seconds=self._deadline,
+        )
+
+    def _end_late(self) -> None:
+        if self._may_have_run:
+            self._end_unknown()
+            return
+        self._refuse(ErrorKind.DEADLINE_TOO_SHORT, "its time is up")
+
+    def _end_unknown(self) -> None:
+        """Ends a request of which nobody knows whether it ran."""
+        if self._caller.started:
+            self._log_end("cut", ErrorKind.STREAM_BROKEN, "the stream broke")
+            self._caller.cut()
+            return
+        kind = ErrorKind.OUTCOME_UNKNOWN
+        if self._board.now() >= self._deadline - LEAST_SEND_SECONDS:
+            kind = ErrorKind.DEADLINE_PASSED
+        self._refuse(kind, "it may have run")
+
+    def _refuse_full(self, retry_after_seconds: float, serving: int) -> None:
+        if self._may_have_run:
+            self._end_unknown()
+            return
+        kind = ErrorKind.OVERLOADED if serving else ErrorKind.NO_RUNNER
+        self._refuse(
+            kind,
+            "no runner has room",
+            retry_after_seconds=retry_after_seconds,
+        )
+
+    def _refuse(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        *,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        answer = ANSWERS[kind]
+        if retry_after_seconds is None:
+            retry_after_seconds = answer.retry_after_seconds
+        status = answer.status
+        if kind is ErrorKind.QUARANTINED:
+            # This request has not run; others like it have ended runners.
+            status = 503
+        self._log_end("refused", kind, detail)
+        self._caller.refuse(
+            status,
+            detail=f"{kind.value}: {detail}",
+            retry_after_seconds=retry_after_seconds,
+        )
+
+    def _log_end(self, event: str, kind: ErrorKind, detail: str) -> None:
+        board = self._board
+        log_request(
+            event,
+            request_id=self._fields.request_id,
+            kind=kind.value,
+            detail=detail,
+            sends=self._sends,
+            model=self._fields.model,
+            age=round(board.now() - self._arrived_at, 3),
+            config=board.config.version if board.config else 0,
+            fleet=board.view.revision,
+        )
+
+    def _caller_gone(self) -> None:
+        if self._attempt is not None:
+            self._attempt.cancel()
+        if self._waiter is not None and not self._waiter.turn.done():
+            self._waiter.turn.set_result(False)
--- /dev/null
+++ b/mulberrypaddle/serving/feed.py
@@ -0,0 +1,251 @@
+"""Keeps one collection of the store current in this process.
+
+A feed lists once, then watches. It never goes back to an older revision, also
+after a list that is served stale, and it takes what another router knows when
+the store does not serve this one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Success
+
+from mulberrypaddle.core.errors import Problem
+from mulberrypaddle.serving.events_log import log_belief
+from mulberrypaddle.serving.store import (
+    Collection,
+    HistoryGoneError,
+    Listing,
+    StoredItem,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypaddle.serving.store import ObjectStore
+
+# Longest wait of one watch; the store allows 30 s.
+WATCH_SECONDS = 28.0
+
+# First and longest pause between failed calls: an outage must not become a
+# storm of calls, and its end must be seen soon.
+FIRST_PAUSE_SECONDS = 0.1
+LONGEST_PAUSE_SECONDS = 0.6
+
+
+class Update:
+    """What changed in a collection.
+
+    Attributes:
+        whole: Whether `changed` is the whole collection.
+        changed: Objects that were made or changed.
+        removed: Names of objects that were removed.
+        revision: Revision that the feed stands at now.
+        after_outage: Whether the store had not answered before.
+    """
+
+    __slots__ = ("after_outage", "changed", "removed", "revision", "whole")
+
+    def __init__(
+        self,
+        changed: list[StoredItem],
+        *,
+        removed: list[str],
+        revision: int,
+        whole: bool,
+        after_outage: bool,
+    ) -> None:
+        self.changed = changed
+        self.removed = removed
+        self.revision = revision
+        self.whole = whole
+        self.after_outage = after_outage
+
+
+class Feed:
+    """One collection, kept current.
+
+    Attributes:
+        collection: What it keeps.
+        items: Objects by name.
+        revision: Revision that they stand at; 0 before the first list.
+        changed_revision: Revision of the last change that was seen.
+        connected: Whether the store answered the last call.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        collection: Collection,
+        *,
+        on_update: Callable[[Update], None],
+        pause_seconds: Callable[[], float],
+    ) -> None:
+        """Prepares a feed.
+
+        Args:
+            store: Where the collection lies.
+            collection: What to keep.
+            on_update: Takes each change.
+            pause_seconds: Returns how long to wait between two watches, so
+                that changes come together.
+        """
+        self._store = store
+        self._on_update = on_update
+        self._pause_seconds = pause_seconds
+        self._must_list = True
+        self._failures = 0
+        self.collection = collection
+        self.items: dict[str, StoredItem] = {}
+        self.revision = 0
+        self.changed_revision = 0
+        self.connected = False
+
+    async def run(self) -> None:
+        """Keeps the collection current until the task is cancelled."""
+        while True:
+            try:
+                problem = await self._step()
+            except HistoryGoneError:
+                log_belief(
+                    "history_gone",
+                    collection=self.collection.value,
+                    revision=self.revision,
+                )
+                self._must_list = True
+                continue
+            if problem is None:
+                self._note_connected()
+                if not self._must_list:
+                    await asyncio.sleep(self._pause_seconds())
+                continue
+            self._note_failure(problem)
+            await asyncio.sleep(
+                min(
+                    LONGEST_PAUSE_SECONDS,
+                    FIRST_PAUSE_SECONDS * 2 ** min(self._failures, 8),
+                )
+            )
+
+    async def _step(self) -> Problem | None:
+        if self._must_list:
+            listed = await self._store.list(self.collection)
+            if not isinstance(listed, Success):
+                return listed.failure()
+            self.take_listing(listed.unwrap())
+            self._must_list = False
+            return None
+        watched = await self._store.watch(
+            self.collection, revision=self.revision, wait_seconds=WATCH_SECONDS
+        )
+        if not isinstance(watched, Success):
+            return watched.failure()
+        changes = watched.unwrap()
+        if changes.revision < self.revision:
+            return None
+        self._take(
+            changes.changed,
+            removed=changes.removed,
+            revision=changes.revision,
+            whole=False,
+        )
+        return None
+
+    def take_listing(self, listing: Listing) -> bool:
+        """Takes a whole collection, if it is not older than what is known."""
+        if self.revision and listing.revision < self.revision:
+            return False
+        self._take(
+            listing.items, removed=[], revision=listing.revision, whole=True
+        )
+        return True
+
+    def _take(
+        self,
+        changed: list[StoredItem],
+        *,
+        removed: list[str],
+        revision: int,
+        whole: bool,
+    ) -> None:
+        if whole:
+            names = {item.name for item in changed}
+            removed = [name for name in self.items if name not in names]
+        for name in removed:
+            self.items.pop(name, None)
+        for item in changed:
+            self.items[item.name] = item
+        self.revision = revision
+        if removed:
+            self.changed_revision = revision
+        for item in changed:
+            self.changed_revision = max(self.changed_revision, item.revision)
+        if not (changed or removed or whole):
+            return
+        self._on_update(
+            Update(
+                changed,
+                removed=removed,
+                revision=revision,
+                whole=whole,
+                after_outage=self._failures > 0,
+            )
+        )
+
+    def _note_connected(self) -> None:
+        if not self.connected:
+            log_belief(
+                "store_reached",
+                collection=self.collection.value,
+                revision=self.revision,
+                failures=self._failures,
+            )
+        self.connected = True
+        self._failures = 0
+
+    def _note_failure(self, problem: Problem) -> None:
+        if self.connected or self._failures == 0:
+            log_belief(
+                "store_lost",
+                collection=self.collection.value,
+                revision=self.revision,
+                reason=problem.detail,
+            )
+        self.connected = False
+        self._failures += 1
+
+    def to_message(self) -> dict[str, Any]:
+        """Returns the collection for another router."""
+        return {
+            "revision": self.revision,
+            "items": [
+                {
+                    "name": item.name,
+                    "revision": item.revision,
+                    "content": item.content,
+                }
+                for item in self.items.values()
+            ],
+        }
+
+
+def listing_from_message(message: Any) -> Listing:
+    """Reads what another router knows of a collection.
+
+    Raises:
+        KeyError: If a field is missing.
+        TypeError: If it is no such message.
+    """
+    return Listing(
+        [
+            StoredItem(
+                str(item["name"]),
+                revision=int(item["revision"]),
+                content=item["content"],
+            )
+            for item in message["items"]
+        ],
+        revision=int(message["revision"]),
+    )
--- /dev/null
+++ b/mulberrypaddle/serving/group_control.py
@@ -0,0 +1,210 @@
+"""Carries out the orders of the keeper of the groups, while it is owner."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from mulberrypaddle.replicas.keeper import Directive, GroupKeeper
+from mulberrypaddle.replicas.picture import draw_groups
+from mulberrypaddle.serving.events_log import log_belief
+from mulberrypaddle.serving.runner_control import OrderOutcome
+
+if TYPE_CHECKING:
+    from mulberrypaddle.fleet import RunnerEntry, ServiceSpec
+    from mulberrypaddle.serving.board import ServingBoard
+    from mulberrypaddle.serving.documents import Decoder
+    from mulberrypaddle.serving.owner_loop import OwnerLoop
+    from mulberrypaddle.serving.runner_control import RunnerControl
+
+# Pause between two steps of the keeper.
+STEP_SECONDS = 0.1
+
+# Age up to which a sight of standing streams makes the owner ask the members.
+SIGHT_SECONDS = 1.0
+
+# Pause between two questions to one runner.
+ASK_SECONDS = 0.4
+
+# Questions without an answer before a runner counts as lost.
+QUESTIONS_BEFORE_LOST = 2
+
+
+class GroupControl:
+    """Runs one keeper for each engine service."""
+
+    def __init__(
+        self,
+        board: ServingBoard,
+        *,
+        control: RunnerControl,
+        decoder: Decoder,
+        owner: OwnerLoop,
+    ) -> None:
+        self._board = board
+        self._control = control
+        self._decoder = decoder
+        self._owner = owner
+        self._keepers: dict[str, GroupKeeper] = {}
+        self._fence = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._asked_at: dict[str, float] = {}
+        self._unanswered: dict[tuple[str, int | None], int] = {}
+
+    async def run(self) -> None:
+        """Steps until the task is cancelled."""
+        while True:
+            await asyncio.sleep(STEP_SECONDS)
+            if not self._owner.holds():
+                continue
+            config = self._board.config
+            if config is None or self._board.view.revision == 0:
+                continue
+            if self._fence != self._owner.ownership.fence:
+                self._fence = self._owner.ownership.fence
+                self._keepers.clear()
+            for service in config.services.values():
+                if service.engine is not None and service.engine.models:
+                    self._step(service)
+
+    def opening(self) -> dict[str, int]:
+        """Returns when the next group of each model opens, in ms."""
+        now = self._board.now()
+        opening: dict[str, int] = {}
+        config = self._board.config
+        if config is None:
+            return opening
+        for name, keeper in self._keepers.items():
+            service = config.services.get(name)
+            if service is None or service.engine is None:
+                continue
+            for model in service.engine.models:
+                left = keeper.opening_in(model, now)
+                if left is not None:
+                    opening[model] = int(left * 1000)
+        return opening
+
+    def _step(self, service: ServiceSpec) -> None:
+        board = self._board
+        now = board.now()
+        keeper = self._keepers.setdefault(service.name, GroupKeeper())
+        self._ask_suspects(service, keeper, now)
+        engine = service.engine
+        assert engine is not None
+        wanted = board.demand.all_slots(now)
+        if not board.demand.seen:
+            wanted = {
+                spec.name: spec.demand_share * engine.busy_seconds(spec)
+                for spec in engine.models.values()
+            }
+        directives = keeper.step(
+            board.view,
+            service,
+            wanted_slots=wanted,
+            traffic_seen=board.demand.seen,
+            first_start=board.settings.first_start,
+            next_epoch=self._owner.ownership.next_epoch,
+            now_seconds=now,
+        )
+        for directive in directives:
+            self._spawn(self._order(keeper, directive))
+
+    def _ask_suspects(
+        self, service: ServiceSpec, keeper: GroupKeeper, now: float
+    ) -> None:
+        """Asks the members of groups whose streams stand still."""
+        board = self._board
+        suspects = {
+            runner_id
+            for runner_id, at in board.stalled_heads.items()
+            if now - at < SIGHT_SECONDS
+        }
+        lost = keeper.lost_runners
+        if not suspects and not lost:
+            return
+        assert service.engine is not None
+        entries = board.view.of_service(service.name)
+        pictures = draw_groups(entries, service.engine)
+        asked: list[RunnerEntry] = [e for e in entries if e.life in lost]
+        for picture in pictures.values():
+            head = picture.head
+            if head is not None and head.runner_id in suspects:
+                asked.extend(picture.members.values())
+        for entry in asked:
+            if now - self._asked_at.get(entry.runner_id, 0.0) < ASK_SECONDS:
+                continue
+            self._asked_at[entry.runner_id] = now
+            self._spawn(self._ask(keeper, entry))
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.ensure_future(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, keeper: GroupKeeper, entry: RunnerEntry) -> None:
+        result = await self._control.report(entry)
+        if isinstance(result, Success):
+            self._unanswered.pop(entry.life, None)
+            if entry.life in keeper.lost_runners:
+                keeper.lost_runners.discard(entry.life)
+                log_belief("runner_back", runner=entry.runner_id)
+            self._take_report(entry, result.unwrap())
+            return
+        count = self._unanswered.get(entry.life, 0) + 1
+        self._unanswered[entry.life] = count
+        if count < QUESTIONS_BEFORE_LOST:
+            return
+        if entry.life not in keeper.lost_runners:
+            keeper.lost_runners.add(entry.life)
+            log_belief(
+                "runner_lost",
+                runner=entry.runner_id,
+                questions=count,
+                reason=result.failure().detail,
+            )
+
+    def _take_report(self, entry: RunnerEntry, content: object) -> None:
+        board = self._board
+        fresh = self._decoder.report(entry, content, now_seconds=board.now())
+        current = board.view.get(entry.runner_id)
+        if fresh is None or current is None or current.life != fresh.life:
+            return
+        # A report may be older than what the store said meanwhile.
+        if fresh.orders_taken >= current.orders_taken:
+            board.view.update_one(fresh)
+
+    async def _order(self, keeper: GroupKeeper, directive: Directive) -> None:
+        owner = self._owner
+        if not owner.holds() or owner.ownership.fence != self._fence:
+            keeper.failed(directive)
+            return
+        runner = directive.runner
+        name = type(directive.order).__name__
+        result = await self._control.order(
+            runner, directive.order, fence=self._fence
+        )
+        outcome = (
+            result.unwrap().value
+            if isinstance(result, Success)
+            else result.failure().detail
+        )
+        log_belief(
+            "order",
+            order=name,
+            runner=runner.runner_id,
+            group=getattr(directive.order, "group", ""),
+            model=getattr(directive.order, "model", ""),
+            reason=directive.reason,
+            fleet=self._board.view.revision,
+            outcome=outcome,
+        )
+        if not isinstance(result, Success):
+            return
+        if result.unwrap() in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
+            return
+        keeper.failed(directive)
+        report = await self._control.report(runner)
+        if isinstance(report, Success):
+            self._take_report(runner, report.unwrap())
--- /dev/null
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -0,0 +1,239 @@
+"""Takes, renews and hands over the right to give orders to runners."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from mulberrypaddle.core.errors import ErrorKind
+from mulberrypaddle.replicas.ownership import (
+    RENEW_SECONDS,
+    OwnerRecord,
+    Ownership,
+)
+from mulberrypaddle.serving.events_log import log_belief
+from mulberrypaddle.serving.store import Collection
+
+if TYPE_CHECKING:
+    from mulberrypaddle.serving.beat import Beat
+    from mulberrypaddle.serving.board import ServingBoard
+    from mulberrypaddle.serving.peers import Peers
+    from mulberrypaddle.serving.store import ObjectStore, StoredItem
+
+# Name of the object that says who owns the groups.
+DUTY_NAME = "groups"
+
+# Pause between two looks at the duty.
+LOOK_SECONDS = 0.25
+
+# Silence of the owner after which the store is asked about it.
+CLAIM_SILENCE_SECONDS = 0.6
+
+# Pause between two reads of the object while no owner is heard.
+READ_SECONDS = 0.5
+
+# Time for a connection that proves that the owner's process has ended.
+CONNECT_SECONDS = 0.3
+
+
+def boot_seconds() -> float:
+    """Returns a monotonic time that also counts the VM's suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class OwnerLoop:
+    """Keeps one router's view of the duty, and its hold on it."""
+
+    def __init__(
+        self, board: ServingBoard, store: ObjectStore, peers: Peers
+    ) -> None:
+        self._board = board
+        self._store = store
+        self._peers = peers
+        self._heard_at = 0.0
+        self._heard: tuple[str, int, float] | None = None
+        self._read_at = 0.0
+        self._sent_at = 0.0
+        self.ownership = Ownership()
+
+    def holds(self) -> bool:
+        """Returns whether this router may give orders now."""
+        return self.ownership.holds(boot_seconds())
+
+    def take_beat(self, beat: Beat) -> None:
+        """Takes what another router says of its ownership."""
+        if beat.renewals < 0:
+            return
+        now = boot_seconds()
+        self._heard_at = now
+        self._heard = (
+            beat.incarnation,
+            beat.renewals,
+            now + beat.lease_left / 1000,
+        )
+
+    async def run(self) -> None:
+        """Looks after the duty until the task is cancelled."""
+        # Routers start together; their first tries are spread a little.
+        await asyncio.sleep(self._board.rng.uniform(0, 0.2))
+        while True:
+            if not self._board.stopping:
+                await self._look()
+            await asyncio.sleep(LOOK_SECONDS)
+
+    async def give_up(self) -> None:
+        """Hands the duty over, before the process ends."""
+        if not self.holds():
+            return
+        record = self._own_record(given_up=True)
+        revision = self.ownership.revision
+        self.ownership.lost()
+        result = await self._store.replace(
+            Collection.DUTIES, DUTY_NAME, record.to_value(), revision=revision
+        )
+        log_belief("ownership_given_up", written=isinstance(result, Success))
+
+    async def _look(self) -> None:
+        now = boot_seconds()
+        if self.ownership.fence > 0:
+            if now - self._sent_at >= RENEW_SECONDS:
+                await self._renew()
+            return
+        if now - self._heard_at < CLAIM_SILENCE_SECONDS:
+            return
+        if now - self._read_at < READ_SECONDS:
+            return
+        self._read_at = now
+        await self._try_take()
+
+    async def _renew(self) -> None:
+        sent_at = boot_seconds()
+        self._sent_at = sent_at
+        self.ownership.renewals += 1
+        result = await self._store.replace(
+            Collection.DUTIES,
+            DUTY_NAME,
+            self._own_record().to_value(),
+            revision=self.ownership.revision,
+        )
+        if isinstance(result, Success):
+            self.ownership.renewed(
+                result.unwrap().revision, sent_at_seconds=sent_at
+            )
+            return
+        problem = result.failure()
+        if problem.kind is not ErrorKind.CONFLICT:
+            log_belief("renewal_failed", reason=problem.detail)
+            return
+        await self._settle_conflict(sent_at)
+
+    async def _settle_conflict(self, sent_at: float) -> None:
+        """Finds out whether an own write whose answer was lost came first."""
+        read = await self._store.read(Collection.DUTIES, DUTY_NAME)
+        if not isinstance(read, Success):
+            return
+        item = read.unwrap()
+        record = self._record_of(item)
+        if (
+            item is not None
+            and record is not None
+            and record.incarnation == self._peers.incarnation
+            and not record.given_up
+        ):
+            # An earlier renewal took effect; its lease runs from its sending,
+            # which was at least one renewal before.
+            self.ownership.renewed(
+                item.revision, sent_at_seconds=sent_at - RENEW_SECONDS
+            )
+            return
+        self.ownership.lost()
+        self._observe(item, record)
+        log_belief("ownership_lost", owner=record.node if record else "nobody")
+
+    async def _try_take(self) -> None:
+        read = await self._store.read(Collection.DUTIES, DUTY_NAME)
+        if not isinstance(read, Success):
+            return
+        item = read.unwrap()
+        record = self._record_of(item)
+        self._observe(item, record)
+        if self._heard is not None:
+            incarnation, renewals, until = self._heard
+            self.ownership.observe_claim(
+                incarnation, renewals=renewals, until_seconds=until
+            )
+        now = boot_seconds()
+        ended = record is not None and await self._has_ended(record)
+        if not self.ownership.may_take(now, owner_ended=ended):
+            return
+        self.ownership.renewals = 0
+        value = self._own_record().to_value()
+        sent_at = boot_seconds()
+        self._sent_at = sent_at
+        if item is None:
+            result = await self._store.create(
+                Collection.DUTIES, DUTY_NAME, value
+            )
+        else:
+            result = await self._store.replace(
+                Collection.DUTIES, DUTY_NAME, value, revision=item.revision
+            )
+        if not isinstance(result, Success):
+            log_belief("ownership_not_taken", reason=result.failure().detail)
+            return
+        self.ownership.taken(result.unwrap().revision, sent_at_seconds=sent_at)
+        log_belief(
+            "ownership_taken",
+            fence=self.ownership.fence,
+            before=record.node if record else "nobody",
+            ended=ended,
+        )
+
+    async def _has_ended(self, record: OwnerRecord) -> bool:
+        """Returns whether the owner's process is known to have ended."""
+        if record.incarnation == self._peers.incarnation:
+            return True
+        heard = self._peers.incarnation_of(record.node)
+        if heard is not None and heard != record.incarnation:
+            return True
+        host, _, port = record.address.rpartition(":")
+        if host == self._board.settings.ip:
+            # This VM runs one router, and it is another process.
+            return True
+        try:
+            _, writer = await asyncio.wait_for(
+                asyncio.open_connection(host, int(port)), CONNECT_SECONDS
+            )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
+    def _observe(
+        self, item: StoredItem | None, record: OwnerRecord | None
+    ) -> None:
+        self.ownership.observe(
+            record,
+            revision=item.revision if item else 0,
+            now_seconds=boot_seconds(),
+        )
+
+    def _record_of(self, item: StoredItem | None) -> OwnerRecord | None:
+        if item is None:
+            return None
+        return OwnerRecord.from_value(self._store.value_of(item))
+
+    def _own_record(self, *, given_up: bool = False) -> OwnerRecord:
+        settings = self._board.settings
+        return OwnerRecord(
+            settings.node,
+            incarnation=self._peers.incarnation,
+            address=f"{settings.ip}:{settings.peer_port}",
+            renewals=self.ownership.renewals,
+            given_up=given_up,
+        )
--- /dev/null
+++ b/mulberrypaddle/serving/peers.py
@@ -0,0 +1,314 @@
+"""What the routers of a deployment tell one another.
+
+Small counts travel in datagrams, ten times a second; whole collections are
+fetched over HTTP by a router that the store does not serve.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import tornado.httpclient
+from tornado import httputil
+from tornado.httpserver import HTTPServer
+
+from mulberrypaddle.backends.curl import make_client
+from mulberrypaddle.serving.beat import Beat
+from mulberrypaddle.serving.events_log import log_belief
+from mulberrypaddle.serving.feed import Feed, listing_from_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mulberrypaddle.serving.board import ServingBoard
+
+_LOGGER = logging.getLogger("mulberrypaddle.peers")
+
+# Pause between two beats: a head frees a slot about as often.
+BEAT_SECONDS = 0.1
+
+# Silence after which a router counts as gone.
+SILENT_SECONDS = 1.0
+
+# Silence after which it no longer shares in budgets: it may have restarted,
+# and what it used lies in the window of the bound.
+FORGOTTEN_SECONDS = 10.0
+
+# Pause between beats to addresses that do not answer.
+KNOCK_SECONDS = 1.0
+
+# Time for which losses of runners are told again.
+TELL_LOSSES_SECONDS = 3.0
+
+# Lag behind another router after which a collection is fetched from it; a
+# change reaches all watchers within the pause between two watches.
+FETCH_LAG_SECONDS = 0.8
+
+# Time for a collection to be sent.
+FETCH_TIMEOUT_SECONDS = 1.0
+
+
+class Peer:
+    """Another router.
+
+    Attributes:
+        beat: What it told last.
+        heard_at_seconds: When.
+    """
+
+    __slots__ = ("beat", "heard_at_seconds")
+
+    def __init__(self, beat: Beat, heard_at_seconds: float) -> None:
+        self.beat = beat
+        self.heard_at_seconds = heard_at_seconds
+
+
+class Claim:
+    """What this router tells of its own ownership of the groups.
+
+    Attributes:
+        renewals: Renewals so far; -1 if it is not the owner.
+        lease_left: Milliseconds for which the ownership holds.
+        opening: Milliseconds until a group opens, by model.
+    """
+
+    __slots__ = ("lease_left", "opening", "renewals")
+
+    def __init__(
+        self,
+        *,
+        renewals: int = -1,
+        lease_left: int = 0,
+        opening: dict[str, int] | None = None,
+    ) -> None:
+        self.renewals = renewals
+        self.lease_left = lease_left
+        self.opening = opening or {}
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Exchanges beats and collections with the other routers.
+
+    Attributes:
+        incarnation: Id of this process.
+        peers: Other routers by address.
+        listed_ips: Addresses that the store knows.
+        claim: Returns what this router says of its ownership.
+        on_beat: Takes each beat.
+    """
+
+    def __init__(self, board: ServingBoard, feeds: list[Feed]) -> None:
+        self._board = board
+        self._feeds = {feed.collection.value: feed for feed in feeds}
+        self._behind_since: dict[str, float] = {}
+        self._fetching: set[str] = set()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._knocked_at: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._client = make_client()
+        self._server = HTTPServer(self._serve)
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.peers: dict[str, Peer] = {}
+        self.listed_ips: set[str] = set()
+        self.claim: Callable[[], Claim] = Claim
+        self.on_beat: Callable[[Beat], None] = lambda beat: None
+
+    async def start(self) -> None:
+        """Opens the port for other routers."""
+        settings = self._board.settings
+        address = (settings.ip, settings.peer_port)
+        await self._board.loop.create_datagram_endpoint(
+            lambda: self, local_addr=address
+        )
+        self._server.listen(settings.peer_port, address=settings.ip)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the socket."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def error_received(self, exc: Exception) -> None:
+        """Learns that a datagram found no listener; silence tells it too."""
+        _LOGGER.debug("datagram_refused", extra={"reason": str(exc)})
+
+    def datagram_received(
+        self, data: bytes, addr: tuple[str | Any, int]
+    ) -> None:
+        """Takes a beat."""
+        try:
+            beat = Beat.from_bytes(data)
+        except ValueError as error:
+            _LOGGER.warning("unreadable_beat", extra={"reason": str(error)})
+            return
+        if beat.incarnation == self.incarnation:
+            return
+        board = self._board
+        now = board.now()
+        known = self.peers.get(beat.ip)
+        if known is None or known.beat.incarnation != beat.incarnation:
+            log_belief(
+                "router_heard", router=beat.node, incarnation=beat.incarnation
+            )
+        self.peers[beat.ip] = Peer(beat, now)
+        board.loads.take_peer(beat.node, beat.loads, now_seconds=now)
+        board.soundness.take_peer(beat.paused, now)
+        board.crashes.take_peer(beat.losses, now)
+        board.demand.take_peer(beat.node, beat.demand)
+        for runner_id, age_ms in beat.stalled.items():
+            seen_at = now - age_ms / 1000
+            if seen_at > board.stalled_heads.get(runner_id, 0.0):
+                board.stalled_heads[runner_id] = seen_at
+        if beat.renewals >= 0:
+            board.opening_in = {
+                model: left / 1000 for model, left in beat.opening.items()
+            }
+        self.on_beat(beat)
+        self._compare(beat, now)
+
+    def tick(self) -> None:
+        """Sends a beat to every router and forgets the silent ones."""
+        board = self._board
+        now = board.now()
+        for ip, peer in list(self.peers.items()):
+            if now - peer.heard_at_seconds > FORGOTTEN_SECONDS:
+                log_belief("router_silent", router=peer.beat.node)
+                board.demand.drop_peer(peer.beat.node)
+                del self.peers[ip]
+        board.loads.forget_stale(now)
+        board.live_routers = max(
+            1 + len(self.peers), len(self.listed_ips | {board.settings.ip})
+        )
+        if self._transport is None:
+            return
+        data = self._make_beat(now).to_bytes()
+        for ip in self._targets(now):
+            self._transport.sendto(data, (ip, board.settings.peer_port))
+
+    def incarnation_of(self, node: str) -> str | None:
+        """Returns the process that a router was last heard of, or None."""
+        for peer in self.peers.values():
+            if peer.beat.node == node:
+                return peer.beat.incarnation
+        return None
+
+    def _targets(self, now: float) -> list[str]:
+        settings = self._board.settings
+        heard = [
+            ip
+            for ip, peer in self.peers.items()
+            if now - peer.heard_at_seconds <= SILENT_SECONDS
+        ]
+        others = {*settings.seed_ips, *self.listed_ips, *self.peers}
+        for peer in self.peers.values():
+            others.update(peer.beat.known)
+        targets = list(heard)
+        for ip in others.difference(heard):
+            if ip == settings.ip:
+                continue
+            if now - self._knocked_at.get(ip, 0.0) < KNOCK_SECONDS:
+                continue
+            self._knocked_at[ip] = now
+            targets.append(ip)
+        return targets
+
+    def _make_beat(self, now: float) -> Beat:
+        board = self._board
+        claim = self.claim()
+        return Beat(
+            node=board.settings.node,
+            incarnation=self.incarnation,
+            ip=board.settings.ip,
+            revisions={
+                name: feed.changed_revision
+                for name, feed in self._feeds.items()
+            },
+            loads=board.loads.own,
+            paused=board.soundness.own_pauses(now),
+            stalled={
+                runner_id: int((now - at) * 1000)
+                for runner_id, at in board.stalled_heads.items()
+                if now - at < SILENT_SECONDS
+            },
+            losses=board.crashes.recent(now, since_seconds=TELL_LOSSES_SECONDS),
+            demand={
+                model: round(slots, 3)
+                for model, slots in board.demand.own_slots(now).items()
+            },
+            known=list(self.peers),
+            opening=claim.opening,
+            renewals=claim.renewals,
+            lease_left=claim.lease_left,
+            stopping=board.stopping,
+        )
+
+    def _compare(self, beat: Beat, now: float) -> None:
+        """Fetches collections in which another router is ahead for long."""
+        for name, feed in self._feeds.items():
+            if beat.revisions.get(name, 0) <= max(
+                feed.changed_revision, feed.revision
+            ):
+                self._behind_since.pop(f"{name} {beat.ip}", None)
+                continue
+            key = f"{name} {beat.ip}"
+            since = self._behind_since.setdefault(key, now)
+            if feed.connected and now - since < FETCH_LAG_SECONDS:
+                continue
+            if name in self._fetching:
+                continue
+            self._fetching.add(name)
+            task = asyncio.ensure_future(self._fetch(name, beat.ip))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _fetch(self, name: str, ip: str) -> None:
+        feed = self._feeds[name]
+        port = self._board.settings.peer_port
+        try:
+            response = await self._client.fetch(
+                f"http://{ip}:{port}/{name}",
+                connect_timeout=FETCH_TIMEOUT_SECONDS,
+                request_timeout=FETCH_TIMEOUT_SECONDS,
+            )
+            listing = listing_from_message(json.loads(response.body))
+        except (
+            tornado.httpclient.HTTPError,
+            OSError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as error:
+            log_belief(
+                "fetch_failed", collection=name, peer=ip, reason=str(error)
+            )
+            return
+        finally:
+            self._fetching.discard(name)
+        if feed.take_listing(listing):
+            log_belief(
+                "fetched",
+                collection=name,
+                peer=ip,
+                revision=listing.revision,
+            )
+
+    def _serve(self, request: httputil.HTTPServerRequest) -> None:
+        """Answers another router that asks for a collection."""
+        feed = self._feeds.get(request.path.lstrip("/"))
+        status, body = 404, b"{}"
+        if feed is not None:
+            status, body = 200, json.dumps(feed.to_message()).encode()
+        connection = request.connection
+        assert connection is not None
+        headers = httputil.HTTPHeaders(
+            {
+                "Content-Type": "application/json",
+                "Content-Length": str(len(body)),
+            }
+        )
+        connection.write_headers(
+            httputil.ResponseStartLine("HTTP/1.1", status, ""), headers, body
+        )
+        connection.finish()
--- /dev/null
+++ b/mulberrypaddle/serving/router.py
@@ -0,0 +1,283 @@
+"""One router process: its parts, its start and its stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from mulberrypaddle.backends.curl import make_client
+from mulberrypaddle.dispatch import Demand
+from mulberrypaddle.serving.board import ServingBoard
+from mulberrypaddle.serving.door import Door
+from mulberrypaddle.serving.events_log import log_belief
+from mulberrypaddle.serving.feed import Feed, Update
+from mulberrypaddle.serving.group_control import GroupControl
+from mulberrypaddle.serving.owner_loop import OwnerLoop, boot_seconds
+from mulberrypaddle.serving.peers import BEAT_SECONDS, Claim, Peers
+from mulberrypaddle.serving.readiness import ReadinessServer
+from mulberrypaddle.serving.store import Collection
+
+if TYPE_CHECKING:
+    from mulberrypaddle.fleet import NodeSettings
+    from mulberrypaddle.serving.dialect import Dialect
+    from mulberrypaddle.serving.documents import Decoder
+    from mulberrypaddle.serving.runner_control import RunnerControl
+    from mulberrypaddle.serving.store import ObjectStore
+
+# Pause between two watches of the runners: changes come together, and each
+# watch is a call that is paid for. The owner of the groups looks more often.
+RUNNERS_PAUSE_SECONDS = 0.4
+OWNER_RUNNERS_PAUSE_SECONDS = 0.12
+
+# Pause between two watches of what must be in force at once.
+URGENT_PAUSE_SECONDS = 0.05
+
+# Time after the signal to stop in which callers are still led here: two
+# questions for readiness, a second apart, and one on its way.
+LAST_CALLERS_SECONDS = 2.5
+
+# Left of the grace at the end for handing over and closing.
+STOP_MARGIN_SECONDS = 0.7
+
+# Pause between two looks at what is still in hand while stopping.
+STOP_LOOK_SECONDS = 0.05
+
+
+class ServingRouter:
+    """The parts of one router process."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        *,
+        store: ObjectStore,
+        decoder: Decoder,
+        dialect: Dialect,
+        control: RunnerControl,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._decoder = decoder
+        self._stop_asked = asyncio.Event()
+        self.board = ServingBoard(
+            settings,
+            dialect=dialect,
+            client=make_client(),
+            rng=random.Random(),
+        )
+        self._config_feed = Feed(
+            store,
+            Collection.CONFIGURATION,
+            on_update=self._take_config,
+            pause_seconds=lambda: URGENT_PAUSE_SECONDS,
+        )
+        self._evacuation_feed = Feed(
+            store,
+            Collection.EVACUATIONS,
+            on_update=self._take_evacuations,
+            pause_seconds=lambda: URGENT_PAUSE_SECONDS,
+        )
+        self._runner_feed = Feed(
+            store,
+            Collection.RUNNERS,
+            on_update=self._take_runners,
+            pause_seconds=self._runners_pause,
+        )
+        feeds = [self._config_feed, self._evacuation_feed, self._runner_feed]
+        self._feeds = feeds
+        self._peers = Peers(self.board, feeds)
+        self._owner = OwnerLoop(self.board, store, self._peers)
+        self._groups = GroupControl(
+            self.board, control=control, decoder=decoder, owner=self._owner
+        )
+        self._peers.claim = self._claim
+        self._peers.on_beat = self._owner.take_beat
+        self._door = Door(self.board)
+        self._readiness = ReadinessServer(self.is_ready)
+
+    def is_ready(self) -> bool:
+        """Returns whether callers should be led here."""
+        return self.board.config is not None and not self.board.stopping
+
+    async def run(self) -> None:
+        """Serves until the process is told to stop."""
+        settings = self._settings
+        log_belief(
+            "start",
+            node=settings.node,
+            incarnation=self._peers.incarnation,
+            first_start=settings.first_start,
+        )
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.board.loop.add_signal_handler(number, self._stop_asked.set)
+        self.board.loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._readiness.listen(settings.readiness_address)
+        self._door.listen()
+        await self._peers.start()
+        tasks = [asyncio.ensure_future(feed.run()) for feed in self._feeds]
+        tasks.append(asyncio.ensure_future(self._register()))
+        tasks.append(asyncio.ensure_future(self._owner.run()))
+        tasks.append(asyncio.ensure_future(self._groups.run()))
+        tasks.append(asyncio.ensure_future(self._beat()))
+        await self._stop_asked.wait()
+        await self._stop()
+        for task in tasks:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        log_belief("stop", node=settings.node, in_hand=self.board.in_hand)
+
+    def _reload(self) -> None:
+        # Addresses and bounds hold for the life of a process; what changes
+        # while it runs comes from the store.
+        log_belief("reload", node=self._settings.node)
+
+    async def _stop(self) -> None:
+        """Serves what is in hand and what still comes, then ends."""
+        board = self.board
+        board.stopping = True
+        began = board.now()
+        log_belief("stopping", node=self._settings.node, in_hand=board.in_hand)
+        await self._owner.give_up()
+        end = began + (
+            self._settings.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
+        )
+        await asyncio.sleep(LAST_CALLERS_SECONDS)
+        while board.now() < end and board.in_hand:
+            await asyncio.sleep(STOP_LOOK_SECONDS)
+        self._door.stop_listening()
+
+    async def _beat(self) -> None:
+        """Tells the others, and lets waiting requests go on."""
+        while True:
+            self._peers.tick()
+            self.advance_lines()
+            board = self.board
+            now = board.now()
+            if board.view.sweep(now):
+                board.soundness.keep_only(
+                    entry.runner_id for entry in board.view
+                )
+            await asyncio.sleep(BEAT_SECONDS)
+
+    def advance_lines(self) -> None:
+        """Lets waiting requests go on where there is room."""
+        board = self.board
+        config = board.config
+        if config is None:
+            return
+        now = board.now()
+        for (service_name, model), line in board.lines.items():
+            if not len(line):
+                continue
+            service = config.services.get(service_name)
+            room = 0
+            if service is not None:
+                demand = Demand(service, model=model)
+                room = board.chooser.room(demand, now_seconds=now)
+            line.advance(
+                lambda let_go, room=room: let_go < room, now_seconds=now
+            )
+
+    async def _register(self) -> None:
+        """Writes where this router is, and learns where the others are."""
+        settings = self._settings
+        value = {"ip": settings.ip, "incarnation": self._peers.incarnation}
+        pause = BEAT_SECONDS
+        while True:
+            written = await self._store.create(
+                Collection.ROUTERS, settings.node, value
+            )
+            if not isinstance(written, Success):
+                written = await self._store.replace(
+                    Collection.ROUTERS, settings.node, value, revision=None
+                )
+            listed = await self._store.list(Collection.ROUTERS)
+            if isinstance(listed, Success):
+                for item in listed.unwrap().items:
+                    content = self._store.value_of(item)
+                    if isinstance(content, dict) and content.get("ip"):
+                        self._peers.listed_ips.add(str(content["ip"]))
+                if isinstance(written, Success):
+                    return
+            await asyncio.sleep(pause)
+            pause = min(2.0, pause * 2)
+
+    def _runners_pause(self) -> float:
+        if self._owner.holds():
+            return OWNER_RUNNERS_PAUSE_SECONDS
+        return RUNNERS_PAUSE_SECONDS
+
+    def _claim(self) -> Claim:
+        left = self._owner.ownership.lease_left_seconds(boot_seconds())
+        if left <= 0:
+            return Claim()
+        opening = self._groups.opening()
+        self.board.opening_in = {
+            model: left_ms / 1000 for model, left_ms in opening.items()
+        }
+        return Claim(
+            renewals=self._owner.ownership.renewals,
+            lease_left=int(left * 1000),
+            opening=opening,
+        )
+
+    # What the feeds bring.
+
+    def _take_config(self, update: Update) -> None:
+        config = self._decoder.config(list(self._config_feed.items.values()))
+        known = self.board.config
+        if config is None:
+            return
+        if known is not None and config.revision <= known.revision:
+            return
+        self.board.config = config
+        log_belief(
+            "config",
+            version=config.version,
+            revision=config.revision,
+            before=known.version if known else 0,
+        )
+
+    def _take_evacuations(self, update: Update) -> None:
+        board = self.board
+        board.view.evacuated = frozenset(self._evacuation_feed.items)
+        board.view.evacuated_revision = update.revision
+        log_belief(
+            "evacuations",
+            out=sorted(board.view.evacuated),
+            revision=update.revision,
+        )
+
+    def _take_runners(self, update: Update) -> None:
+        board = self.board
+        now = board.now()
+        if update.after_outage:
+            board.view.store_returned(now)
+        entries = []
+        unreadable = []
+        for item in update.changed:
+            entry = self._decoder.runner(item, now_seconds=now)
+            if entry is None:
+                unreadable.append(item.name)
+            else:
+                entries.append(entry)
+        if update.whole:
+            board.view.replace_all(
+                entries, revision=update.revision, now_seconds=now
+            )
+        else:
+            board.view.apply(
+                entries,
+                removed=[*update.removed, *unreadable],
+                revision=update.revision,
+                now_seconds=now,
+            )
+        board.crashes.settle({entry.life for entry in board.view}, now)
+        board.soundness.keep_only(entry.runner_id for entry in board.view)
+        self.advance_lines()
