--- a/mulberrypaddle/dispatch/waiting.py
+++ b/mulberrypaddle/dispatch/waiting.py
@@ -4,10 +4,6 @@
 
 import asyncio
 import bisect
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
 
 # Head start of each rank of urgency over the next one.
 RANK_SECONDS = 1.0
@@ -78,14 +74,11 @@
             self._waiters, order, key=lambda item: item.order
         )
 
-    def advance(
-        self, has_room: Callable[[int], bool], *, now_seconds: float
-    ) -> None:
+    def advance(self, room: int, *, now_seconds: float) -> None:
         """Lets requests go on while there is room, and ends late ones.
 
         Args:
-            has_room: Says whether one more fits beside the given number
-                that were let go.
+            room: Requests that fit at the runners now.
             now_seconds: Monotonic time.
         """
         let_go = 0
@@ -96,7 +89,7 @@
             if now_seconds >= waiter.until_seconds:
                 waiter.turn.set_result(False)
                 continue
-            if not kept and has_room(let_go):
+            if let_go < room:
                 waiter.turn.set_result(True)
                 let_go += 1
                 continue
--- a/mulberrypaddle/fleet/runners.py
+++ b/mulberrypaddle/fleet/runners.py
@@ -50,8 +50,6 @@
         draining: Whether it is about to leave.
         cold_until_seconds: Monotonic time until which it is cold.
         models: Models that it has loaded.
-        orders_taken: Orders that it began in this life.
-        busy: Whether an order is being carried out.
         domain: Fabric domain of its VM; empty for plain services.
         staged: Models whose weights its host holds.
         group: Membership in a group, or None.
@@ -60,14 +58,12 @@
     __slots__ = (
         "address",
         "born_ms",
-        "busy",
         "cold_until_seconds",
         "data_centre",
         "domain",
         "draining",
         "group",
         "models",
-        "orders_taken",
         "runner_id",
         "service",
         "slots",
@@ -86,8 +82,6 @@
         draining: bool,
         cold_until_seconds: float = 0.0,
         models: tuple[str, ...] = (),
-        orders_taken: int = 0,
-        busy: bool = False,
         domain: str = "",
         staged: tuple[str, ...] = (),
         group: GroupMembership | None = None,
@@ -101,8 +95,6 @@
         self.draining = draining
         self.cold_until_seconds = cold_until_seconds
         self.models = models
-        self.orders_taken = orders_taken
-        self.busy = busy
         self.domain = domain
         self.staged = staged
         self.group = group
--- a/mulberrypaddle/platform/documents.py
+++ b/mulberrypaddle/platform/documents.py
@@ -83,22 +83,6 @@
             )
             return None
 
-    def report(
-        self, entry: RunnerEntry, content: Any, *, now_seconds: float
-    ) -> RunnerEntry | None:
-        """Returns the entry brought up to date by a runner's own report."""
-        try:
-            return _read_report(entry, content, now_seconds)
-        except _UNREADABLE as error:
-            _LOGGER.warning(
-                "unreadable_report",
-                extra={
-                    "subject": entry.runner_id,
-                    "reason": f"{type(error).__name__}: {error}",
-                },
-            )
-            return None
-
 
 def _text(value: Any) -> str:
     if not isinstance(value, str):
@@ -141,38 +125,12 @@
         draining=_STATES[state],
         cold_until_seconds=now_seconds + float(cold_ms or 0) / 1000,
         models=_model_names(fields),
-        # Counts the orders that the runner began, not its heartbeats.
-        orders_taken=_whole(fields.get("sequence", 0)),
         domain=str(fields.get("domain") or ""),
         staged=_staged(fields),
         group=_membership(fields.get("group")),
     )
 
 
-def _read_report(
-    entry: RunnerEntry, fields: dict[str, Any], now_seconds: float
-) -> RunnerEntry | None:
-    born = fields.get("born", entry.born_ms)
-    if born != entry.born_ms:
-        return None
-    return RunnerEntry(
-        entry.runner_id,
-        born_ms=entry.born_ms,
-        service=entry.service,
-        address=entry.address,
-        data_centre=entry.data_centre,
-        slots=entry.slots,
-        draining=entry.draining,
-        cold_until_seconds=entry.cold_until_seconds,
-        models=_model_names(fields),
-        orders_taken=_whole(fields.get("sequence", 0)),
-        busy=bool(fields.get("busy", False)),
-        domain=str(fields.get("domain") or entry.domain),
-        staged=_staged(fields),
-        group=_membership(fields.get("group")),
-    )
-
-
 def _staged(fields: dict[str, Any]) -> tuple[str, ...]:
     return tuple(_text(name) for name in fields.get("staged") or ())
 
--- a/mulberrypaddle/platform/orders.py
+++ b/mulberrypaddle/platform/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 from typing import TYPE_CHECKING, Any
 
@@ -49,8 +50,6 @@
         """Sends one order."""
         body = _body_of(order)
         body["fencingToken"] = fence
-        # An order that arrives after a newer one then does nothing.
-        body["expect"] = entry.orders_taken
         result = await self._call(entry, "/order", body=body)
         if not isinstance(result, Success):
             return Failure(result.failure())
@@ -135,19 +134,43 @@
     )
 
 
+@functools.singledispatch
 def _body_of(order: GroupOrder) -> dict[str, Any]:
-    if isinstance(order, StageModel):
-        return {"operation": "stage", "model": order.model}
-    body: dict[str, Any] = {"group": order.group, "epoch": order.epoch}
-    if isinstance(order, JoinGroup):
-        body["operation"] = "join"
-        body["model"] = order.model
-        body["members"] = list(order.member_ids)
-    elif isinstance(order, OpenGroup):
-        body["operation"] = "open"
-    elif isinstance(order, CloseGroup):
-        body["operation"] = "close"
-        body["mode"] = "queue"
-    elif isinstance(order, LeaveGroup):
-        body["operation"] = "leave"
-    return body
+    raise TypeError(f"got {type(order).__name__}, which is no known order")
+
+
+@_body_of.register
+def _(order: StageModel) -> dict[str, Any]:
+    return {"operation": "stage", "model": order.model}
+
+
+@_body_of.register
+def _(order: JoinGroup) -> dict[str, Any]:
+    return {
+        "operation": "join",
+        "group": order.group,
+        "epoch": order.epoch,
+        "model": order.model,
+        "members": list(order.member_ids),
+    }
+
+
+@_body_of.register
+def _(order: OpenGroup) -> dict[str, Any]:
+    return {"operation": "open", "group": order.group, "epoch": order.epoch}
+
+
+@_body_of.register
+def _(order: CloseGroup) -> dict[str, Any]:
+    # What the head holds is served; what waits in its queue too.
+    return {
+        "operation": "close",
+        "group": order.group,
+        "epoch": order.epoch,
+        "mode": "queue",
+    }
+
+
+@_body_of.register
+def _(order: LeaveGroup) -> dict[str, Any]:
+    return {"operation": "leave", "group": order.group, "epoch": order.epoch}
--- a/mulberrypaddle/replicas/keeper.py
+++ b/mulberrypaddle/replicas/keeper.py
@@ -207,7 +207,11 @@
         by_life = {entry.life: entry for entry in entries}
         for life, work in list(self._under_way.items()):
             entry = by_life.get(life)
-            if entry is None or now_seconds >= work.until_seconds or _shows(entry, work.order):
+            if (
+                entry is None
+                or now_seconds >= work.until_seconds
+                or _shows(entry, work.order)
+            ):
                 del self._under_way[life]
 
     def _tend_groups(
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -260,7 +260,7 @@
         self._cutter = EventCutter()
         self._events = 0
         if isinstance(previous, StreamAttempt):
-            self._progress = previous._progress
+            self._progress: StreamProgress = previous._progress
         else:
             self._progress = StreamProgress()
         self._paused = False
--- a/mulberrypaddle/serving/documents.py
+++ b/mulberrypaddle/serving/documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from mulberrypaddle.fleet import RunnerEntry, ServingConfig
@@ -22,13 +22,3 @@
         self, item: StoredItem, *, now_seconds: float
     ) -> RunnerEntry | None:
         """Returns a runner, or None if the entry names none to use."""
-
-    @abc.abstractmethod
-    def report(
-        self, entry: RunnerEntry, content: Any, *, now_seconds: float
-    ) -> RunnerEntry | None:
-        """Returns an entry brought up to date by the runner's own report.
-
-        Returns:
-            The entry; None if the report can't be read or is of another life.
-        """
--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -13,9 +13,10 @@
 from mulberrypaddle.serving.runner_control import OrderOutcome
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from mulberrypaddle.fleet import RunnerEntry, ServiceSpec
     from mulberrypaddle.serving.board import ServingBoard
-    from mulberrypaddle.serving.documents import Decoder
     from mulberrypaddle.serving.owner_loop import OwnerLoop
     from mulberrypaddle.serving.runner_control import RunnerControl
 
@@ -40,12 +41,10 @@
         board: ServingBoard,
         *,
         control: RunnerControl,
-        decoder: Decoder,
         owner: OwnerLoop,
     ) -> None:
         self._board = board
         self._control = control
-        self._decoder = decoder
         self._owner = owner
         self._keepers: dict[str, GroupKeeper] = {}
         self._fence = 0
@@ -138,8 +137,8 @@
             self._asked_at[entry.runner_id] = now
             self._spawn(self._ask(keeper, entry))
 
-    def _spawn(self, work: object) -> None:
-        task = asyncio.ensure_future(work)  # type: ignore[arg-type]
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -150,7 +149,6 @@
             if entry.life in keeper.lost_runners:
                 keeper.lost_runners.discard(entry.life)
                 log_belief("runner_back", runner=entry.runner_id)
-            self._take_report(entry, result.unwrap())
             return
         count = self._unanswered.get(entry.life, 0) + 1
         self._unanswered[entry.life] = count
@@ -165,16 +163,6 @@
                 reason=result.failure().detail,
             )
 
-    def _take_report(self, entry: RunnerEntry, content: object) -> None:
-        board = self._board
-        fresh = self._decoder.report(entry, content, now_seconds=board.now())
-        current = board.view.get(entry.runner_id)
-        if fresh is None or current is None or current.life != fresh.life:
-            return
-        # A report may be older than what the store said meanwhile.
-        if fresh.orders_taken >= current.orders_taken:
-            board.view.update_one(fresh)
-
     async def _order(self, keeper: GroupKeeper, directive: Directive) -> None:
         owner = self._owner
         if not owner.holds() or owner.ownership.fence != self._fence:
@@ -205,6 +193,3 @@
         if result.unwrap() in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
             return
         keeper.failed(directive)
-        report = await self._control.report(runner)
-        if isinstance(report, Success):
-            self._take_report(runner, report.unwrap())
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -93,7 +93,7 @@
         self._peers = Peers(self.board, feeds)
         self._owner = OwnerLoop(self.board, store, self._peers)
         self._groups = GroupControl(
-            self.board, control=control, decoder=decoder, owner=self._owner
+            self.board, control=control, owner=self._owner
         )
         self._peers.claim = self._claim
         self._peers.on_beat = self._owner.take_beat
@@ -180,9 +180,7 @@
             if service is not None:
                 demand = Demand(service, model=model)
                 room = board.chooser.room(demand, now_seconds=now)
-            line.advance(
-                lambda let_go, room=room: let_go < room, now_seconds=now
-            )
+            line.advance(room, now_seconds=now)
 
     async def _register(self) -> None:
         """Writes where this router is, and learns where the others are."""
