--- a/mulberrypaddle/replicas/placement.py
+++ b/mulberrypaddle/replicas/placement.py
@@ -13,9 +13,10 @@
     from mulberrypaddle.fleet.config import EngineTraits, ModelSpec
     from mulberrypaddle.fleet.runners import RunnerEntry
 
-# Load of a model's groups above which one more is formed; below it free
-# runners are kept for repairs.
-FORM_ABOVE_LOAD = 0.75
+# Load of a model's groups above which one more is formed. Members that hold
+# the weights cost nothing; for others it has to be worth a load.
+FORM_ABOVE_LOAD = 0.5
+FORM_BY_LOADING_ABOVE_LOAD = 0.75
 
 # Load above which the weights that a free runner holds are given up for
 # another model.
@@ -132,6 +133,12 @@
                 formation = _pick_members(runners, load, traits, first_start)
                 if formation is None:
                     continue
+                if (
+                    formation.unstaged
+                    and not first_start
+                    and pressure < FORM_BY_LOADING_ABOVE_LOAD
+                ):
+                    continue
                 score = _score(formation, load, traits, first_start)
                 # Full domains first, so that spares stay spread.
                 score *= 1 + len(runners) / 1000
--- /dev/null
+++ b/tests/dispatch/test_patience.py
@@ -0,0 +1,72 @@
+"""Whether a request may wait, and when a refused one had best come again."""
+
+from __future__ import annotations
+
+import testtools
+
+from mulberrypaddle.dispatch import Patience, judge
+from mulberrypaddle.dispatch.patience import stream_gap_seconds
+
+
+def _judge(
+    *,
+    serving_slots: int = 90,
+    ahead: int = 0,
+    ready_in_seconds: float | None = None,
+    deadline_seconds: float = 6.0,
+) -> Patience:
+    return judge(
+        now_seconds=0.0,
+        give_up_at_seconds=2.0,
+        deadline_seconds=deadline_seconds,
+        is_stream=True,
+        serving_slots=serving_slots,
+        ahead=ahead,
+        busy_seconds=1.6,
+        ready_in_seconds=ready_in_seconds,
+    )
+
+
+class PatienceTest(testtools.TestCase):
+    """What can't be served in time is refused at once."""
+
+    def test_short_line_is_waited_for(self) -> None:
+        self.assertIsNotNone(_judge(ahead=20).until_seconds)
+
+    def test_wait_ends_before_the_caller_leaves(self) -> None:
+        until = _judge().until_seconds
+        assert until is not None
+        self.assertLess(until, 2.0)
+
+    def test_line_longer_than_the_caller_waits_is_refused_at_once(self) -> None:
+        patience = _judge(ahead=400)
+        self.assertIsNone(patience.until_seconds)
+
+    def test_no_runner_and_none_expected_is_refused_at_once(self) -> None:
+        patience = _judge(serving_slots=0)
+        self.assertIsNone(patience.until_seconds)
+        self.assertEqual(2.0, patience.retry_after_seconds)
+
+    def test_group_that_opens_soon_is_waited_for(self) -> None:
+        patience = _judge(serving_slots=0, ready_in_seconds=0.5)
+        self.assertIsNotNone(patience.until_seconds)
+
+    def test_retry_after_is_when_there_will_be_room(self) -> None:
+        patience = _judge(serving_slots=0, ready_in_seconds=1.9)
+        self.assertIsNone(patience.until_seconds)
+        self.assertEqual(1.9, patience.retry_after_seconds)
+
+    def test_retry_after_stays_within_what_a_caller_honours(self) -> None:
+        patience = _judge(serving_slots=0, deadline_seconds=3.0)
+        self.assertEqual(1.0, patience.retry_after_seconds)
+
+    def test_gap_is_the_longest_of_three(self) -> None:
+        self.assertEqual(
+            2.0, stream_gap_seconds(target_seconds=0.4, pause_seconds=0.2)
+        )
+        self.assertEqual(
+            2.4, stream_gap_seconds(target_seconds=0.4, pause_seconds=0.3)
+        )
+        self.assertEqual(
+            2.8, stream_gap_seconds(target_seconds=0.7, pause_seconds=0.3)
+        )
--- /dev/null
+++ b/tests/support/group_fleet.py
@@ -0,0 +1,342 @@
+"""Runners that form groups, played without a network.
+
+The fleet checks what must hold of any owner: no group serves without all its
+members, and no runner joins a group while the head of its group may serve.
+"""
+
+from __future__ import annotations
+
+import random
+
+from mulberrypaddle.fleet import (
+    EngineTraits,
+    FleetView,
+    GroupMembership,
+    MembershipState,
+    ModelSpec,
+    RunnerEntry,
+    ServiceSpec,
+)
+from mulberrypaddle.replicas.keeper import GroupKeeper
+from mulberrypaddle.replicas.orders import (
+    CloseGroup,
+    GroupOrder,
+    JoinGroup,
+    LeaveGroup,
+    OpenGroup,
+    StageModel,
+)
+
+STEP_SECONDS = 0.1
+STALL_SECONDS = 4.0
+LAPSE_SECONDS = 3.6
+REJOIN_SECONDS = 0.2
+JOIN_LIKE_STATES = (MembershipState.OPEN, MembershipState.CLOSING)
+
+
+def make_traits() -> EngineTraits:
+    """Returns traits with models of four runners and of two."""
+    models = {
+        "large": ModelSpec(
+            name="large",
+            size=4,
+            demand_share=0.5,
+            pace=1.0,
+            load_seconds=16.0,
+            warm_seconds=1.6,
+        ),
+        "small": ModelSpec(
+            name="small",
+            size=2,
+            demand_share=0.5,
+            pace=0.6,
+            load_seconds=12.0,
+            warm_seconds=1.1,
+        ),
+    }
+    return EngineTraits(
+        slots=9,
+        models=models,
+        step_seconds=0.0078,
+        step_seconds_per_request=0.00018,
+        prompt_tokens_per_second=45_900.0,
+        steps_per_pass=5,
+        usual_prompt_tokens=979.0,
+        usual_answer_tokens=154.0,
+        loads_per_second=5.0,
+        loads_at_once=7,
+        form_seconds=0.3,
+    )
+
+
+class PlayedRunner:
+    """One runner and its host."""
+
+    def __init__(self, runner_id: str, *, domain: str, born_ms: int) -> None:
+        self.runner_id = runner_id
+        self.domain = domain
+        self.born_ms = born_ms
+        self.alive = True
+        self.draining = False
+        self.died_at = 0.0
+        self.staged: tuple[str, ...] = ()
+        self.loading: tuple[str, float] | None = None
+        self.last_model = ""
+        self.model = ""
+        self.group: tuple[str, int] | None = None
+        self.members: tuple[str, ...] = ()
+        self.state = MembershipState.JOINING
+        self.state_at = 0.0
+        self.ready_at = 0.0
+        self.lost_member_at: float | None = None
+        self.top_epoch = 0
+
+    @property
+    def is_head(self) -> bool:
+        """Returns whether it is the head of its group."""
+        return bool(self.members) and self.members[0] == self.runner_id
+
+
+class GroupFleet:
+    """Runners, their reports, and one keeper."""
+
+    def __init__(self, *, domains: int, domain_size: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.traits = make_traits()
+        self.service = ServiceSpec(
+            name="cards",
+            health_path="/health",
+            cold_requests_per_second=0.0,
+            engine=self.traits,
+        )
+        self.now = 0.0
+        self.view = FleetView()
+        self.keeper = GroupKeeper()
+        self.runners: dict[str, PlayedRunner] = {}
+        self.breaches: list[str] = []
+        self.lost_orders = 0.0
+        self.late: list[tuple[float, str, int, GroupOrder]] = []
+        self.traffic = False
+        self._epoch = 1000
+        self._born = 1
+        for domain in range(domains):
+            for _ in range(domain_size):
+                self.add(f"d{domain}")
+
+    def add(self, domain: str) -> PlayedRunner:
+        """Adds an empty runner."""
+        self._born += 1
+        runner = PlayedRunner(
+            f"r{self._born:03}", domain=domain, born_ms=self._born
+        )
+        self.runners[runner.runner_id] = runner
+        return runner
+
+    def kill(self, runner_id: str) -> None:
+        """Ends a runner without a word."""
+        runner = self.runners[runner_id]
+        runner.alive = False
+        runner.died_at = self.now
+
+    def open_groups(self) -> dict[str, int]:
+        """Returns the groups that serve with all members, by model."""
+        counts: dict[str, int] = {}
+        for runner in self.runners.values():
+            if self._serves(runner):
+                counts[runner.model] = counts.get(runner.model, 0) + 1
+        return counts
+
+    def wanted(self) -> dict[str, float]:
+        """Returns the demand that is played."""
+        return {"large": 40.0, "small": 30.0}
+
+    def play(self, seconds: float) -> None:
+        """Plays some time."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_SECONDS
+            self._live()
+            self._report()
+            directives = self.keeper.step(
+                self.view,
+                self.service,
+                wanted_slots=self.wanted(),
+                traffic_seen=self.traffic,
+                first_start=True,
+                next_epoch=self._next_epoch,
+                now_seconds=self.now,
+            )
+            for directive in directives:
+                self._send(directive.runner, directive.order)
+
+    def _next_epoch(self) -> int:
+        self._epoch += 1
+        return self._epoch
+
+    def _send(self, entry: RunnerEntry, order: GroupOrder) -> None:
+        chance = self.rng.random()
+        if chance < self.lost_orders / 2:
+            return
+        if chance < self.lost_orders:
+            at = self.now + self.rng.uniform(2.0, 12.0)
+            born_ms = entry.born_ms or 0
+            self.late.append((at, entry.runner_id, born_ms, order))
+            return
+        self._take(entry.runner_id, entry.born_ms or 0, order)
+
+    def _take(self, runner_id: str, born_ms: int, order: GroupOrder) -> None:
+        runner = self.runners.get(runner_id)
+        if runner is None or not runner.alive or runner.born_ms != born_ms:
+            return
+        if isinstance(order, StageModel):
+            if order.model not in runner.staged and runner.loading is None:
+                runner.loading = (order.model, self.now + self._load(order))
+            return
+        if isinstance(order, JoinGroup):
+            self._join(runner, order)
+            return
+        assert isinstance(order, OpenGroup | CloseGroup | LeaveGroup)
+        if runner.group != (order.group, order.epoch):
+            return
+        if isinstance(order, LeaveGroup):
+            runner.group = None
+            runner.members = ()
+            runner.model = ""
+        elif isinstance(order, OpenGroup):
+            if runner.state is MembershipState.READY and runner.is_head:
+                self._open(runner)
+        elif runner.state is MembershipState.OPEN:
+            runner.state = MembershipState.READY
+
+    def _load(self, order: StageModel) -> float:
+        seconds = self.traits.models[order.model].load_seconds
+        return seconds if self.traffic else seconds / 10
+
+    def _join(self, runner: PlayedRunner, order: JoinGroup) -> None:
+        if order.epoch < runner.top_epoch:
+            return
+        head = self._head_of(runner)
+        other = runner.group is not None and runner.group != (
+            order.group,
+            order.epoch,
+        )
+        if other and head is not None and head.alive:
+            stands_still = head.state is not MembershipState.BROKEN and (
+                head.state in JOIN_LIKE_STATES
+            )
+            if stands_still:
+                self.breaches.append(
+                    f"{self.now:.1f}: {runner.runner_id} joins {order.group} "
+                    f"while {head.runner_id} serves for {runner.group}"
+                )
+        spec = self.traits.models[order.model]
+        seconds = REJOIN_SECONDS
+        if runner.last_model != order.model:
+            seconds = spec.warm_seconds
+            if order.model not in runner.staged:
+                seconds += spec.load_seconds * (1.0 if self.traffic else 0.1)
+        runner.top_epoch = order.epoch
+        runner.group = (order.group, order.epoch)
+        runner.members = order.member_ids
+        runner.model = order.model
+        runner.state = MembershipState.JOINING
+        runner.ready_at = self.now + seconds
+        runner.lost_member_at = None
+
+    def _open(self, runner: PlayedRunner) -> None:
+        for member_id in runner.members:
+            member = self.runners[member_id]
+            ready = (
+                member.group == runner.group
+                and member.state is not MembershipState.JOINING
+            )
+            if not ready and member.alive:
+                self.breaches.append(
+                    f"{self.now:.1f}: {runner.group} opens without {member_id}"
+                )
+        runner.state = MembershipState.OPEN
+
+    def _head_of(self, runner: PlayedRunner) -> PlayedRunner | None:
+        if runner.group is None:
+            return None
+        head = self.runners.get(runner.members[0])
+        if head is None or head.group != runner.group:
+            return None
+        return head
+
+    def _serves(self, runner: PlayedRunner) -> bool:
+        if not runner.alive or not runner.is_head:
+            return False
+        if runner.state is not MembershipState.OPEN:
+            return False
+        return all(
+            self.runners[member_id].alive
+            and self.runners[member_id].group == runner.group
+            for member_id in runner.members
+        )
+
+    def _live(self) -> None:
+        due = [late for late in self.late if late[0] <= self.now]
+        self.late = [late for late in self.late if late[0] > self.now]
+        for _, runner_id, born_ms, order in due:
+            self._take(runner_id, born_ms, order)
+        for runner in self.runners.values():
+            if not runner.alive:
+                continue
+            if runner.loading is not None and runner.loading[1] <= self.now:
+                runner.staged = (runner.loading[0],)
+                runner.loading = None
+            if runner.group is None:
+                continue
+            joined = runner.state is MembershipState.JOINING
+            if joined and runner.ready_at <= self.now:
+                runner.state = MembershipState.READY
+                runner.staged = (runner.model,)
+                runner.last_model = runner.model
+            self._break(runner)
+
+    def _break(self, runner: PlayedRunner) -> None:
+        if not runner.is_head or runner.state is not MembershipState.OPEN:
+            return
+        if self._serves(runner):
+            runner.lost_member_at = None
+            return
+        if runner.lost_member_at is None:
+            runner.lost_member_at = self.now
+        elif self.now - runner.lost_member_at >= STALL_SECONDS:
+            runner.state = MembershipState.BROKEN
+
+    def _report(self) -> None:
+        entries = []
+        for runner in self.runners.values():
+            dead_for = self.now - runner.died_at
+            if not runner.alive and dead_for >= LAPSE_SECONDS:
+                continue
+            entries.append(self._entry(runner))
+        self.view.replace_all(
+            entries, revision=self.view.revision + 1, now_seconds=self.now
+        )
+
+    def _entry(self, runner: PlayedRunner) -> RunnerEntry:
+        group = None
+        if runner.group is not None:
+            group = GroupMembership(
+                runner.group[0],
+                epoch=runner.group[1],
+                rank=runner.members.index(runner.runner_id),
+                state=runner.state,
+            )
+        joined = runner.group and runner.state is not MembershipState.JOINING
+        return RunnerEntry(
+            runner.runner_id,
+            born_ms=runner.born_ms,
+            service="cards",
+            address="127.0.0.1:1",
+            data_centre="south",
+            slots=9,
+            draining=runner.draining,
+            models=(runner.model,) if joined else (),
+            domain=runner.domain,
+            staged=runner.staged,
+            group=group,
+        )
