--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -21,19 +21,18 @@
 # Pause between two looks at a running attempt.
 LOOK_SECONDS = 0.1
 
-# Silence within a stream after which its head counts as standing still: a
-# pass of a full group takes 0.05 s, and 0.3 s with long prompts in between.
-STALL_SECONDS = 0.6
+# Silence of a head, over all streams of this router, after which its group is
+# looked at: a pass of a full group takes 0.05 s, 0.3 s with long prompts.
+SIGHT_SECONDS = 0.4
+
+# Silence of a head after which its streams go on elsewhere. A runner five
+# times slower than others still makes a pass in less; a caller leaves after
+# two seconds.
+STALL_SECONDS = 1.0
 
 # Silence before the first event, which may be a wait in the head's own queue.
 FIRST_EVENT_STALL_SECONDS = 1.2
 
-# Silence that is enough where other streams of the head stand still too.
-SHARED_STALL_SECONDS = 0.3
-
-# Age up to which a sight of standing streams counts.
-STALL_MEMORY_SECONDS = 2.0
-
 # Longest answer of a plain service that is held until it is whole.
 MOST_HELD_BYTES = 8_388_608
 
@@ -288,17 +287,13 @@
             return
         if self._paused:
             return
-        silent = now - self._call.last_byte_at_seconds
+        runner_id = self._entry.runner_id
+        progress_at = self._board.head_progress.get(runner_id, 0.0)
+        silent = now - max(progress_at, self._call.last_byte_at_seconds)
+        if silent >= SIGHT_SECONDS and self._board.was_heard(runner_id):
+            self._board.stalled_heads[runner_id] = now
         limit = STALL_SECONDS if self._events else FIRST_EVENT_STALL_SECONDS
-        seen_at = self._board.stalled_heads.get(self._entry.runner_id)
-        if seen_at is not None and now - seen_at < STALL_MEMORY_SECONDS:
-            limit = SHARED_STALL_SECONDS
-        if silent < limit:
-            return
-        if self._events:
-            # Others may trust this sight even if this stream has to stay.
-            self._board.stalled_heads[self._entry.runner_id] = now
-        if self._can_move(self._entry.runner_id):
+        if silent >= limit and self._can_move(runner_id):
             self.detail = f"silent for {silent:.2f} s"
             self._give_up(AttemptEnd.STALLED)
 
@@ -335,6 +330,7 @@
         progress = self._progress
         last = progress.last_event_id
         self._events += 1
+        self._board.head_progress[self._entry.runner_id] = self._board.now()
         if event_id is not None and last is not None and event_id <= last:
             return True
         if event_id is not None and last is not None and event_id != last + 1:
--- a/mulberrypaddle/serving/board.py
+++ b/mulberrypaddle/serving/board.py
@@ -48,6 +48,7 @@
         "crashes",
         "demand",
         "dialect",
+        "head_progress",
         "in_hand",
         "lines",
         "live_routers",
@@ -101,6 +102,8 @@
         self.opening_in: dict[str, float] = {}
         # Heads on which streams stood still, by time of the last such sight.
         self.stalled_heads: dict[str, float] = {}
+        # When a head last sent an event of any own stream.
+        self.head_progress: dict[str, float] = {}
         self.stopping = False
         self.in_hand = 0
 
@@ -108,6 +111,10 @@
         """Returns the loop's monotonic time in seconds."""
         return self.loop.time()
 
+    def was_heard(self, runner_id: str) -> bool:
+        """Returns whether a head has ever sent an event to this router."""
+        return runner_id in self.head_progress
+
     def line(self, service: str, model: str) -> WaitingLine:
         """Returns the waiting line of a service and model."""
         key = (service, model)
--- a/mulberrypaddle/serving/door.py
+++ b/mulberrypaddle/serving/door.py
@@ -62,6 +62,8 @@
         board = self._door.board
         caller = Caller(self._connection, close_after=board.stopping)
         self._caller = caller
+        # Once a request is whole, only this tells that its caller has left.
+        self._connection.set_close_callback(caller.left)
         line = RequestLine(
             self._start_line.method,
             target=self._start_line.path,
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -39,9 +39,6 @@
 # Pause before a request that all runners turned away is offered again.
 TURNED_AWAY_PAUSE_SECONDS = 0.06
 
-# Sends beyond what the route allows, for runners that were lost meanwhile.
-SENDS_FOR_LOST_RUNNERS = 2
-
 # Urgency of a stream that goes on after a break: its caller is waiting.
 RESUMED_URGENCY = 0
 
@@ -104,8 +101,8 @@
         self._sends = 0
         self._first_counted = False
         self._may_have_run = False
-        # Sends that may have run and whose runner is not known to be lost.
-        self._counted_runs = 0
+        # Lives of the runners at which it may have run.
+        self._runs: list[tuple[str, int | None]] = []
         self.last_event_id = fields.last_event_id
 
     async def run(self) -> None:
@@ -399,7 +396,7 @@
 
     def _can_move(self, runner_id: str) -> bool:
         """Returns whether the request may leave a runner for another one."""
-        if not self._route.may_repeat or not self._may_send_again(lost=True):
+        if not self._route.may_repeat or not self._may_send_again(1):
             return False
         board = self._board
         demand = Demand(
@@ -413,11 +410,20 @@
             for entry in board.chooser.sound(demand, now_seconds=now)
         )
 
-    def _may_send_again(self, *, lost: bool) -> bool:
-        most = self._route.max_runners
-        if lost:
-            most += SENDS_FOR_LOST_RUNNERS
-        return self._counted_runs < most
+    def _may_send_again(self, running: int = 0) -> bool:
+        """Returns whether the route allows one more runner.
+
+        Runners whose lives have ended don't count.
+
+        Args:
+            running: Sends that have not ended yet.
+        """
+        counted = running
+        for runner_id, born_ms in self._runs:
+            entry = self._board.view.get(runner_id)
+            if entry is not None and entry.born_ms == born_ms:
+                counted += 1
+        return counted < self._route.max_runners
 
     def _judge_end(
         self, entry: RunnerEntry, attempt: Attempt, end: AttemptEnd
@@ -463,7 +469,7 @@
                 board.soundness.failed(runner_id, now)
             return _Verdict.AGAIN
         self._may_have_run = True
-        self._counted_runs += 1
+        self._runs.append(entry.life)
         if end is AttemptEnd.TIMED_OUT and now >= self._deadline - 0.01:
             return _Verdict.UNKNOWN
         if end is AttemptEnd.STALLED:
@@ -473,8 +479,7 @@
             board.soundness.failed(runner_id, now)
         if end is AttemptEnd.BROKEN:
             board.crashes.broke(self._mark, entry.life, now)
-        lost = end in (AttemptEnd.BROKEN, AttemptEnd.STALLED)
-        if not self._route.may_repeat or not self._may_send_again(lost=lost):
+        if not self._route.may_repeat or not self._may_send_again():
             return self._pass_failure(attempt)
         if end is AttemptEnd.FAILED and not self._others_sound(now):
             return self._pass_failure(attempt)
--- /dev/null
+++ b/tests/serving/test_exchange.py
@@ -0,0 +1,285 @@
+"""What a caller gets, and what runners are sent, in good days and bad."""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from tests.support.asynchronous import run
+from tests.support.raw_runner import Answer, RawRunner
+from tests.support.serving_path import ServingPath, request_bytes
+
+_HEAD = b"HTTP/1.1 %d X\r\nX-Request-Id: q1\r\nX-Response-Seal: s\r\n"
+_MODEL = ("X-Model: small", "X-Token-Counts: 100,50", "X-Deadline-Ms: 3000")
+
+
+def _whole(status: int, body: bytes, extra: bytes = b"") -> bytes:
+    length = b"Content-Length: %d\r\n\r\n" % len(body)
+    return _HEAD % status + extra + length + body
+
+
+def _answers(*parts: bytes) -> Answer:
+    """Returns a runner's part: one answer after the other, then silence."""
+
+    async def answer(
+        count: int, request: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        if count <= len(parts):
+            writer.write(parts[count - 1])
+
+    return answer
+
+
+async def _cut(
+    count: int, request: bytes, writer: asyncio.StreamWriter
+) -> None:
+    writer.transport.abort()
+
+
+def _event(number: int) -> bytes:
+    data = b"id: %d\ndata: x\n\n" % number
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+_STREAM_HEAD = _HEAD % 200 + b"Transfer-Encoding: chunked\r\n\r\n"
+_STREAM_END = b"0\r\n\r\n"
+
+
+class PlainTest(testtools.TestCase):
+    """Requests to plain services."""
+
+    def _ask(
+        self,
+        path: str,
+        *answers: Answer,
+        method: str = "POST",
+        body: bytes = b"",
+        headers: tuple[str, ...] = (),
+    ) -> tuple[bytes, list[RawRunner]]:
+        async def scenario() -> tuple[bytes, list[RawRunner]]:
+            path_under_test = ServingPath()
+            runners = []
+            for number, answer in enumerate(answers):
+                runner = RawRunner(answer)
+                path_under_test.add_runner(f"r{number}", await runner.start())
+                runners.append(runner)
+            got = await path_under_test.ask(
+                path, method=method, body=body, headers=headers
+            )
+            path_under_test.close()
+            for runner in runners:
+                await runner.stop()
+            return got, runners
+
+        return run(scenario())
+
+    def test_answer_comes_back_whole(self) -> None:
+        got, runners = self._ask("/pay/1", _answers(_whole(200, b"done")))
+        self.assertTrue(got.startswith(b"HTTP/1.1 200"))
+        self.assertIn(b"X-Response-Seal: s", got)
+        self.assertTrue(got.endswith(b"\r\n\r\ndone"))
+        head = runners[0].heads[0]
+        self.assertIn(b"X-Tenant: museum", head)
+        self.assertIn(b"X-Expect-Instance: r0", head)
+        self.assertNotIn(b"key-1", head)
+
+    def test_unknown_key_is_refused(self) -> None:
+        got, runners = self._ask(
+            "/pay/1", _answers(), headers=("X-Api-Key: other",)
+        )
+        # Both keys arrive as one value, which no organisation holds.
+        self.assertTrue(got.startswith(b"HTTP/1.1 401"))
+        self.assertEqual([], runners[0].heads)
+
+    def test_unknown_path_is_refused(self) -> None:
+        got, _ = self._ask("/elsewhere/1", _answers())
+        self.assertTrue(got.startswith(b"HTTP/1.1 404"))
+
+    def test_caller_can_not_set_its_organisation(self) -> None:
+        _, runners = self._ask(
+            "/pay/1",
+            _answers(_whole(200, b"done")),
+            headers=("X-Tenant: other",),
+        )
+        self.assertNotIn(b"other", runners[0].heads[0])
+
+    def test_unsafe_request_runs_once_when_its_answer_is_lost(self) -> None:
+        got, runners = self._ask("/pay/1", _cut, _cut)
+        self.assertTrue(got.startswith(b"HTTP/1.1 502"))
+        self.assertEqual(1, sum(len(runner.heads) for runner in runners))
+
+    def test_unsafe_request_goes_on_after_a_true_refusal(self) -> None:
+        refusal = _whole(503, b"", b"X-Not-Executed: 1\r\n")
+        busy = _answers(refusal, _whole(200, b"done"))
+        got, runners = self._ask("/pay/1", busy)
+        # The budget of a fresh process allows no second send; the refusal
+        # to the caller is true.
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"))
+        self.assertIn(b"Retry-After", got)
+        self.assertEqual(1, len(runners[0].heads))
+
+    def test_answer_of_another_request_reaches_nobody(self) -> None:
+        other = _whole(200, b"theirs").replace(b"Id: q1", b"Id: q2")
+        got, _ = self._ask("/pay/1", _answers(other))
+        self.assertTrue(got.startswith(b"HTTP/1.1 502"))
+        self.assertNotIn(b"theirs", got)
+
+    def test_unsigned_answer_reaches_nobody(self) -> None:
+        bare = _whole(200, b"fake").replace(b"X-Response-Seal: s\r\n", b"")
+        got, _ = self._ask("/pay/1", _answers(bare))
+        self.assertTrue(got.startswith(b"HTTP/1.1 502"))
+
+    def test_failure_of_the_runner_is_passed_on(self) -> None:
+        got, _ = self._ask("/pay/1", _answers(_whole(500, b"oops")))
+        self.assertTrue(got.startswith(b"HTTP/1.1 500"))
+        self.assertTrue(got.endswith(b"oops"))
+
+    def test_runners_503_that_ran_is_no_promise(self) -> None:
+        got, _ = self._ask("/pay/1", _answers(_whole(503, b"oops")))
+        self.assertTrue(got.startswith(b"HTTP/1.1 502"))
+        self.assertNotIn(b"X-Response-Seal", got)
+
+    def test_no_answer_ends_with_the_time_limit(self) -> None:
+        got, _ = self._ask(
+            "/pay/1", _answers(), headers=("X-Deadline-Ms: 600",)
+        )
+        self.assertTrue(got.startswith(b"HTTP/1.1 504"))
+
+    def test_no_runner_is_refused_at_once(self) -> None:
+        got, _ = self._ask("/pay/1")
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"))
+        self.assertIn(b"Retry-After", got)
+
+    def test_long_body_is_refused(self) -> None:
+        got, _ = self._ask("/pay/1", _answers(), body=b"x" * 100_001)
+        self.assertTrue(got.startswith(b"HTTP/1.1 413"))
+
+
+class CallerGoneTest(testtools.TestCase):
+    """A caller that leaves is not worked for."""
+
+    def test_runner_is_let_go_when_the_caller_leaves(self) -> None:
+        async def scenario() -> float:
+            path = ServingPath()
+            let_go = asyncio.get_running_loop().create_future()
+
+            async def answer(
+                count: int, request: bytes, writer: asyncio.StreamWriter
+            ) -> None:
+                await writer.wait_closed()
+
+            runner = RawRunner(answer)
+            path.add_runner("r0", await runner.start())
+
+            async def watch() -> None:
+                while path.board.loads.total("r0"):
+                    await asyncio.sleep(0.01)
+                let_go.set_result(path.board.now())
+
+            reader, writer = await path.connect()
+            writer.write(request_bytes("/pay/1"))
+            await asyncio.sleep(0.3)
+            left_at = path.board.now()
+            writer.close()
+            task = asyncio.ensure_future(watch())
+            let_go_at = await asyncio.wait_for(let_go, 2.0)
+            await task
+            await runner.stop()
+            path.close()
+            return float(let_go_at - left_at)
+
+        # Half a second is what the platform allows.
+        self.assertLess(run(scenario()), 0.5)
+
+
+class StreamTest(testtools.TestCase):
+    """Streams of events."""
+
+    def _ask(self, *answers: Answer) -> tuple[bytes, list[RawRunner]]:
+        async def scenario() -> tuple[bytes, list[RawRunner]]:
+            path = ServingPath()
+            # Budgets of a fresh process allow no second send.
+            for _ in range(20):
+                path.board.retries.sent_first("cards", path.board.now())
+            runners = []
+            for number, answer in enumerate(answers):
+                runner = RawRunner(answer)
+                path.add_head(f"h{number}", await runner.start())
+                runners.append(runner)
+            got = await path.ask("/write/1", headers=_MODEL)
+            path.close()
+            for runner in runners:
+                await runner.stop()
+            return got, runners
+
+        return run(scenario())
+
+    def test_events_are_passed_on(self) -> None:
+        got, _ = self._ask(
+            _answers(_STREAM_HEAD + _event(1) + _event(2) + _STREAM_END)
+        )
+        self.assertTrue(got.startswith(b"HTTP/1.1 200"))
+        self.assertIn(b"id: 1\ndata: x\n\n", got)
+        self.assertTrue(got.endswith(b"0\r\n\r\n"))
+
+    def test_broken_stream_goes_on_at_another_head(self) -> None:
+        seen: list[bytes] = []
+
+        async def first_breaks(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            seen.append(request)
+            if len(seen) > 1:
+                writer.write(_STREAM_HEAD + _event(2) + _event(3) + _STREAM_END)
+                return
+            part = b"id: 3\nda"
+            writer.write(
+                _STREAM_HEAD
+                + _event(1)
+                + _event(2)
+                + b"%x\r\n%s\r\n" % (len(part), part)
+            )
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            writer.transport.abort()
+
+        got, _ = self._ask(first_breaks, first_breaks)
+        self.assertIn(b"Last-Event-Id: 2", seen[1])
+        for number in (1, 2, 3):
+            self.assertEqual(1, got.count(b"id: %d\ndata: x\n\n" % number))
+        self.assertNotIn(b"da\r\n", got)
+        self.assertTrue(got.endswith(b"0\r\n\r\n"))
+
+    def test_stream_that_can_not_go_on_does_not_look_whole(self) -> None:
+        async def breaks(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(_STREAM_HEAD + _event(1))
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            writer.transport.abort()
+
+        got, runners = self._ask(breaks, breaks, breaks)
+        self.assertFalse(got.endswith(b"0\r\n\r\n"))
+        # A route that allows two runners gets no third one.
+        self.assertEqual(2, sum(len(runner.heads) for runner in runners))
+
+    def test_gap_in_the_events_is_not_passed_on(self) -> None:
+        got, _ = self._ask(
+            _answers(_STREAM_HEAD + _event(1) + _event(3) + _STREAM_END)
+        )
+        self.assertNotIn(b"id: 3", got)
+        self.assertFalse(got.endswith(b"0\r\n\r\n"))
+
+    def test_end_within_an_event_does_not_look_whole(self) -> None:
+        part = b"id: 2\nda"
+        got, _ = self._ask(
+            _answers(
+                _STREAM_HEAD
+                + _event(1)
+                + b"%x\r\n%s\r\n" % (len(part), part)
+                + _STREAM_END
+            )
+        )
+        self.assertFalse(got.endswith(b"0\r\n\r\n"))
--- /dev/null
+++ b/tests/support/serving_path.py
@@ -0,0 +1,208 @@
+"""A door with a board of its own, for tests of single requests."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+
+from mulberrypaddle.backends.curl import make_client
+from mulberrypaddle.fleet import (
+    Bounds,
+    CallerLimits,
+    GroupMembership,
+    MembershipState,
+    NodeSettings,
+    Organisation,
+    RepeatRule,
+    Route,
+    RunnerEntry,
+    ServiceSpec,
+    ServingConfig,
+)
+from mulberrypaddle.platform.headers import PlatformDialect
+from mulberrypaddle.serving.board import ServingBoard
+from mulberrypaddle.serving.door import Door
+from tests.support.group_fleet import make_traits
+
+
+def free_port() -> int:
+    """Returns a port that was free a moment ago."""
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        return int(taken.getsockname()[1])
+
+
+def make_settings(*, ip: str = "127.0.0.1") -> NodeSettings:
+    """Returns settings of a router on this machine."""
+    return NodeSettings(
+        node="router-1",
+        data_centre="south",
+        ip=ip,
+        caller_address=(ip, free_port()),
+        readiness_address=(ip, free_port()),
+        peer_port=free_port(),
+        seed_ips=(),
+        store_address=f"{ip}:{free_port()}",
+        first_start=True,
+        bounds=Bounds(),
+    )
+
+
+def _route(name: str, rule: RepeatRule, service: str) -> Route:
+    return Route(
+        name=name,
+        host="shop.example",
+        path_prefix=f"/{name}/",
+        repeat_rule=rule,
+        timeout_seconds=3.0,
+        target_seconds=0.2,
+        pause_seconds=0.2,
+        urgency=1,
+        shares=((service, 1.0),),
+        max_runners=2,
+        public=False,
+        resumable=rule is RepeatRule.STREAM,
+    )
+
+
+def make_config(*, version: int = 1) -> ServingConfig:
+    """Returns routes `safe`, `pay` and `write`, and one organisation."""
+    services = {
+        "stock": ServiceSpec(
+            name="stock",
+            health_path="/health",
+            cold_requests_per_second=0.0,
+            engine=None,
+        ),
+        "cards": ServiceSpec(
+            name="cards",
+            health_path="/health",
+            cold_requests_per_second=0.0,
+            engine=make_traits(),
+        ),
+    }
+    return ServingConfig(
+        version=version,
+        revision=version,
+        routes=(
+            _route("safe", RepeatRule.SAFE, "stock"),
+            _route("pay", RepeatRule.UNSAFE, "stock"),
+            _route("write", RepeatRule.STREAM, "cards"),
+        ),
+        services=services,
+        limits=CallerLimits(
+            header_bytes=16_384,
+            body_bytes=100_000,
+            header_seconds=3.0,
+            idle_seconds=15.0,
+        ),
+        organisations={"key-1": Organisation("museum", urgency=None)},
+    )
+
+
+class ServingPath:
+    """A door in front of runners that a test plays."""
+
+    def __init__(self) -> None:
+        self.settings = make_settings()
+        self.board = ServingBoard(
+            self.settings,
+            dialect=PlatformDialect(),
+            client=make_client(),
+            rng=random.Random(1),
+        )
+        self.board.config = make_config()
+        self._door = Door(self.board)
+        self._door.listen()
+        self._revision = 0
+        self._entries: list[RunnerEntry] = []
+
+    def add_runner(self, runner_id: str, address: str) -> None:
+        """Adds a runner of the plain service."""
+        self._add(
+            RunnerEntry(
+                runner_id,
+                born_ms=1,
+                service="stock",
+                address=address,
+                data_centre="south",
+                slots=6,
+                draining=False,
+            )
+        )
+
+    def add_head(self, runner_id: str, address: str) -> None:
+        """Adds the two members of an open group of the model `small`."""
+        for rank in range(2):
+            state = MembershipState.READY if rank else MembershipState.OPEN
+            self._add(
+                RunnerEntry(
+                    f"{runner_id}-{rank}" if rank else runner_id,
+                    born_ms=1,
+                    service="cards",
+                    address=address,
+                    data_centre="south",
+                    slots=9,
+                    draining=False,
+                    models=("small",),
+                    domain="d1",
+                    staged=("small",),
+                    group=GroupMembership(
+                        f"g-{runner_id}", epoch=1, rank=rank, state=state
+                    ),
+                )
+            )
+
+    def _add(self, entry: RunnerEntry) -> None:
+        self._revision += 1
+        self._entries.append(entry)
+        self.board.view.replace_all(
+            self._entries, revision=self._revision, now_seconds=0.0
+        )
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connects as a caller."""
+        host, port = self.settings.caller_address
+        return await asyncio.open_connection(host, port)
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"",
+        headers: tuple[str, ...] = (),
+    ) -> bytes:
+        """Sends one request and returns all bytes of the answer."""
+        reader, writer = await self.connect()
+        writer.write(request_bytes(path, method, body, headers))
+        answer = await asyncio.wait_for(reader.read(), 10.0)
+        writer.close()
+        return answer
+
+    def close(self) -> None:
+        """Ends."""
+        self._door.stop_listening()
+        self.board.client.close()
+
+
+def request_bytes(
+    path: str,
+    method: str = "POST",
+    body: bytes = b"",
+    headers: tuple[str, ...] = (),
+) -> bytes:
+    """Returns a request that asks for the connection to be closed."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: shop.example",
+        "X-Request-Id: q1",
+        "X-Api-Key: key-1",
+        "Connection: close",
+        f"Content-Length: {len(body)}",
+        *headers,
+    ]
+    return "\r\n".join([*lines, "", ""]).encode() + body
