--- a/mulberrypaddle/dispatch/choice.py
+++ b/mulberrypaddle/dispatch/choice.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import math
-import random
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.fleet.runners import MembershipState
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Iterable
 
     from mulberrypaddle.dispatch.cold_rate import ColdRate
--- a/mulberrypaddle/dispatch/waiting.py
+++ b/mulberrypaddle/dispatch/waiting.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import bisect
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import asyncio
 
 # Head start of each rank of urgency over the next one.
 RANK_SECONDS = 1.0
--- a/mulberrypaddle/fleet/__init__.py
+++ b/mulberrypaddle/fleet/__init__.py
@@ -1,6 +1,6 @@
 """What a router knows of its deployment: configuration and runners.
 
-Begin at `types`; `config.ServingConfig` is what operators want, `view.FleetView`
+Begin at `config.ServingConfig`, what operators want, and at `view.FleetView`,
 what runners say of themselves.
 """
 
--- a/mulberrypaddle/platform/program.py
+++ b/mulberrypaddle/platform/program.py
@@ -6,10 +6,10 @@
 import gc
 import logging
 import sys
+from typing import TYPE_CHECKING
 
 from returns.result import Success
 
-from mulberrypaddle.fleet import NodeSettings
 from mulberrypaddle.observe.logs import configure_logging
 from mulberrypaddle.observe.pipe import DroppingPipe
 from mulberrypaddle.platform.documents import PlatformDecoder
@@ -19,6 +19,9 @@
 from mulberrypaddle.platform.store import PlatformStore
 from mulberrypaddle.serving.router import ServingRouter
 
+if TYPE_CHECKING:
+    from mulberrypaddle.fleet import NodeSettings
+
 # Exit status for settings that can't be used, as of the command line.
 EXIT_BAD_INPUT = 2
 
--- a/mulberrypaddle/replicas/keeper.py
+++ b/mulberrypaddle/replicas/keeper.py
@@ -130,6 +130,11 @@
         self._pending.clear()
         self._drain_seen.clear()
 
+    @property
+    def forming(self) -> int:
+        """Returns how many groups are being formed."""
+        return len(self._pending)
+
     def opening_in(self, model: str, now_seconds: float) -> float | None:
         """Returns when a group of a model is expected to open, in seconds."""
         ends = [
@@ -253,10 +258,10 @@
                 if state is MembershipState.OPEN and picture.leaving:
                     self._empty(directives, picture, now_seconds)
                 continue
-            if state is MembershipState.JOINING and picture.spec is None:
-                # Its weights are still to be loaded; it may be whole later.
-                if not self._outlived(key, now_seconds):
-                    continue
+            # Its weights may still have to be loaded; it may be whole later.
+            unknown = state is MembershipState.JOINING and picture.spec is None
+            if unknown and not self._outlived(key, now_seconds):
+                continue
             self._give(
                 directives,
                 head,
@@ -341,9 +346,9 @@
             groups[picture.spec.name] = groups.get(picture.spec.name, 0) + 1
         for pending in self._pending:
             name = pending.formation.spec.name
-            if pending.key is not None and pending.key in pictures:
-                if pictures[pending.key].whole:
-                    continue
+            formed = pictures.get(pending.key) if pending.key else None
+            if formed is not None and formed.whole:
+                continue
             groups[name] = groups.get(name, 0) + 1
         return [
             ModelLoad(
@@ -418,12 +423,9 @@
                 continue
             pending.formation.members = present
             if pending.key is not None:
-                picture = pictures.get(pending.key)
-                if picture is not None and picture.whole:
-                    # The groups themselves are tended from here on.
-                    if picture.head_state is not MembershipState.JOINING:
-                        continue
-                kept.append(pending)
+                # Once its group stands, that is tended like any other.
+                if not _has_joined(pictures.get(pending.key)):
+                    kept.append(pending)
                 continue
             kept.append(pending)
             unstaged = pending.formation.unstaged
@@ -510,6 +512,13 @@
         return True
 
 
+def _has_joined(picture: GroupPicture | None) -> bool:
+    """Returns whether a group stands, with all members and a ready head."""
+    if picture is None or not picture.whole:
+        return False
+    return picture.head_state is not MembershipState.JOINING
+
+
 def _shows(entry: RunnerEntry, order: GroupOrder) -> bool:
     """Returns whether a runner's report shows the effect of an order."""
     if isinstance(order, StageModel):
--- a/mulberrypaddle/replicas/placement.py
+++ b/mulberrypaddle/replicas/placement.py
@@ -177,9 +177,9 @@
     holds_other = any(
         member.staged and name not in member.staged for member in members
     )
-    if holds_other and not first_start:
-        if load.load(traits.slots) < RESTAGE_ABOVE_LOAD:
-            return None
+    scarce = load.load(traits.slots) >= RESTAGE_ABOVE_LOAD
+    if holds_other and not first_start and not scarce:
+        return None
     return Formation(load.spec, members)
 
 
--- a/mulberrypaddle/serving/board.py
+++ b/mulberrypaddle/serving/board.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.dispatch import (
@@ -19,6 +18,8 @@
 from mulberrypaddle.serving.demand import DemandMeter
 
 if TYPE_CHECKING:
+    import random
+
     from mulberrypaddle.backends.curl import CurlClient
     from mulberrypaddle.fleet import NodeSettings, ServingConfig
     from mulberrypaddle.serving.dialect import Dialect
--- a/mulberrypaddle/serving/caller.py
+++ b/mulberrypaddle/serving/caller.py
@@ -191,6 +191,6 @@
         held_back = self._waiting_bytes >= MOST_WAITING_BYTES
         self._waiting_bytes = sum(len(part) for part in self._waiting)
         self._write_next()
-        if held_back and self._waiting_bytes < MOST_WAITING_BYTES:
-            if self._on_drained is not None:
-                self._on_drained()
+        caught_up = held_back and self._waiting_bytes < MOST_WAITING_BYTES
+        if caught_up and self._on_drained is not None:
+            self._on_drained()
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -208,10 +208,10 @@
 
     @property
     def _urgency(self) -> int:
-        if self._organisation is not None:
-            if self._organisation.urgency is not None:
-                return self._organisation.urgency
-        return self._route.urgency
+        organisation = self._organisation
+        if organisation is None or organisation.urgency is None:
+            return self._route.urgency
+        return organisation.urgency
 
     # Placing.
 
@@ -245,12 +245,11 @@
                 entry = self._pick(demand, now)
                 if entry is not None:
                     return entry
-            if self._excluded and board.chooser.sound(demand, now_seconds=now):
+            if self._only_excluded_sound(now):
                 # Another try at the same runners is better than none.
-                if not self._others_sound(now):
-                    self._excluded.clear()
-                    await asyncio.sleep(TURNED_AWAY_PAUSE_SECONDS)
-                    continue
+                self._excluded.clear()
+                await asyncio.sleep(TURNED_AWAY_PAUSE_SECONDS)
+                continue
             if not await self._wait(demand, line, order, now):
                 return None
             waited = True
@@ -271,6 +270,10 @@
         sound = self._board.chooser.sound(self._demand(), now_seconds=now)
         return any(entry.runner_id not in self._excluded for entry in sound)
 
+    def _only_excluded_sound(self, now: float) -> bool:
+        sound = self._board.chooser.sound(self._demand(), now_seconds=now)
+        return bool(sound) and not self._others_sound(now)
+
     async def _wait(
         self, demand: Demand, line: WaitingLine, order: float, now: float
     ) -> bool:
--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -7,6 +7,7 @@
 
 from returns.result import Success
 
+from mulberrypaddle.fleet.runners import MembershipState
 from mulberrypaddle.replicas.keeper import Directive, GroupKeeper
 from mulberrypaddle.replicas.picture import draw_groups
 from mulberrypaddle.serving.events_log import log_belief
@@ -23,6 +24,9 @@
 # Pause between two steps of the keeper.
 STEP_SECONDS = 0.1
 
+# Pause between two lines about how the groups stand.
+NOTE_SECONDS = 1.0
+
 # Age up to which a sight of standing streams makes the owner ask the members.
 SIGHT_SECONDS = 1.0
 
@@ -48,6 +52,7 @@
         self._owner = owner
         self._keepers: dict[str, GroupKeeper] = {}
         self._fence = 0
+        self._noted_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._asked_at: dict[str, float] = {}
         self._unanswered: dict[tuple[str, int | None], int] = {}
@@ -61,6 +66,7 @@
             config = self._board.config
             if config is None or self._board.view.revision == 0:
                 continue
+            self._note_groups()
             if self._fence != self._owner.ownership.fence:
                 self._fence = self._owner.ownership.fence
                 self._keepers.clear()
@@ -68,6 +74,41 @@
                 if service.engine is not None and service.engine.models:
                     self._step(service)
 
+    def _note_groups(self) -> None:
+        """Writes how the groups stand, now and then."""
+        board = self._board
+        now = board.now()
+        if now - self._noted_at < NOTE_SECONDS:
+            return
+        self._noted_at = now
+        assert board.config is not None
+        wanted = board.demand.all_slots(now)
+        for service in board.config.services.values():
+            if service.engine is None or service.name not in self._keepers:
+                continue
+            entries = board.view.of_service(service.name)
+            pictures = draw_groups(entries, service.engine).values()
+            keeper = self._keepers[service.name]
+            for spec in service.engine.models.values():
+                log_belief(
+                    "groups",
+                    service=service.name,
+                    model=spec.name,
+                    open=sum(
+                        picture.spec is spec
+                        and picture.whole
+                        and picture.head_state is MembershipState.OPEN
+                        for picture in pictures
+                    ),
+                    wanted_slots=round(wanted.get(spec.name, 0.0), 1),
+                    forming=keeper.forming,
+                    single=sum(entry.group is None for entry in entries),
+                    staged=sum(spec.name in entry.staged for entry in entries),
+                    runners=len(entries),
+                    lost=len(keeper.lost_runners),
+                    fleet=board.view.revision,
+                )
+
     def opening(self) -> dict[str, int]:
         """Returns when the next group of each model opens, in ms."""
         now = self._board.now()
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -23,8 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypaddle.serving.feed import Feed
     from mulberrypaddle.serving.board import ServingBoard
+    from mulberrypaddle.serving.feed import Feed
 
 _LOGGER = logging.getLogger("mulberrypaddle.peers")
 
