Let members leave a lost group before they join another

At the start half of the groups went to the model with a third of the requests: a share is a share of the runners' work, so that groups of four held 72 slots for 23 wanted, and spares held the wrong weights. Change: all members of a lost group leave first; the start goes by share and size; empty spares stage what is most pressed and least spare in their domain; groups of an evacuated data centre are kept for its return.

--- a/mulberrypaddle/replicas/keeper.py
+++ b/mulberrypaddle/replicas/keeper.py
@@ -107,7 +107,7 @@
     """Keeps the groups of one engine service."""
 
     __slots__ = (
-        "_drain_seen",
+        "_seen_since",
         "_last_new_runner_seconds",
         "_pending",
         "_seen_runners",
@@ -118,7 +118,7 @@
     def __init__(self) -> None:
         self._under_way: dict[tuple[str, int | None], _UnderWay] = {}
         self._pending: list[_Pending] = []
-        self._drain_seen: dict[tuple[str, int], float] = {}
+        self._seen_since: dict[tuple[str, int], float] = {}
         self._seen_runners: set[tuple[str, int | None]] = set()
         self._last_new_runner_seconds = 0.0
         # Runners that do not answer although their entries stand.
@@ -128,7 +128,7 @@
         """Drops all that is under way, when ownership begins anew."""
         self._under_way.clear()
         self._pending.clear()
-        self._drain_seen.clear()
+        self._seen_since.clear()
 
     @property
     def forming(self) -> int:
@@ -178,7 +178,7 @@
         living = [e for e in entries if e.life not in self.lost_runners]
         pictures = draw_groups(entries, traits)
         directives: list[Directive] = []
-        directives += self._tend_groups(view, pictures, now_seconds)
+        directives += self._tend_groups(pictures, now_seconds)
         busy = self._busy_runners(pictures)
         free = [
             entry
@@ -221,58 +221,91 @@
 
     def _tend_groups(
         self,
-        view: FleetView,
         pictures: dict[tuple[str, int], GroupPicture],
         now_seconds: float,
     ) -> list[Directive]:
         """Opens whole groups and ends those that can't serve."""
         directives: list[Directive] = []
         forming = {pending.key for pending in self._pending}
-        for key, picture in pictures.items():
-            state = picture.head_state
-            if state is None or state is MembershipState.BROKEN:
+        for picture in pictures.values():
+            if picture.head_state is MembershipState.BROKEN:
+                continue
+            if not picture.whole or self._lost_member(picture):
+                if not self._may_come_whole(picture, forming, now_seconds):
+                    self._dissolve(
+                        directives, picture, "a member is lost", now_seconds
+                    )
                 continue
-            head = picture.head
-            assert head is not None
-            if picture.all_ready and not self._lost_member(picture):
-                if self._unusable(view, picture):
-                    self._give(
+            if picture.leaving:
+                if picture.head_state is MembershipState.OPEN:
+                    self._empty(directives, picture, now_seconds)
+                else:
+                    self._dissolve(
                         directives,
-                        head,
-                        LeaveGroup(key[0], epoch=key[1]),
-                        "a member may not serve",
+                        picture,
+                        "a member is leaving",
                         now_seconds,
                     )
-                    continue
+                continue
+            if picture.all_ready:
+                head = picture.head
+                assert head is not None
                 self._give(
                     directives,
                     head,
-                    OpenGroup(key[0], epoch=key[1]),
+                    OpenGroup(picture.name, epoch=picture.epoch),
                     "all members are ready",
                     now_seconds,
                 )
-                continue
-            if (picture.whole or key in forming) and not self._lost_member(
-                picture
-            ):
-                if state is MembershipState.OPEN and picture.leaving:
-                    self._empty(directives, picture, now_seconds)
-                continue
-            # Its weights may still have to be loaded; it may be whole later.
-            unknown = state is MembershipState.JOINING and picture.spec is None
-            if unknown and not self._outlived(key, now_seconds):
+        for key in list(self._seen_since):
+            if key not in pictures:
+                del self._seen_since[key]
+        return directives
+
+    def _may_come_whole(
+        self,
+        picture: GroupPicture,
+        forming: set[tuple[str, int] | None],
+        now_seconds: float,
+    ) -> bool:
+        """Returns whether a group that lacks members is still being formed."""
+        if self._lost_member(picture):
+            return False
+        if picture.key in forming:
+            return True
+        joining = all(
+            member.group is not None
+            and member.group.state is MembershipState.JOINING
+            for member in picture.members.values()
+        )
+        if not joining:
+            return False
+        # Another owner has begun it; what is not whole soon never will be.
+        since = self._seen_since.setdefault(picture.key, now_seconds)
+        return now_seconds - since <= SLACK_SECONDS
+
+    def _dissolve(
+        self,
+        directives: list[Directive],
+        picture: GroupPicture,
+        reason: str,
+        now_seconds: float,
+    ) -> None:
+        """Lets every member leave, the head first.
+
+        A member that has left may join another group, whatever the head of
+        its old one does: the entry of a head may lapse while it serves.
+        """
+        for _, member in sorted(picture.members.items()):
+            if member.life in self.lost_runners:
                 continue
             self._give(
                 directives,
-                head,
-                LeaveGroup(key[0], epoch=key[1]),
-                "a member is lost",
+                member,
+                LeaveGroup(picture.name, epoch=picture.epoch),
+                reason,
                 now_seconds,
             )
-        for key in list(self._drain_seen):
-            if key not in pictures:
-                del self._drain_seen[key]
-        return directives
 
     def _lost_member(self, picture: GroupPicture) -> bool:
         return any(
@@ -280,11 +313,6 @@
             for member in picture.members.values()
         )
 
-    def _outlived(self, key: tuple[str, int], now_seconds: float) -> bool:
-        """Returns whether a group that nobody forms stood long enough."""
-        since = self._drain_seen.setdefault(key, now_seconds)
-        return now_seconds - since > SLACK_SECONDS
-
     def _unusable(self, view: FleetView, picture: GroupPicture) -> bool:
         return any(
             not view.usable(member) for member in picture.members.values()
@@ -297,7 +325,7 @@
         now_seconds: float,
     ) -> None:
         """Closes a group that loses a member as planned."""
-        since = self._drain_seen.setdefault(picture.key, now_seconds)
+        since = self._seen_since.setdefault(picture.key, now_seconds)
         if now_seconds - since < SUCCESSION_SECONDS:
             return
         head = picture.head
@@ -341,7 +369,7 @@
                 continue
             if picture.head_state is MembershipState.BROKEN:
                 continue
-            if picture.leaving or self._unusable(view, picture):
+            if self._unusable(view, picture):
                 continue
             groups[picture.spec.name] = groups.get(picture.spec.name, 0) + 1
         for pending in self._pending:
@@ -477,7 +505,7 @@
             for work in self._under_way.values()
         )
         for runner, model in choose_staging(
-            free, service_runners=living, loads=loads
+            free, service_runners=living, traits=traits, loads=loads
         ):
             if staging >= traits.loads_at_once:
                 break
--- a/mulberrypaddle/replicas/picture.py
+++ b/mulberrypaddle/replicas/picture.py
@@ -74,12 +74,12 @@
 
     @property
     def frees_members(self) -> bool:
-        """Returns whether its members may join another group.
+        """Returns whether its members may join another group as they are.
 
-        That is so only once no head serves for it any more: it is gone or
-        has said that it broke.
+        That is so only once its head has said that it broke. A head that is
+        not heard of may still serve.
         """
-        return self.head_state in (None, MembershipState.BROKEN)
+        return self.head_state is MembershipState.BROKEN
 
 
 def draw_groups(
--- a/mulberrypaddle/replicas/placement.py
+++ b/mulberrypaddle/replicas/placement.py
@@ -202,38 +202,95 @@
     return worth / (1 + seconds / WORTH_SECONDS)
 
 
+def shares_as_slots(traits: EngineTraits) -> dict[str, float]:
+    """Returns slots in proportion to the demand that is expected.
+
+    A model's share is a share of the work of runners: a group of more
+    runners does the same work with fewer slots.
+    """
+    return {
+        spec.name: spec.demand_share / spec.size
+        for spec in traits.models.values()
+    }
+
+
 def choose_staging(
     free: list[RunnerEntry],
     *,
     service_runners: list[RunnerEntry],
+    traits: EngineTraits,
     loads: list[ModelLoad],
 ) -> list[tuple[RunnerEntry, str]]:
     """Chooses the weights that empty free runners load, to repair with.
 
-    The largest group of a domain loses a member most often, and its
-    survivors are the most that one spare puts back to work.
-
     Args:
         free: Runners in no group and with no order under way.
         service_runners: All runners of the service.
+        traits: Traits of the service.
         loads: Demand by model.
     """
-    specs = {load.spec.name: load.spec for load in loads}
     chosen: list[tuple[RunnerEntry, str]] = []
-    held = by_domain(service_runners)
+    free_ids = {runner.runner_id for runner in free}
+    domains = by_domain(service_runners)
+    spares = {load.spec.name: 0 for load in loads}
+    for runner in free:
+        for name in runner.staged:
+            if name in spares:
+                spares[name] += 1
     for key, runners in by_domain(free).items():
-        counts: dict[str, int] = {}
-        for runner in held.get(key, ()):
-            for name in runner.staged[-1:]:
-                if name in specs:
-                    counts[name] = counts.get(name, 0) + 1
-        if counts:
-            wanted = max(
-                counts, key=lambda name: (counts[name], specs[name].size)
-            )
-        else:
-            wanted = max(loads, key=lambda load: load.wanted_slots).spec.name
+        held = _held_in(domains.get(key, []), free_ids, spares)
+        local = dict.fromkeys(spares, 0)
+        for runner in runners:
+            for name in runner.staged:
+                if name in local:
+                    local[name] += 1
         for runner in runners:
-            if not runner.staged:
-                chosen.append((runner, wanted))
+            if runner.staged:
+                continue
+            best = max(
+                loads,
+                key=lambda load: _staging_score(
+                    load,
+                    traits,
+                    spares=spares[load.spec.name],
+                    held=held[load.spec.name],
+                    local_spares=local[load.spec.name],
+                ),
+            ).spec.name
+            chosen.append((runner, best))
+            spares[best] += 1
+            local[best] += 1
     return chosen
+
+
+def _held_in(
+    runners: list[RunnerEntry], free_ids: set[str], names: dict[str, int]
+) -> dict[str, int]:
+    """Counts the runners of a domain that serve each model."""
+    held = dict.fromkeys(names, 0)
+    for runner in runners:
+        if runner.runner_id in free_ids:
+            continue
+        for name in runner.staged:
+            if name in held:
+                held[name] += 1
+    return held
+
+
+def _staging_score(
+    load: ModelLoad,
+    traits: EngineTraits,
+    *,
+    spares: int,
+    held: int,
+    local_spares: int,
+) -> float:
+    """Returns how useful one more spare of a model is.
+
+    Spares help where members may be lost, and the more, the higher the load
+    of the model and the fewer spares there are.
+    """
+    pressure = load.load(traits.slots, extra_groups=spares // load.spec.size)
+    if math.isinf(pressure):
+        pressure = 10.0 + load.wanted_slots
+    return pressure * (1 + held) / (1 + local_spares)
--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -10,6 +10,7 @@
 from mulberrypaddle.fleet.runners import MembershipState
 from mulberrypaddle.replicas.keeper import Directive, GroupKeeper
 from mulberrypaddle.replicas.picture import draw_groups
+from mulberrypaddle.replicas.placement import shares_as_slots
 from mulberrypaddle.serving.events_log import log_belief
 from mulberrypaddle.serving.runner_control import OrderOutcome
 
@@ -135,10 +136,7 @@
         assert engine is not None
         wanted = board.demand.all_slots(now)
         if not board.demand.seen:
-            wanted = {
-                spec.name: spec.demand_share * engine.busy_seconds(spec)
-                for spec in engine.models.values()
-            }
+            wanted = shares_as_slots(engine)
         directives = keeper.step(
             board.view,
             service,
