Let a pressed model take spares of a calm one

Change: a runner gives weights up where the other model's load is 1.5 times higher; a group is still formed by loading only above 0.75.

--- a/mulberrypaddle/replicas/placement.py
+++ b/mulberrypaddle/replicas/placement.py
@@ -18,9 +18,10 @@
 FORM_ABOVE_LOAD = 0.5
 FORM_BY_LOADING_ABOVE_LOAD = 0.75
 
-# Load above which the weights that a free runner holds are given up for
-# another model.
-RESTAGE_ABOVE_LOAD = 1.1
+# How many times higher the load of a model must be than that of another one
+# before a free runner gives the weights of the other up for it. What was given
+# up costs a load of ten seconds and more to have again.
+RESTAGE_LOAD_RATIO = 1.5
 
 # Time over which a later start halves the worth of a group: about the time
 # until the next loss.
@@ -130,8 +131,10 @@
                 pressure = load.load(traits.slots)
                 if not first_start and pressure < FORM_ABOVE_LOAD:
                     continue
-                formation = _pick_members(runners, load, traits, first_start)
-                if formation is None:
+                formation = _pick_members(runners, load)
+                if not first_start and not _gives_up_less(
+                    formation, load, loads, traits
+                ):
                     continue
                 if (
                     formation.unstaged
@@ -158,12 +161,8 @@
     return chosen
 
 
-def _pick_members(
-    runners: list[RunnerEntry],
-    load: ModelLoad,
-    traits: EngineTraits,
-    first_start: bool,
-) -> Formation | None:
+def _pick_members(runners: list[RunnerEntry], load: ModelLoad) -> Formation:
+    """Picks the runners that join soonest: staged, then empty, then others."""
     name = load.spec.name
 
     def cost(runner: RunnerEntry) -> tuple[int, str]:
@@ -173,14 +172,24 @@
             return (1, runner.runner_id)
         return (2, runner.runner_id)
 
-    members = sorted(runners, key=cost)[: load.spec.size]
-    holds_other = any(
-        member.staged and name not in member.staged for member in members
-    )
-    scarce = load.load(traits.slots) >= RESTAGE_ABOVE_LOAD
-    if holds_other and not first_start and not scarce:
-        return None
-    return Formation(load.spec, members)
+    return Formation(load.spec, sorted(runners, key=cost)[: load.spec.size])
+
+
+def _gives_up_less(
+    formation: Formation,
+    load: ModelLoad,
+    loads: list[ModelLoad],
+    traits: EngineTraits,
+) -> bool:
+    """Returns whether the weights that members give up are wanted less."""
+    own = load.load(traits.slots)
+    for member in formation.unstaged:
+        for other in loads:
+            if other.spec.name not in member.staged:
+                continue
+            if own < RESTAGE_LOAD_RATIO * other.load(traits.slots):
+                return False
+    return True
 
 
 def _score(
