Keep the groups tended while the store is away or the owner is lost

The lease was 5 s; a told lease was not believed after a failed renewal, since the count of renewals rose with it; and in an outage of the store the owner stopped with its lease. Change: a lease of 3 s; an owner that can't renew asks the others, hands over if one reaches the store and goes on while none does.

--- a/mulberrypaddle/replicas/ownership.py
+++ b/mulberrypaddle/replicas/ownership.py
@@ -1,30 +1,71 @@
 """Which router may give orders to runners.
 
-One object in the store names the owner. The owner writes it again every
-second; another router takes over by a conditional write once the object has
-stood still for the whole lease, or earlier if the owner's process is known to
-have ended or says itself that it gave the duty up. Time is measured by a clock
-that also counts the suspension of a VM.
+One object in the store names the owner. The owner writes it again and again;
+another router takes over by a conditional write once the object has stood
+still for the whole lease, or earlier if the owner's process is known to have
+ended or says itself that it gave the duty up. Time is measured by a clock that
+also counts the suspension of a VM.
+
+An owner that can't renew asks the others what they see of the store. If one of
+them reaches it, the owner hands over. If none does, nobody can take over, and
+the owner goes on for as long as that stays so.
 """
 
 from __future__ import annotations
 
+import enum
 from typing import Any
 
-# Time for which a write of the owner holds. Longer than the outages of the
-# store that are common, since an owner can't renew during one.
-LEASE_SECONDS = 5.0
+# Time for which a write of the owner holds: a dead owner's groups wait so
+# long for repair. Three renewals, one of which may be lost.
+LEASE_SECONDS = 3.0
 
 # The owner stops this much before its lease ends: orders on their way.
-LEASE_MARGIN_SECONDS = 0.7
+LEASE_MARGIN_SECONDS = 0.6
 
 # Pause between two renewals.
-RENEW_SECONDS = 1.0
+RENEW_SECONDS = 0.8
+
+# Time for which the consent of the others holds; some of their messages.
+CONSENT_SECONDS = 0.6
 
 # Epochs that one revision of the store gives room for.
 EPOCHS_PER_REVISION = 1024
 
 
+class StoreSight(enum.IntEnum):
+    """What a router lately saw of the store."""
+
+    UNKNOWN = -1
+    FAILED = 0
+    SERVED = 1
+
+
+class OutageVerdict(enum.Enum):
+    """What an owner that can't renew does."""
+
+    WAIT = "wait"
+    HAND_OVER = "hand_over"
+    GO_ON = "go_on"
+
+
+def judge_outage(sights: list[StoreSight], *, routers: int) -> OutageVerdict:
+    """Decides what an owner does while it can't renew.
+
+    Args:
+        sights: What the other routers that are heard now see of the store.
+        routers: Routers that may be alive, the owner counted.
+    """
+    if StoreSight.SERVED in sights:
+        return OutageVerdict.HAND_OVER
+    failed = sights.count(StoreSight.FAILED)
+    # A minority that is not heard may still reach the store and take over;
+    # then the fence of the new owner holds this one's orders off.
+    if failed == len(sights) and 2 * (failed + 1) > routers:
+        return OutageVerdict.GO_ON
+    return OutageVerdict.WAIT
+
+
 class OwnerRecord:
     """What the object in the store says.
 
@@ -178,6 +219,16 @@
             sent_at_seconds + LEASE_SECONDS - LEASE_MARGIN_SECONDS
         )
 
+    def consented(self, now_seconds: float) -> None:
+        """Takes that no other router can take over just now.
+
+        It extends a lease that still holds; one that has ended stays so.
+        """
+        if self.holds(now_seconds):
+            self._held_until_seconds = max(
+                self._held_until_seconds, now_seconds + CONSENT_SECONDS
+            )
+
     def lost(self) -> None:
         """Takes that another router owns the duty, or that it was given up."""
         self.fence = 0
--- a/mulberrypaddle/serving/beat.py
+++ b/mulberrypaddle/serving/beat.py
@@ -29,6 +29,9 @@
         renewals: Renewals of its ownership of the groups; -1 if it is not
             the owner.
         lease_left: Milliseconds for which that ownership still holds.
+        store_sight: What it lately saw of the store.
+        asks_for_store: Whether it wants to know what others see of it.
+        resigned: Whether it has handed the groups over.
         watches: Whether it watches the runners for all, and the store
             serves it.
         stopping: Whether it is about to end.
@@ -48,7 +51,10 @@
         "renewals",
         "revisions",
         "stalled",
+        "resigned",
         "stopping",
+        "store_sight",
+        "asks_for_store",
         "watches",
     )
 
@@ -69,6 +75,9 @@
         renewals: int,
         lease_left: int,
         watches: bool,
+        store_sight: int,
+        asks_for_store: bool,
+        resigned: bool,
         stopping: bool,
     ) -> None:
         self.node = node
@@ -85,6 +94,9 @@
         self.renewals = renewals
         self.lease_left = lease_left
         self.watches = watches
+        self.store_sight = store_sight
+        self.asks_for_store = asks_for_store
+        self.resigned = resigned
         self.stopping = stopping
 
     def to_bytes(self) -> bytes:
--- a/mulberrypaddle/serving/owner_loop.py
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -11,8 +11,11 @@
 from mulberrypaddle.core.errors import ErrorKind
 from mulberrypaddle.replicas.ownership import (
     RENEW_SECONDS,
+    OutageVerdict,
     OwnerRecord,
     Ownership,
+    StoreSight,
+    judge_outage,
 )
 from mulberrypaddle.serving.events_log import log_belief
 from mulberrypaddle.serving.store import Collection
@@ -35,6 +38,15 @@
 # Pause between two reads of the object while no owner is heard.
 READ_SECONDS = 0.5
 
+# Failing renewals after which the owner acts on what the others see.
+FAILING_SECONDS = 1.0
+
+# Age up to which a sight of the store counts.
+SIGHT_SECONDS = 2.5
+
+# Pause between two looks at the store for an owner that asks.
+PROBE_SECONDS = 1.0
+
 # Time for a connection that proves that the owner's process has ended.
 CONNECT_SECONDS = 0.3
 
@@ -57,17 +69,36 @@
         self._heard: tuple[str, int, float] | None = None
         self._read_at = 0.0
         self._sent_at = 0.0
+        self._failing_since: float | None = None
+        self._served_at = 0.0
+        self._failed_at = 0.0
+        self._probed_at = 0.0
+        self._probe: asyncio.Task[None] | None = None
+        self._resigned_incarnations: set[str] = set()
+        self.resigned = False
         self.ownership = Ownership()
 
+    @property
+    def renewal_fails(self) -> bool:
+        """Returns whether this router owns the duty and can't renew."""
+        return self.ownership.fence > 0 and self._failing_since is not None
+
     def holds(self) -> bool:
         """Returns whether this router may give orders now."""
         return self.ownership.holds(boot_seconds())
 
     def take_beat(self, beat: Beat) -> None:
         """Takes what another router says of its ownership."""
+        now = boot_seconds()
+        if beat.resigned:
+            self._resigned_incarnations.add(beat.incarnation)
+        else:
+            self._resigned_incarnations.discard(beat.incarnation)
+        if beat.asks_for_store and now - self._probed_at >= PROBE_SECONDS:
+            self._probed_at = now
+            self._probe = asyncio.ensure_future(self._look_at_store())
         if beat.renewals < 0:
             return
-        now = boot_seconds()
         self._heard_at = now
         self._heard = (
             beat.incarnation,
@@ -75,6 +106,51 @@
             now + beat.lease_left / 1000,
         )
 
+    def store_sight(self) -> StoreSight:
+        """Returns what this router lately saw of the store."""
+        oldest = boot_seconds() - SIGHT_SECONDS
+        if max(self._served_at, self._failed_at) < oldest:
+            return StoreSight.UNKNOWN
+        if self._served_at > self._failed_at:
+            return StoreSight.SERVED
+        return StoreSight.FAILED
+
+    def tick(self) -> None:
+        """Acts on what the others see, while renewals fail."""
+        now = boot_seconds()
+        since = self._failing_since
+        if not self.renewal_fails or since is None:
+            return
+        if now - since < FAILING_SECONDS:
+            return
+        verdict = judge_outage(
+            [
+                StoreSight(beat.store_sight)
+                for beat in self._peers.heard_beats()
+            ],
+            routers=self._board.live_routers,
+        )
+        if verdict is OutageVerdict.GO_ON:
+            self.ownership.consented(now)
+        elif verdict is OutageVerdict.HAND_OVER and self.holds():
+            self.ownership.lost()
+            self.resigned = True
+            log_belief(
+                "ownership_handed_over",
+                reason="others reach the store",
+                failing_seconds=round(now - since, 2),
+            )
+
+    async def _look_at_store(self) -> None:
+        read = await self._store.read(Collection.DUTIES, DUTY_NAME)
+        self._note_store(served=isinstance(read, Success))
+
+    def _note_store(self, *, served: bool) -> None:
+        if served:
+            self._served_at = boot_seconds()
+        else:
+            self._failed_at = boot_seconds()
+
     async def run(self) -> None:
         """Looks after the duty until the task is cancelled."""
         # Routers start together; their first tries are spread a little.
@@ -91,6 +167,7 @@
         record = self._own_record(given_up=True)
         revision = self.ownership.revision
         self.ownership.lost()
+        self.resigned = True
         result = await self._store.replace(
             Collection.DUTIES, DUTY_NAME, record.to_value(), revision=revision
         )
@@ -112,23 +189,32 @@
     async def _renew(self) -> None:
         sent_at = boot_seconds()
         self._sent_at = sent_at
-        self.ownership.renewals += 1
+        renewals = self.ownership.renewals + 1
         result = await self._store.replace(
             Collection.DUTIES,
             DUTY_NAME,
-            self._own_record().to_value(),
+            self._own_record(renewals=renewals).to_value(),
             revision=self.ownership.revision,
         )
+        if self.ownership.fence == 0:
+            # Handed over while the answer was awaited.
+            return
         if isinstance(result, Success):
+            self._failing_since = None
+            self.ownership.renewals = renewals
             self.ownership.renewed(
                 result.unwrap().revision, sent_at_seconds=sent_at
             )
+            self._note_store(served=True)
             return
         problem = result.failure()
-        if problem.kind is not ErrorKind.CONFLICT:
-            log_belief("renewal_failed", reason=problem.detail)
+        if problem.kind is ErrorKind.CONFLICT:
+            await self._settle_conflict(sent_at)
             return
-        await self._settle_conflict(sent_at)
+        self._note_store(served=False)
+        if self._failing_since is None:
+            self._failing_since = sent_at
+            log_belief("renewal_failed", reason=problem.detail)
 
     async def _settle_conflict(self, sent_at: float) -> None:
         """Finds out whether an own write whose answer was lost came first."""
@@ -145,6 +231,8 @@
         ):
             # An earlier renewal took effect; its lease runs from its sending,
             # which was at least one renewal before.
+            self._failing_since = None
+            self.ownership.renewals = record.renewals
             self.ownership.renewed(
                 item.revision, sent_at_seconds=sent_at - RENEW_SECONDS
             )
@@ -155,6 +243,7 @@
 
     async def _try_take(self) -> None:
         read = await self._store.read(Collection.DUTIES, DUTY_NAME)
+        self._note_store(served=isinstance(read, Success))
         if not isinstance(read, Success):
             return
         item = read.unwrap()
@@ -196,6 +285,8 @@
         """Returns whether the owner's process is known to have ended."""
         if record.incarnation == self._peers.incarnation:
             return True
+        if record.incarnation in self._resigned_incarnations:
+            return True
         heard = self._peers.incarnation_of(record.node)
         if heard is not None and heard != record.incarnation:
             return True
@@ -228,12 +319,14 @@
             return None
         return OwnerRecord.from_value(self._store.value_of(item))
 
-    def _own_record(self, *, given_up: bool = False) -> OwnerRecord:
+    def _own_record(
+        self, *, renewals: int = 0, given_up: bool = False
+    ) -> OwnerRecord:
         settings = self._board.settings
         return OwnerRecord(
             settings.node,
             incarnation=self._peers.incarnation,
             address=f"{settings.ip}:{settings.peer_port}",
-            renewals=self.ownership.renewals,
+            renewals=renewals,
             given_up=given_up,
         )
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -76,9 +76,20 @@
         lease_left: Milliseconds for which the ownership holds.
         opening: Milliseconds until a group opens, by model.
         watches: Whether the store serves it the changes of the runners.
+        store_sight: What it lately saw of the store.
+        asks_for_store: Whether it wants to know what others see of it.
+        resigned: Whether it has handed the groups over.
     """
 
-    __slots__ = ("lease_left", "opening", "renewals", "watches")
+    __slots__ = (
+        "asks_for_store",
+        "lease_left",
+        "opening",
+        "renewals",
+        "resigned",
+        "store_sight",
+        "watches",
+    )
 
     def __init__(
         self,
@@ -87,7 +98,13 @@
         lease_left: int = 0,
         opening: dict[str, int] | None = None,
         watches: bool = False,
+        store_sight: int = -1,
+        asks_for_store: bool = False,
+        resigned: bool = False,
     ) -> None:
+        self.store_sight = store_sight
+        self.asks_for_store = asks_for_store
+        self.resigned = resigned
         self.watches = watches
         self.renewals = renewals
         self.lease_left = lease_left
@@ -196,6 +213,15 @@
         for ip in self._targets(now):
             self._transport.sendto(data, (ip, board.settings.peer_port))
 
+    def heard_beats(self) -> list[Beat]:
+        """Returns the last beats of the routers that are heard now."""
+        now = self._board.now()
+        return [
+            peer.beat
+            for peer in self.peers.values()
+            if now - peer.heard_at_seconds <= SILENT_SECONDS
+        ]
+
     def incarnation_of(self, node: str) -> str | None:
         """Returns the process that a router was last heard of, or None."""
         for peer in self.peers.values():
@@ -251,6 +277,9 @@
             renewals=claim.renewals,
             lease_left=claim.lease_left,
             watches=claim.watches,
+            store_sight=claim.store_sight,
+            asks_for_store=claim.asks_for_store,
+            resigned=claim.resigned,
             stopping=board.stopping,
         )
 
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -170,6 +170,7 @@
     async def _beat(self) -> None:
         """Tells the others, and lets waiting requests go on."""
         while True:
+            self._owner.tick()
             self._peers.tick()
             self.advance_lines()
             board = self.board
@@ -243,16 +244,21 @@
             feed.list_again()
 
     def _claim(self) -> Claim:
-        left = self._owner.ownership.lease_left_seconds(boot_seconds())
+        owner = self._owner
+        left = owner.ownership.lease_left_seconds(boot_seconds())
         if left <= 0:
-            return Claim()
+            return Claim(
+                store_sight=owner.store_sight(), resigned=owner.resigned
+            )
         opening = self._groups.opening()
         self.board.opening_in = {
             model: left_ms / 1000 for model, left_ms in opening.items()
         }
         return Claim(
-            renewals=self._owner.ownership.renewals,
+            renewals=owner.ownership.renewals,
             lease_left=int(left * 1000),
+            store_sight=owner.store_sight(),
+            asks_for_store=owner.renewal_fails,
             opening=opening,
             watches=self._runner_feed.connected,
         )
