--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -158,7 +158,8 @@
         board.stopping = True
         began = board.now()
         log_belief("stopping", node=self._settings.node, in_hand=board.in_hand)
-        await self._owner.give_up()
+        if not self._owner.renewal_fails:
+            await self._owner.give_up()
         end = began + (
             self._settings.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
         )
