Sum beats up at a hub where there are many routers

Change: beyond twelve routers each sends its beat to the owner of the groups, which sends one digest to all; all collections are watched by the owner and followed by the others.

--- a/mulberrypaddle/serving/beat.py
+++ b/mulberrypaddle/serving/beat.py
@@ -35,6 +35,8 @@
         watches: Whether it watches the runners for all, and the store
             serves it.
         stopping: Whether it is about to end.
+        routers: Routers whose beats it sums up; 0 if it speaks for itself.
+        changes: What lately changed in collections, for those who keep up.
     """
 
     __slots__ = (
@@ -55,6 +57,8 @@
         "stopping",
         "store_sight",
         "asks_for_store",
+        "changes",
+        "routers",
         "watches",
     )
 
@@ -78,6 +82,8 @@
         store_sight: int,
         asks_for_store: bool,
         resigned: bool,
+        routers: int = 0,
+        changes: dict[str, Any] | None = None,
         stopping: bool,
     ) -> None:
         self.node = node
@@ -97,6 +103,8 @@
         self.store_sight = store_sight
         self.asks_for_store = asks_for_store
         self.resigned = resigned
+        self.routers = routers
+        self.changes = changes or {}
         self.stopping = stopping
 
     def to_bytes(self) -> bytes:
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -261,6 +261,7 @@
         whole = since <= 0 or since < self._whole_since
         return {
             "revision": self.revision,
+            "since": since,
             "whole": whole,
             "removed": [
                 name for revision, name in self._removals if revision > since
@@ -299,6 +300,8 @@
         whole = bool(message["whole"])
         if revision <= self.revision:
             return False
+        if not whole and int(message["since"]) > self.revision:
+            return False
         names = {item.name for item in items}
         removed = [
             str(name)
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -1,7 +1,9 @@
 """What the routers of a deployment tell one another.
 
-Small counts travel in datagrams, ten times a second; whole collections are
-fetched over HTTP by a router that the store does not serve.
+Small counts travel in datagrams, some times a second; whole collections are
+fetched over HTTP by a router that the store does not serve. Few routers send
+their beats to one another; many send them to the owner of the groups, which
+sends each of them a digest.
 """
 
 from __future__ import annotations
@@ -18,6 +20,11 @@
 
 from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.serving.beat import Beat
+from mulberrypaddle.serving.digest import (
+    MOST_IN_MESH,
+    merge_into,
+    without_own,
+)
 from mulberrypaddle.serving.events_log import log_belief
 
 if TYPE_CHECKING:
@@ -31,6 +38,21 @@
 # Pause between two beats: a head frees a slot about as often.
 BEAT_SECONDS = 0.1
 
+# Pause between two beats to the hub, and between two of its digests.
+HUB_SECONDS = 0.2
+
+# Silence of the hub after which routers send their beats to one another.
+HUB_SILENCE_SECONDS = 0.8
+
+# Pause between two beats of many routers to one another, while no hub is heard.
+SLOW_SECONDS = 1.0
+
+# Longest digest that carries changes; routers that lack more fetch them.
+MOST_CHANGE_BYTES = 8_192
+
+# Age of a sign that never came.
+WATCHER_NEVER_SECONDS = 3_600.0
+
 # Silence after which a router counts as gone.
 SILENT_SECONDS = 1.0
 
@@ -139,7 +161,14 @@
         self.listed_ips: set[str] = set()
         self.claim: Callable[[], Claim] = Claim
         self.on_beat: Callable[[Beat], None] = lambda beat: None
-        self.watcher_heard_at = 0.0
+        self.watcher_heard_at = -WATCHER_NEVER_SECONDS
+        # The router that sums up for all, where there are many.
+        self._hub_ip = ""
+        self._hub_at = -WATCHER_NEVER_SECONDS
+        self._hub_routers = 0
+        self._told: dict[str, int] = {}
+        self._digest_revisions: dict[str, int] = {}
+        self._sent_at = 0.0
 
     async def start(self) -> None:
         """Opens the port for other routers."""
@@ -177,7 +206,8 @@
                 "router_heard", router=beat.node, incarnation=beat.incarnation
             )
         self.peers[beat.ip] = Peer(beat, now)
-        board.loads.take_peer(beat.node, beat.loads, now_seconds=now)
+        if not beat.routers:
+            board.loads.take_peer(beat.node, beat.loads, now_seconds=now)
         board.soundness.take_peer(beat.paused, now)
         board.crashes.take_peer(beat.losses, now)
         board.demand.take_peer(beat.node, beat.demand)
@@ -191,11 +221,13 @@
             }
         if beat.watches:
             self.watcher_heard_at = now
+        if beat.routers:
+            self._take_digest(beat, now)
         self.on_beat(beat)
         self._compare(beat, now)
 
     def tick(self) -> None:
-        """Sends a beat to every router and forgets the silent ones."""
+        """Sends what is due and forgets the silent routers."""
         board = self._board
         now = board.now()
         for ip, peer in list(self.peers.items()):
@@ -204,14 +236,76 @@
                 board.demand.drop_peer(peer.beat.node)
                 del self.peers[ip]
         board.loads.forget_stale(now)
-        board.live_routers = max(
-            1 + len(self.peers), len(self.listed_ips | {board.settings.ip})
-        )
+        listed = len(self.listed_ips | {board.settings.ip})
+        board.live_routers = max(1 + len(self.peers), listed)
+        if self._hub_heard(now):
+            board.live_routers = max(board.live_routers, self._hub_routers)
         if self._transport is None:
             return
-        data = self._make_beat(now).to_bytes()
-        for ip in self._targets(now):
-            self._transport.sendto(data, (ip, board.settings.peer_port))
+        if board.live_routers <= MOST_IN_MESH:
+            self._send(self._make_beat(now), self._targets(now))
+            return
+        claim = self.claim()
+        if claim.renewals >= 0:
+            if now - self._sent_at >= HUB_SECONDS:
+                self._send_digest(now)
+        elif self._hub_heard(now):
+            if now - self._sent_at >= HUB_SECONDS:
+                beat = self._make_beat(now)
+                self._told = dict(beat.loads)
+                self._send(beat, [self._hub_ip])
+        elif now - self._sent_at >= SLOW_SECONDS:
+            self._send(self._make_beat(now), self._targets(now))
+
+    def _hub_heard(self, now: float) -> bool:
+        return now - self._hub_at < HUB_SILENCE_SECONDS
+
+    def _take_digest(self, beat: Beat, now: float) -> None:
+        """Takes what the hub sums up for all."""
+        self._hub_ip = beat.ip
+        self._hub_at = now
+        self._hub_routers = beat.routers
+        self._board.loads.take_peer(
+            beat.node, without_own(beat.loads, self._told), now_seconds=now
+        )
+        for name, message in beat.changes.items():
+            feed = self._feeds.get(name)
+            if feed is None or not feed.rests:
+                continue
+            try:
+                feed.take_message(message)
+            except (KeyError, TypeError, ValueError) as error:
+                _LOGGER.warning(
+                    "unreadable_changes",
+                    extra={"collection": name, "reason": str(error)},
+                )
+
+    def _send_digest(self, now: float) -> None:
+        others = [
+            peer.beat
+            for peer in self.peers.values()
+            if now - peer.heard_at_seconds <= SILENT_SECONDS
+        ]
+        digest = merge_into(self._make_beat(now), others)
+        size_bytes = 0
+        for name, feed in self._feeds.items():
+            since = self._digest_revisions.get(name, 0)
+            if since and feed.revision > since:
+                message = feed.to_message(since)
+                size_bytes += len(json.dumps(message))
+                if size_bytes <= MOST_CHANGE_BYTES:
+                    digest.changes[name] = message
+            self._digest_revisions[name] = feed.revision
+        self._send(digest, sorted({*self.listed_ips, *self._targets(now)}))
+
+    def _send(self, beat: Beat, ips: list[str]) -> None:
+        assert self._transport is not None
+        self._sent_at = self._board.now()
+        data = beat.to_bytes()
+        for ip in ips:
+            if ip != self._board.settings.ip:
+                address = (ip, self._board.settings.peer_port)
+                self._transport.sendto(data, address)
 
     def heard_beats(self) -> list[Beat]:
         """Returns the last beats of the routers that are heard now."""
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -85,6 +85,7 @@
             on_update=self._take_config,
             pause_seconds=lambda: URGENT_PAUSE_SECONDS,
             wait_seconds=self._wait_seconds,
+            may_rest=self._may_rest,
         )
         self._evacuation_feed = Feed(
             store,
@@ -92,6 +93,7 @@
             on_update=self._take_evacuations,
             pause_seconds=lambda: URGENT_PAUSE_SECONDS,
             wait_seconds=self._wait_seconds,
+            may_rest=self._may_rest,
         )
         self._runner_feed = Feed(
             store,
@@ -234,7 +236,10 @@
         return WAIT_SECONDS
 
     def _may_rest(self) -> bool:
-        """Returns whether the owner of the groups watches for this router."""
+        """Returns whether the owner of the groups watches for this router.
+
+        Then it fetches from the owner what the owner has seen change.
+        """
         silent = self.board.now() - self._peers.watcher_heard_at
         return not self._owner.holds() and silent < WATCHER_SILENCE_SECONDS
 
@@ -261,7 +266,7 @@
             store_sight=owner.store_sight(),
             asks_for_store=owner.renewal_fails,
             opening=opening,
-            watches=self._runner_feed.connected,
+            watches=all(feed.connected for feed in self._feeds),
         )
 
     # What the feeds bring.
--- a/tests/serving/test_feed.py
+++ b/tests/serving/test_feed.py
@@ -175,6 +175,7 @@
         first.take_message(
             {
                 "revision": 4,
+                "since": 2,
                 "whole": False,
                 "removed": ["a"],
                 "items": [{"name": "c", "revision": 4, "content": None}],
