Give large groups their share of the runners first

Change: at the first start each model gets its share, large groups first. Test: test_large_groups_find_room_at_the_first_start.

--- a/mulberrypaddle/replicas/placement.py
+++ b/mulberrypaddle/replicas/placement.py
@@ -117,6 +117,8 @@
     """
     domains = by_domain(free)
     chosen: list[Formation] = []
+    if first_start:
+        chosen = _choose_by_share(domains, domain_sizes, traits, loads)
     while len(chosen) < most:
         best: Formation | None = None
         best_score = 0.0
@@ -124,7 +126,7 @@
         for key, runners in domains.items():
             reserve = 0
             if first_start:
-                reserve = round(domain_sizes.get(key, 0) * SPARE_PART)
+                reserve = _reserve(domain_sizes.get(key, 0))
             for load in loads:
                 if len(runners) - reserve < load.spec.size:
                     continue
@@ -151,13 +153,54 @@
             break
         chosen.append(best)
         best_load.groups += 1
-        taken = {member.runner_id for member in best.members}
-        for key in domains:
-            domains[key] = [
-                runner
-                for runner in domains[key]
-                if runner.runner_id not in taken
-            ]
+        _take(domains, best)
+    return chosen
+
+
+def _reserve(domain_size: int) -> int:
+    """Returns the runners of a domain that are kept free at the start."""
+    return round(domain_size * SPARE_PART)
+
+
+def _take(
+    domains: dict[tuple[str, str], list[RunnerEntry]], formation: Formation
+) -> None:
+    """Takes the members of a formation out of the free runners."""
+    taken = {member.runner_id for member in formation.members}
+    for key, runners in domains.items():
+        domains[key] = [
+            runner for runner in runners if runner.runner_id not in taken
+        ]
+
+
+def _choose_by_share(
+    domains: dict[tuple[str, str], list[RunnerEntry]],
+    domain_sizes: dict[tuple[str, str], int],
+    traits: EngineTraits,
+    loads: list[ModelLoad],
+) -> list[Formation]:
+    """Gives each model its share of the runners, large groups first.
+
+    Small groups fit anywhere; formed first they would leave no domain with
+    room for a large one.
+    """
+    chosen: list[Formation] = []
+    usable = sum(
+        max(0, len(runners) - _reserve(domain_sizes.get(key, 0)))
+        for key, runners in domains.items()
+    )
+    for load in sorted(loads, key=lambda load: -load.spec.size):
+        spec = load.spec
+        quota = round(usable * spec.demand_share / spec.size) - load.groups
+        for _ in range(quota):
+            key = max(domains, key=lambda key: len(domains[key]))
+            reserve = _reserve(domain_sizes.get(key, 0))
+            if len(domains[key]) - reserve < spec.size:
+                break
+            formation = _pick_members(domains[key], load)
+            chosen.append(formation)
+            load.groups += 1
+            _take(domains, formation)
     return chosen
 
 
--- a/tests/replicas/test_placement.py
+++ b/tests/replicas/test_placement.py
@@ -51,6 +51,7 @@
     loads: list[ModelLoad],
     *,
     first_start: bool = False,
+    most: int = 10,
 ) -> list[Formation]:
     sizes: dict[tuple[str, str], int] = {}
     for runner in free:
@@ -62,7 +63,7 @@
         traits=TRAITS,
         loads=loads,
         first_start=first_start,
-        most=10,
+        most=most,
     )
 
 
@@ -107,6 +108,19 @@
         members = sum(len(group.members) for group in chosen)
         self.assertEqual(8, members)
 
+    def test_large_groups_find_room_at_the_first_start(self) -> None:
+        free = [_runner(n, domain=f"d{n % 5}") for n in range(50)]
+        chosen = _choose(
+            free,
+            _loads(large=(0.125, 0), small=(0.25, 0)),
+            first_start=True,
+            most=100,
+        )
+        sizes = [len(group.members) for group in chosen]
+        # Each model gets half of the 40 runners that are not kept free.
+        self.assertEqual(5, sizes.count(4))
+        self.assertEqual(10, sizes.count(2))
+
 
 class StagingTest(testtools.TestCase):
     """Weights of spares."""
