--- a/mulberrypaddle/cli/commands.py
+++ b/mulberrypaddle/cli/commands.py
@@ -12,6 +12,7 @@
 from mulberrypaddle.cli.files import read_text
 from mulberrypaddle.cli.output import fail, print_json, print_table
 from mulberrypaddle.core.errors import ErrorKind, Problem
+from mulberrypaddle.observe.log_reader import LogLine, explain, parse_line
 from mulberrypaddle.operators.documents import DocumentKind, validate_document
 
 if TYPE_CHECKING:
@@ -281,3 +282,23 @@
             f"{at} {item['router']} {item['kind']}: {item['outcome']}, "
             f"because {item['reason']} {fields}".rstrip()
         )
+
+
+def print_log_lines(subject: str, *, paths: str, around_seconds: float) -> None:
+    """Prints what log files say of a subject.
+
+    Args:
+        subject: Id of a request, runner, group or router.
+        paths: Files, parted by commas.
+        around_seconds: Time around in which beliefs are shown; negative for
+            none.
+    """
+    lines: list[LogLine] = []
+    for path in paths.split(","):
+        text = unwrap(read_text(path))
+        lines.extend(parse_line(line) for line in text.splitlines())
+    found = explain(lines, subject, around_seconds=around_seconds)
+    if not found:
+        fail(Problem(ErrorKind.NOT_FOUND, f"no line names {subject!r}"))
+    for line in found:
+        print(line.text)
--- a/mulberrypaddle/cli/main.py
+++ b/mulberrypaddle/cli/main.py
@@ -11,6 +11,7 @@
     DataCentreCommands,
     DocumentCommands,
     print_explanation,
+    print_log_lines,
     print_status,
     unwrap,
 )
@@ -62,6 +63,18 @@
             print(f"can't start: {error}", file=sys.stderr)
             sys.exit(EXIT_UNREACHABLE)
 
+    def platform(self, settings: str = "") -> None:
+        """Runs one router on the users' platform until it is told to stop.
+
+        Args:
+            settings: Path of the platform's settings file; by default where
+                the environment says.
+        """
+        # Loaded here: the other commands don't need it.
+        from mulberrypaddle.platform.program import run
+
+        run(str(settings))
+
     def check(self, settings: str) -> None:
         """Checks a settings file.
 
@@ -84,7 +97,13 @@
         print_status(router=router, section=str(section), json=json)
 
     def explain(
-        self, subject: str, *, router: str = "", json: bool = False
+        self,
+        subject: str,
+        *,
+        router: str = "",
+        json: bool = False,
+        logs: str = "",
+        around: float = -1.0,
     ) -> None:
         """Explains one request or group: the decisions taken and why.
 
@@ -92,7 +111,15 @@
             subject: Id of the request or group.
             router: Addresses of routers, as host:port, parted by commas.
             json: Print JSON.
+            logs: Log files of routers to read instead, parted by commas.
+            around: With `logs`, also show what the routers believed from so
+                many seconds before until so many after.
         """
+        if logs:
+            print_log_lines(
+                str(subject), paths=str(logs), around_seconds=float(around)
+            )
+            return
         print_explanation(str(subject), router=router, json=json)
 
     def demo(self) -> None:
--- a/mulberrypaddle/dispatch/choice.py
+++ b/mulberrypaddle/dispatch/choice.py
@@ -26,6 +26,10 @@
 # own queue, which is several times its slots.
 PLAIN_BACKLOG = 1.0
 
+# The same for a stream that goes on after a break: its caller waits with a part
+# in hand, and the head takes it before others.
+RESUMED_BACKLOG = 1.0
+
 # Members that count as standing.
 _STANDING = frozenset(
     {MembershipState.READY, MembershipState.OPEN, MembershipState.CLOSING}
@@ -39,9 +43,10 @@
         service: Service that it goes to.
         model: Model that it asks for; empty for plain services.
         excluded: Runners that it was sent to before.
+        resumed: Whether a part of the answer was made already.
     """
 
-    __slots__ = ("excluded", "model", "service")
+    __slots__ = ("excluded", "model", "resumed", "service")
 
     def __init__(
         self,
@@ -49,7 +54,9 @@
         *,
         model: str = "",
         excluded: frozenset[str] = frozenset(),
+        resumed: bool = False,
     ) -> None:
+        self.resumed = resumed
         self.service = service
         self.model = model
         self.excluded = excluded
@@ -111,6 +118,8 @@
         backlog = _backlog(demand)
         room = 0
         for entry in self.sound(demand, now_seconds=now_seconds):
+            if entry.runner_id in demand.excluded:
+                continue
             most = math.ceil(_slots(entry) * (1 + backlog))
             room += max(0, most - self._loads.total(entry.runner_id))
         return room
@@ -175,7 +184,7 @@
 def _backlog(demand: Demand) -> float:
     if demand.service.engine is None:
         return PLAIN_BACKLOG
-    return HEAD_BACKLOG
+    return RESUMED_BACKLOG if demand.resumed else HEAD_BACKLOG
 
 
 def _slots(entry: RunnerEntry) -> int:
--- a/mulberrypaddle/observe/logs.py
+++ b/mulberrypaddle/observe/logs.py
@@ -44,13 +44,17 @@
 
 
 def configure_logging(
-    *, stream: TextIO | None = None, level: int = logging.INFO
+    *,
+    stream: TextIO | None = None,
+    level: int = logging.INFO,
+    router: str = "",
 ) -> None:
     """Sends all events to a stream, one line each.
 
     Args:
         stream: Where to write; standard error by default.
         level: Least level that is written.
+        router: Name that each line bears; empty for none.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
@@ -58,6 +62,7 @@
             ["levelname", "name", "message"],
             rename_fields={"levelname": "level", "message": "event"},
             timestamp="at",
+            static_fields={"router": router} if router else {},
         )
     )
     root = logging.getLogger()
--- a/mulberrypaddle/platform/program.py
+++ b/mulberrypaddle/platform/program.py
@@ -52,8 +52,12 @@
     if not isinstance(loaded, Success):
         print(f"can't start: {loaded.failure().detail}", file=sys.stderr)
         sys.exit(EXIT_BAD_INPUT)
+    settings = loaded.unwrap()
     pipe = DroppingPipe(sys.stdout.fileno())
-    configure_logging(stream=pipe)  # type: ignore[arg-type]
+    configure_logging(
+        stream=pipe,  # type: ignore[arg-type]
+        router=settings.node,
+    )
     logging.getLogger("tornado").setLevel(logging.WARNING)
     gc.set_threshold(*GC_THRESHOLDS)
-    asyncio.run(_serve(loaded.unwrap()))
+    asyncio.run(_serve(settings))
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -230,6 +230,7 @@
             self._service,
             model=self._fields.model if self._service.engine else "",
             excluded=frozenset(self._excluded),
+            resumed=self._may_have_run,
         )
 
     async def _place(self) -> RunnerEntry | None:
@@ -251,7 +252,8 @@
                 self._end_late()
                 return None
             demand = self._demand()
-            if waited or line.ahead_of(order) == 0:
+            # What was begun goes before what waits.
+            if waited or self._may_have_run or line.ahead_of(order) == 0:
                 entry = self._pick(demand, now)
                 if entry is not None:
                     return entry
@@ -408,7 +410,11 @@
         )
 
     def _can_move(self, runner_id: str) -> bool:
-        """Returns whether the request may leave a runner for another one."""
+        """Returns whether the request may leave a runner for another one.
+
+        That is so only if another one has room: what a runner holds may yet
+        be answered, what waits is not.
+        """
         if not self._route.may_repeat or not self._may_send_again(1):
             return False
         board = self._board
@@ -416,12 +422,9 @@
             self._service,
             model=self._fields.model if self._service.engine else "",
             excluded=frozenset({*self._excluded, runner_id}),
+            resumed=True,
         )
-        now = board.now()
-        return any(
-            entry.runner_id not in demand.excluded
-            for entry in board.chooser.sound(demand, now_seconds=now)
-        )
+        return board.chooser.room(demand, now_seconds=board.now()) > 0
 
     def _may_send_again(self, running: int = 0) -> bool:
         """Returns whether the route allows one more runner.
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -203,7 +203,7 @@
         known = self.peers.get(beat.ip)
         if known is None or known.beat.incarnation != beat.incarnation:
             log_belief(
-                "router_heard", router=beat.node, incarnation=beat.incarnation
+                "router_heard", peer=beat.node, incarnation=beat.incarnation
             )
         self.peers[beat.ip] = Peer(beat, now)
         if not beat.routers:
@@ -232,7 +232,7 @@
         now = board.now()
         for ip, peer in list(self.peers.items()):
             if now - peer.heard_at_seconds > FORGOTTEN_SECONDS:
-                log_belief("router_silent", router=peer.beat.node)
+                log_belief("router_silent", peer=peer.beat.node)
                 board.demand.drop_peer(peer.beat.node)
                 del self.peers[ip]
         board.loads.forget_stale(now)
--- /dev/null
+++ b/tests/observe/test_log_reader.py
@@ -0,0 +1,80 @@
+"""Log lines read back, and the operators' page about them."""
+
+from __future__ import annotations
+
+import io
+import os
+import re
+
+import testtools
+
+from mulberrypaddle.observe.log_reader import explain, parse_line
+from mulberrypaddle.observe.pipe import DroppingPipe
+from tests.support.processes import ROOT, run_command
+
+PAGE = ROOT / "docs" / "OPERATIONS.md"
+_BLOCK = re.compile(r"```sh\n(.*?)```", re.DOTALL)
+
+_ABOUT = (
+    "level=INFO name=mulberrypaddle.requests event=refused request=q1 "
+    'detail="no \\"room\\"" at=2026-02-03T19:49:44.755+00:00'
+)
+_BELIEF = (
+    "level=INFO name=mulberrypaddle.beliefs event=config version=3 "
+    "at=2026-02-03T19:49:44.255+00:00"
+)
+
+
+class LogReaderTest(testtools.TestCase):
+    """Lines about a subject, and what was believed then."""
+
+    def test_quoted_values_are_read_whole(self) -> None:
+        self.assertEqual('no "room"', parse_line(_ABOUT).fields["detail"])
+
+    def test_beliefs_around_are_shown_in_order(self) -> None:
+        lines = [parse_line(text) for text in (_ABOUT, _BELIEF)]
+        self.assertEqual(
+            [_BELIEF, _ABOUT],
+            [line.text for line in explain(lines, "q1", around_seconds=1.0)],
+        )
+        self.assertEqual(
+            [_ABOUT],
+            [line.text for line in explain(lines, "q1", around_seconds=-1.0)],
+        )
+
+    def test_commands_of_the_page_explain_their_request(self) -> None:
+        count = 0
+        for block in _BLOCK.findall(PAGE.read_text(encoding="utf-8")):
+            arguments = block.split()[1:]
+            done = run_command(*arguments, environment={})
+            self.assertEqual(0, done.returncode, (arguments, done.stderr))
+            self.assertIn(arguments[1], done.stdout)
+            count += 1
+        self.assertGreater(count, 4)
+
+
+class DroppingPipeTest(testtools.TestCase):
+    """A reader that stalls costs lines, never time."""
+
+    def test_full_pipe_drops_and_says_so(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        pipe = DroppingPipe(writer)
+        # A blocked write would hang here for good.
+        for number in range(20_000):
+            pipe.write(f"event=line number={number}\n")
+        self.assertGreater(pipe.dropped, 0)
+        dropped = pipe.dropped
+        os.read(reader, 65_536)
+        pipe.write("event=after\n")
+        rest = io.BytesIO()
+        os.set_blocking(reader, False)
+        while True:
+            try:
+                rest.write(os.read(reader, 65_536))
+            except BlockingIOError:
+                break
+        text = rest.getvalue().decode()
+        self.assertIn(f"event=log_lines_dropped count={dropped}", text)
+        self.assertTrue(text.endswith("event=after\n"))
