--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint types proto binary reference docs golden capacity
+.PHONY: demo test lint types proto binary reference docs golden capacity soak
 
 $(VENV)/.installed-main: requirements/main.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -44,6 +44,12 @@
 golden: $(VENV)/.installed-dev
 	MULBERRYPADDLE_WRITE_GOLDEN=1 $(BIN)/python -m pytest tests/test_golden.py
 
+# A short run with fixed seeds; SEEDS and FIRST choose others.
+SEEDS ?= 2
+FIRST ?= 1
+soak: $(VENV)/.installed-dev
+	$(BIN)/python -m soak.platform_soak --seeds=$(SEEDS) --first=$(FIRST)
+
 capacity: $(VENV)/.installed-dev
 	for name in control_slopes group_control_cost cold_runners never_twice router_process; do \
 	  $(BIN)/python -m benchmarks.$$name || exit 1; \
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soaks of the real programs."""
--- /dev/null
+++ b/tests/support/proxy.py
@@ -0,0 +1,88 @@
+"""A loopback proxy that harms the connections through it."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+
+DELAY_SECONDS = 0.3
+
+
+class ProxyMode(enum.Enum):
+    """What is done to the bytes."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    RESET = "reset"
+    NO_ANSWERS = "no_answers"
+    SILENT = "silent"
+
+
+class FaultProxy:
+    """Passes connections on to one address.
+
+    Attributes:
+        mode: What is done to all connections from now on.
+    """
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.mode = ProxyMode.PASS
+
+    async def start(self) -> tuple[str, int]:
+        """Starts to listen and returns the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return str(host), int(port)
+
+    def close(self) -> None:
+        """Ends."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.mode is ProxyMode.RESET:
+            writer.transport.abort()
+            return
+        far_reader, far_writer = await asyncio.open_connection(*self._target)
+        for work in (
+            self._pump(reader, far_writer, answers=False),
+            self._pump(far_reader, writer, answers=True),
+        ):
+            task = asyncio.ensure_future(work)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        answers: bool,
+    ) -> None:
+        try:
+            while True:
+                data = await reader.read(65_536)
+                if not data:
+                    break
+                if self.mode is ProxyMode.RESET:
+                    writer.transport.abort()
+                    return
+                if self.mode is ProxyMode.DELAY:
+                    await asyncio.sleep(DELAY_SECONDS)
+                one_way = self.mode is ProxyMode.NO_ANSWERS and answers
+                if one_way or self.mode is ProxyMode.SILENT:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            # One end has closed; the other is closed below.
+            pass
+        finally:
+            writer.close()
