Spread what cold runners get over many routers

Change: where the share is below one, a router sends one and pauses, from a random point on. Test that failed first: tests/dispatch/test_cold_rate.py.

--- a/mulberrypaddle/serving/board.py
+++ b/mulberrypaddle/serving/board.py
@@ -82,7 +82,7 @@
         self.view = FleetView()
         self.loads = Loads()
         self.soundness = Soundness()
-        self.cold = ColdRate()
+        self.cold = ColdRate(rng)
         self.crashes = CrashRecords()
         self.demand = DemandMeter()
         self.lines: dict[tuple[str, str], WaitingLine] = {}
--- /dev/null
+++ b/tests/dispatch/test_cold_rate.py
@@ -0,0 +1,47 @@
+"""What cold runners get from all routers together."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from mulberrypaddle.dispatch import ColdRate
+
+STEP_SECONDS = 0.05
+
+
+def _most_in_a_second(*, routers: int, requests_per_second: float) -> int:
+    """Returns the most that one runner gets while all routers press on it."""
+    rates = [ColdRate(random.Random(number)) for number in range(routers)]
+    sent: list[float] = []
+    for step in range(200):
+        now = 100.0 + step * STEP_SECONDS
+        for rate in rates:
+            if rate.allows(
+                "r1",
+                requests_per_second=requests_per_second,
+                routers=routers,
+                now_seconds=now,
+            ):
+                rate.sent("r1", now)
+                sent.append(now)
+    return max(sum(at <= other < at + 1.0 for other in sent) for at in sent)
+
+
+class ColdRateTest(testtools.TestCase):
+    """Sliding seconds, over all routers."""
+
+    def test_few_routers_stay_within_the_bound(self) -> None:
+        most = _most_in_a_second(routers=7, requests_per_second=38.0)
+        self.assertLessEqual(most, 38.0 * 1.5 + 5)
+
+    def test_many_routers_stay_within_the_bound(self) -> None:
+        for routers in (20, 71, 300):
+            most = _most_in_a_second(routers=routers, requests_per_second=15.0)
+            self.assertLessEqual(most, 15.0 * 1.5 + 5, routers)
+
+    def test_cold_runners_are_used(self) -> None:
+        self.assertGreater(
+            _most_in_a_second(routers=71, requests_per_second=15.0), 5
+        )
