Compare two heads where many routers choose with old counts

The hub's list of routers was most of its message, and each router read the owner's object twice a second while none was heard. Change: beyond twelve routers two heads chosen at random are compared; digests carry no list; reads are parted among the routers.

--- a/mulberrypaddle/dispatch/choice.py
+++ b/mulberrypaddle/dispatch/choice.py
@@ -18,6 +18,14 @@
     from mulberrypaddle.fleet.runners import RunnerEntry
     from mulberrypaddle.fleet.view import FleetView
 
+# Most routers that compare all runners. The counts of the others are some
+# tenths of a second old: more routers would all choose the same runner until
+# they hear of one another's choices.
+MOST_THAT_COMPARE_ALL = 12
+
+# Runners, chosen at random, that a router of many compares.
+COMPARED = 2
+
 # Requests that wait at a head, for each slot: counts of other routers are a
 # tenth of a second old, in which a head frees about a twentieth of its slots.
 HEAD_BACKLOG = 0.35
@@ -135,26 +143,24 @@
             now_seconds: Monotonic time.
         """
         backlog = _backlog(demand)
-        best: list[RunnerEntry] = []
-        best_load = float("inf")
+        fitting: list[tuple[float, RunnerEntry]] = []
         for entry in self.sound(demand, now_seconds=now_seconds):
             if entry.runner_id in demand.excluded:
                 continue
-            slots = _slots(entry)
-            load = self._loads.total(entry.runner_id) / slots
+            load = self._loads.total(entry.runner_id) / _slots(entry)
             if load >= 1 + backlog:
                 continue
-            if load > best_load:
-                continue
             if not self._bears(entry, demand.service, routers, now_seconds):
                 continue
-            if load < best_load:
-                best = []
-                best_load = load
-            best.append(entry)
-        if not best:
+            fitting.append((load, entry))
+        if not fitting:
             return None
-        return self._random.choice(best)
+        if routers > MOST_THAT_COMPARE_ALL and len(fitting) > COMPARED:
+            fitting = self._random.sample(fitting, COMPARED)
+        least = min(load for load, _ in fitting)
+        return self._random.choice(
+            [entry for load, entry in fitting if load == least]
+        )
 
     def sent(self, entry: RunnerEntry, *, now_seconds: float) -> None:
         """Counts a request against what a cold runner bears."""
--- a/mulberrypaddle/serving/owner_loop.py
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -35,8 +35,10 @@
 # Silence of the owner after which the store is asked about it.
 CLAIM_SILENCE_SECONDS = 0.6
 
-# Pause between two reads of the object while no owner is heard.
+# Pause between two reads of the object while no owner is heard, and routers
+# for which it holds; more of them read less often each.
 READ_SECONDS = 0.5
+READING_ROUTERS = 12
 
 # Failing renewals after which the owner acts on what the others see.
 FAILING_SECONDS = 1.0
@@ -67,7 +69,7 @@
         self._peers = peers
         self._heard_at = 0.0
         self._heard: tuple[str, int, float] | None = None
-        self._read_at = 0.0
+        self._read_next_at = 0.0
         self._sent_at = 0.0
         self._failing_since: float | None = None
         self._served_at = 0.0
@@ -181,9 +183,12 @@
             return
         if now - self._heard_at < CLAIM_SILENCE_SECONDS:
             return
-        if now - self._read_at < READ_SECONDS:
+        if now < self._read_next_at:
             return
-        self._read_at = now
+        pause = READ_SECONDS * max(
+            1.0, self._board.live_routers / READING_ROUTERS
+        )
+        self._read_next_at = now + pause * self._board.rng.uniform(0.5, 1.0)
         await self._try_take()
 
     async def _renew(self) -> None:
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -296,7 +296,10 @@
                 if size_bytes <= MOST_CHANGE_BYTES:
                     digest.changes[name] = message
             self._digest_revisions[name] = feed.revision
-        self._send(digest, sorted({*self.listed_ips, *self._targets(now)}))
+        targets = sorted({*self.listed_ips, *self._targets(now)})
+        # All of them hear the hub; its list would be most of the message.
+        digest.known = []
+        self._send(digest, targets)
 
     def _send(self, beat: Beat, ips: list[str]) -> None:
         assert self._transport is not None
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -221,7 +221,9 @@
                 written = await self._store.replace(
                     Collection.ROUTERS, settings.node, value, revision=None
                 )
-            listed = await self._store.list(Collection.ROUTERS)
+            listed = await self._store.list(
+                Collection.ROUTERS, may_be_stale=True
+            )
             if isinstance(listed, Success):
                 for item in listed.unwrap().items:
                     content = self._store.value_of(item)
