Ask the others before the lease ends, not after

A renewal waited 1.5 s for an answer, the owner asked the others only then, and their look took as long; its lease had ended. A resignation also stayed in force after the next ownership of the same process. Change: an unanswered renewal is asked about after 0.25 s; looks end after 0.5 s; a resignation holds up to one revision of the record.

--- a/mulberrypaddle/serving/beat.py
+++ b/mulberrypaddle/serving/beat.py
@@ -31,7 +31,8 @@
         lease_left: Milliseconds for which that ownership still holds.
         store_sight: What it lately saw of the store.
         asks_for_store: Whether it wants to know what others see of it.
-        resigned: Whether it has handed the groups over.
+        resigned_revision: Revision of the owner's record up to which it has
+            handed the groups over; 0 if it never has.
         watches: Whether it watches the runners for all, and the store
             serves it.
         stopping: Whether it is about to end.
@@ -53,7 +54,7 @@
         "renewals",
         "revisions",
         "stalled",
-        "resigned",
+        "resigned_revision",
         "stopping",
         "store_sight",
         "asks_for_store",
@@ -81,7 +82,7 @@
         watches: bool,
         store_sight: int,
         asks_for_store: bool,
-        resigned: bool,
+        resigned_revision: int,
         routers: int = 0,
         changes: dict[str, Any] | None = None,
         stopping: bool,
@@ -102,7 +103,7 @@
         self.watches = watches
         self.store_sight = store_sight
         self.asks_for_store = asks_for_store
-        self.resigned = resigned
+        self.resigned_revision = resigned_revision
         self.routers = routers
         self.changes = changes or {}
         self.stopping = stopping
--- a/mulberrypaddle/serving/owner_loop.py
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -6,9 +6,9 @@
 import time
 from typing import TYPE_CHECKING
 
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
-from mulberrypaddle.core.errors import ErrorKind
+from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
 from mulberrypaddle.replicas.ownership import (
     RENEW_SECONDS,
     OutageVerdict,
@@ -40,8 +40,16 @@
 READ_SECONDS = 0.5
 READING_ROUTERS = 12
 
-# Failing renewals after which the owner acts on what the others see.
-FAILING_SECONDS = 1.0
+# Time for a renewal, and for a look at the store on an owner's behalf. The
+# store answers in 4 ms, in 0.25 s when it is slow; the lease leaves little.
+RENEWAL_TIMEOUT_SECONDS = 0.7
+PROBE_TIMEOUT_SECONDS = 0.5
+
+# Age of an unanswered renewal at which the owner asks the others, takes their
+# consent, and hands over to them.
+ASK_AFTER_SECONDS = 0.25
+CONSENT_AFTER_SECONDS = 0.5
+HAND_OVER_AFTER_SECONDS = 1.0
 
 # Age up to which a sight of the store counts.
 SIGHT_SECONDS = 2.5
@@ -71,19 +79,26 @@
         self._heard: tuple[str, int, float] | None = None
         self._read_next_at = 0.0
         self._sent_at = 0.0
-        self._failing_since: float | None = None
+        self._unanswered_since: float | None = None
         self._served_at = 0.0
         self._failed_at = 0.0
         self._probed_at = 0.0
         self._probe: asyncio.Task[None] | None = None
-        self._resigned_incarnations: set[str] = set()
-        self.resigned = False
+        # Revision of the record up to which each process has resigned.
+        self._resignations: dict[str, int] = {}
+        self.resigned_revision = 0
         self.ownership = Ownership()
 
+    def _unanswered_seconds(self) -> float:
+        """Returns how long the owner has waited for a renewal; 0 if not."""
+        if self.ownership.fence == 0 or self._unanswered_since is None:
+            return 0.0
+        return boot_seconds() - self._unanswered_since
+
     @property
     def renewal_fails(self) -> bool:
         """Returns whether this router owns the duty and can't renew."""
-        return self.ownership.fence > 0 and self._failing_since is not None
+        return self._unanswered_seconds() >= ASK_AFTER_SECONDS
 
     def holds(self) -> bool:
         """Returns whether this router may give orders now."""
@@ -92,10 +107,8 @@
     def take_beat(self, beat: Beat) -> None:
         """Takes what another router says of its ownership."""
         now = boot_seconds()
-        if beat.resigned:
-            self._resigned_incarnations.add(beat.incarnation)
-        else:
-            self._resigned_incarnations.discard(beat.incarnation)
+        if beat.resigned_revision:
+            self._resignations[beat.incarnation] = beat.resigned_revision
         if beat.asks_for_store and now - self._probed_at >= PROBE_SECONDS:
             self._probed_at = now
             self._probe = asyncio.ensure_future(self._look_at_store())
@@ -120,10 +133,8 @@
     def tick(self) -> None:
         """Acts on what the others see, while renewals fail."""
         now = boot_seconds()
-        since = self._failing_since
-        if not self.renewal_fails or since is None:
-            return
-        if now - since < FAILING_SECONDS:
+        waited_seconds = self._unanswered_seconds()
+        if waited_seconds < CONSENT_AFTER_SECONDS:
             return
         verdict = judge_outage(
             [
@@ -134,17 +145,27 @@
         )
         if verdict is OutageVerdict.GO_ON:
             self.ownership.consented(now)
-        elif verdict is OutageVerdict.HAND_OVER and self.holds():
+            return
+        if waited_seconds < HAND_OVER_AFTER_SECONDS or not self.holds():
+            return
+        if verdict is OutageVerdict.HAND_OVER:
+            self.resigned_revision = self.ownership.revision
             self.ownership.lost()
-            self.resigned = True
             log_belief(
                 "ownership_handed_over",
                 reason="others reach the store",
-                failing_seconds=round(now - since, 2),
+                waited_seconds=round(waited_seconds, 2),
             )
 
     async def _look_at_store(self) -> None:
-        read = await self._store.read(Collection.DUTIES, DUTY_NAME)
+        try:
+            read = await asyncio.wait_for(
+                self._store.read(Collection.DUTIES, DUTY_NAME),
+                PROBE_TIMEOUT_SECONDS,
+            )
+        except TimeoutError:
+            self._note_store(served=False)
+            return
         self._note_store(served=isinstance(read, Success))
 
     def _note_store(self, *, served: bool) -> None:
@@ -169,7 +190,7 @@
         record = self._own_record(given_up=True)
         revision = self.ownership.revision
         self.ownership.lost()
-        self.resigned = True
+        self.resigned_revision = revision
         result = await self._store.replace(
             Collection.DUTIES, DUTY_NAME, record.to_value(), revision=revision
         )
@@ -195,17 +216,14 @@
         sent_at = boot_seconds()
         self._sent_at = sent_at
         renewals = self.ownership.renewals + 1
-        result = await self._store.replace(
-            Collection.DUTIES,
-            DUTY_NAME,
-            self._own_record(renewals=renewals).to_value(),
-            revision=self.ownership.revision,
-        )
+        if self._unanswered_since is None:
+            self._unanswered_since = sent_at
+        result = await self._write_renewal(renewals)
         if self.ownership.fence == 0:
             # Handed over while the answer was awaited.
             return
         if isinstance(result, Success):
-            self._failing_since = None
+            self._unanswered_since = None
             self.ownership.renewals = renewals
             self.ownership.renewed(
                 result.unwrap().revision, sent_at_seconds=sent_at
@@ -217,9 +235,30 @@
             await self._settle_conflict(sent_at)
             return
         self._note_store(served=False)
-        if self._failing_since is None:
-            self._failing_since = sent_at
-            log_belief("renewal_failed", reason=problem.detail)
+        log_belief("renewal_failed", reason=problem.detail)
+
+    async def _write_renewal(
+        self, renewals: int
+    ) -> Result[StoredItem, Problem]:
+        try:
+            return await asyncio.wait_for(
+                self._store.replace(
+                    Collection.DUTIES,
+                    DUTY_NAME,
+                    self._own_record(renewals=renewals).to_value(),
+                    revision=self.ownership.revision,
+                ),
+                RENEWAL_TIMEOUT_SECONDS,
+            )
+        except TimeoutError:
+            # It may yet take effect; the next renewal then meets a conflict.
+            return Failure(
+                Problem(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    f"no answer in {RENEWAL_TIMEOUT_SECONDS} s",
+                    ran=Ran.UNKNOWN,
+                )
+            )
 
     async def _settle_conflict(self, sent_at: float) -> None:
         """Finds out whether an own write whose answer was lost came first."""
@@ -236,7 +275,7 @@
         ):
             # An earlier renewal took effect; its lease runs from its sending,
             # which was at least one renewal before.
-            self._failing_since = None
+            self._unanswered_since = None
             self.ownership.renewals = record.renewals
             self.ownership.renewed(
                 item.revision, sent_at_seconds=sent_at - RENEW_SECONDS
@@ -260,7 +299,9 @@
                 incarnation, renewals=renewals, until_seconds=until
             )
         now = boot_seconds()
-        ended = record is not None and await self._has_ended(record)
+        ended = record is not None and await self._has_ended(
+            record, self.ownership.revision
+        )
         if not self.ownership.may_take(now, owner_ended=ended):
             return
         self.ownership.renewals = 0
@@ -278,6 +319,7 @@
         if not isinstance(result, Success):
             log_belief("ownership_not_taken", reason=result.failure().detail)
             return
+        self._unanswered_since = None
         self.ownership.taken(result.unwrap().revision, sent_at_seconds=sent_at)
         log_belief(
             "ownership_taken",
@@ -286,11 +328,12 @@
             ended=ended,
         )
 
-    async def _has_ended(self, record: OwnerRecord) -> bool:
-        """Returns whether the owner's process is known to have ended."""
+    async def _has_ended(self, record: OwnerRecord, revision: int) -> bool:
+        """Returns whether the owner is known to have ended or resigned."""
         if record.incarnation == self._peers.incarnation:
             return True
-        if record.incarnation in self._resigned_incarnations:
+        # A later write of the same process is a new ownership.
+        if self._resignations.get(record.incarnation, 0) >= revision:
             return True
         heard = self._peers.incarnation_of(record.node)
         if heard is not None and heard != record.incarnation:
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -100,7 +100,8 @@
         watches: Whether the store serves it the changes of the runners.
         store_sight: What it lately saw of the store.
         asks_for_store: Whether it wants to know what others see of it.
-        resigned: Whether it has handed the groups over.
+        resigned_revision: Revision of the owner's record up to which it has
+            handed the groups over; 0 if it never has.
     """
 
     __slots__ = (
@@ -108,7 +109,7 @@
         "lease_left",
         "opening",
         "renewals",
-        "resigned",
+        "resigned_revision",
         "store_sight",
         "watches",
     )
@@ -122,11 +123,11 @@
         watches: bool = False,
         store_sight: int = -1,
         asks_for_store: bool = False,
-        resigned: bool = False,
+        resigned_revision: int = 0,
     ) -> None:
         self.store_sight = store_sight
         self.asks_for_store = asks_for_store
-        self.resigned = resigned
+        self.resigned_revision = resigned_revision
         self.watches = watches
         self.renewals = renewals
         self.lease_left = lease_left
@@ -376,7 +377,7 @@
             watches=claim.watches,
             store_sight=claim.store_sight,
             asks_for_store=claim.asks_for_store,
-            resigned=claim.resigned,
+            resigned_revision=claim.resigned_revision,
             stopping=board.stopping,
         )
 
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -263,7 +263,8 @@
         left = owner.ownership.lease_left_seconds(boot_seconds())
         if left <= 0:
             return Claim(
-                store_sight=owner.store_sight(), resigned=owner.resigned
+                store_sight=owner.store_sight(),
+                resigned_revision=owner.resigned_revision,
             )
         opening = self._groups.opening()
         self.board.opening_in = {
--- a/tests/serving/test_digest.py
+++ b/tests/serving/test_digest.py
@@ -8,7 +8,7 @@
 from mulberrypaddle.serving.digest import merge_into, without_own
 
 
-def _beat(
+def make_beat(
     node: str,
     *,
     loads: dict[str, int],
@@ -16,6 +16,7 @@
     stalled: dict[str, int] | None = None,
     losses: dict[str, list[str]] | None = None,
 ) -> Beat:
+    """Returns a beat of a router that owns nothing."""
     return Beat(
         node=node,
         incarnation=node,
@@ -33,7 +34,7 @@
         watches=False,
         store_sight=-1,
         asks_for_store=False,
-        resigned=False,
+        resigned_revision=0,
         stopping=False,
     )
 
@@ -43,24 +44,27 @@
 
     def test_counts_are_summed(self) -> None:
         digest = merge_into(
-            _beat("a", loads={"r1": 2}),
-            [_beat("b", loads={"r1": 1, "r2": 4}), _beat("c", loads={})],
+            make_beat("a", loads={"r1": 2}),
+            [
+                make_beat("b", loads={"r1": 1, "r2": 4}),
+                make_beat("c", loads={}),
+            ],
         )
         self.assertEqual({"r1": 3, "r2": 4}, digest.loads)
         self.assertEqual(3, digest.routers)
 
     def test_sightings_are_joined(self) -> None:
         digest = merge_into(
-            _beat("a", loads={}, paused=["r1"], stalled={"h": 300}),
+            make_beat("a", loads={}, paused=["r1"], stalled={"h": 300}),
             [
-                _beat(
+                make_beat(
                     "b",
                     loads={},
                     paused=["r2"],
                     stalled={"h": 100},
                     losses={"m": ["r1"]},
                 ),
-                _beat("c", loads={}, losses={"m": ["r2"]}),
+                make_beat("c", loads={}, losses={"m": ["r2"]}),
             ],
         )
         self.assertEqual(["r1", "r2"], digest.paused)
@@ -73,7 +77,7 @@
         )
 
     def test_digest_survives_the_wire(self) -> None:
-        digest = merge_into(_beat("a", loads={"r1": 2}), [])
+        digest = merge_into(make_beat("a", loads={"r1": 2}), [])
         again = Beat.from_bytes(digest.to_bytes())
         self.assertEqual(1, again.routers)
         self.assertEqual({"r1": 2}, again.loads)
