--- a/mulberrypaddle/replicas/keeper.py
+++ b/mulberrypaddle/replicas/keeper.py
@@ -456,10 +456,7 @@
         directives: list[Directive] = []
         by_life = {entry.life: entry for entry in living}
         kept: list[_Pending] = []
-        staging = sum(
-            isinstance(work.order, StageModel)
-            for work in self._under_way.values()
-        )
+        staging = self._staging()
         for pending in self._pending:
             members = [
                 by_life.get(member.life) for member in pending.formation.members
@@ -515,6 +512,13 @@
         self._pending = kept
         return directives
 
+    def _staging(self) -> int:
+        """Returns how many loads of weights are under way."""
+        return sum(
+            isinstance(work.order, StageModel)
+            for work in self._under_way.values()
+        )
+
     def _stage_spares(
         self,
         free: list[RunnerEntry],
@@ -524,10 +528,7 @@
         now_seconds: float,
     ) -> list[Directive]:
         directives: list[Directive] = []
-        staging = sum(
-            isinstance(work.order, StageModel)
-            for work in self._under_way.values()
-        )
+        staging = self._staging()
         for runner, model in choose_staging(
             free, service_runners=living, traits=traits, loads=loads
         ):
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -116,6 +116,14 @@
         self.detail = ""
         self.runner_at_fault = False
         self.first_byte_at = 0.0
+        self._set_up(previous)
+
+    def _set_up(self, previous: Attempt | None) -> None:
+        """Prepares what one kind of attempt has beside the others.
+
+        Args:
+            previous: The attempt at the same request before this one.
+        """
 
     async def run(
         self, line: RequestLine, headers: list[tuple[str, str]]
@@ -239,36 +247,15 @@
 class StreamAttempt(Attempt):
     """An attempt at a stream; whole events are passed on as they come."""
 
-    def __init__(
-        self,
-        board: ServingBoard,
-        caller: Caller,
-        *,
-        entry: RunnerEntry,
-        request_id: str,
-        route: Route,
-        deadline_seconds: float,
-        previous: Attempt | None,
-        can_move: Callable[[str], bool],
-    ) -> None:
-        super().__init__(
-            board,
-            caller,
-            entry=entry,
-            request_id=request_id,
-            route=route,
-            deadline_seconds=deadline_seconds,
-            previous=previous,
-            can_move=can_move,
-        )
+    def _set_up(self, previous: Attempt | None) -> None:
         self._cutter = EventCutter()
         self._events = 0
+        self._paused = False
         if isinstance(previous, StreamAttempt):
             self._progress: StreamProgress = previous._progress
         else:
             self._progress = StreamProgress()
-        self._paused = False
-        caller.on_drained(self._drained)
+        self._caller.on_drained(self._drained)
 
     @property
     def last_event_at(self) -> float:
