Tell followers that the store was away

Cause: entries that lapse during an outage are kept for two seconds by the router that saw its end; the others follow that router and dropped them at once. Change: what is told says whether the store was away until shortly before. Test that failed first: test_follower_hears_that_the_store_was_away.

--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -63,8 +63,12 @@
         return not entry.draining and entry.data_centre not in self.evacuated
 
     def store_returned(self, now_seconds: float) -> None:
-        """Keeps lapsed entries for a while, since they may come back."""
-        self._grace_until_seconds = now_seconds + RETURN_GRACE_SECONDS
+        """Keeps lapsed entries for a while, since they may come back.
+
+        Told again within that while, it does not last longer.
+        """
+        if now_seconds >= self._grace_until_seconds:
+            self._grace_until_seconds = now_seconds + RETURN_GRACE_SECONDS
 
     def replace_all(
         self,
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Success
 
+from mulberrypaddle.fleet.view import RETURN_GRACE_SECONDS
 from mulberrypaddle.serving.events_log import log_belief
 from mulberrypaddle.serving.store import (
     Collection,
@@ -46,7 +48,8 @@
         changed: Objects that were made or changed.
         removed: Names of objects that were removed.
         revision: Revision that the feed stands at now.
-        after_outage: Whether the store had not answered before.
+        after_outage: Whether the store has not answered until shortly
+            before.
     """
 
     __slots__ = ("after_outage", "changed", "removed", "revision", "whole")
@@ -111,6 +114,7 @@
         self._whole_since = 0
         self._must_list = True
         self._failures = 0
+        self._returned_at_seconds = -RETURN_GRACE_SECONDS
         self.collection = collection
         self.items: dict[str, StoredItem] = {}
         self.revision = 0
@@ -199,6 +203,7 @@
         removed: list[str],
         revision: int,
         whole: bool,
+        after_outage: bool = False,
     ) -> None:
         if whole:
             names = {item.name for item in changed}
@@ -226,11 +231,18 @@
                 removed=removed,
                 revision=revision,
                 whole=whole,
-                after_outage=self._failures > 0,
+                after_outage=after_outage or self._after_outage(),
             )
         )
 
+    def _after_outage(self) -> bool:
+        """Returns whether entries that lapsed meanwhile may yet come back."""
+        ago_seconds = time.monotonic() - self._returned_at_seconds
+        return self._failures > 0 or ago_seconds < RETURN_GRACE_SECONDS
+
     def _note_connected(self) -> None:
+        if self._failures:
+            self._returned_at_seconds = time.monotonic()
         if not self.connected:
             log_belief(
                 "store_reached",
@@ -262,6 +274,7 @@
         return {
             "revision": self.revision,
             "since": since,
+            "after_outage": self._after_outage(),
             "whole": whole,
             "removed": [
                 name for revision, name in self._removals if revision > since
@@ -308,5 +321,11 @@
             for name in message["removed"]
             if name not in names and not whole
         ]
-        self._take(items, removed=removed, revision=revision, whole=whole)
+        self._take(
+            items,
+            removed=removed,
+            revision=revision,
+            whole=whole,
+            after_outage=bool(message["after_outage"]),
+        )
         return True
--- /dev/null
+++ b/tests/fleet/test_view.py
@@ -0,0 +1,75 @@
+"""Runners as one router knows them."""
+
+from __future__ import annotations
+
+import testtools
+
+from mulberrypaddle.fleet import FleetView, RunnerEntry
+from mulberrypaddle.fleet.view import RETURN_GRACE_SECONDS
+
+
+def _entry(runner_id: str, *, born_ms: int = 1) -> RunnerEntry:
+    return RunnerEntry(
+        runner_id,
+        born_ms=born_ms,
+        service="cards",
+        address="127.0.0.1:1",
+        data_centre="south",
+        slots=9,
+        draining=False,
+    )
+
+
+def _view() -> FleetView:
+    view = FleetView()
+    view.replace_all([_entry("a"), _entry("b")], revision=5, now_seconds=0.0)
+    return view
+
+
+class FleetViewTest(testtools.TestCase):
+    """Lists, changes and outages."""
+
+    def test_removed_runner_is_gone_at_once(self) -> None:
+        view = _view()
+        view.apply([], removed=["a"], revision=6, now_seconds=1.0)
+        self.assertIsNone(view.get("a"))
+
+    def test_older_list_takes_nothing_back(self) -> None:
+        view = _view()
+        self.assertFalse(view.replace_all([], revision=4, now_seconds=1.0))
+        self.assertEqual(2, len(view))
+
+    def test_lapsed_runner_is_kept_for_a_while_after_an_outage(self) -> None:
+        view = _view()
+        view.store_returned(10.0)
+        view.replace_all([_entry("b")], revision=6, now_seconds=10.0)
+        self.assertIsNotNone(view.get("a"))
+        self.assertEqual(["a"], view.sweep(10.0 + RETURN_GRACE_SECONDS))
+        self.assertIsNone(view.get("a"))
+
+    def test_runner_that_comes_back_stays(self) -> None:
+        view = _view()
+        view.store_returned(10.0)
+        view.replace_all([], revision=6, now_seconds=10.0)
+        view.apply([_entry("a")], removed=[], revision=7, now_seconds=11.0)
+        view.sweep(20.0)
+        self.assertIsNotNone(view.get("a"))
+        self.assertIsNone(view.get("b"))
+
+    def test_repeated_word_of_the_outage_does_not_prolong_it(self) -> None:
+        view = _view()
+        view.store_returned(10.0)
+        view.replace_all([], revision=6, now_seconds=10.0)
+        view.store_returned(10.0 + RETURN_GRACE_SECONDS / 2)
+        view.sweep(10.0 + RETURN_GRACE_SECONDS)
+        self.assertEqual(0, len(view))
+
+    def test_restart_under_the_same_id_is_another_life(self) -> None:
+        view = _view()
+        before = view.get("a")
+        view.apply(
+            [_entry("a", born_ms=2)], removed=[], revision=6, now_seconds=1.0
+        )
+        after = view.get("a")
+        assert before is not None and after is not None
+        self.assertNotEqual(before.life, after.life)
--- a/tests/serving/test_feed.py
+++ b/tests/serving/test_feed.py
@@ -176,6 +176,7 @@
             {
                 "revision": 4,
                 "since": 2,
+                "after_outage": False,
                 "whole": False,
                 "removed": ["a"],
                 "items": [{"name": "c", "revision": 4, "content": None}],
@@ -187,6 +188,22 @@
         self.assertTrue(second.take_message(message))
         self.assertEqual(["b", "c"], sorted(second.items))
 
+    def test_follower_hears_that_the_store_was_away(self) -> None:
+        async def scenario() -> list[bool]:
+            store = _Store()
+            store.watches = [
+                Problem(ErrorKind.STORE_UNAVAILABLE, "down"),
+                Changes([], removed=["a"], revision=3),
+            ]
+            watched = await _play(store, seconds=0.6)
+            follower = _Watched(_Store())
+            follower.feed.take_listing(Listing([_item("a", 1)], revision=1))
+            # Entries lapsed meanwhile and may come back.
+            follower.feed.take_message(watched.feed.to_message(1))
+            return [update.after_outage for update in follower.updates]
+
+        self.assertEqual([False, True], run(scenario()))
+
     def test_older_message_is_not_taken(self) -> None:
         first, second = self._pair()
         first.take_listing(Listing([_item("a", 1)], revision=1))
