--- a/mulberrypaddle/serving/board.py
+++ b/mulberrypaddle/serving/board.py
@@ -38,12 +38,15 @@
         opening_in: When the next group of a model opens, by model, in
             seconds, as the owner of the groups told.
         stopping: Whether the process is about to end.
+        closing: Whether it is so close to its end that new requests could be
+            cut off.
         in_hand: Requests in hand.
     """
 
     __slots__ = (
         "chooser",
         "client",
+        "closing",
         "cold",
         "config",
         "crashes",
@@ -106,6 +109,7 @@
         # When a head last sent an event of any own stream.
         self.head_progress: dict[str, float] = {}
         self.stopping = False
+        self.closing = False
         self.in_hand = 0
 
     def now(self) -> float:
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -10,6 +10,7 @@
 from mulberrypaddle.dispatch import Demand, judge
 from mulberrypaddle.dispatch.crash_records import fingerprint
 from mulberrypaddle.dispatch.patience import (
+    LEAST_RETRY_AFTER_SECONDS,
     LEAST_SEND_SECONDS,
     retry_after,
     stream_gap_seconds,
@@ -146,6 +147,13 @@
     def _admit(self) -> bool:
         """Finds route, organisation and service; answers if one is missing."""
         board = self._board
+        if board.closing:
+            self._refuse(
+                ErrorKind.SHUTTING_DOWN,
+                "this router is about to end",
+                retry_after_seconds=LEAST_RETRY_AFTER_SECONDS,
+            )
+            return False
         config = board.config
         if config is None:
             self._refuse(ErrorKind.NOT_IN_FORCE, "no configuration is known")
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -156,6 +156,27 @@
         self.assertTrue(got.startswith(b"HTTP/1.1 413"))
 
 
+class StopTest(testtools.TestCase):
+    """A process that is about to end."""
+
+    def test_late_request_on_a_kept_connection_is_refused(self) -> None:
+        async def scenario() -> tuple[bytes, int]:
+            path = ServingPath()
+            runner = RawRunner(_answers(_whole(200, b"done")))
+            path.add_runner("r0", await runner.start())
+            path.board.closing = True
+            got = await path.ask("/pay/1")
+            path.close()
+            await runner.stop()
+            return got, len(runner.heads)
+
+        got, runs = run(scenario())
+        # It might be cut off by the end of the process.
+        self.assertTrue(got.startswith(b"HTTP/1.1 503"))
+        self.assertIn(b"Retry-After", got)
+        self.assertEqual(0, runs)
+
+
 class CallerGoneTest(testtools.TestCase):
     """A caller that leaves is not worked for."""
 
