Remove what nothing calls

Cause: the last read found a method that would have closed every connection under the name of closing idle ones, a counter, a method of the keeper and a constant, all without a caller. Change: they are gone; behaviour stays as it is.

--- a/mulberrypaddle/replicas/keeper.py
+++ b/mulberrypaddle/replicas/keeper.py
@@ -134,12 +134,6 @@
         # Runners that do not answer although their entries stand.
         self.lost_runners: set[tuple[str, int | None]] = set()
 
-    def forget(self) -> None:
-        """Drops all that is under way, when ownership begins anew."""
-        self._under_way.clear()
-        self._pending.clear()
-        self._seen_since.clear()
-
     @property
     def forming(self) -> int:
         """Returns how many groups are being formed."""
--- a/mulberrypaddle/replicas/placement.py
+++ b/mulberrypaddle/replicas/placement.py
@@ -30,9 +30,6 @@
 # Part of a domain that is kept free at the first start, to repair with.
 SPARE_PART = 0.15
 
-# Join of a runner whose last group served the same model.
-REJOIN_SECONDS = 0.2
-
 
 class ModelLoad:
     """Demand for a model against the slots that serve it.
@@ -244,7 +241,7 @@
     seconds = load.spec.warm_seconds
     if formation.unstaged and not first_start:
         seconds = load.spec.load_seconds
-    pressure = load.load(traits.slots, extra_groups=0)
+    pressure = load.load(traits.slots)
     if math.isinf(pressure):
         pressure = 10.0 + load.wanted_slots
     # A group of few runners serves the same slots for less.
--- a/mulberrypaddle/serving/door.py
+++ b/mulberrypaddle/serving/door.py
@@ -49,7 +49,6 @@
         assert isinstance(start_line, httputil.RequestStartLine)
         self._start_line = start_line
         self._headers = headers
-        self._door.open_requests += 1
 
     def data_received(self, chunk: bytes) -> None:
         """Takes a part of the body."""
@@ -101,12 +100,10 @@
 
     Attributes:
         board: State of the router.
-        open_requests: Requests that were ever begun.
     """
 
     def __init__(self, board: ServingBoard) -> None:
         self.board = board
-        self.open_requests = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._server = HTTPServer(
             self,
@@ -157,7 +154,3 @@
     def stop_listening(self) -> None:
         """Takes no new connections."""
         self._server.stop()
-
-    async def close_idle(self) -> None:
-        """Closes the connections that carry no request."""
-        await self._server.close_all_connections()
