Cut the circles of imports

Cause: the blackboard's keys named a type of a controller, and an attempt named the request line of its exchange; readers had to open both to follow one. Change: the view of the fleet stands beside the other values of the blackboard, the request line has a module of its own.

--- a/mulberrypaddle/blackboard/keys.py
+++ b/mulberrypaddle/blackboard/keys.py
@@ -7,6 +7,7 @@
 from mulberrypaddle.blackboard.board import Key
 
 if TYPE_CHECKING:
+    from mulberrypaddle.blackboard.fleet_view import FleetView
     from mulberrypaddle.blackboard.tables import (
         Configuration,
         FleetStatus,
@@ -16,7 +17,6 @@
         RunnerTable,
         VmTable,
     )
-    from mulberrypaddle.controllers.groups.fleet_view import FleetView
 
 CONFIGURATION: Key[Configuration] = Key("configuration", writer="configuration")
 MEMBERSHIP: Key[Membership] = Key("membership", writer="membership")
--- a/mulberrypaddle/controllers/groups/keeper.py
+++ b/mulberrypaddle/controllers/groups/keeper.py
@@ -29,8 +29,8 @@
     from collections.abc import Callable
 
     from mulberrypaddle.blackboard import StoredObject
+    from mulberrypaddle.blackboard.fleet_view import FleetView
     from mulberrypaddle.controllers.base import Context
-    from mulberrypaddle.controllers.groups.fleet_view import FleetView
     from mulberrypaddle.controllers.groups.plan import Change, Protections, Wish
     from mulberrypaddle.core.errors import Problem
     from mulberrypaddle.core.fleet import Vm
--- a/mulberrypaddle/controllers/groups/load_queue.py
+++ b/mulberrypaddle/controllers/groups/load_queue.py
@@ -9,10 +9,7 @@
 from mulberrypaddle.blackboard import ReleaseLoad, ReserveLoad, SendToPeer
 from mulberrypaddle.controllers.base import Context, Controller
 from mulberrypaddle.controllers.duties import may_act
-from mulberrypaddle.controllers.groups.fleet_view import (
-    FleetView,
-    fleet_view,
-)
+from mulberrypaddle.controllers.groups.fleet_view import fleet_view
 from mulberrypaddle.core.fleet import DataCentreState
 from mulberrypaddle.core.groups import GroupState
 from mulberrypaddle.core.ownership import Duty
@@ -23,6 +20,7 @@
 
     from google.protobuf.message import Message
 
+    from mulberrypaddle.blackboard.fleet_view import FleetView
     from mulberrypaddle.core.errors import Problem
 
 LOAD_QUEUE = Duty("load_queue", "region")
--- a/mulberrypaddle/controllers/groups/placement.py
+++ b/mulberrypaddle/controllers/groups/placement.py
@@ -7,10 +7,7 @@
 from mulberrypaddle.blackboard import SendToPeer
 from mulberrypaddle.controllers.base import Context, Controller
 from mulberrypaddle.controllers.duties import may_act, owner
-from mulberrypaddle.controllers.groups.fleet_view import (
-    FleetView,
-    fleet_view,
-)
+from mulberrypaddle.controllers.groups.fleet_view import fleet_view
 from mulberrypaddle.core.groups import Group, GroupState
 from mulberrypaddle.core.ownership import Duty
 from mulberrypaddle.peers.proto.groups_pb2 import DrainGroup, FormGroups
@@ -18,6 +15,7 @@
 if TYPE_CHECKING:
     from google.protobuf.message import Message
 
+    from mulberrypaddle.blackboard.fleet_view import FleetView
     from mulberrypaddle.controllers.groups.repair import Repair
     from mulberrypaddle.core.fleet import Service
 
--- a/mulberrypaddle/controllers/groups/repair.py
+++ b/mulberrypaddle/controllers/groups/repair.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from google.protobuf.message import Message
 
-    from mulberrypaddle.controllers.groups.fleet_view import FleetView
+    from mulberrypaddle.blackboard.fleet_view import FleetView
     from mulberrypaddle.controllers.groups.group_table import (
         GroupTableController,
     )
--- a/mulberrypaddle/controllers/groups/status.py
+++ b/mulberrypaddle/controllers/groups/status.py
@@ -11,16 +11,15 @@
     ServiceStatus,
 )
 from mulberrypaddle.controllers.base import Context, Controller
-from mulberrypaddle.controllers.groups.fleet_view import (
-    FleetView,
-    fleet_view,
-)
+from mulberrypaddle.controllers.groups.fleet_view import fleet_view
 from mulberrypaddle.core.fleet import Service, VmState
 from mulberrypaddle.core.groups import Group, GroupState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from mulberrypaddle.blackboard.fleet_view import FleetView
+
 STEP_SECONDS = 1.0
 
 _DOING = {
--- a/mulberrypaddle/controllers/runner_table.py
+++ b/mulberrypaddle/controllers/runner_table.py
@@ -10,10 +10,7 @@
 from mulberrypaddle.blackboard import ListObjects, Priority, StoredObject, keys
 from mulberrypaddle.blackboard.tables import RunnerTable
 from mulberrypaddle.controllers.base import Context, Controller
-from mulberrypaddle.controllers.groups.fleet_view import (
-    FleetView,
-    fleet_view,
-)
+from mulberrypaddle.controllers.groups.fleet_view import fleet_view
 from mulberrypaddle.core.fleet import (
     DataCentreState,
     Runner,
@@ -24,6 +21,7 @@
 from mulberrypaddle.core.invariants import Invariant, check
 
 if TYPE_CHECKING:
+    from mulberrypaddle.blackboard.fleet_view import FleetView
     from mulberrypaddle.core.errors import Problem
 
 RUNNER_PREFIX = "runners/"
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -16,7 +16,7 @@
     from mulberrypaddle.serving.board import ServingBoard
     from mulberrypaddle.serving.caller import Caller
     from mulberrypaddle.serving.dialect import RunnerHead
-    from mulberrypaddle.serving.exchange import RequestLine
+    from mulberrypaddle.serving.request_line import RequestLine
 
 # Pause between two looks at a running attempt.
 LOOK_SECONDS = 0.1
--- a/mulberrypaddle/serving/door.py
+++ b/mulberrypaddle/serving/door.py
@@ -10,7 +10,8 @@
 from tornado.httpserver import HTTPServer
 
 from mulberrypaddle.serving.caller import Caller
-from mulberrypaddle.serving.exchange import Exchange, RequestLine
+from mulberrypaddle.serving.exchange import Exchange
+from mulberrypaddle.serving.request_line import RequestLine
 
 if TYPE_CHECKING:
     from tornado.http1connection import HTTP1Connection
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -42,6 +42,7 @@
     from mulberrypaddle.serving.board import ServingBoard
     from mulberrypaddle.serving.caller import Caller
     from mulberrypaddle.serving.dialect import CallerFields
+    from mulberrypaddle.serving.request_line import RequestLine
 
 # Pause before a request that all runners turned away is offered again.
 TURNED_AWAY_PAUSE_SECONDS = 0.06
@@ -57,25 +58,6 @@
 NO_SERVICE = "none"
 
 
-class RequestLine:
-    """Method, target and body of a request, as the caller sent them."""
-
-    __slots__ = ("body", "host", "method", "target")
-
-    def __init__(
-        self, method: str, *, target: str, host: str, body: bytes
-    ) -> None:
-        self.method = method
-        self.target = target
-        self.host = host
-        self.body = body
-
-    @property
-    def path(self) -> str:
-        """Returns the target without its query."""
-        return self.target.split("?", 1)[0]
-
-
 class _Verdict(enum.Enum):
     """What follows from the end of an attempt."""
 
--- a/tests/controllers/groups/test_placement.py
+++ b/tests/controllers/groups/test_placement.py
@@ -4,10 +4,10 @@
 
 import testtools
 
+from mulberrypaddle.blackboard.fleet_view import FleetView
 from mulberrypaddle.blackboard.tables import Configuration, GroupTable
 from mulberrypaddle.controllers.groups.evidence import Evidence
 from mulberrypaddle.controllers.groups.evolve import Evolution
-from mulberrypaddle.controllers.groups.fleet_view import FleetView
 from mulberrypaddle.controllers.groups.placement import choose_domain
 from mulberrypaddle.controllers.groups.plan import Protections, Wish
 from mulberrypaddle.core.fleet import (
