Give each domain to one model, and let free runners complete groups

Every domain held one large group, two small ones and a spare of each, so that survivors of a loss found nobody near them with the same weights; a load was ordered only above a load of 0.75, and it held the survivors of its formation for 20 s and more.

Change: the first layout gives a domain to one model as far as the shares allow and spreads each model over the data centres (`first_layout`); groups are formed only of runners that hold the weights (`placement`); free runners load what completes a group or what their domain holds, the most pressed model first (`staging`). Orders under way moved out of the keeper (`order_book`).

--- a/mulberrypaddle/replicas/keeper.py
+++ b/mulberrypaddle/replicas/keeper.py
@@ -10,9 +10,10 @@
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.fleet.runners import MembershipState
+from mulberrypaddle.replicas.first_layout import choose_first_groups
+from mulberrypaddle.replicas.order_book import Directive, OrderBook
 from mulberrypaddle.replicas.orders import (
     CloseGroup,
-    GroupOrder,
     JoinGroup,
     LeaveGroup,
     OpenGroup,
@@ -23,8 +24,8 @@
     Formation,
     ModelLoad,
     choose_formations,
-    choose_staging,
 )
+from mulberrypaddle.replicas.staging import choose_staging
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,16 +34,6 @@
     from mulberrypaddle.fleet.runners import RunnerEntry
     from mulberrypaddle.fleet.view import FleetView
 
-# Time until an order that was accepted must show in the runner's report;
-# it is written there at once and read some hundred milliseconds later.
-ORDER_SHOWS_SECONDS = 1.5
-
-# Pause after a refused order: the report that explains it is on its way.
-REFUSED_PAUSE_SECONDS = 0.3
-
-# Pause after a refused load; loads take ten seconds and more.
-REFUSED_STAGE_PAUSE_SECONDS = 2.0
-
 # Time beyond the expected end of a join or load before it counts as failed.
 SLACK_SECONDS = 3.0
 
@@ -59,40 +50,11 @@
 SETTLED_SECONDS = 1.2
 
 
-class Directive:
-    """One order for one runner.
-
-    Attributes:
-        runner: The runner, with what it last reported.
-        order: What it is to do.
-        reason: Why, in a few words, for the log.
-    """
-
-    __slots__ = ("order", "reason", "runner")
-
-    def __init__(
-        self, runner: RunnerEntry, order: GroupOrder, *, reason: str
-    ) -> None:
-        self.runner = runner
-        self.order = order
-        self.reason = reason
-
-
-class _UnderWay:
-    """An order to a runner whose effect is awaited."""
-
-    __slots__ = ("order", "until_seconds")
-
-    def __init__(self, order: GroupOrder, until_seconds: float) -> None:
-        self.order = order
-        self.until_seconds = until_seconds
-
-
 class _Pending:
     """A formation from its choice until its group is open.
 
     Attributes:
-        key: Name and epoch of its group; None while weights are loaded.
+        key: Name and epoch of its group; None before its members are told.
         until_seconds: When it counts as failed.
     """
 
@@ -116,14 +78,14 @@
         "_seen_since",
         "_last_new_runner_seconds",
         "_opening",
+        "_orders",
         "_pending",
         "_seen_runners",
-        "_under_way",
         "lost_runners",
     )
 
     def __init__(self) -> None:
-        self._under_way: dict[tuple[str, int | None], _UnderWay] = {}
+        self._orders = OrderBook()
         self._pending: list[_Pending] = []
         # Models with a group whose members are all there, and which is not
         # seen open yet.
@@ -144,22 +106,16 @@
         if model in self._opening:
             return 0.0
         ends = [
-            pending.until_seconds - SLACK_SECONDS - now_seconds
+            pending.until_seconds - SLACK_SECONDS
             for pending in self._pending
             if pending.formation.spec.name == model
         ]
-        return max(0.0, min(ends)) if ends else None
+        ends += self._orders.load_ends(model)
+        return max(0.0, min(ends) - now_seconds) if ends else None
 
     def refused(self, directive: Directive, now_seconds: float) -> None:
         """Takes that a runner did not carry an order out."""
-        work = self._under_way.get(directive.runner.life)
-        if work is None or work.order is not directive.order:
-            return
-        pause = REFUSED_PAUSE_SECONDS
-        if isinstance(directive.order, StageModel):
-            # Another load is under way, perhaps by an owner before this one.
-            pause = REFUSED_STAGE_PAUSE_SECONDS
-        work.until_seconds = now_seconds + pause
+        self._orders.refused(directive, now_seconds)
 
     def step(
         self,
@@ -187,11 +143,10 @@
         assert traits is not None
         entries = view.of_service(service.name)
         self._note_runners(entries, now_seconds)
-        self._expire(entries, now_seconds)
+        self._orders.settle(entries, now_seconds)
         living = [e for e in entries if e.life not in self.lost_runners]
         pictures = draw_groups(entries, traits)
-        directives: list[Directive] = []
-        directives += self._tend_groups(pictures, now_seconds)
+        self._tend_groups(pictures, now_seconds)
         busy = self._busy_runners(pictures)
         free = [
             entry
@@ -201,16 +156,15 @@
         loads = self._loads(traits, pictures, view, wanted_slots)
         quick = first_start and not traffic_seen
         settled = now_seconds - self._last_new_runner_seconds >= SETTLED_SECONDS
-        if not quick or settled:
-            self._choose(free, living, traits, loads, quick, now_seconds)
-        directives += self._advance(
-            pictures, living, traits, quick, next_epoch, now_seconds
-        )
-        if not quick or settled:
-            directives += self._stage_spares(
-                free, living, traits, loads, now_seconds
-            )
-        return directives
+        if not quick:
+            self._choose(free, traits, loads, now_seconds)
+        elif settled:
+            self._choose_first(free, pictures, traits, loads, now_seconds)
+        self._advance(pictures, living, next_epoch, now_seconds)
+        # Spares load after the groups of the first start, which hold traffic.
+        if not quick or (settled and not self._pending):
+            self._stage(free, living, traits, loads, now_seconds)
+        return self._orders.take_new()
 
     def _note_runners(
         self, entries: list[RunnerEntry], now_seconds: float
@@ -221,24 +175,12 @@
         self._seen_runners = lives
         self.lost_runners &= lives
 
-    def _expire(self, entries: list[RunnerEntry], now_seconds: float) -> None:
-        by_life = {entry.life: entry for entry in entries}
-        for life, work in list(self._under_way.items()):
-            entry = by_life.get(life)
-            if (
-                entry is None
-                or now_seconds >= work.until_seconds
-                or _shows(entry, work.order)
-            ):
-                del self._under_way[life]
-
     def _tend_groups(
         self,
         pictures: dict[tuple[str, int], GroupPicture],
         now_seconds: float,
-    ) -> list[Directive]:
+    ) -> None:
         """Opens whole groups and ends those that can't serve."""
-        directives: list[Directive] = []
         forming = {pending.key for pending in self._pending}
         self._opening = {
             picture.spec.name
@@ -250,35 +192,26 @@
                 continue
             if not picture.whole or self._lost_member(picture):
                 if not self._may_come_whole(picture, forming, now_seconds):
-                    self._dissolve(
-                        directives, picture, "a member is lost", now_seconds
-                    )
+                    self._dissolve(picture, "a member is lost", now_seconds)
                 continue
             if picture.leaving:
                 if picture.head_state is MembershipState.OPEN:
-                    self._empty(directives, picture, now_seconds)
+                    self._empty(picture, now_seconds)
                 else:
-                    self._dissolve(
-                        directives,
-                        picture,
-                        "a member is leaving",
-                        now_seconds,
-                    )
+                    self._dissolve(picture, "a member is leaving", now_seconds)
                 continue
             if picture.all_ready:
                 head = picture.head
                 assert head is not None
-                self._give(
-                    directives,
+                self._orders.give(
                     head,
                     OpenGroup(picture.name, epoch=picture.epoch),
-                    "all members are ready",
-                    now_seconds,
+                    reason="all members are ready",
+                    now_seconds=now_seconds,
                 )
         for key in list(self._seen_since):
             if key not in pictures:
                 del self._seen_since[key]
-        return directives
 
     def _may_come_whole(
         self,
@@ -303,11 +236,7 @@
         return now_seconds - since <= SLACK_SECONDS
 
     def _dissolve(
-        self,
-        directives: list[Directive],
-        picture: GroupPicture,
-        reason: str,
-        now_seconds: float,
+        self, picture: GroupPicture, reason: str, now_seconds: float
     ) -> None:
         """Lets every member leave, the head first.
 
@@ -317,12 +246,11 @@
         for _, member in sorted(picture.members.items()):
             if member.life in self.lost_runners:
                 continue
-            self._give(
-                directives,
+            self._orders.give(
                 member,
                 LeaveGroup(picture.name, epoch=picture.epoch),
-                reason,
-                now_seconds,
+                reason=reason,
+                now_seconds=now_seconds,
             )
 
     def _lost_member(self, picture: GroupPicture) -> bool:
@@ -336,24 +264,18 @@
             not view.usable(member) for member in picture.members.values()
         )
 
-    def _empty(
-        self,
-        directives: list[Directive],
-        picture: GroupPicture,
-        now_seconds: float,
-    ) -> None:
+    def _empty(self, picture: GroupPicture, now_seconds: float) -> None:
         """Closes a group that loses a member as planned."""
         since = self._seen_since.setdefault(picture.key, now_seconds)
         if now_seconds - since < SUCCESSION_SECONDS:
             return
         head = picture.head
         assert head is not None
-        self._give(
-            directives,
+        self._orders.give(
             head,
             CloseGroup(picture.name, epoch=picture.epoch),
-            "a member is leaving",
-            now_seconds,
+            reason="a member is leaving",
+            now_seconds=now_seconds,
         )
 
     def _busy_runners(
@@ -368,9 +290,7 @@
                 busy.add(member.runner_id)
         for pending in self._pending:
             busy.update(pending.member_ids)
-        for life in self._under_way:
-            busy.add(life[0])
-        return busy
+        return busy | self._orders.runner_ids()
 
     def _loads(
         self,
@@ -405,52 +325,71 @@
             for spec in traits.models.values()
         ]
 
+    def _choose_first(
+        self,
+        free: list[RunnerEntry],
+        pictures: dict[tuple[str, int], GroupPicture],
+        traits: EngineTraits,
+        loads: list[ModelLoad],
+        now_seconds: float,
+    ) -> None:
+        """Takes up the groups of the first start."""
+        formed = [
+            (picture.spec, member)
+            for picture in pictures.values()
+            if picture.spec is not None
+            for member in picture.members.values()
+        ]
+        formed += [
+            (pending.formation.spec, member)
+            for pending in self._pending
+            for member in pending.formation.members
+        ]
+        for formation in choose_first_groups(
+            free, formed=formed, traits=traits, loads=loads
+        ):
+            load_seconds = formation.spec.load_seconds * FIRST_START_LOAD_PART
+            self._take_up(formation, free, load_seconds, now_seconds)
+
     def _choose(
         self,
         free: list[RunnerEntry],
-        living: list[RunnerEntry],
         traits: EngineTraits,
         loads: list[ModelLoad],
-        quick: bool,
         now_seconds: float,
     ) -> None:
-        """Takes up new formations and takes their members out of `free`."""
-        sizes: dict[tuple[str, str], int] = {}
-        for entry in living:
-            key = (entry.data_centre, entry.domain)
-            sizes[key] = sizes.get(key, 0) + 1
-        most = len(living) if quick else MOST_FORMATIONS - len(self._pending)
+        """Takes up groups of runners that hold the weights."""
         for formation in choose_formations(
             free,
-            domain_sizes=sizes,
             traits=traits,
             loads=loads,
-            first_start=quick,
-            most=most,
+            most=MOST_FORMATIONS - len(self._pending),
         ):
-            until = now_seconds + SLACK_SECONDS + formation.spec.warm_seconds
-            if formation.unstaged:
-                until += formation.spec.load_seconds * (
-                    FIRST_START_LOAD_PART if quick else 1.0
-                )
-            self._pending.append(_Pending(formation, until))
-            taken = {member.runner_id for member in formation.members}
-            free[:] = [e for e in free if e.runner_id not in taken]
+            self._take_up(formation, free, 0.0, now_seconds)
+
+    def _take_up(
+        self,
+        formation: Formation,
+        free: list[RunnerEntry],
+        load_seconds: float,
+        now_seconds: float,
+    ) -> None:
+        """Begins a formation and takes its members out of `free`."""
+        until = now_seconds + SLACK_SECONDS + formation.spec.warm_seconds
+        self._pending.append(_Pending(formation, until + load_seconds))
+        taken = {member.runner_id for member in formation.members}
+        free[:] = [entry for entry in free if entry.runner_id not in taken]
 
     def _advance(
         self,
         pictures: dict[tuple[str, int], GroupPicture],
         living: list[RunnerEntry],
-        traits: EngineTraits,
-        quick: bool,
         next_epoch: Callable[[], int],
         now_seconds: float,
-    ) -> list[Directive]:
+    ) -> None:
         """Moves each formation one step on."""
-        directives: list[Directive] = []
         by_life = {entry.life: entry for entry in living}
         kept: list[_Pending] = []
-        staging = self._staging()
         for pending in self._pending:
             members = [
                 by_life.get(member.life) for member in pending.formation.members
@@ -465,98 +404,63 @@
             ):
                 continue
             pending.formation.members = present
-            if pending.key is not None:
+            key = pending.key
+            if key is None:
+                self._order_join(pending, next_epoch(), now_seconds)
+                kept.append(pending)
+            elif not _has_joined(pictures.get(key)):
                 # Once its group stands, that is tended like any other.
-                if not _has_joined(pictures.get(pending.key)):
-                    kept.append(pending)
-                continue
-            kept.append(pending)
-            unstaged = pending.formation.unstaged
-            if unstaged and not quick:
-                for member in unstaged:
-                    if staging >= traits.loads_at_once:
-                        break
-                    if self._give(
-                        directives,
-                        member,
-                        StageModel(pending.formation.spec.name),
-                        "a group needs the weights",
-                        now_seconds,
-                        extra_seconds=pending.formation.spec.load_seconds,
-                    ):
-                        staging += 1
-                continue
-            epoch = next_epoch()
-            pending.key = (f"g{epoch}", epoch)
-            join = JoinGroup(
-                pending.key[0],
-                epoch=epoch,
-                model=pending.formation.spec.name,
-                member_ids=pending.member_ids,
-            )
-            for member in present:
-                self._under_way.pop(member.life, None)
-                self._give(
-                    directives,
-                    member,
-                    join,
-                    "the group is to be formed",
-                    now_seconds,
-                )
+                kept.append(pending)
         self._pending = kept
-        return directives
 
-    def _staging(self) -> int:
-        """Returns how many loads of weights are under way."""
-        return sum(
-            isinstance(work.order, StageModel)
-            for work in self._under_way.values()
+    def _order_join(
+        self, pending: _Pending, epoch: int, now_seconds: float
+    ) -> None:
+        """Tells the members of a formation to join its group."""
+        pending.key = (f"g{epoch}", epoch)
+        join = JoinGroup(
+            pending.key[0],
+            epoch=epoch,
+            model=pending.formation.spec.name,
+            member_ids=pending.member_ids,
         )
+        for member in pending.formation.members:
+            self._orders.replace(member)
+            self._orders.give(
+                member,
+                join,
+                reason="the group is to be formed",
+                now_seconds=now_seconds,
+            )
 
-    def _stage_spares(
+    def _stage(
         self,
         free: list[RunnerEntry],
         living: list[RunnerEntry],
         traits: EngineTraits,
         loads: list[ModelLoad],
         now_seconds: float,
-    ) -> list[Directive]:
-        directives: list[Directive] = []
-        staging = self._staging()
-        for runner, model in choose_staging(
-            free, service_runners=living, traits=traits, loads=loads
+    ) -> None:
+        """Lets free runners load weights, as many as load at full speed."""
+        loading = self._orders.loading()
+        room = traits.loads_at_once - len(loading)
+        for staging in choose_staging(
+            free,
+            service_runners=living,
+            loading=loading,
+            traits=traits,
+            loads=loads,
         ):
-            if staging >= traits.loads_at_once:
+            if room <= 0:
                 break
-            if self._give(
-                directives,
-                runner,
-                StageModel(model),
-                "a spare for repairs",
-                now_seconds,
-                extra_seconds=traits.models[model].load_seconds,
+            if self._orders.give(
+                staging.runner,
+                StageModel(staging.model),
+                reason=staging.reason,
+                now_seconds=now_seconds,
+                takes_seconds=traits.models[staging.model].load_seconds,
             ):
-                staging += 1
-        return directives
-
-    def _give(
-        self,
-        directives: list[Directive],
-        runner: RunnerEntry,
-        order: GroupOrder,
-        reason: str,
-        now_seconds: float,
-        *,
-        extra_seconds: float = 0.0,
-    ) -> bool:
-        """Gives an order unless one is under way at the runner."""
-        if runner.life in self._under_way:
-            return False
-        self._under_way[runner.life] = _UnderWay(
-            order, now_seconds + ORDER_SHOWS_SECONDS + extra_seconds
-        )
-        directives.append(Directive(runner, order, reason=reason))
-        return True
+                room -= 1
 
 
 def _has_joined(picture: GroupPicture | None) -> bool:
@@ -564,17 +468,3 @@
     if picture is None or not picture.whole:
         return False
     return picture.head_state is not MembershipState.JOINING
-
-
-def _shows(entry: RunnerEntry, order: GroupOrder) -> bool:
-    """Returns whether a runner's report shows the effect of an order."""
-    if isinstance(order, StageModel):
-        return order.model in entry.staged
-    group = entry.group
-    if isinstance(order, JoinGroup):
-        return group is not None and group.epoch >= order.epoch
-    if isinstance(order, OpenGroup):
-        return group is not None and group.state is MembershipState.OPEN
-    if isinstance(order, CloseGroup):
-        return group is None or group.state is not MembershipState.OPEN
-    return group is None
--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from mulberrypaddle.fleet.runners import MembershipState
-from mulberrypaddle.replicas.keeper import Directive, GroupKeeper
+from mulberrypaddle.replicas.keeper import GroupKeeper
 from mulberrypaddle.replicas.picture import draw_groups
 from mulberrypaddle.replicas.placement import shares_as_slots
 from mulberrypaddle.serving.events_log import log_belief
@@ -19,6 +19,7 @@
     from collections.abc import Coroutine
 
     from mulberrypaddle.fleet import RunnerEntry, ServiceSpec
+    from mulberrypaddle.replicas.order_book import Directive
     from mulberrypaddle.serving.board import ServingBoard
     from mulberrypaddle.serving.owner_loop import OwnerLoop
     from mulberrypaddle.serving.runner_control import RunnerControl
