Use failing runners where too few others answer, suspected heads last

One request in seven fails there by itself; each runner had failed two in a row, so that all three were paused, and the pauses were told to all routers. Besides, heads whose streams stood still were chosen until a request had timed out there.

Change: failures, silence and suspicion are kept apart in `Soundness` and in the beats. Where less than half of the reached runners answer well, failures are left out of account. A head on which streams stand still is chosen after the others.

--- a/mulberrypaddle/dispatch/choice.py
+++ b/mulberrypaddle/dispatch/choice.py
@@ -114,12 +114,23 @@
         return heads
 
     def sound(self, demand: Demand, *, now_seconds: float) -> list[RunnerEntry]:
-        """Returns the runners that serve and are not left alone."""
-        return [
+        """Returns the runners that serve and are not left alone.
+
+        Where less than half of those that can be reached answer well, their
+        failures are left out of account: then the requests are more likely at
+        fault than the runners, and a refusal serves nobody.
+        """
+        reached = [
             entry
             for entry in self.serving(demand)
-            if not self._soundness.paused(entry.runner_id, now_seconds)
+            if not self._soundness.silent(entry.runner_id, now_seconds)
         ]
+        sound = [
+            entry
+            for entry in reached
+            if not self._soundness.failing(entry.runner_id, now_seconds)
+        ]
+        return reached if 2 * len(sound) < len(reached) else sound
 
     def room(self, demand: Demand, *, now_seconds: float) -> int:
         """Returns how many more requests sound runners take now."""
@@ -155,6 +166,12 @@
             fitting.append((load, entry))
         if not fitting:
             return None
+        unsuspected = [
+            (load, entry)
+            for load, entry in fitting
+            if not self._soundness.suspected(entry.runner_id, now_seconds)
+        ]
+        fitting = unsuspected or fitting
         if routers > MOST_THAT_COMPARE_ALL and len(fitting) > COMPARED:
             fitting = self._random.sample(fitting, COMPARED)
         least = min(load for load, _ in fitting)
--- a/mulberrypaddle/dispatch/soundness.py
+++ b/mulberrypaddle/dispatch/soundness.py
@@ -1,4 +1,9 @@
-"""Which runners failed lately and are left alone for a while."""
+"""Which runners failed lately and are left alone for a while.
+
+Three signs are kept apart. A runner that could not be reached is not used. One
+that answers with failures is left alone while enough others are there. A head
+whose streams stand still is only chosen after the others.
+"""
 
 from __future__ import annotations
 
@@ -21,31 +26,56 @@
 UNREACHABLE_PAUSE_SECONDS = 4.0
 
 
+# Age up to which a sight of standing streams counts against a head: the sight
+# is repeated while they stand, and reaches all routers within 0.4 s.
+SUSPICION_SECONDS = 0.6
+
+
 class _Record:
     """What is held against one life of a runner."""
 
-    __slots__ = ("failures", "paused_until_seconds", "pauses", "told")
+    __slots__ = (
+        "failures",
+        "paused_until_seconds",
+        "pauses",
+        "silent_until_seconds",
+        "told",
+    )
 
     def __init__(self) -> None:
         self.failures = 0
         self.pauses = 0
         self.paused_until_seconds = 0.0
+        self.silent_until_seconds = 0.0
         self.told = False
 
 
 class Soundness:
     """Pauses runners that fail, and takes pauses from other routers."""
 
-    __slots__ = ("_records",)
+    __slots__ = ("_records", "_suspects")
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        self._suspects: dict[str, float] = {}
 
-    def paused(self, runner_id: str, now_seconds: float) -> bool:
-        """Returns whether a runner is to be left alone now."""
+    def failing(self, runner_id: str, now_seconds: float) -> bool:
+        """Returns whether a runner answers with failures."""
         record = self._records.get(runner_id)
         return record is not None and now_seconds < record.paused_until_seconds
 
+    def silent(self, runner_id: str, now_seconds: float) -> bool:
+        """Returns whether a runner could not be reached lately."""
+        record = self._records.get(runner_id)
+        return record is not None and now_seconds < record.silent_until_seconds
+
+    def suspected(self, runner_id: str, now_seconds: float) -> bool:
+        """Returns whether streams of a head lately stood still."""
+        seen_at_seconds = self._suspects.get(runner_id)
+        if seen_at_seconds is None:
+            return False
+        return now_seconds - seen_at_seconds < SUSPICION_SECONDS
+
     def succeeded(self, runner_id: str) -> None:
         """Takes an answer as a sign that the runner works."""
         record = self._records.get(runner_id)
@@ -54,6 +84,7 @@
         record.failures = 0
         record.pauses = max(0, record.pauses - 1)
         record.paused_until_seconds = 0.0
+        record.silent_until_seconds = 0.0
 
     def failed(self, runner_id: str, now_seconds: float) -> bool:
         """Counts a failure.
@@ -75,32 +106,75 @@
         return True
 
     def unreachable(self, runner_id: str, now_seconds: float) -> None:
-        """Pauses a runner that could not be reached or fell silent."""
+        """Takes that a runner could not be reached or fell silent."""
         record = self._records.setdefault(runner_id, _Record())
-        record.paused_until_seconds = now_seconds + UNREACHABLE_PAUSE_SECONDS
+        record.silent_until_seconds = now_seconds + UNREACHABLE_PAUSE_SECONDS
         record.told = False
 
-    def take_peer(self, runner_ids: Iterable[str], now_seconds: float) -> None:
-        """Takes pauses that another router has just begun."""
-        for runner_id in runner_ids:
+    def suspect(self, runner_id: str, seen_at_seconds: float) -> None:
+        """Takes that streams of a head stood still at a time."""
+        self._suspects[runner_id] = max(
+            seen_at_seconds, self._suspects.get(runner_id, 0.0)
+        )
+
+    def suspects(
+        self, now_seconds: float, *, within_seconds: float
+    ) -> dict[str, float]:
+        """Returns the age of the last sight of each suspected head."""
+        return {
+            runner_id: now_seconds - at_seconds
+            for runner_id, at_seconds in self._suspects.items()
+            if now_seconds - at_seconds < within_seconds
+        }
+
+    def take_peer(
+        self,
+        *,
+        failing: Iterable[str],
+        silent: Iterable[str],
+        now_seconds: float,
+    ) -> None:
+        """Takes what another router has just found.
+
+        Args:
+            failing: Runners that answer it with failures.
+            silent: Runners that it could not reach.
+            now_seconds: Monotonic time.
+        """
+        until = now_seconds + FIRST_PAUSE_SECONDS
+        for runner_id in failing:
             record = self._records.setdefault(runner_id, _Record())
-            until = now_seconds + FIRST_PAUSE_SECONDS
             record.paused_until_seconds = max(
                 record.paused_until_seconds, until
             )
             record.told = True
+        for runner_id in silent:
+            record = self._records.setdefault(runner_id, _Record())
+            record.silent_until_seconds = max(
+                record.silent_until_seconds, until
+            )
+            record.told = True
 
-    def own_pauses(self, now_seconds: float) -> list[str]:
-        """Returns the runners that this router itself has paused."""
+    def own_failing(self, now_seconds: float) -> list[str]:
+        """Returns the runners that failed requests of this router."""
         return [
             runner_id
             for runner_id, record in self._records.items()
             if not record.told and now_seconds < record.paused_until_seconds
         ]
 
+    def own_silent(self, now_seconds: float) -> list[str]:
+        """Returns the runners that this router could not reach."""
+        return [
+            runner_id
+            for runner_id, record in self._records.items()
+            if not record.told and now_seconds < record.silent_until_seconds
+        ]
+
     def keep_only(self, runner_ids: Iterable[str]) -> None:
         """Forgets runners that are gone."""
         known = set(runner_ids)
-        for runner_id in list(self._records):
-            if runner_id not in known:
-                del self._records[runner_id]
+        for kept in (self._records, self._suspects):
+            for runner_id in list(kept):
+                if runner_id not in known:
+                    del kept[runner_id]
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -283,7 +283,7 @@
         progress_at = self._board.head_progress.get(runner_id, 0.0)
         silent = now - max(progress_at, self._call.last_byte_at_seconds)
         if silent >= SIGHT_SECONDS and self._board.was_heard(runner_id):
-            self._board.stalled_heads[runner_id] = now
+            self._board.soundness.suspect(runner_id, now)
         limit = STALL_SECONDS if self._events else FIRST_EVENT_STALL_SECONDS
         if silent >= limit and self._can_move(runner_id):
             self.detail = f"silent for {silent:.2f} s"
--- a/mulberrypaddle/serving/beat.py
+++ b/mulberrypaddle/serving/beat.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 # Name and version of the message; others are left out.
-FORM = 1
+FORM = 2
 
 
 class Beat:
@@ -18,7 +18,8 @@
         ip: Address of its VM.
         revisions: Revision of each of its feeds, by collection.
         loads: Requests in hand by runner.
-        paused: Runners that it found failing.
+        failing: Runners that failed its requests.
+        silent: Runners that it could not reach.
         stalled: Heads on which streams stand still, with their age in
             milliseconds.
         losses: Runners lost with one request in hand, by fingerprint.
@@ -50,7 +51,8 @@
         "losses",
         "node",
         "opening",
-        "paused",
+        "failing",
+        "silent",
         "renewals",
         "revisions",
         "stalled",
@@ -71,7 +73,8 @@
         ip: str,
         revisions: dict[str, int],
         loads: dict[str, int],
-        paused: list[str],
+        failing: list[str],
+        silent: list[str],
         stalled: dict[str, int],
         losses: dict[str, list[str]],
         demand: dict[str, float],
@@ -92,7 +95,8 @@
         self.ip = ip
         self.revisions = revisions
         self.loads = loads
-        self.paused = paused
+        self.failing = failing
+        self.silent = silent
         self.stalled = stalled
         self.losses = losses
         self.demand = demand
--- a/mulberrypaddle/serving/board.py
+++ b/mulberrypaddle/serving/board.py
@@ -63,7 +63,6 @@
         "rng",
         "settings",
         "soundness",
-        "stalled_heads",
         "stopping",
         "view",
     )
@@ -104,8 +103,6 @@
         )
         self.live_routers = 1
         self.opening_in: dict[str, float] = {}
-        # Heads on which streams stood still, by time of the last such sight.
-        self.stalled_heads: dict[str, float] = {}
         # When a head last sent an event of any own stream.
         self.head_progress: dict[str, float] = {}
         self.stopping = False
--- a/mulberrypaddle/serving/digest.py
+++ b/mulberrypaddle/serving/digest.py
@@ -31,7 +31,8 @@
     """
     loads = dict(own.loads)
     stalled = dict(own.stalled)
-    paused = set(own.paused)
+    failing = set(own.failing)
+    silent = set(own.silent)
     losses = {mark: set(runners) for mark, runners in own.losses.items()}
     routers = 1
     for beat in others:
@@ -40,12 +41,14 @@
             loads[runner_id] = loads.get(runner_id, 0) + count
         for runner_id, age_ms in beat.stalled.items():
             stalled[runner_id] = min(stalled.get(runner_id, age_ms), age_ms)
-        paused.update(beat.paused)
+        failing.update(beat.failing)
+        silent.update(beat.silent)
         for mark, runners in beat.losses.items():
             losses.setdefault(mark, set()).update(runners)
     own.loads = loads
     own.stalled = stalled
-    own.paused = sorted(paused)
+    own.failing = sorted(failing)
+    own.silent = sorted(silent)
     own.losses = {mark: sorted(runners) for mark, runners in losses.items()}
     own.routers = routers
     return own
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -490,7 +490,7 @@
             return _Verdict.UNKNOWN
         if end is AttemptEnd.STALLED:
             board.soundness.unreachable(runner_id, now)
-            board.stalled_heads[runner_id] = now
+            board.soundness.suspect(runner_id, now)
         else:
             board.soundness.failed(runner_id, now)
         if end is AttemptEnd.BROKEN:
--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -158,11 +158,7 @@
     ) -> None:
         """Asks the members of groups whose streams stand still."""
         board = self._board
-        suspects = {
-            runner_id
-            for runner_id, at in board.stalled_heads.items()
-            if now - at < SIGHT_SECONDS
-        }
+        suspects = board.soundness.suspects(now, within_seconds=SIGHT_SECONDS)
         lost = keeper.lost_runners
         if not suspects and not lost:
             return
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -209,13 +209,13 @@
         self.peers[beat.ip] = Peer(beat, now)
         if not beat.routers:
             board.loads.take_peer(beat.node, beat.loads, now_seconds=now)
-        board.soundness.take_peer(beat.paused, now)
+        board.soundness.take_peer(
+            failing=beat.failing, silent=beat.silent, now_seconds=now
+        )
         board.crashes.take_peer(beat.losses, now)
         board.demand.take_peer(beat.node, beat.demand)
         for runner_id, age_ms in beat.stalled.items():
-            seen_at = now - age_ms / 1000
-            if seen_at > board.stalled_heads.get(runner_id, 0.0):
-                board.stalled_heads[runner_id] = seen_at
+            board.soundness.suspect(runner_id, now - age_ms / 1000)
         if beat.renewals >= 0:
             board.opening_in = {
                 model: left / 1000 for model, left in beat.opening.items()
@@ -359,11 +359,13 @@
                 for name, feed in self._feeds.items()
             },
             loads=board.loads.own,
-            paused=board.soundness.own_pauses(now),
+            failing=board.soundness.own_failing(now),
+            silent=board.soundness.own_silent(now),
             stalled={
-                runner_id: int((now - at) * 1000)
-                for runner_id, at in board.stalled_heads.items()
-                if now - at < SILENT_SECONDS
+                runner_id: int(age_seconds * 1000)
+                for runner_id, age_seconds in board.soundness.suspects(
+                    now, within_seconds=SILENT_SECONDS
+                ).items()
             },
             losses=board.crashes.recent(now, since_seconds=TELL_LOSSES_SECONDS),
             demand={
--- a/tests/dispatch/test_choice.py
+++ b/tests/dispatch/test_choice.py
@@ -106,6 +106,42 @@
         under_test.soundness.unreachable("h1", 0.0)
         self.assertEqual({"h2"}, {under_test.pick() for _ in range(20)})
 
+    def test_failing_runners_serve_when_too_few_others_do(self) -> None:
+        # One request in seven fails at any runner of a plain service: soon
+        # all have failed twice in a row.
+        service = ServiceSpec(
+            name="shop",
+            health_path="/health",
+            cold_requests_per_second=0.0,
+            engine=None,
+        )
+        runners = []
+        for number in range(3):
+            runner = _group(number, service="shop", group=None)[0]
+            runners.append(runner)
+        under_test = _Chooser(runners)
+        for runner in runners:
+            for _ in range(2):
+                under_test.soundness.failed(runner.runner_id, 0.0)
+        self.assertNotEqual("", under_test.pick(Demand(service)))
+        for runner in runners:
+            under_test.soundness.unreachable(runner.runner_id, 0.0)
+        self.assertEqual("", under_test.pick(Demand(service)))
+
+    def test_one_failing_runner_of_three_is_left_alone(self) -> None:
+        under_test = _Chooser([*_group(1), *_group(2), *_group(3)])
+        for _ in range(2):
+            under_test.soundness.failed("h1", 0.0)
+        self.assertNotIn("h1", {under_test.pick() for _ in range(20)})
+
+    def test_head_that_stands_still_is_chosen_last(self) -> None:
+        under_test = _Chooser([*_group(1), *_group(2)])
+        under_test.soundness.suspect("h1", 0.0)
+        under_test.loads.take_peer("other", {"h2": 5}, now_seconds=0.0)
+        self.assertEqual({"h2"}, {under_test.pick() for _ in range(20)})
+        under_test.soundness.unreachable("h2", 0.0)
+        self.assertEqual("h1", under_test.pick())
+
     def test_full_heads_are_not_chosen(self) -> None:
         under_test = _Chooser(_group(1))
         under_test.loads.take_peer("other", {"h1": 13}, now_seconds=0.0)
--- a/tests/serving/test_digest.py
+++ b/tests/serving/test_digest.py
@@ -12,7 +12,8 @@
     node: str,
     *,
     loads: dict[str, int],
-    paused: list[str] | None = None,
+    failing: list[str] | None = None,
+    silent: list[str] | None = None,
     stalled: dict[str, int] | None = None,
     losses: dict[str, list[str]] | None = None,
 ) -> Beat:
@@ -23,7 +24,8 @@
         ip="127.0.0.1",
         revisions={},
         loads=loads,
-        paused=paused or [],
+        failing=failing or [],
+        silent=silent or [],
         stalled=stalled or {},
         losses=losses or {},
         demand={},
@@ -55,19 +57,22 @@
 
     def test_sightings_are_joined(self) -> None:
         digest = merge_into(
-            make_beat("a", loads={}, paused=["r1"], stalled={"h": 300}),
+            make_beat(
+                "a", loads={}, failing=["r1"], silent=["r3"], stalled={"h": 300}
+            ),
             [
                 make_beat(
                     "b",
                     loads={},
-                    paused=["r2"],
+                    failing=["r2"],
                     stalled={"h": 100},
                     losses={"m": ["r1"]},
                 ),
                 make_beat("c", loads={}, losses={"m": ["r2"]}),
             ],
         )
-        self.assertEqual(["r1", "r2"], digest.paused)
+        self.assertEqual(["r1", "r2"], digest.failing)
+        self.assertEqual(["r3"], digest.silent)
         self.assertEqual({"h": 100}, digest.stalled)
         self.assertEqual({"m": ["r1", "r2"]}, digest.losses)
 
