List at once when the store has dropped its history

Change: asked to list again, a feed lists at once and leaves the watch that waits to itself; what that still says is older. The three feeds are made in one place.

Test: a list goes before a watch that waits; it failed on the former code.

--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -11,11 +11,12 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from returns.result import Success
+from returns.result import Result, Success
 
 from mulberrypaddle.fleet.view import RETURN_GRACE_SECONDS
 from mulberrypaddle.serving.events_log import log_belief
 from mulberrypaddle.serving.store import (
+    Changes,
     Collection,
     HistoryGoneError,
     Listing,
@@ -113,6 +114,8 @@
         self._removals: list[tuple[int, str]] = []
         self._whole_since = 0
         self._must_list = True
+        self._list_asked = asyncio.Event()
+        self._unheard: set[asyncio.Future[Result[Changes, Problem]]] = set()
         self._failures = 0
         self._returned_at_seconds = -RETURN_GRACE_SECONDS
         self.collection = collection
@@ -128,8 +131,9 @@
         return not self._must_list and self._may_rest()
 
     def list_again(self) -> None:
-        """Lists before the next watch."""
+        """Lists at once, also while a watch waits."""
         self._must_list = True
+        self._list_asked.set()
 
     async def run(self) -> None:
         """Keeps the collection current until the task is cancelled."""
@@ -162,29 +166,72 @@
             )
 
     async def _step(self) -> Problem | None:
-        if self._must_list:
-            listed = await self._store.list(self.collection)
-            if not isinstance(listed, Success):
-                return listed.failure()
-            self.take_listing(listed.unwrap())
-            self._must_list = False
-            return None
-        watched = await self._store.watch(
-            self.collection,
-            revision=self.revision,
-            wait_seconds=self._wait_seconds(),
+        if not self._must_list:
+            watched = await self._watch()
+            if watched is not None:
+                return self._take_watched(watched)
+        self._list_asked.clear()
+        listed = await self._store.list(self.collection)
+        if not isinstance(listed, Success):
+            return listed.failure()
+        self.take_listing(listed.unwrap())
+        # Asked again while the answer was on its way, it is read once more.
+        self._must_list = self._list_asked.is_set()
+        return None
+
+    async def _watch(self) -> Result[Changes, Problem] | None:
+        """Waits for changes; returns None if a list is to go before them."""
+        watch = asyncio.ensure_future(
+            self._store.watch(
+                self.collection,
+                revision=self.revision,
+                wait_seconds=self._wait_seconds(),
+            )
         )
+        asked = asyncio.ensure_future(self._list_asked.wait())
+        try:
+            await asyncio.wait(
+                {watch, asked}, return_when=asyncio.FIRST_COMPLETED
+            )
+        except asyncio.CancelledError:
+            watch.cancel()
+            raise
+        finally:
+            asked.cancel()
+        if watch.done():
+            return watch.result()
+        # A call can't be taken back; what it still says is older than the list.
+        self._unheard.add(watch)
+        watch.add_done_callback(self._drop_unheard)
+        return None
+
+    def _drop_unheard(
+        self, watch: asyncio.Future[Result[Changes, Problem]]
+    ) -> None:
+        self._unheard.discard(watch)
+        if watch.cancelled():
+            return
+        error = watch.exception()
+        if error is not None and not isinstance(error, HistoryGoneError):
+            log_belief(
+                "watch_failed",
+                collection=self.collection.value,
+                reason=str(error),
+            )
+
+    def _take_watched(
+        self, watched: Result[Changes, Problem]
+    ) -> Problem | None:
         if not isinstance(watched, Success):
             return watched.failure()
         changes = watched.unwrap()
-        if changes.revision < self.revision:
-            return None
-        self._take(
-            changes.changed,
-            removed=changes.removed,
-            revision=changes.revision,
-            whole=False,
-        )
+        if changes.revision >= self.revision:
+            self._take(
+                changes.changed,
+                removed=changes.removed,
+                revision=changes.revision,
+                whole=False,
+            )
         return None
 
     def take_listing(self, listing: Listing) -> bool:
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -24,6 +24,8 @@
 from mulberrypaddle.serving.store import Collection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mulberrypaddle.fleet import NodeSettings
     from mulberrypaddle.serving.dialect import Dialect
     from mulberrypaddle.serving.documents import Decoder
@@ -81,29 +83,14 @@
             client=make_client(),
             rng=random.Random(),
         )
-        self._config_feed = Feed(
-            store,
-            Collection.CONFIGURATION,
-            on_update=self._take_config,
-            pause_seconds=lambda: URGENT_PAUSE_SECONDS,
-            wait_seconds=self._wait_seconds,
-            may_rest=self._may_rest,
+        self._config_feed = self._make_feed(
+            Collection.CONFIGURATION, self._take_config, _urgent_pause
         )
-        self._evacuation_feed = Feed(
-            store,
-            Collection.EVACUATIONS,
-            on_update=self._take_evacuations,
-            pause_seconds=lambda: URGENT_PAUSE_SECONDS,
-            wait_seconds=self._wait_seconds,
-            may_rest=self._may_rest,
+        self._evacuation_feed = self._make_feed(
+            Collection.EVACUATIONS, self._take_evacuations, _urgent_pause
         )
-        self._runner_feed = Feed(
-            store,
-            Collection.RUNNERS,
-            on_update=self._take_runners,
-            pause_seconds=self._runners_pause,
-            wait_seconds=self._wait_seconds,
-            may_rest=self._may_rest,
+        self._runner_feed = self._make_feed(
+            Collection.RUNNERS, self._take_runners, self._runners_pause
         )
         feeds = [self._config_feed, self._evacuation_feed, self._runner_feed]
         self._feeds = feeds
@@ -120,6 +107,21 @@
         self._readiness = ReadinessServer(self.is_ready)
         watch_board(self.board)
 
+    def _make_feed(
+        self,
+        collection: Collection,
+        on_update: Callable[[Update], None],
+        pause_seconds: Callable[[], float],
+    ) -> Feed:
+        return Feed(
+            self._store,
+            collection,
+            on_update=on_update,
+            pause_seconds=pause_seconds,
+            wait_seconds=self._wait_seconds,
+            may_rest=self._may_rest,
+        )
+
     def is_ready(self) -> bool:
         """Returns whether callers should be led here."""
         return self.board.config is not None and not self.board.stopping
@@ -335,3 +337,7 @@
         board.crashes.settle({entry.life for entry in board.view}, now)
         board.soundness.keep_only(entry.runner_id for entry in board.view)
         self.advance_lines()
+
+
+def _urgent_pause() -> float:
+    return URGENT_PAUSE_SECONDS
--- a/tests/serving/test_feed.py
+++ b/tests/serving/test_feed.py
@@ -123,6 +123,24 @@
         self.assertEqual(2, store.lists)
         self.assertEqual(9, watched.feed.revision)
 
+    def test_list_goes_before_a_watch_that_waits(self) -> None:
+        # The history of another collection is gone: this one's watch may
+        # have missed changes and would say so only when its wait is over.
+        store = _Store()
+
+        async def play() -> _Watched:
+            watched = _Watched(store)
+            task = asyncio.ensure_future(watched.play(0.1))
+            await asyncio.sleep(0.05)
+            store.listing = Listing([_item("c", 9)], revision=9)
+            watched.feed.list_again()
+            await task
+            return watched
+
+        watched = run(play())
+        self.assertEqual(9, watched.feed.revision)
+        self.assertEqual(2, store.lists)
+
     def test_stale_list_takes_nothing_back(self) -> None:
         store = _Store()
         store.watches = [
