Serve what ends in time while a router stops

Change: near its end a router takes requests whose deadline passes before, and streams that end before by their longest answer, doubled; it refuses the others at once. `ends_in_time` is the decision.

The check of the refusal now sets the time of the end in place of the flag that it replaces.

--- a/mulberrypaddle/dispatch/patience.py
+++ b/mulberrypaddle/dispatch/patience.py
@@ -23,6 +23,10 @@
 # Callers honour a Retry-After up to this part of the time that they have.
 RETRY_AFTER_PART = 1 / 3
 
+# Factor on the longest time that a request takes by its lengths: it may wait
+# for a slot and move to another runner on the way.
+LONGEST_FACTOR = 2.0
+
 # Shortest Retry-After: one exchange of counts between routers.
 LEAST_RETRY_AFTER_SECONDS = 0.1
 
@@ -34,6 +38,32 @@
     )
 
 
+def ends_in_time(
+    *,
+    now_seconds: float,
+    deadline_seconds: float,
+    longest_seconds: float | None,
+    ends_at_seconds: float,
+) -> bool:
+    """Returns whether a request is over before its router ends.
+
+    Answers stops of several routers at once, when callers have nobody else to
+    turn to: what fits is still served.
+
+    Args:
+        now_seconds: Monotonic time.
+        deadline_seconds: When the request's time is up.
+        longest_seconds: How long it takes at the most; None if nobody knows.
+        ends_at_seconds: When the router ends.
+    """
+    if deadline_seconds <= ends_at_seconds:
+        return True
+    if longest_seconds is None:
+        return False
+    reserve = longest_seconds * LONGEST_FACTOR + FIRST_EVENT_SECONDS
+    return now_seconds + reserve <= ends_at_seconds
+
+
 class Patience:
     """How long a request may wait.
 
--- a/mulberrypaddle/fleet/config.py
+++ b/mulberrypaddle/fleet/config.py
@@ -183,11 +183,21 @@
 
     def busy_seconds(self, model: ModelSpec) -> float:
         """Returns how long a usual request holds a slot of a full group."""
+        return self.seconds_for(
+            model,
+            prompt_tokens=self.usual_prompt_tokens,
+            answer_tokens=self.usual_answer_tokens,
+        )
+
+    def seconds_for(
+        self, model: ModelSpec, *, prompt_tokens: float, answer_tokens: float
+    ) -> float:
+        """Returns how long a request holds a slot of a full group."""
         step = self.step_seconds + self.slots * self.step_seconds_per_request
-        reading = self.usual_prompt_tokens / self.prompt_tokens_per_second
+        reading = prompt_tokens / self.prompt_tokens_per_second
         # Each request waits while the others of its batch are read.
         reading *= 1 + self.slots / 2
-        return model.pace * (self.usual_answer_tokens * step + reading)
+        return model.pace * (answer_tokens * step + reading)
 
 
 class ServiceSpec:
--- a/mulberrypaddle/serving/board.py
+++ b/mulberrypaddle/serving/board.py
@@ -38,19 +38,19 @@
         opening_in: When the next group of a model opens, by model, in
             seconds, as the owner of the groups told.
         stopping: Whether the process is about to end.
-        closing: Whether it is so close to its end that new requests could be
-            cut off.
+        ends_at_seconds: Loop time at which the process ends, once it is so
+            close that new requests could be cut off; None before.
         in_hand: Requests in hand.
     """
 
     __slots__ = (
         "chooser",
         "client",
-        "closing",
         "cold",
         "config",
         "crashes",
         "demand",
+        "ends_at_seconds",
         "dialect",
         "head_progress",
         "in_hand",
@@ -106,7 +106,7 @@
         # When a head last sent an event of any own stream.
         self.head_progress: dict[str, float] = {}
         self.stopping = False
-        self.closing = False
+        self.ends_at_seconds: float | None = None
         self.in_hand = 0
 
     def now(self) -> float:
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -12,6 +12,7 @@
 from mulberrypaddle.dispatch.patience import (
     LEAST_RETRY_AFTER_SECONDS,
     LEAST_SEND_SECONDS,
+    ends_in_time,
     retry_after,
     stream_gap_seconds,
 )
@@ -129,13 +130,6 @@
     def _admit(self) -> bool:
         """Finds route, organisation and service; answers if one is missing."""
         board = self._board
-        if board.closing:
-            self._refuse(
-                ErrorKind.SHUTTING_DOWN,
-                "this router is about to end",
-                retry_after_seconds=LEAST_RETRY_AFTER_SECONDS,
-            )
-            return False
         config = board.config
         if config is None:
             self._refuse(ErrorKind.NOT_IN_FORCE, "no configuration is known")
@@ -167,6 +161,19 @@
         if self._fields.wait_seconds is not None:
             wait = min(wait, self._fields.wait_seconds)
         self._deadline = self._arrived_at + wait
+        ends_at = board.ends_at_seconds
+        if ends_at is not None and not ends_in_time(
+            now_seconds=self._arrived_at,
+            deadline_seconds=self._deadline,
+            longest_seconds=self._longest_seconds(),
+            ends_at_seconds=ends_at,
+        ):
+            self._refuse(
+                ErrorKind.SHUTTING_DOWN,
+                "this router is about to end",
+                retry_after_seconds=LEAST_RETRY_AFTER_SECONDS,
+            )
+            return False
         self._busy_seconds = self._expected_busy_seconds()
         self._mark = fingerprint(
             self._organisation.name if self._organisation else "",
@@ -202,6 +209,20 @@
         ratio = 0.5 + 0.5 * tokens / max(1.0, engine.usual_answer_tokens)
         return usual * ratio
 
+    def _longest_seconds(self) -> float | None:
+        """Returns how long the request holds a slot at the most, if known."""
+        engine = self._service.engine
+        if engine is None or not self._fields.answer_tokens:
+            return None
+        spec = engine.models.get(self._fields.model)
+        if spec is None:
+            return None
+        return engine.seconds_for(
+            spec,
+            prompt_tokens=self._fields.prompt_tokens,
+            answer_tokens=self._fields.answer_tokens,
+        )
+
     @property
     def _is_stream(self) -> bool:
         return self._route.repeat_rule is RepeatRule.STREAM
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -50,8 +50,8 @@
 URGENT_PAUSE_SECONDS = 0.05
 
 # Time after the signal to stop in which callers are still led here: two
-# questions for readiness, a second apart, and one on its way. What comes later,
-# on kept connections, is refused: it might not end in time.
+# questions for readiness, a second apart, and one on its way. Of what comes
+# later, only requests are taken that end in time for certain.
 LAST_CALLERS_SECONDS = 2.8
 
 # Left of the grace at the end for handing over and closing.
@@ -176,7 +176,7 @@
             self._settings.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
         )
         await asyncio.sleep(LAST_CALLERS_SECONDS)
-        board.closing = True
+        board.ends_at_seconds = end
         while board.now() < end and board.in_hand:
             await asyncio.sleep(STOP_LOOK_SECONDS)
         self._door.stop_listening()
--- a/tests/dispatch/test_patience.py
+++ b/tests/dispatch/test_patience.py
@@ -5,7 +5,7 @@
 import testtools
 
 from mulberrypaddle.dispatch import Patience, judge
-from mulberrypaddle.dispatch.patience import stream_gap_seconds
+from mulberrypaddle.dispatch.patience import ends_in_time, stream_gap_seconds
 
 
 def _judge(
@@ -70,3 +70,25 @@
         self.assertEqual(
             2.8, stream_gap_seconds(target_seconds=0.7, pause_seconds=0.3)
         )
+
+
+class EndOfRouterTest(testtools.TestCase):
+    """Requests that come while a router is about to end."""
+
+    def _fits(self, *, deadline: float, longest: float | None) -> bool:
+        return ends_in_time(
+            now_seconds=0.0,
+            deadline_seconds=deadline,
+            longest_seconds=longest,
+            ends_at_seconds=4.0,
+        )
+
+    def test_deadline_before_the_end_fits(self) -> None:
+        self.assertTrue(self._fits(deadline=1.0, longest=None))
+
+    def test_unknown_length_does_not_fit(self) -> None:
+        self.assertFalse(self._fits(deadline=6.0, longest=None))
+
+    def test_short_stream_fits_and_long_one_does_not(self) -> None:
+        self.assertTrue(self._fits(deadline=6.0, longest=0.5))
+        self.assertFalse(self._fits(deadline=6.0, longest=2.0))
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -159,23 +159,29 @@
 class StopTest(testtools.TestCase):
     """A process that is about to end."""
 
-    def test_late_request_on_a_kept_connection_is_refused(self) -> None:
-        async def scenario() -> tuple[bytes, int]:
-            path = ServingPath()
-            runner = RawRunner(_answers(_whole(200, b"done")))
-            path.add_runner("r0", await runner.start())
-            path.board.closing = True
-            got = await path.ask("/pay/1")
-            path.close()
-            await runner.stop()
-            return got, len(runner.heads)
+    async def _ask(self, left_seconds: float) -> tuple[bytes, int]:
+        """Asks a router that ends after some time; returns answer and runs."""
+        path = ServingPath()
+        runner = RawRunner(_answers(_whole(200, b"done")))
+        path.add_runner("r0", await runner.start())
+        path.board.ends_at_seconds = path.board.now() + left_seconds
+        got = await path.ask("/pay/1")
+        path.close()
+        await runner.stop()
+        return got, len(runner.heads)
 
-        got, runs = run(scenario())
+    def test_late_request_on_a_kept_connection_is_refused(self) -> None:
+        got, runs = run(self._ask(0.5))
         # It might be cut off by the end of the process.
         self.assertTrue(got.startswith(b"HTTP/1.1 503"))
         self.assertIn(b"Retry-After", got)
         self.assertEqual(0, runs)
 
+    def test_late_request_that_ends_in_time_is_served(self) -> None:
+        got, runs = run(self._ask(60.0))
+        self.assertTrue(got.startswith(b"HTTP/1.1 200"))
+        self.assertEqual(1, runs)
+
 
 class CallerGoneTest(testtools.TestCase):
     """A caller that leaves is not worked for."""
