--- a/mulberrypaddle/serving/beat.py
+++ b/mulberrypaddle/serving/beat.py
@@ -23,6 +23,8 @@
         stalled: Heads on which streams stand still, with their age in
             milliseconds.
         losses: Runners lost with one request in hand, by fingerprint.
+        retries: First sendings and repeats in the window of the bound on
+            repeats, by service.
         demand: Slots that its arrivals keep busy, by model.
         known: Addresses of the routers that it hears.
         opening: Time until the next group of a model opens, in
@@ -43,6 +45,7 @@
 
     __slots__ = (
         "demand",
+        "retries",
         "incarnation",
         "ip",
         "known",
@@ -77,6 +80,7 @@
         silent: list[str],
         stalled: dict[str, int],
         losses: dict[str, list[str]],
+        retries: dict[str, tuple[int, int]],
         demand: dict[str, float],
         known: list[str],
         opening: dict[str, int],
@@ -99,6 +103,7 @@
         self.silent = silent
         self.stalled = stalled
         self.losses = losses
+        self.retries = retries
         self.demand = demand
         self.known = known
         self.opening = opening
--- a/mulberrypaddle/serving/board.py
+++ b/mulberrypaddle/serving/board.py
@@ -93,6 +93,7 @@
             slack=settings.bounds.retry_slack,
             window_seconds=settings.bounds.retry_window_seconds,
             started_at_seconds=self.loop.time(),
+            rng=rng,
         )
         self.chooser = Chooser(
             self.view,
--- a/mulberrypaddle/serving/digest.py
+++ b/mulberrypaddle/serving/digest.py
@@ -9,6 +9,8 @@
 
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.dispatch.retry_budget import RetryCounts
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -54,6 +56,16 @@
     return own
 
 
+def sum_retries(beats: Iterable[Beat]) -> dict[str, RetryCounts]:
+    """Sums up what routers have sent, by service."""
+    total: dict[str, RetryCounts] = {}
+    for beat in beats:
+        for service, (firsts, repeats) in beat.retries.items():
+            counts = total.setdefault(service, RetryCounts())
+            counts.add(RetryCounts(firsts, repeats))
+    return total
+
+
 def without_own(total: dict[str, int], told: dict[str, int]) -> dict[str, int]:
     """Returns the counts of the other routers.
 
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -19,10 +19,12 @@
 from tornado.httpserver import HTTPServer
 
 from mulberrypaddle.backends.curl import make_client
+from mulberrypaddle.dispatch.retry_budget import RetryCounts
 from mulberrypaddle.serving.beat import Beat
 from mulberrypaddle.serving.digest import (
     MOST_IN_MESH,
     merge_into,
+    sum_retries,
     without_own,
 )
 from mulberrypaddle.serving.events_log import log_belief
@@ -167,7 +169,8 @@
         self._hub_ip = ""
         self._hub_at = -WATCHER_NEVER_SECONDS
         self._hub_routers = 0
-        self._told: dict[str, int] = {}
+        # The last beat that was sent to it.
+        self._told: Beat | None = None
         self._digest_revisions: dict[str, int] = {}
         self._sent_at = 0.0
 
@@ -244,6 +247,7 @@
         if self._transport is None:
             return
         if board.live_routers <= MOST_IN_MESH:
+            self._lend_retries(now)
             self._send(self._make_beat(now), self._targets(now))
             return
         claim = self.claim()
@@ -253,7 +257,7 @@
         elif self._hub_heard(now):
             if now - self._sent_at >= HUB_SECONDS:
                 beat = self._make_beat(now)
-                self._told = dict(beat.loads)
+                self._told = beat
                 self._send(beat, [self._hub_ip])
         elif now - self._sent_at >= SLOW_SECONDS:
             self._send(self._make_beat(now), self._targets(now))
@@ -266,9 +270,19 @@
         self._hub_ip = beat.ip
         self._hub_at = now
         self._hub_routers = beat.routers
-        self._board.loads.take_peer(
-            beat.node, without_own(beat.loads, self._told), now_seconds=now
+        told = self._told
+        board = self._board
+        board.loads.take_peer(
+            beat.node,
+            without_own(beat.loads, told.loads if told else {}),
+            now_seconds=now,
         )
+        others = sum_retries([beat])
+        if told is not None:
+            for service, (firsts, repeats) in told.retries.items():
+                if service in others:
+                    others[service].add(RetryCounts(-firsts, -repeats))
+        board.retries.lend(others, routers=board.live_routers, now_seconds=now)
         for name, message in beat.changes.items():
             feed = self._feeds.get(name)
             if feed is None or not feed.rests:
@@ -281,6 +295,22 @@
                     extra={"collection": name, "reason": str(error)},
                 )
 
+    def _lend_retries(self, now: float) -> dict[str, RetryCounts]:
+        """Lends what the fleet leaves unused; returns the others' counts.
+
+        Routers that fell silent count on until they are forgotten: what they
+        have sent still lies in the window.
+        """
+        others = sum_retries(peer.beat for peer in self._routers_heard())
+        self._board.retries.lend(
+            others, routers=self._board.live_routers, now_seconds=now
+        )
+        return others
+
+    def _routers_heard(self) -> list[Peer]:
+        """Returns the routers that spoke for themselves when last heard."""
+        return [peer for peer in self.peers.values() if not peer.beat.routers]
+
     def _send_digest(self, now: float) -> None:
         others = [
             peer.beat
@@ -288,6 +318,12 @@
             if now - peer.heard_at_seconds <= SILENT_SECONDS
         ]
         digest = merge_into(self._make_beat(now), others)
+        for service, counts in self._lend_retries(now).items():
+            firsts, repeats = digest.retries.get(service, (0, 0))
+            digest.retries[service] = (
+                firsts + counts.firsts,
+                repeats + counts.repeats,
+            )
         size_bytes = 0
         for name, feed in self._feeds.items():
             since = self._digest_revisions.get(name, 0)
@@ -368,6 +404,10 @@
                 ).items()
             },
             losses=board.crashes.recent(now, since_seconds=TELL_LOSSES_SECONDS),
+            retries={
+                service: (counts.firsts, counts.repeats)
+                for service, counts in board.retries.counts(now).items()
+            },
             demand={
                 model: round(slots, 3)
                 for model, slots in board.demand.own_slots(now).items()
--- a/tests/serving/test_digest.py
+++ b/tests/serving/test_digest.py
@@ -28,6 +28,7 @@
         silent=silent or [],
         stalled=stalled or {},
         losses=losses or {},
+        retries={},
         demand={},
         known=[],
         opening={},
