Judge losses sooner, and ask silent runners too

Two questions of 0.6 s each, 0.4 s apart, and only to groups whose streams were seen to stand still.

Change: questions end after 0.35 s and are 0.2 s apart; runners that could not be reached are asked too; a question that came back late because this router itself was late proves nothing. A connection counts as failed after 0.25 s. The counting moved out of the control loop (`losses`).

--- a/mulberrypaddle/platform/orders.py
+++ b/mulberrypaddle/platform/orders.py
@@ -65,9 +65,11 @@
             )
         return Success(outcome)
 
-    async def report(self, entry: RunnerEntry) -> Result[Any, Problem]:
+    async def report(
+        self, entry: RunnerEntry, *, limit_seconds: float
+    ) -> Result[Any, Problem]:
         """Asks a runner for its report, undecoded."""
-        result = await self._call(entry, "/report")
+        result = await self._call(entry, "/report", limit_seconds=limit_seconds)
         if not isinstance(result, Success):
             return Failure(result.failure())
         response = result.unwrap()
@@ -94,6 +96,7 @@
         path: str,
         *,
         body: dict[str, Any] | None = None,
+        limit_seconds: float = ORDER_TIMEOUT_SECONDS,
     ) -> Result[tornado.httpclient.HTTPResponse, Problem]:
         headers = {"X-Expect-Instance": entry.runner_id}
         if body is not None:
@@ -103,8 +106,8 @@
             method="GET" if body is None else "POST",
             body=None if body is None else json.dumps(body),
             headers=headers,
-            connect_timeout=ORDER_TIMEOUT_SECONDS,
-            request_timeout=ORDER_TIMEOUT_SECONDS,
+            connect_timeout=limit_seconds,
+            request_timeout=limit_seconds,
             follow_redirects=False,
             decompress_response=False,
             prepare_curl_callback=_prepare,
--- a/mulberrypaddle/replicas/keeper.py
+++ b/mulberrypaddle/replicas/keeper.py
@@ -11,6 +11,7 @@
 
 from mulberrypaddle.fleet.runners import MembershipState
 from mulberrypaddle.replicas.first_layout import choose_first_groups
+from mulberrypaddle.replicas.losses import LossJudge
 from mulberrypaddle.replicas.order_book import Directive, OrderBook
 from mulberrypaddle.replicas.orders import (
     CloseGroup,
@@ -72,7 +73,11 @@
 
 
 class GroupKeeper:
-    """Keeps the groups of one engine service."""
+    """Keeps the groups of one engine service.
+
+    Attributes:
+        losses: Runners that do not answer although their entries stand.
+    """
 
     __slots__ = (
         "_seen_since",
@@ -81,7 +86,7 @@
         "_orders",
         "_pending",
         "_seen_runners",
-        "lost_runners",
+        "losses",
     )
 
     def __init__(self) -> None:
@@ -93,8 +98,7 @@
         self._seen_since: dict[tuple[str, int], float] = {}
         self._seen_runners: set[tuple[str, int | None]] = set()
         self._last_new_runner_seconds = 0.0
-        # Runners that do not answer although their entries stand.
-        self.lost_runners: set[tuple[str, int | None]] = set()
+        self.losses = LossJudge()
 
     @property
     def forming(self) -> int:
@@ -144,7 +148,7 @@
         entries = view.of_service(service.name)
         self._note_runners(entries, now_seconds)
         self._orders.settle(entries, now_seconds)
-        living = [e for e in entries if e.life not in self.lost_runners]
+        living = [e for e in entries if e.life not in self.losses.lost]
         pictures = draw_groups(entries, traits)
         self._tend_groups(pictures, now_seconds)
         busy = self._busy_runners(pictures)
@@ -173,7 +177,7 @@
         if lives - self._seen_runners:
             self._last_new_runner_seconds = now_seconds
         self._seen_runners = lives
-        self.lost_runners &= lives
+        self.losses.keep_only(lives)
 
     def _tend_groups(
         self,
@@ -244,7 +248,7 @@
         its old one does: the entry of a head may lapse while it serves.
         """
         for _, member in sorted(picture.members.items()):
-            if member.life in self.lost_runners:
+            if member.life in self.losses.lost:
                 continue
             self._orders.give(
                 member,
@@ -255,7 +259,7 @@
 
     def _lost_member(self, picture: GroupPicture) -> bool:
         return any(
-            member.life in self.lost_runners
+            member.life in self.losses.lost
             for member in picture.members.values()
         )
 
--- /dev/null
+++ b/mulberrypaddle/replicas/losses.py
@@ -0,0 +1,93 @@
+"""Which runners are lost, told from questions that they leave unanswered.
+
+The entry of a dead runner lapses after seconds. Routers notice sooner that its
+streams stand still; then the owner asks the members of its group themselves.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Pause between two questions to one runner.
+ASK_SECONDS = 0.2
+
+# Questions without an answer before a runner counts as lost; a link that loses
+# one packet in thirty leaves two unanswered once in some hundred times.
+QUESTIONS_BEFORE_LOST = 2
+
+# Time beyond a question's own limit after which this router itself was late: it
+# may have been suspended or starved, so that the silence says nothing.
+LATE_SECONDS = 0.15
+
+
+class LossJudge:
+    """Counts unanswered questions, by life of the runner.
+
+    Attributes:
+        lost: Lives that count as lost.
+    """
+
+    __slots__ = ("_asked_at_seconds", "_unanswered", "lost")
+
+    def __init__(self) -> None:
+        self._asked_at_seconds: dict[tuple[str, int | None], float] = {}
+        self._unanswered: dict[tuple[str, int | None], int] = {}
+        self.lost: set[tuple[str, int | None]] = set()
+
+    def may_ask(self, life: tuple[str, int | None], now_seconds: float) -> bool:
+        """Returns whether a question is due; it counts as asked if so."""
+        asked_at = self._asked_at_seconds.get(life)
+        if asked_at is not None and now_seconds - asked_at < ASK_SECONDS:
+            return False
+        self._asked_at_seconds[life] = now_seconds
+        return True
+
+    def answered(self, life: tuple[str, int | None]) -> bool:
+        """Takes an answer.
+
+        Returns:
+            Whether the runner counted as lost until now.
+        """
+        self._unanswered.pop(life, None)
+        if life not in self.lost:
+            return False
+        self.lost.discard(life)
+        return True
+
+    def unanswered(
+        self,
+        life: tuple[str, int | None],
+        *,
+        waited_seconds: float,
+        limit_seconds: float,
+    ) -> bool:
+        """Takes that a question was left unanswered.
+
+        Args:
+            life: Life of the runner.
+            waited_seconds: How long the answer was waited for.
+            limit_seconds: How long it should have been.
+
+        Returns:
+            Whether the runner counts as lost from now on.
+        """
+        if waited_seconds > limit_seconds + LATE_SECONDS or life in self.lost:
+            return False
+        count = self._unanswered.get(life, 0) + 1
+        self._unanswered[life] = count
+        if count < QUESTIONS_BEFORE_LOST:
+            return False
+        self.lost.add(life)
+        return True
+
+    def keep_only(self, lives: Iterable[tuple[str, int | None]]) -> None:
+        """Forgets runners that are gone."""
+        known = set(lives)
+        self.lost &= known
+        for kept in (self._asked_at_seconds, self._unanswered):
+            for life in list(kept):
+                if life not in known:
+                    del kept[life]
--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -19,6 +19,7 @@
     from collections.abc import Coroutine
 
     from mulberrypaddle.fleet import RunnerEntry, ServiceSpec
+    from mulberrypaddle.replicas.losses import LossJudge
     from mulberrypaddle.replicas.order_book import Directive
     from mulberrypaddle.serving.board import ServingBoard
     from mulberrypaddle.serving.owner_loop import OwnerLoop
@@ -33,11 +34,9 @@
 # Age up to which a sight of standing streams makes the owner ask the members.
 SIGHT_SECONDS = 1.0
 
-# Pause between two questions to one runner.
-ASK_SECONDS = 0.4
-
-# Questions without an answer before a runner counts as lost.
-QUESTIONS_BEFORE_LOST = 2
+# Time for an answer to a question: a runner answers in some milliseconds, a
+# slow one in some tens.
+ANSWER_SECONDS = 0.35
 
 
 class GroupControl:
@@ -57,8 +56,6 @@
         self._fence = 0
         self._noted_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
-        self._asked_at: dict[str, float] = {}
-        self._unanswered: dict[tuple[str, int | None], int] = {}
 
     async def run(self) -> None:
         """Steps until the task is cancelled."""
@@ -110,7 +107,7 @@
                     single=sum(entry.group is None for entry in entries),
                     staged=sum(spec.name in entry.staged for entry in entries),
                     runners=len(entries),
-                    lost=len(keeper.lost_runners),
+                    lost=len(keeper.losses.lost),
                     fleet=board.view.revision,
                 )
 
@@ -156,49 +153,50 @@
     def _ask_suspects(
         self, service: ServiceSpec, keeper: GroupKeeper, now: float
     ) -> None:
-        """Asks the members of groups whose streams stand still."""
+        """Asks silent runners, and members of groups that stand still."""
         board = self._board
         suspects = board.soundness.suspects(now, within_seconds=SIGHT_SECONDS)
-        lost = keeper.lost_runners
-        if not suspects and not lost:
-            return
+        losses = keeper.losses
         assert service.engine is not None
         entries = board.view.of_service(service.name)
-        pictures = draw_groups(entries, service.engine)
-        asked: list[RunnerEntry] = [e for e in entries if e.life in lost]
-        for picture in pictures.values():
-            head = picture.head
-            if head is not None and head.runner_id in suspects:
-                asked.extend(picture.members.values())
-        for entry in asked:
-            if now - self._asked_at.get(entry.runner_id, 0.0) < ASK_SECONDS:
-                continue
-            self._asked_at[entry.runner_id] = now
-            self._spawn(self._ask(keeper, entry))
+        asked: dict[str, RunnerEntry] = {}
+        for entry in entries:
+            silent = board.soundness.silent(entry.runner_id, now)
+            if silent or entry.life in losses.lost:
+                asked[entry.runner_id] = entry
+        if suspects:
+            for picture in draw_groups(entries, service.engine).values():
+                head = picture.head
+                if head is None or head.runner_id not in suspects:
+                    continue
+                for member in picture.members.values():
+                    asked[member.runner_id] = member
+        for entry in asked.values():
+            if losses.may_ask(entry.life, now):
+                self._spawn(self._ask(losses, entry))
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _ask(self, keeper: GroupKeeper, entry: RunnerEntry) -> None:
-        result = await self._control.report(entry)
+    async def _ask(self, losses: LossJudge, entry: RunnerEntry) -> None:
+        asked_at = self._board.now()
+        result = await self._control.report(entry, limit_seconds=ANSWER_SECONDS)
         if isinstance(result, Success):
-            self._unanswered.pop(entry.life, None)
-            if entry.life in keeper.lost_runners:
-                keeper.lost_runners.discard(entry.life)
+            if losses.answered(entry.life):
                 log_belief("runner_back", runner=entry.runner_id)
             return
-        count = self._unanswered.get(entry.life, 0) + 1
-        self._unanswered[entry.life] = count
-        if count < QUESTIONS_BEFORE_LOST:
-            return
-        if entry.life not in keeper.lost_runners:
-            keeper.lost_runners.add(entry.life)
+        waited_seconds = self._board.now() - asked_at
+        if losses.unanswered(
+            entry.life,
+            waited_seconds=waited_seconds,
+            limit_seconds=ANSWER_SECONDS,
+        ):
             log_belief(
                 "runner_lost",
                 runner=entry.runner_id,
-                questions=count,
+                waited_seconds=round(waited_seconds, 2),
                 reason=result.failure().detail,
             )
 
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -21,8 +21,9 @@
 
     from mulberrypaddle.backends.curl import CurlClient
 
-# Time for a connection: a VM answers in a few milliseconds, a dead one never.
-CONNECT_TIMEOUT_MILLISECONDS = 400
+# Time for a connection: a VM answers in a few milliseconds, a dead one never,
+# and an opening packet that was lost is sent again only after a second.
+CONNECT_TIMEOUT_MILLISECONDS = 250
 
 # Buffer of curl for one answer.
 RECEIVE_BUFFER_BYTES = 16_384
--- a/mulberrypaddle/serving/runner_control.py
+++ b/mulberrypaddle/serving/runner_control.py
@@ -43,5 +43,12 @@
         """
 
     @abc.abstractmethod
-    async def report(self, entry: RunnerEntry) -> Result[Any, Problem]:
-        """Asks a runner for its report, undecoded."""
+    async def report(
+        self, entry: RunnerEntry, *, limit_seconds: float
+    ) -> Result[Any, Problem]:
+        """Asks a runner for its report, undecoded.
+
+        Args:
+            entry: The runner.
+            limit_seconds: How long its answer is waited for.
+        """
--- a/tests/replicas/test_keeper.py
+++ b/tests/replicas/test_keeper.py
@@ -73,7 +73,7 @@
         runner_id = _member_of(fleet, "large", head=False)
         fleet.kill(runner_id)
         runner = fleet.runners[runner_id]
-        fleet.keeper.lost_runners.add((runner_id, runner.born_ms))
+        fleet.keeper.losses.lost.add((runner_id, runner.born_ms))
         fleet.play(3.0)
         self.assertGreaterEqual(fleet.open_groups()["large"], before["large"])
         self.assertEqual([], fleet.breaches)
