Complete groups of a pressed model before adding spares

New runners took the weights of the domain they came to, spares of a calm model.

Change: empty runners that can complete a group of a model whose load is above 0.6 load its weights; two free runners of a domain of large groups keep theirs.

Tests: two empty runners in a domain of large groups complete a small group.

--- a/mulberrypaddle/replicas/staging.py
+++ b/mulberrypaddle/replicas/staging.py
@@ -13,12 +13,18 @@
 from mulberrypaddle.replicas.placement import ModelLoad, by_domain
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mulberrypaddle.fleet.config import EngineTraits
     from mulberrypaddle.fleet.runners import RunnerEntry
 
-# Load of a model above which runners that hold other weights change theirs to
-# complete a group of it: its requests then begin to wait for a slot.
-RESTAGE_ABOVE_LOAD = 0.75
+# Load of a model above which one more group of it goes before spares of other
+# models: its requests then begin to wait for a slot.
+PRESSED_LOAD = 0.6
+
+# Free runners of a domain that are kept for each model of large groups there:
+# the commonest trouble takes two runners of a domain.
+SPARES_OF_A_DOMAIN = 2
 
 # How many times higher the load of a model must be than that of another one
 # before a free runner gives the weights of the other up for it. What was given
@@ -107,6 +113,17 @@
             coming[name] += 1
 
     for domain in domains:
+        for name in _pressed_first(by_name, domain, urgency):
+            missing = by_name[name].spec.size - (
+                domain.coming(name) % by_name[name].spec.size
+            )
+            while missing and urgency(name) >= PRESSED_LOAD:
+                if missing > len(domain.empty):
+                    break
+                for _ in range(missing):
+                    runner = domain.empty.pop()
+                    take(domain, runner, name, "it completes a group")
+                missing = by_name[name].spec.size
         while domain.empty:
             best = max(
                 by_name,
@@ -118,7 +135,7 @@
             take(domain, domain.empty.pop(), best, "a spare for repairs")
     for name in sorted(by_name, key=urgency, reverse=True):
         for domain in domains:
-            if urgency(name) < RESTAGE_ABOVE_LOAD:
+            if urgency(name) < PRESSED_LOAD:
                 break
             for runner in _change_over(domain, by_name, name, traits):
                 take(domain, runner, name, "it completes a group")
@@ -126,6 +143,20 @@
     return chosen
 
 
+def _pressed_first(
+    loads: dict[str, ModelLoad],
+    domain: _Domain,
+    urgency: Callable[[str], float],
+) -> list[str]:
+    """Returns the models, those that need little for much slots first."""
+
+    def gain(name: str) -> float:
+        size = loads[name].spec.size
+        return urgency(name) / (size - domain.coming(name) % size)
+
+    return sorted(loads, key=gain, reverse=True)
+
+
 def _survey(
     free: list[RunnerEntry],
     service_runners: list[RunnerEntry],
@@ -175,7 +206,10 @@
             continue
         if pressure < RESTAGE_LOAD_RATIO * load.load(traits.slots):
             continue
-        donors.extend(domain.idle[other])
+        kept = 0
+        if load.spec.size > SPARES_OF_A_DOMAIN and domain.serving[other]:
+            kept = SPARES_OF_A_DOMAIN
+        donors.extend(domain.idle[other][kept:])
     if len(donors) < missing:
         return []
     taken = donors[:missing]
--- a/tests/replicas/test_placement.py
+++ b/tests/replicas/test_placement.py
@@ -160,3 +160,23 @@
         free.append(_runner(3, staged="small"))
         chosen = self._stage(free, _loads(large=(27, 3), small=(50, 6)))
         self.assertEqual([], chosen)
+
+    def test_empty_runners_complete_a_group_of_a_pressed_model(self) -> None:
+        # A domain of large groups with its spares; the other model is short.
+        serving = [_runner(n, staged="large") for n in range(8)]
+        spares = [_runner(n, staged="large") for n in (8, 9)]
+        empty = [_runner(n) for n in (10, 11)]
+        chosen = self._stage(
+            spares + empty,
+            _loads(large=(24, 6), small=(65, 9)),
+            serving=serving,
+        )
+        self.assertEqual([("r10", "small"), ("r11", "small")], sorted(chosen))
+
+    def test_spares_of_large_groups_keep_their_weights(self) -> None:
+        serving = [_runner(n, staged="large") for n in range(8)]
+        spares = [_runner(n, staged="large") for n in range(8, 12)]
+        chosen = self._stage(
+            spares, _loads(large=(24, 6), small=(65, 9)), serving=serving
+        )
+        self.assertEqual(2, len(chosen))
