Keep the owner through an outage in a large fleet, and bound its calls

Change: a tenth of the routers may have said nothing; pauses between failed calls and between watches of runners grow with the number of routers; two runners of a domain stay free, whatever its size.

Tests: many routers need not all have looked, half of them must.

--- a/mulberrypaddle/replicas/first_layout.py
+++ b/mulberrypaddle/replicas/first_layout.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.replicas.placement import (
+    SPARES_OF_A_DOMAIN,
     Formation,
     by_domain,
     pick_members,
@@ -21,8 +22,8 @@
     from mulberrypaddle.fleet.runners import RunnerEntry
     from mulberrypaddle.replicas.placement import ModelLoad
 
-# Part of the runners that is kept free to repair with: two of a domain of ten
-# runners. The commonest trouble takes two runners of a domain.
+# Part of the runners that counts as free to repair with when the large models
+# get their shares: two of a domain of ten runners.
 SPARE_PART = 0.15
 
 
@@ -114,7 +115,7 @@
     for domain in domains:
         room = len(domain.free)
         if keep_spares and domain.has_other_than(name):
-            room -= round(domain.size * SPARE_PART)
+            room -= SPARES_OF_A_DOMAIN
         if room < load.spec.size:
             continue
         rank = (
--- a/mulberrypaddle/replicas/ownership.py
+++ b/mulberrypaddle/replicas/ownership.py
@@ -29,6 +29,10 @@
 # Time for which the consent of the others holds; some of their messages.
 CONSENT_SECONDS = 0.6
 
+# Part of the routers that may have said nothing of the store yet when an owner
+# goes on: of many some have just started or stop.
+UNKNOWN_PART = 0.1
+
 # Epochs that one revision of the store gives room for.
 EPOCHS_PER_REVISION = 1024
 
@@ -61,7 +65,8 @@
     failed = sights.count(StoreSight.FAILED)
     # A minority that is not heard may still reach the store and take over;
     # then the fence of the new owner holds this one's orders off.
-    if failed == len(sights) and 2 * (failed + 1) > routers:
+    unknown = len(sights) - failed
+    if unknown <= UNKNOWN_PART * routers and 2 * (failed + 1) > routers:
         return OutageVerdict.GO_ON
     return OutageVerdict.WAIT
 
--- a/mulberrypaddle/replicas/placement.py
+++ b/mulberrypaddle/replicas/placement.py
@@ -18,6 +18,10 @@
 # one; below it they are left alone as spares.
 FORM_ABOVE_LOAD = 0.2
 
+# Free runners of a domain that are kept for each model of large groups there:
+# the commonest trouble takes two runners of a domain.
+SPARES_OF_A_DOMAIN = 2
+
 
 class ModelLoad:
     """Demand for a model against the slots that serve it.
--- a/mulberrypaddle/replicas/staging.py
+++ b/mulberrypaddle/replicas/staging.py
@@ -10,7 +10,11 @@
 
 from typing import TYPE_CHECKING
 
-from mulberrypaddle.replicas.placement import ModelLoad, by_domain
+from mulberrypaddle.replicas.placement import (
+    SPARES_OF_A_DOMAIN,
+    ModelLoad,
+    by_domain,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,10 +26,6 @@
 # models: its requests then begin to wait for a slot.
 PRESSED_LOAD = 0.6
 
-# Free runners of a domain that are kept for each model of large groups there:
-# the commonest trouble takes two runners of a domain.
-SPARES_OF_A_DOMAIN = 2
-
 # How many times higher the load of a model must be than that of another one
 # before a free runner gives the weights of the other up for it. What was given
 # up costs a load of ten seconds and more to have again.
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -92,6 +92,7 @@
         pause_seconds: Callable[[], float],
         wait_seconds: Callable[[], float],
         may_rest: Callable[[], bool] = lambda: False,
+        patience: Callable[[], float] = lambda: 1.0,
     ) -> None:
         """Prepares a feed.
 
@@ -105,12 +106,14 @@
                 silent on a watch, so that this bounds how old the collection
                 can get unnoticed.
             may_rest: Returns whether another router watches for this one.
+            patience: Returns the factor on the pause between failed calls.
         """
         self._store = store
         self._on_update = on_update
         self._pause_seconds = pause_seconds
         self._wait_seconds = wait_seconds
         self._may_rest = may_rest
+        self._patience = patience
         self._removals: list[tuple[int, str]] = []
         self._whole_since = 0
         self._must_list = True
@@ -158,12 +161,17 @@
                     await asyncio.sleep(self._pause_seconds())
                 continue
             self._note_failure(problem)
-            await asyncio.sleep(
-                min(
-                    LONGEST_PAUSE_SECONDS,
-                    FIRST_PAUSE_SECONDS * 2 ** min(self._failures, 8),
-                )
-            )
+            await self._pause_after_failure()
+
+    async def _pause_after_failure(self) -> None:
+        pause = min(
+            LONGEST_PAUSE_SECONDS,
+            FIRST_PAUSE_SECONDS * 2 ** min(self._failures, 8),
+        )
+        until = time.monotonic() + pause * self._patience()
+        # Whoever is served first tells the others, so that many need not try.
+        while time.monotonic() < until and not self.rests:
+            await asyncio.sleep(min(pause, REST_SECONDS))
 
     async def _step(self) -> Problem | None:
         if not self._must_list:
--- a/mulberrypaddle/serving/owner_loop.py
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -111,6 +111,9 @@
             self._resignations[beat.incarnation] = beat.resigned_revision
         if beat.asks_for_store and now - self._probed_at >= PROBE_SECONDS:
             self._probed_at = now
+            # What was seen before the owner asked says nothing of now.
+            self._served_at = 0.0
+            self._failed_at = 0.0
             self._probe = asyncio.ensure_future(self._look_at_store())
         if beat.renewals < 0:
             return
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -12,6 +12,7 @@
 
 from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.serving.board import ServingBoard
+from mulberrypaddle.serving.digest import MOST_IN_MESH
 from mulberrypaddle.serving.door import Door
 from mulberrypaddle.serving.events_log import log_belief
 from mulberrypaddle.serving.feed import Feed, Update
@@ -119,6 +120,7 @@
             pause_seconds=pause_seconds,
             wait_seconds=self._wait_seconds,
             may_rest=self._may_rest,
+            patience=self._patience,
         )
 
     def is_ready(self) -> bool:
@@ -223,7 +225,16 @@
     def _runners_pause(self) -> float:
         if self._owner.holds():
             return OWNER_RUNNERS_PAUSE_SECONDS
-        return RUNNERS_PAUSE_SECONDS
+        return RUNNERS_PAUSE_SECONDS * self._patience()
+
+    def _patience(self) -> float:
+        """Returns how much longer than in a small fleet this router pauses.
+
+        The calls of all routers together then don't grow with their number.
+        """
+        if self._owner.holds():
+            return 1.0
+        return max(1.0, self.board.live_routers / MOST_IN_MESH)
 
     def _wait_seconds(self) -> float:
         if self._owner.holds():
--- a/tests/replicas/test_ownership.py
+++ b/tests/replicas/test_ownership.py
@@ -85,6 +85,12 @@
         sights = [StoreSight.FAILED] * 5 + [StoreSight.UNKNOWN]
         self.assertIs(OutageVerdict.WAIT, judge_outage(sights, routers=7))
 
+    def test_many_routers_need_not_all_have_looked(self) -> None:
+        sights = [StoreSight.FAILED] * 60 + [StoreSight.UNKNOWN] * 6
+        self.assertIs(OutageVerdict.GO_ON, judge_outage(sights, routers=71))
+        sights = [StoreSight.FAILED] * 50 + [StoreSight.UNKNOWN] * 16
+        self.assertIs(OutageVerdict.WAIT, judge_outage(sights, routers=71))
+
     def test_minority_does_not_go_on(self) -> None:
         sights = [StoreSight.FAILED] * 2
         self.assertIs(OutageVerdict.WAIT, judge_outage(sights, routers=7))
--- a/tests/serving/test_owner_loop.py
+++ b/tests/serving/test_owner_loop.py
@@ -14,7 +14,10 @@
     OwnerRecord,
     StoreSight,
 )
-from mulberrypaddle.serving.owner_loop import OwnerLoop
+from mulberrypaddle.serving.owner_loop import (
+    PROBE_TIMEOUT_SECONDS,
+    OwnerLoop,
+)
 from mulberrypaddle.serving.store import (
     Changes,
     Collection,
@@ -185,3 +188,30 @@
         held, resigned = self._play(StoreSight.UNKNOWN)
         self.assertFalse(held[-1])
         self.assertFalse(resigned)
+
+
+class AskedRouterTest(testtools.TestCase):
+    """A router that an owner asks what it sees of the store."""
+
+    def test_sights_before_the_question_do_not_count(self) -> None:
+        async def scenario() -> list[StoreSight]:
+            path = ServingPath()
+            asked = _Owner(path.board)
+            task = asyncio.ensure_future(asked.loop.run())
+            await asyncio.sleep(0.3)
+            sights = [asked.loop.store_sight()]
+            asked.store.silent = True
+            question = make_beat("owner", loads={})
+            question.asks_for_store = True
+            asked.loop.take_beat(question)
+            sights.append(asked.loop.store_sight())
+            await asyncio.sleep(PROBE_TIMEOUT_SECONDS + 0.2)
+            sights.append(asked.loop.store_sight())
+            task.cancel()
+            path.close()
+            return sights
+
+        self.assertEqual(
+            [StoreSight.SERVED, StoreSight.UNKNOWN, StoreSight.FAILED],
+            run(scenario()),
+        )
