--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -6,6 +6,10 @@
 import enum
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.dispatch.stalls import (
+    silence_limit_seconds,
+    tells_on_head,
+)
 from mulberrypaddle.serving.events import EventCutter
 from mulberrypaddle.serving.runner_call import CallEnd, RunnerCall
 
@@ -21,18 +25,6 @@
 # Pause between two looks at a running attempt.
 LOOK_SECONDS = 0.1
 
-# Silence of a head, over all streams of this router, after which its group is
-# looked at: a pass of a full group takes 0.05 s, 0.3 s with long prompts.
-SIGHT_SECONDS = 0.4
-
-# Silence of a head after which its streams go on elsewhere. A runner five
-# times slower than others still makes a pass in less; a caller leaves after
-# two seconds.
-STALL_SECONDS = 1.0
-
-# Silence before the first event, which may be a wait in the head's own queue.
-FIRST_EVENT_STALL_SECONDS = 1.2
-
 # Longest answer of a plain service that is held until it is whole.
 MOST_HELD_BYTES = 8_388_608
 
@@ -279,12 +271,21 @@
             return
         if self._paused:
             return
+        board = self._board
         runner_id = self._entry.runner_id
-        progress_at = self._board.head_progress.get(runner_id, 0.0)
+        progress_at = board.head_progress.get(runner_id, 0.0)
         silent = now - max(progress_at, self._call.last_byte_at_seconds)
-        if silent >= SIGHT_SECONDS and self._board.was_heard(runner_id):
-            self._board.soundness.suspect(runner_id, now)
-        limit = STALL_SECONDS if self._events else FIRST_EVENT_STALL_SECONDS
+        has_events = self._events > 0
+        queued = board.loads.total(runner_id) > max(1, self._entry.slots)
+        if tells_on_head(
+            silent_seconds=silent, has_events=has_events, queued=queued
+        ):
+            board.soundness.suspect(runner_id, now)
+        limit = silence_limit_seconds(
+            has_events=has_events,
+            suspected=board.soundness.suspected(runner_id, now),
+            queued=queued,
+        )
         if silent >= limit and self._can_move(runner_id):
             self.detail = f"silent for {silent:.2f} s"
             self._give_up(AttemptEnd.STALLED)
--- a/mulberrypaddle/serving/board.py
+++ b/mulberrypaddle/serving/board.py
@@ -120,10 +120,6 @@
         """Returns the loop's monotonic time in seconds."""
         return self.loop.time()
 
-    def was_heard(self, runner_id: str) -> bool:
-        """Returns whether a head has ever sent an event to this router."""
-        return runner_id in self.head_progress
-
     def line(self, service: str, model: str) -> WaitingLine:
         """Returns the waiting line of a service and model."""
         key = (service, model)
