Read the store anew when the groups are taken

A router took the groups at 26.1 s while its watches, sent as a follower, hung until 30.8 s. The others relied on it and missed a version acknowledged at 28.0 s until 31.0 s.

Change: a router that takes the groups lists all collections at once, and says that it watches for others only when the store has served all of them since. A watch counts as lost 0.8 s after its wait, not 2 s.

Tests: taking the duty lists anew; a feed is not current until it was listed. Both failed before for want of the calls.

--- a/mulberrypaddle/platform/store.py
+++ b/mulberrypaddle/platform/store.py
@@ -41,8 +41,8 @@
 # hundred when it is slow.
 CALL_TIMEOUT_SECONDS = 1.5
 
-# Added to the wait of a watch before it counts as lost.
-WATCH_SLACK_SECONDS = 2.0
+# Added to the wait of a watch before it counts as lost: three slow answers.
+WATCH_SLACK_SECONDS = 0.8
 
 # Pages of a listing that are read before it counts as endless.
 MOST_PAGES = 200
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -133,6 +133,14 @@
         """Returns whether another router watches for this one now."""
         return not self._must_list and self._may_rest()
 
+    @property
+    def current(self) -> bool:
+        """Returns whether the store has served it since it was last asked to.
+
+        Only then may other routers rely on it.
+        """
+        return self.connected and not self._must_list
+
     def list_again(self) -> None:
         """Lists at once, also while a watch waits."""
         self._must_list = True
--- a/mulberrypaddle/serving/owner_loop.py
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -21,6 +21,8 @@
 from mulberrypaddle.serving.store import Collection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mulberrypaddle.serving.beat import Beat
     from mulberrypaddle.serving.board import ServingBoard
     from mulberrypaddle.serving.peers import Peers
@@ -67,7 +69,14 @@
 
 
 class OwnerLoop:
-    """Keeps one router's view of the duty, and its hold on it."""
+    """Keeps one router's view of the duty, and its hold on it.
+
+    Attributes:
+        ownership: What is known of the duty, and the right to it.
+        resigned_revision: Revision of the record up to which this process has
+            handed the duty over; 0 if it never has.
+        on_taken: Called when this router has taken the duty.
+    """
 
     def __init__(
         self, board: ServingBoard, store: ObjectStore, peers: Peers
@@ -88,6 +97,7 @@
         self._resignations: dict[str, int] = {}
         self.resigned_revision = 0
         self.ownership = Ownership()
+        self.on_taken: Callable[[], None] = lambda: None
 
     def _unanswered_seconds(self) -> float:
         """Returns how long the owner has waited for a renewal; 0 if not."""
@@ -330,6 +340,7 @@
             before=record.node if record else "nobody",
             ended=ended,
         )
+        self.on_taken()
 
     async def _has_ended(self, record: OwnerRecord, revision: int) -> bool:
         """Returns whether the owner is known to have ended or resigned."""
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -95,12 +95,15 @@
         feeds = [self._config_feed, self._evacuation_feed, self._runner_feed]
         self._feeds = feeds
         for feed in feeds:
-            feed.on_history_gone = self._history_gone
+            feed.on_history_gone = self._list_all
         self._peers = Peers(self.board, feeds)
         self._owner = OwnerLoop(self.board, store, self._peers)
         self._groups = GroupControl(
             self.board, control=control, owner=self._owner
         )
+        # A watch from before, on which the store may have fallen silent, would
+        # hide changes from all routers that rely on the owner.
+        self._owner.on_taken = self._list_all
         self._peers.claim = self._claim
         self._peers.on_beat = self._owner.take_beat
         self._door = Door(self.board)
@@ -249,9 +252,8 @@
         silent = self.board.now() - self._peers.watcher_heard_at
         return not self._owner.holds() and silent < WATCHER_SILENCE_SECONDS
 
-    def _history_gone(self) -> None:
-        # The store dropped the history of all collections; a watch that
-        # waits may never hear of what happened meanwhile.
+    def _list_all(self) -> None:
+        """Lists all collections, whatever their watches may still say."""
         for feed in self._feeds:
             feed.list_again()
 
@@ -273,7 +275,7 @@
             store_sight=owner.store_sight(),
             asks_for_store=owner.renewal_fails,
             opening=opening,
-            watches=all(feed.connected for feed in self._feeds),
+            watches=all(feed.current for feed in self._feeds),
         )
 
     # What the feeds bring.
--- a/tests/serving/test_feed.py
+++ b/tests/serving/test_feed.py
@@ -141,6 +141,24 @@
         self.assertEqual(9, watched.feed.revision)
         self.assertEqual(2, store.lists)
 
+    def test_feed_is_not_current_until_it_was_listed_again(self) -> None:
+        # A new owner, whose watch hangs since before an outage.
+        store = _Store()
+
+        async def play() -> list[bool]:
+            watched = _Watched(store)
+            task = asyncio.ensure_future(watched.play(0.1))
+            seen = [watched.feed.current]
+            await asyncio.sleep(0.05)
+            seen.append(watched.feed.current)
+            watched.feed.list_again()
+            seen.append(watched.feed.current)
+            await task
+            seen.append(watched.feed.current)
+            return seen
+
+        self.assertEqual([False, True, False, True], run(play()))
+
     def test_stale_list_takes_nothing_back(self) -> None:
         store = _Store()
         store.watches = [
--- a/tests/serving/test_owner_loop.py
+++ b/tests/serving/test_owner_loop.py
@@ -190,6 +190,24 @@
         self.assertFalse(resigned)
 
 
+class TakingTest(testtools.TestCase):
+    """A router that takes the duty."""
+
+    def test_it_reads_the_store_anew(self) -> None:
+        async def scenario() -> list[bool]:
+            path = ServingPath()
+            owner = _Owner(path.board)
+            taken: list[bool] = []
+            owner.loop.on_taken = lambda: taken.append(owner.loop.holds())
+            task = asyncio.ensure_future(owner.loop.run())
+            await asyncio.sleep(0.4)
+            task.cancel()
+            path.close()
+            return taken
+
+        self.assertEqual([True], run(scenario()))
+
+
 class AskedRouterTest(testtools.TestCase):
     """A router that an owner asks what it sees of the store."""
 
