Refuse late requests only where newer ones leave nothing

Demand is a mean of some seconds, and a caller comes back once.

Change: newer requests take seven tenths of the slots that they want for certain. The test of the refusal asks with a demand of 130 for 90 slots, where it asked with 95: at 95 there are gaps now, by the rule itself.

--- a/mulberrypaddle/dispatch/patience.py
+++ b/mulberrypaddle/dispatch/patience.py
@@ -35,6 +35,10 @@
 # for a slot and move to another runner on the way.
 LONGEST_FACTOR = 2.0
 
+# Part of the slots that newer requests want which they take from late ones for
+# certain: demand is a mean of some seconds and leaves gaps.
+NEWER_PART = 0.7
+
 # Shortest Retry-After: one exchange of counts between routers.
 LEAST_RETRY_AFTER_SECONDS = 0.1
 
@@ -130,12 +134,12 @@
         busy_seconds: How long a usual request holds a slot.
         ready_in_seconds: When the next runner is expected to serve, if none
             does; None if nobody knows.
-        newer_slots: Slots that go to newer requests; all but 0 for a request
-            that is late.
+        newer_slots: Slots that newer requests want, which go before a late
+            one; 0 for a request that can be in time.
     """
     least = FIRST_EVENT_SECONDS if is_stream else LEAST_SEND_SECONDS
     until = min(give_up_at_seconds, deadline_seconds) - least
-    left_slots = serving_slots - newer_slots
+    left_slots = serving_slots - newer_slots * NEWER_PART
     if serving_slots > 0 and left_slots <= 0:
         expected = float("inf")
     elif serving_slots > 0:
