--- a/mulberrypaddle/serving/owner_loop.py
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -149,11 +149,9 @@
         waited_seconds = self._unanswered_seconds()
         if waited_seconds < CONSENT_AFTER_SECONDS:
             return
+        beats = self._peers.heard_beats()
         verdict = judge_outage(
-            [
-                StoreSight(beat.store_sight)
-                for beat in self._peers.heard_beats()
-            ],
+            [StoreSight(beat.store_sight) for beat in beats],
             routers=self._board.live_routers,
         )
         if verdict is OutageVerdict.GO_ON:
@@ -167,6 +165,11 @@
             log_belief(
                 "ownership_handed_over",
                 reason="others reach the store",
+                who=[
+                    beat.node
+                    for beat in beats
+                    if beat.store_sight == StoreSight.SERVED
+                ],
                 waited_seconds=round(waited_seconds, 2),
             )
 
