Count sights of the store from the owner's first failure

A router that did not hear the hub read the owner's record every two seconds, so that its last sight, from before the outage, still counted; the owner's question did not reach it.

Change: a sight is told with its age and counts only if it was after the owner's first unanswered renewal.

--- a/mulberrypaddle/serving/owner_loop.py
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -56,6 +56,9 @@
 # Age up to which a sight of the store counts.
 SIGHT_SECONDS = 2.5
 
+# Silence after which what a router told of the store no longer counts.
+SILENT_SECONDS = 1.0
+
 # Pause between two looks at the store for an owner that asks.
 PROBE_SECONDS = 1.0
 
@@ -68,6 +71,33 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class _ToldSight:
+    """What another router told of the store.
+
+    Attributes:
+        heard_at_seconds: When it told so.
+    """
+
+    __slots__ = ("_seen_at_seconds", "_sight", "heard_at_seconds")
+
+    def __init__(
+        self,
+        sight: StoreSight,
+        *,
+        seen_at_seconds: float,
+        heard_at_seconds: float,
+    ) -> None:
+        self._sight = sight
+        self._seen_at_seconds = seen_at_seconds
+        self.heard_at_seconds = heard_at_seconds
+
+    def sight_since(self, since_seconds: float) -> StoreSight:
+        """Returns what was seen after a time; what was before says nothing."""
+        if self._seen_at_seconds < since_seconds:
+            return StoreSight.UNKNOWN
+        return self._sight
+
+
 class OwnerLoop:
     """Keeps one router's view of the duty, and its hold on it.
 
@@ -93,6 +123,7 @@
         self._failed_at = 0.0
         self._probed_at = 0.0
         self._probe: asyncio.Task[None] | None = None
+        self._told_sights: dict[str, _ToldSight] = {}
         # Revision of the record up to which each process has resigned.
         self._resignations: dict[str, int] = {}
         self.resigned_revision = 0
@@ -121,10 +152,12 @@
             self._resignations[beat.incarnation] = beat.resigned_revision
         if beat.asks_for_store and now - self._probed_at >= PROBE_SECONDS:
             self._probed_at = now
-            # What was seen before the owner asked says nothing of now.
-            self._served_at = 0.0
-            self._failed_at = 0.0
             self._probe = asyncio.ensure_future(self._look_at_store())
+        self._told_sights[beat.node] = _ToldSight(
+            StoreSight(beat.store_sight),
+            seen_at_seconds=now - beat.store_sight_age / 1000,
+            heard_at_seconds=now,
+        )
         if beat.renewals < 0:
             return
         self._heard_at = now
@@ -136,23 +169,30 @@
 
     def store_sight(self) -> StoreSight:
         """Returns what this router lately saw of the store."""
-        oldest = boot_seconds() - SIGHT_SECONDS
-        if max(self._served_at, self._failed_at) < oldest:
+        if self.sight_age_seconds() > SIGHT_SECONDS:
             return StoreSight.UNKNOWN
         if self._served_at > self._failed_at:
             return StoreSight.SERVED
         return StoreSight.FAILED
 
+    def sight_age_seconds(self) -> float:
+        """Returns how long ago the store was last seen."""
+        return boot_seconds() - max(self._served_at, self._failed_at)
+
     def tick(self) -> None:
         """Acts on what the others see, while renewals fail."""
         now = boot_seconds()
         waited_seconds = self._unanswered_seconds()
         if waited_seconds < CONSENT_AFTER_SECONDS:
             return
-        beats = self._peers.heard_beats()
+        since = now - waited_seconds
+        sights = {
+            node: told.sight_since(since)
+            for node, told in self._told_sights.items()
+            if now - told.heard_at_seconds <= SILENT_SECONDS
+        }
         verdict = judge_outage(
-            [StoreSight(beat.store_sight) for beat in beats],
-            routers=self._board.live_routers,
+            list(sights.values()), routers=self._board.live_routers
         )
         if verdict is OutageVerdict.GO_ON:
             self.ownership.consented(now)
@@ -166,9 +206,9 @@
                 "ownership_handed_over",
                 reason="others reach the store",
                 who=[
-                    beat.node
-                    for beat in beats
-                    if beat.store_sight == StoreSight.SERVED
+                    node
+                    for node, sight in sights.items()
+                    if sight is StoreSight.SERVED
                 ],
                 waited_seconds=round(waited_seconds, 2),
             )
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -259,24 +259,24 @@
 
     def _claim(self) -> Claim:
         owner = self._owner
+        claim = Claim(
+            store_sight=owner.store_sight(),
+            store_sight_age=int(owner.sight_age_seconds() * 1000),
+            resigned_revision=owner.resigned_revision,
+        )
         left = owner.ownership.lease_left_seconds(boot_seconds())
         if left <= 0:
-            return Claim(
-                store_sight=owner.store_sight(),
-                resigned_revision=owner.resigned_revision,
-            )
+            return claim
         opening = self._groups.opening()
         self.board.opening_in = {
             model: left_ms / 1000 for model, left_ms in opening.items()
         }
-        return Claim(
-            renewals=owner.ownership.renewals,
-            lease_left=int(left * 1000),
-            store_sight=owner.store_sight(),
-            asks_for_store=owner.renewal_fails,
-            opening=opening,
-            watches=all(feed.current for feed in self._feeds),
-        )
+        claim.renewals = owner.ownership.renewals
+        claim.lease_left = int(left * 1000)
+        claim.asks_for_store = owner.renewal_fails
+        claim.opening = opening
+        claim.watches = all(feed.current for feed in self._feeds)
+        return claim
 
     # What the feeds bring.
 
--- a/tests/serving/test_digest.py
+++ b/tests/serving/test_digest.py
@@ -28,6 +28,7 @@
         silent=silent or [],
         stalled=stalled or {},
         losses=losses or {},
+        store_sight_age=0,
         retries={},
         waiting={},
         demand={},
