Keep loads of weights within the weight store's rate

Cause (reading): the rate of loads and its window were read from the settings and used by nothing; loads were bounded only by how many run at full speed at once. A deployment with many at once and a low rate would break its ceiling.

Change: an owner begins loads at half of the rate, with at most half of a window saved up, and a new owner begins with nothing, since the one before it may have used the window. Four bounds that nothing used are removed.

Tests: no window holds more than the bound however much is saved up; failed before for want of any bound.

--- a/mulberrypaddle/fleet/bounds.py
+++ b/mulberrypaddle/fleet/bounds.py
@@ -11,26 +11,17 @@
 
     Attributes:
         stop_grace_seconds: Time from the signal to stop to the kill.
-        drain_seconds: Time in which a leaving runner must get its last
-            request.
-        config_apply_seconds: Time in which a configuration is in force.
-        stall_seconds: Time after which a group that lost a member breaks.
         retry_ratio: Repeats allowed for each request, over all routers.
         retry_slack: Repeats allowed beyond the ratio in each window.
         retry_window_seconds: Length of the window in which repeats count.
-        cold_excess: Factor on the rate that a cold runner bears.
         load_window_seconds: Window in which loads of weights are counted.
     """
 
     __slots__ = (
-        "cold_excess",
-        "config_apply_seconds",
-        "drain_seconds",
         "load_window_seconds",
         "retry_ratio",
         "retry_slack",
         "retry_window_seconds",
-        "stall_seconds",
         "stop_grace_seconds",
     )
 
@@ -38,21 +29,13 @@
         self,
         *,
         stop_grace_seconds: float = 8.0,
-        drain_seconds: float = 2.0,
-        config_apply_seconds: float = 2.0,
-        stall_seconds: float = 4.0,
         retry_ratio: float = 0.2,
         retry_slack: float = 100.0,
         retry_window_seconds: float = 10.0,
-        cold_excess: float = 1.5,
         load_window_seconds: float = 5.0,
     ) -> None:
         self.stop_grace_seconds = stop_grace_seconds
-        self.drain_seconds = drain_seconds
-        self.config_apply_seconds = config_apply_seconds
-        self.stall_seconds = stall_seconds
         self.retry_ratio = retry_ratio
         self.retry_slack = retry_slack
         self.retry_window_seconds = retry_window_seconds
-        self.cold_excess = cold_excess
         self.load_window_seconds = load_window_seconds
--- a/mulberrypaddle/platform/node_file.py
+++ b/mulberrypaddle/platform/node_file.py
@@ -69,13 +69,9 @@
     known = Bounds()
     seconds = {
         "stop_grace_seconds": ("graceS", 1.0),
-        "drain_seconds": ("drainMs", 0.001),
-        "config_apply_seconds": ("configApplyMs", 0.001),
-        "stall_seconds": ("stallMs", 0.001),
         "retry_ratio": ("retryBudgetRatio", 1.0),
         "retry_slack": ("retrySlack", 1.0),
         "retry_window_seconds": ("budgetWindowS", 1.0),
-        "cold_excess": ("coldExcess", 1.0),
         "load_window_seconds": ("ceilingWindowS", 1.0),
     }
     for attribute, (name, factor) in seconds.items():
--- a/mulberrypaddle/replicas/keeper.py
+++ b/mulberrypaddle/replicas/keeper.py
@@ -11,6 +11,7 @@
 
 from mulberrypaddle.fleet.runners import MembershipState
 from mulberrypaddle.replicas.first_layout import choose_first_groups
+from mulberrypaddle.replicas.load_rate import LoadRate
 from mulberrypaddle.replicas.losses import LossJudge
 from mulberrypaddle.replicas.order_book import Directive, OrderBook
 from mulberrypaddle.replicas.orders import (
@@ -82,6 +83,8 @@
     __slots__ = (
         "_seen_since",
         "_last_new_runner_seconds",
+        "_load_rate",
+        "_load_window_seconds",
         "_opening",
         "_orders",
         "_pending",
@@ -89,7 +92,8 @@
         "losses",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, load_window_seconds: float) -> None:
+        self._load_window_seconds = load_window_seconds
         self._orders = OrderBook()
         self._pending: list[_Pending] = []
         # Models with a group whose members are all there, and which is not
@@ -98,6 +102,7 @@
         self._seen_since: dict[tuple[str, int], float] = {}
         self._seen_runners: set[tuple[str, int | None]] = set()
         self._last_new_runner_seconds = 0.0
+        self._load_rate = LoadRate()
         self.losses = LossJudge()
 
     @property
@@ -167,7 +172,7 @@
         self._advance(pictures, living, next_epoch, now_seconds)
         # Spares load after the groups of the first start, which hold traffic.
         if not quick or (settled and not self._pending):
-            self._stage(free, living, traits, loads, now_seconds)
+            self._stage(free, living, traits, loads, quick, now_seconds)
         return self._orders.take_new()
 
     def _note_runners(
@@ -443,11 +448,22 @@
         living: list[RunnerEntry],
         traits: EngineTraits,
         loads: list[ModelLoad],
+        quick: bool,
         now_seconds: float,
     ) -> None:
-        """Lets free runners load weights, as many as load at full speed."""
+        """Lets free runners load weights, as many as the weight store bears.
+
+        Loads before the first request are not counted by it.
+        """
         loading = self._orders.loading()
         room = traits.loads_at_once - len(loading)
+        allowance = self._load_rate.allowance(
+            per_second=traits.loads_per_second,
+            window_seconds=self._load_window_seconds,
+            now_seconds=now_seconds,
+        )
+        if not quick:
+            room = min(room, allowance)
         for staging in choose_staging(
             free,
             service_runners=living,
@@ -457,14 +473,17 @@
         ):
             if room <= 0:
                 break
-            if self._orders.give(
+            if not self._orders.give(
                 staging.runner,
                 StageModel(staging.model),
                 reason=staging.reason,
                 now_seconds=now_seconds,
                 takes_seconds=traits.models[staging.model].load_seconds,
             ):
-                room -= 1
+                continue
+            room -= 1
+            if not quick:
+                self._load_rate.begun()
 
 
 def _has_joined(picture: GroupPicture | None) -> bool:
--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -131,7 +131,11 @@
     def _step(self, service: ServiceSpec) -> None:
         board = self._board
         now = board.now()
-        keeper = self._keepers.setdefault(service.name, GroupKeeper())
+        keeper = self._keepers.get(service.name)
+        if keeper is None:
+            bounds = board.settings.bounds
+            keeper = GroupKeeper(load_window_seconds=bounds.load_window_seconds)
+            self._keepers[service.name] = keeper
         self._ask_suspects(service, keeper, now)
         engine = service.engine
         assert engine is not None
--- a/tests/support/group_fleet.py
+++ b/tests/support/group_fleet.py
@@ -113,7 +113,7 @@
         )
         self.now = 0.0
         self.view = FleetView()
-        self.keeper = GroupKeeper()
+        self.keeper = GroupKeeper(load_window_seconds=5.0)
         self.runners: dict[str, PlayedRunner] = {}
         self.breaches: list[str] = []
         self.lost_orders = 0.0
