Decide on a request by its head in a module of its own

Change: `admission.admit` returns the terms or a refusal; the exchange keeps them in one object. Behaviour stays: the same checks in the same order. Tests: terms and refusals of each kind, without a network.

--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -6,19 +6,17 @@
 import enum
 from typing import TYPE_CHECKING
 
+from returns.result import Success
+
 from mulberrypaddle.core.errors import ANSWERS, ErrorKind
 from mulberrypaddle.dispatch import Demand, judge
-from mulberrypaddle.dispatch.crash_records import fingerprint
 from mulberrypaddle.dispatch.patience import (
-    LEAST_RETRY_AFTER_SECONDS,
     LEAST_SEND_SECONDS,
-    ends_in_time,
-    on_time_until,
     retry_after,
     stream_gap_seconds,
 )
 from mulberrypaddle.dispatch.waiting import Waiter, order_of
-from mulberrypaddle.fleet import RepeatRule
+from mulberrypaddle.serving.admission import Admission, admit
 from mulberrypaddle.serving.attempt import (
     Attempt,
     AttemptEnd,
@@ -35,12 +33,7 @@
 
 if TYPE_CHECKING:
     from mulberrypaddle.dispatch import Patience, WaitingLine
-    from mulberrypaddle.fleet import (
-        Organisation,
-        Route,
-        RunnerEntry,
-        ServiceSpec,
-    )
+    from mulberrypaddle.fleet import RunnerEntry
     from mulberrypaddle.serving.board import ServingBoard
     from mulberrypaddle.serving.caller import Caller
     from mulberrypaddle.serving.dialect import CallerFields
@@ -87,13 +80,8 @@
         self._line = line
         self._fields = fields
         self._arrived_at = board.now()
-        self._route: Route
-        self._service: ServiceSpec
-        self._organisation: Organisation | None = None
-        self._deadline = 0.0
-        self._on_time_until = 0.0
-        self._busy_seconds = 0.0
-        self._mark = ""
+        # Known once the request was admitted.
+        self._admitted: Admission | None = None
         self._excluded: set[str] = set()
         self._attempt: Attempt | None = None
         self._waiter: Waiter | None = None
@@ -109,12 +97,12 @@
         self._caller.on_gone(self._caller_gone)
         if not self._admit():
             return
-        if self._board.crashes.refuses(self._mark, self._arrived_at):
+        if self._board.crashes.refuses(self._terms.mark, self._arrived_at):
             self._refuse(ErrorKind.QUARANTINED, "it has ended several runners")
             return
         self._board.demand.arrived(
             self._fields.model,
-            busy_seconds=self._busy_seconds,
+            busy_seconds=self._terms.busy_seconds,
             now_seconds=self._arrived_at,
         )
         while not self._caller.gone:
@@ -130,126 +118,40 @@
                 self._end_unknown()
                 return
 
-    # Admission.
-
     def _admit(self) -> bool:
-        """Finds route, organisation and service; answers if one is missing."""
+        """Decides on the request by its head; answers if it is refused."""
         board = self._board
-        config = board.config
-        if config is None:
-            self._refuse(ErrorKind.NOT_IN_FORCE, "no configuration is known")
-            return False
-        route = config.route_for(self._line.host, self._line.path)
-        if route is None:
-            self._refuse(
-                ErrorKind.UNKNOWN_SERVICE,
-                f"no route for {self._line.path!r}",
-            )
-            return False
-        self._route = route
-        if config.organisations is not None:
-            self._organisation = config.organisations.get(self._fields.key)
-            if self._organisation is None and not route.public:
-                self._refuse(ErrorKind.UNAUTHENTICATED, "unknown key")
-                return False
-        if not self._fields.request_id:
-            self._refuse(ErrorKind.BAD_REQUEST, "got no request id")
-            return False
-        service = config.services.get(self._choose_service(route))
-        if service is None:
-            self._refuse(
-                ErrorKind.NO_RUNNER, "the route's service is not configured"
-            )
-            return False
-        self._service = service
-        wait = route.timeout_seconds
-        if self._fields.wait_seconds is not None:
-            wait = min(wait, self._fields.wait_seconds)
-        self._deadline = self._arrived_at + wait
-        ends_at = board.ends_at_seconds
-        if ends_at is not None and not ends_in_time(
-            now_seconds=self._arrived_at,
-            deadline_seconds=self._deadline,
-            longest_seconds=self._longest_seconds(),
-            ends_at_seconds=ends_at,
-        ):
-            self._refuse(
-                ErrorKind.SHUTTING_DOWN,
-                "this router is about to end",
-                retry_after_seconds=LEAST_RETRY_AFTER_SECONDS,
-            )
-            return False
-        self._on_time_until = on_time_until(
-            arrived_at_seconds=self._arrived_at,
-            target_seconds=route.target_seconds,
-            is_stream=self._is_stream,
+        admitted = admit(
+            board.config,
+            line=self._line,
+            fields=self._fields,
+            arrived_at=self._arrived_at,
+            ends_at=board.ends_at_seconds,
+            rng=board.rng,
         )
-        self._busy_seconds = self._expected_busy_seconds()
-        self._mark = fingerprint(
-            self._organisation.name if self._organisation else "",
-            self._line.target,
-            self._line.body,
-        )
-        return True
-
-    def _choose_service(self, route: Route) -> str:
-        if len(route.shares) == 1:
-            return route.shares[0][0]
-        names = [name for name, _ in route.shares]
-        weights = [max(0.0, weight) for _, weight in route.shares]
-        if not any(weights):
-            return names[0]
-        return self._board.rng.choices(names, weights)[0]
-
-    def _expected_busy_seconds(self) -> float:
-        """Returns how long the request will hold a slot."""
-        engine = self._service.engine
-        if engine is None:
-            return self._route.target_seconds / 4
-        spec = engine.models.get(self._fields.model)
-        if spec is None:
-            return 0.0
-        usual = engine.busy_seconds(spec)
-        tokens = self._fields.expected_tokens
-        if tokens <= 0:
-            return usual
-        if self._fields.answer_tokens:
-            tokens = min(tokens, self._fields.answer_tokens)
-        # Estimates are far off at times; half of it is trusted.
-        ratio = 0.5 + 0.5 * tokens / max(1.0, engine.usual_answer_tokens)
-        return usual * ratio
-
-    def _longest_seconds(self) -> float | None:
-        """Returns how long the request holds a slot at the most, if known."""
-        engine = self._service.engine
-        if engine is None or not self._fields.answer_tokens:
-            return None
-        spec = engine.models.get(self._fields.model)
-        if spec is None:
-            return None
-        return engine.seconds_for(
-            spec,
-            prompt_tokens=self._fields.prompt_tokens,
-            answer_tokens=self._fields.answer_tokens,
+        if isinstance(admitted, Success):
+            self._admitted = admitted.unwrap()
+            return True
+        refusal = admitted.failure()
+        self._refuse(
+            refusal.kind,
+            refusal.detail,
+            retry_after_seconds=refusal.retry_after_seconds,
         )
+        return False
 
     @property
-    def _is_stream(self) -> bool:
-        return self._route.repeat_rule is RepeatRule.STREAM
-
-    @property
-    def _urgency(self) -> int:
-        organisation = self._organisation
-        if organisation is None or organisation.urgency is None:
-            return self._route.urgency
-        return organisation.urgency
+    def _terms(self) -> Admission:
+        """Returns the terms on which the request was admitted."""
+        assert self._admitted is not None
+        return self._admitted
 
     # Placing.
 
     def _demand(self) -> Demand:
         return Demand(
-            self._service,
-            model=self._fields.model if self._service.engine else "",
+            self._terms.service,
+            model=self._fields.model if self._terms.service.engine else "",
             excluded=frozenset(self._excluded),
             resumed=self._may_have_run,
         )
@@ -260,21 +162,21 @@
         None means that the request was answered or its caller has left.
         """
         board = self._board
-        line = board.line(self._service.name, self._fields.model)
+        line = board.line(self._terms.service.name, self._fields.model)
         order = order_of(
             arrived_at_seconds=self._arrived_at,
-            urgency=RESUMED_URGENCY if self._sends else self._urgency,
-            busy_seconds=self._busy_seconds,
+            urgency=RESUMED_URGENCY if self._sends else self._terms.urgency,
+            busy_seconds=self._terms.busy_seconds,
         )
         waited = False
         while not self._caller.gone:
             now = board.now()
-            if self._deadline - now < LEAST_SEND_SECONDS:
+            if self._terms.deadline - now < LEAST_SEND_SECONDS:
                 self._end_late()
                 return None
             demand = self._demand()
             ahead = line.ahead_of(
-                order, on_time=now <= self._on_time_until, now_seconds=now
+                order, on_time=now <= self._terms.on_time_until, now_seconds=now
             )
             # What was begun goes before what waits.
             if waited or self._may_have_run or ahead == 0:
@@ -319,7 +221,7 @@
             Whether there may be one now; if not, the request was answered.
         """
         board = self._board
-        on_time = now <= self._on_time_until
+        on_time = now <= self._terms.on_time_until
         patience, serving = self._judge_wait(
             demand, line, order, on_time=on_time, now=now
         )
@@ -328,7 +230,7 @@
             return False
         waiter = Waiter(
             order,
-            on_time_until_seconds=self._on_time_until,
+            on_time_until_seconds=self._terms.on_time_until,
             until_seconds=patience.until_seconds,
             turn=board.loop.create_future(),
         )
@@ -337,7 +239,7 @@
         try:
             if on_time:
                 await asyncio.wait(
-                    {waiter.turn}, timeout=self._on_time_until - now
+                    {waiter.turn}, timeout=self._terms.on_time_until - now
                 )
                 if not waiter.turn.done():
                     patience, serving = self._judge_wait(
@@ -355,9 +257,9 @@
         if not in_time:
             self._refuse_full(
                 retry_after(
-                    self._busy_seconds,
+                    self._terms.busy_seconds,
                     now_seconds=board.now(),
-                    deadline_seconds=self._deadline,
+                    deadline_seconds=self._terms.deadline,
                 ),
                 serving,
             )
@@ -375,11 +277,11 @@
         """Decides on waiting; returns the decision and the runners counted."""
         board = self._board
         serving = board.chooser.sound(demand, now_seconds=now)
-        give_up_at = self._deadline
-        if self._is_stream:
+        give_up_at = self._terms.deadline
+        if self._terms.is_stream:
             give_up_at = self._last_sign_at() + stream_gap_seconds(
-                target_seconds=self._route.target_seconds,
-                pause_seconds=self._route.pause_seconds,
+                target_seconds=self._terms.route.target_seconds,
+                pause_seconds=self._terms.route.pause_seconds,
             )
         newer_slots = 0.0
         ahead = line.ahead_of(order, on_time=on_time, now_seconds=now)
@@ -389,15 +291,15 @@
         else:
             model = self._fields.model
             newer_slots = board.demand.all_slots(now).get(model, 0.0)
-            ahead += board.others_waiting(self._service.name, model)
+            ahead += board.others_waiting(self._terms.service.name, model)
         patience = judge(
             now_seconds=now,
             give_up_at_seconds=give_up_at,
-            deadline_seconds=self._deadline,
-            is_stream=self._is_stream,
+            deadline_seconds=self._terms.deadline,
+            is_stream=self._terms.is_stream,
             serving_slots=sum(max(1, entry.slots) for entry in serving),
             ahead=ahead,
-            busy_seconds=self._busy_seconds,
+            busy_seconds=self._terms.busy_seconds,
             ready_in_seconds=board.opening_in.get(self._fields.model),
             newer_slots=newer_slots,
         )
@@ -414,17 +316,18 @@
     async def _send(self, entry: RunnerEntry) -> _Verdict:
         board = self._board
         now = board.now()
+        service = self._terms.service.name
         if not self._first_counted:
             self._first_counted = True
-            board.retries.sent_first(self._service.name, now)
+            board.retries.sent_first(service, now)
         elif self._sends and not board.retries.take(
-            self._service.name, routers=board.live_routers, now_seconds=now
+            service, routers=board.live_routers, now_seconds=now
         ):
             board.loads.end(entry.runner_id)
             log_request(
                 "retry_refused",
                 request_id=self._fields.request_id,
-                service=self._service.name,
+                service=service,
                 sends=self._sends,
             )
             if self._may_have_run:
@@ -441,15 +344,15 @@
         return self._judge_end(entry, attempt, end)
 
     def _make_attempt(self, entry: RunnerEntry) -> Attempt:
-        kind = StreamAttempt if self._is_stream else PlainAttempt
+        kind = StreamAttempt if self._terms.is_stream else PlainAttempt
         previous = self._attempt
         attempt = kind(
             self._board,
             self._caller,
             entry=entry,
             request_id=self._fields.request_id,
-            route=self._route,
-            deadline_seconds=self._deadline,
+            route=self._terms.route,
+            deadline_seconds=self._terms.deadline,
             previous=previous,
             can_move=self._can_move,
         )
@@ -465,14 +368,14 @@
         urgency = RESUMED_URGENCY
         if self._sends == 1:
             # At a head, too, what can still be in time goes first.
-            late = now > self._on_time_until
-            urgency = URGENCIES_A_RANK * self._urgency + late
+            late = now > self._terms.on_time_until
+            urgency = URGENCIES_A_RANK * self._terms.urgency + late
         return self._board.dialect.runner_headers(
             self._fields,
-            organisation=self._organisation.name if self._organisation else "",
+            organisation=self._terms.organisation,
             runner_id=entry.runner_id,
             urgency=min(LEAST_URGENCY, urgency),
-            remaining_seconds=max(0.0, self._deadline - now),
+            remaining_seconds=max(0.0, self._terms.deadline - now),
             last_event_id=last_event_id,
         )
 
@@ -482,12 +385,12 @@
         That is so only if another one has room: what a runner holds may yet
         be answered, what waits is not.
         """
-        if not self._route.may_repeat or not self._may_send_again(1):
+        if not self._terms.route.may_repeat or not self._may_send_again(1):
             return False
         board = self._board
         demand = Demand(
-            self._service,
-            model=self._fields.model if self._service.engine else "",
+            self._terms.service,
+            model=self._fields.model if self._terms.service.engine else "",
             excluded=frozenset({*self._excluded, runner_id}),
             resumed=True,
         )
@@ -506,7 +409,7 @@
             entry = self._board.view.get(runner_id)
             if entry is not None and entry.born_ms == born_ms:
                 counted += 1
-        return counted < self._route.max_runners
+        return counted < self._terms.route.max_runners
 
     def _judge_end(
         self, entry: RunnerEntry, attempt: Attempt, end: AttemptEnd
@@ -514,15 +417,15 @@
         board = self._board
         now = board.now()
         runner_id = entry.runner_id
-        ATTEMPTS.labels(self._service.name, end.value).inc()
+        ATTEMPTS.labels(self._terms.service.name, end.value).inc()
         if end is AttemptEnd.DELIVERED:
             board.soundness.succeeded(runner_id)
-            REQUESTS.labels(self._service.name, "answered").inc()
-            WHOLE_ANSWER.labels(self._service.name).observe(
+            REQUESTS.labels(self._terms.service.name, "answered").inc()
+            WHOLE_ANSWER.labels(self._terms.service.name).observe(
                 now - self._arrived_at
             )
             first_byte_at = attempt.first_byte_at or now
-            FIRST_BYTE.labels(self._service.name).observe(
+            FIRST_BYTE.labels(self._terms.service.name).observe(
                 max(0.0, first_byte_at - self._arrived_at)
             )
             log_success(
@@ -534,7 +437,7 @@
             )
             return _Verdict.DONE
         if end is AttemptEnd.CALLER_GONE:
-            REQUESTS.labels(self._service.name, "caller_gone").inc()
+            REQUESTS.labels(self._terms.service.name, "caller_gone").inc()
             log_request(
                 "caller_gone",
                 request_id=self._fields.request_id,
@@ -563,7 +466,7 @@
             return _Verdict.AGAIN
         self._may_have_run = True
         self._runs.append(entry.life)
-        if end is AttemptEnd.TIMED_OUT and now >= self._deadline - 0.01:
+        if end is AttemptEnd.TIMED_OUT and now >= self._terms.deadline - 0.01:
             return _Verdict.UNKNOWN
         if end is AttemptEnd.STALLED:
             board.soundness.unreachable(runner_id, now)
@@ -571,8 +474,8 @@
         else:
             board.soundness.failed(runner_id, now)
         if end is AttemptEnd.BROKEN:
-            board.crashes.broke(self._mark, entry.life, now)
-        if not self._route.may_repeat or not self._may_send_again():
+            board.crashes.broke(self._terms.mark, entry.life, now)
+        if not self._terms.route.may_repeat or not self._may_send_again():
             return self._pass_failure(attempt)
         if end is AttemptEnd.FAILED and not self._others_sound(now):
             return self._pass_failure(attempt)
@@ -588,9 +491,9 @@
 
     def _soon(self) -> float:
         return retry_after(
-            self._busy_seconds,
+            self._terms.busy_seconds,
             now_seconds=self._board.now(),
-            deadline_seconds=self._deadline,
+            deadline_seconds=self._terms.deadline,
         )
 
     def _end_late(self) -> None:
@@ -606,7 +509,7 @@
             self._caller.cut()
             return
         kind = ErrorKind.OUTCOME_UNKNOWN
-        if self._board.now() >= self._deadline - LEAST_SEND_SECONDS:
+        if self._board.now() >= self._terms.deadline - LEAST_SEND_SECONDS:
             kind = ErrorKind.DEADLINE_PASSED
         self._refuse(kind, "it may have run")
 
@@ -644,7 +547,8 @@
 
     def _log_end(self, event: str, kind: ErrorKind, detail: str) -> None:
         board = self._board
-        service = self._service.name if self._mark else NO_SERVICE
+        admitted = self._admitted
+        service = admitted.service.name if admitted else NO_SERVICE
         REQUESTS.labels(service, kind.value).inc()
         log_request(
             event,
--- /dev/null
+++ b/tests/serving/test_admission.py
@@ -0,0 +1,147 @@
+"""Which requests are taken, and on which terms."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+from returns.result import Result, Success
+
+from mulberrypaddle.core.errors import ErrorKind
+from mulberrypaddle.fleet import (
+    CallerLimits,
+    Organisation,
+    RepeatRule,
+    Route,
+    ServiceSpec,
+    ServingConfig,
+)
+from mulberrypaddle.serving.admission import Admission, Refusal, admit
+from mulberrypaddle.serving.dialect import CallerFields
+from mulberrypaddle.serving.request_line import RequestLine
+from tests.support.group_fleet import make_traits
+
+
+def _config() -> ServingConfig:
+    route = Route(
+        name="drafts",
+        host="shop.example",
+        path_prefix="/drafts/",
+        repeat_rule=RepeatRule.STREAM,
+        timeout_seconds=6.0,
+        target_seconds=0.3,
+        pause_seconds=0.2,
+        urgency=1,
+        shares=(("cards", 1.0),),
+        max_runners=2,
+        public=False,
+        resumable=True,
+    )
+    service = ServiceSpec(
+        name="cards",
+        health_path="/health",
+        cold_requests_per_second=0.0,
+        engine=make_traits(),
+    )
+    return ServingConfig(
+        version=1,
+        revision=1,
+        routes=(route,),
+        services={"cards": service},
+        limits=CallerLimits(
+            header_bytes=1, body_bytes=1, header_seconds=1.0, idle_seconds=1.0
+        ),
+        organisations={
+            "key": Organisation("museum", urgency=None),
+            "urgent": Organisation("press", urgency=0),
+        },
+    )
+
+
+def _fields(**changes: object) -> CallerFields:
+    fields = CallerFields(
+        request_id="r1",
+        wait_seconds=None,
+        key="key",
+        model="small",
+        prompt_tokens=700,
+        answer_tokens=170,
+        expected_tokens=0,
+        last_event_id=None,
+        passed=[],
+    )
+    for name, value in changes.items():
+        setattr(fields, name, value)
+    return fields
+
+
+def _admit(
+    *,
+    path: str = "/drafts/1",
+    config: ServingConfig | None = None,
+    ends_at: float | None = None,
+    **changes: object,
+) -> Result[Admission, Refusal]:
+    return admit(
+        config or _config(),
+        line=RequestLine("POST", target=path, host="shop.example", body=b""),
+        fields=_fields(**changes),
+        arrived_at=100.0,
+        ends_at=ends_at,
+        rng=random.Random(1),
+    )
+
+
+class AdmissionTest(testtools.TestCase):
+    """Terms that follow from route, organisation and headers."""
+
+    def _terms(self, **changes: object) -> Admission:
+        admitted = _admit(**changes)  # type: ignore[arg-type]
+        assert isinstance(admitted, Success)
+        return admitted.unwrap()
+
+    def test_shorter_of_two_time_limits_holds(self) -> None:
+        self.assertEqual(106.0, self._terms().deadline)
+        self.assertEqual(102.0, self._terms(wait_seconds=2.0).deadline)
+        self.assertEqual(106.0, self._terms(wait_seconds=9.0).deadline)
+
+    def test_urgency_of_the_organisation_goes_before_the_routes(self) -> None:
+        self.assertEqual(1, self._terms().urgency)
+        self.assertEqual(0, self._terms(key="urgent").urgency)
+
+    def test_longer_answers_are_expected_to_hold_a_slot_longer(self) -> None:
+        short = self._terms(expected_tokens=20).busy_seconds
+        self.assertLess(short, self._terms(expected_tokens=150).busy_seconds)
+
+    def test_estimate_is_bounded_by_the_longest_answer(self) -> None:
+        self.assertEqual(
+            self._terms(expected_tokens=170).busy_seconds,
+            self._terms(expected_tokens=9_000).busy_seconds,
+        )
+
+    def test_mark_tells_organisations_apart(self) -> None:
+        self.assertNotEqual(self._terms().mark, self._terms(key="urgent").mark)
+
+
+class RefusalTest(testtools.TestCase):
+    """Requests that are not taken."""
+
+    def _kind(self, **changes: object) -> ErrorKind:
+        return _admit(**changes).failure().kind  # type: ignore[arg-type]
+
+    def test_reasons(self) -> None:
+        self.assertIs(ErrorKind.UNKNOWN_SERVICE, self._kind(path="/other/"))
+        self.assertIs(ErrorKind.UNAUTHENTICATED, self._kind(key="none"))
+        self.assertIs(ErrorKind.BAD_REQUEST, self._kind(request_id=""))
+        self.assertIs(ErrorKind.SHUTTING_DOWN, self._kind(ends_at=101.0))
+
+    def test_router_without_a_configuration_names_no_route(self) -> None:
+        refused = admit(
+            None,
+            line=RequestLine("GET", target="/", host="x", body=b""),
+            fields=_fields(),
+            arrived_at=0.0,
+            ends_at=None,
+            rng=random.Random(1),
+        )
+        self.assertIs(ErrorKind.NOT_IN_FORCE, refused.failure().kind)
