Take the spares of large groups out of their share

The share of the large model was rounded up, and its spares came on top.

Change: the number of large groups is rounded down.

Test: groups and spares of the large model stay within its share; failed before.

--- a/mulberrypaddle/replicas/first_layout.py
+++ b/mulberrypaddle/replicas/first_layout.py
@@ -80,7 +80,8 @@
     chosen: list[Formation] = []
     for load in ordered:
         smallest = load is ordered[-1]
-        quota = round(usable * load.spec.demand_share / load.spec.size)
+        # Rounded down: the spares of large groups come out of the same share.
+        quota = int(usable * load.spec.demand_share / load.spec.size)
         quota -= load.groups
         # The smallest groups take what is left, but for the spares of others.
         most = len(free) if smallest and len(ordered) > 1 else quota
--- a/tests/replicas/test_first_layout.py
+++ b/tests/replicas/test_first_layout.py
@@ -96,3 +96,13 @@
         taken = {m.runner_id for f in chosen for m in f.members}
         left = [runner for runner in free if runner.runner_id not in taken]
         self.assertEqual([], _lay_out(left, chosen))
+
+    def test_spares_of_large_groups_come_out_of_their_share(self) -> None:
+        for domains in range(6, 13):
+            free = _fleet(data_centres=3, domains=domains, size=10)
+            chosen = _lay_out(free)
+            large = [f for f in chosen if f.spec.name == "large"]
+            homes = {formation.members[0].domain for formation in large}
+            held = 4 * len(large) + 2 * len(homes)
+            # A domain is whole or not at all, up to one group.
+            self.assertLessEqual(held, len(free) / 2 + 4)
