Split the choice of weights into short steps

Cause: `choose_staging` was one function of sixty lines with closures, and two names meant other things elsewhere (urgency, patience). Change: a planner with one method for each step; `pressure` and `pause_factor` in their place.

--- a/mulberrypaddle/replicas/staging.py
+++ b/mulberrypaddle/replicas/staging.py
@@ -17,8 +17,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from mulberrypaddle.fleet.config import EngineTraits
     from mulberrypaddle.fleet.runners import RunnerEntry
 
@@ -31,6 +29,11 @@
 # up costs a load of ten seconds and more to have again.
 RESTAGE_LOAD_RATIO = 1.5
 
+# Bounds on the load of a model where loads are compared: a model without a
+# group is infinitely pressed, one without requests not at all.
+MOST_PRESSURE = 100.0
+LEAST_PRESSURE = 0.01
+
 
 class Staging:
     """A load of weights that is to be ordered.
@@ -38,18 +41,18 @@
     Attributes:
         runner: Free runner that loads them.
         model: Name of the model.
-        urgency: Load of the model; the higher, the sooner.
+        pressure: Load of the model; the higher, the sooner.
         reason: Why, in a few words, for the log.
     """
 
-    __slots__ = ("model", "reason", "runner", "urgency")
+    __slots__ = ("model", "pressure", "reason", "runner")
 
     def __init__(
-        self, runner: RunnerEntry, model: str, *, urgency: float, reason: str
+        self, runner: RunnerEntry, model: str, *, pressure: float, reason: str
     ) -> None:
         self.runner = runner
         self.model = model
-        self.urgency = urgency
+        self.pressure = pressure
         self.reason = reason
 
 
@@ -95,66 +98,128 @@
     """
     by_name = {load.spec.name: load for load in loads}
     domains = _survey(free, service_runners, loading, list(by_name))
-    coming = {
-        name: sum(domain.coming(name) // load.spec.size for domain in domains)
-        for name, load in by_name.items()
-    }
-    chosen: list[Staging] = []
-
-    def urgency(name: str) -> float:
-        return min(
-            by_name[name].load(traits.slots, extra_groups=coming[name]), 100.0
-        )
+    planner = _Planner(by_name, domains, slots=traits.slots)
+    for domain in domains:
+        planner.complete_groups(domain)
+        planner.add_spares(domain)
+    planner.change_over()
+    return sorted(planner.chosen, key=lambda staging: -staging.pressure)
 
-    def take(domain: _Domain, runner: RunnerEntry, name: str, why: str) -> None:
-        chosen.append(Staging(runner, name, urgency=urgency(name), reason=why))
-        domain.loading[name] += 1
-        if domain.coming(name) % by_name[name].spec.size == 0:
-            coming[name] += 1
 
-    for domain in domains:
-        for name in _pressed_first(by_name, domain, urgency):
-            missing = by_name[name].spec.size - (
-                domain.coming(name) % by_name[name].spec.size
+class _Planner:
+    """Chooses loads, and counts the groups that come of them.
+
+    Attributes:
+        chosen: Loads chosen so far.
+    """
+
+    __slots__ = ("_coming", "_domains", "_loads", "_slots", "chosen")
+
+    def __init__(
+        self,
+        loads: dict[str, ModelLoad],
+        domains: list[_Domain],
+        *,
+        slots: int,
+    ) -> None:
+        self._loads = loads
+        self._domains = domains
+        self._slots = slots
+        # Groups that free runners will make up, by model.
+        self._coming = {
+            name: sum(
+                domain.coming(name) // load.spec.size for domain in domains
             )
-            while missing and urgency(name) >= PRESSED_LOAD:
-                if missing > len(domain.empty):
-                    break
+            for name, load in loads.items()
+        }
+        self.chosen: list[Staging] = []
+
+    def complete_groups(self, domain: _Domain) -> None:
+        """Lets empty runners complete groups of pressed models."""
+        for name in sorted(
+            self._loads, key=lambda name: -self._gain(domain, name)
+        ):
+            missing = self._missing(domain, name)
+            while (
+                self._pressure(name) >= PRESSED_LOAD
+                and len(domain.empty) >= missing
+            ):
                 for _ in range(missing):
                     runner = domain.empty.pop()
-                    take(domain, runner, name, "it completes a group")
-                missing = by_name[name].spec.size
+                    self._take(domain, runner, name, "it completes a group")
+                missing = self._missing(domain, name)
+
+    def add_spares(self, domain: _Domain) -> None:
+        """Lets the other empty runners load what their domain holds most."""
         while domain.empty:
             best = max(
-                by_name,
+                self._loads,
                 key=lambda name: (
-                    (urgency(name) + 0.01)
+                    max(LEAST_PRESSURE, self._pressure(name))
                     * (1 + domain.serving[name] + domain.coming(name))
                 ),
             )
-            take(domain, domain.empty.pop(), best, "a spare for repairs")
-    for name in sorted(by_name, key=urgency, reverse=True):
-        for domain in domains:
-            if urgency(name) < PRESSED_LOAD:
-                break
-            for runner in _change_over(domain, by_name, name, traits):
-                take(domain, runner, name, "it completes a group")
-    chosen.sort(key=lambda staging: -staging.urgency)
-    return chosen
+            runner = domain.empty.pop()
+            self._take(domain, runner, best, "a spare for repairs")
+
+    def change_over(self) -> None:
+        """Lets idle runners of calm models complete groups of pressed ones."""
+        for name in sorted(self._loads, key=self._pressure, reverse=True):
+            for domain in self._domains:
+                if self._pressure(name) < PRESSED_LOAD:
+                    break
+                for runner in self._donors(domain, name):
+                    self._take(domain, runner, name, "it completes a group")
 
+    def _pressure(self, name: str) -> float:
+        load = self._loads[name].load(
+            self._slots, extra_groups=self._coming[name]
+        )
+        return min(load, MOST_PRESSURE)
 
-def _pressed_first(
-    loads: dict[str, ModelLoad],
-    domain: _Domain,
-    urgency: Callable[[str], float],
-) -> list[str]:
-    """Returns the models, those that need little for much slots first."""
+    def _missing(self, domain: _Domain, name: str) -> int:
+        """Returns the runners that a domain lacks for one more group."""
+        size = self._loads[name].spec.size
+        return size - domain.coming(name) % size
 
-    def gain(name: str) -> float:
-        size = loads[name].spec.size
-        return urgency(name) / (size - domain.coming(name) % size)
+    def _gain(self, domain: _Domain, name: str) -> float:
+        return self._pressure(name) / self._missing(domain, name)
 
-    return sorted(loads, key=gain, reverse=True)
+    def _take(
+        self, domain: _Domain, runner: RunnerEntry, name: str, reason: str
+    ) -> None:
+        self.chosen.append(
+            Staging(runner, name, pressure=self._pressure(name), reason=reason)
+        )
+        domain.loading[name] += 1
+        if domain.coming(name) % self._loads[name].spec.size == 0:
+            self._coming[name] += 1
+
+    def _donors(self, domain: _Domain, name: str) -> list[RunnerEntry]:
+        """Returns idle runners that complete a group of a model by a load.
+
+        They are taken from models that are much less pressed. Empty if there
+        are too few of them.
+        """
+        pressure = self._loads[name].load(self._slots)
+        donors: list[RunnerEntry] = []
+        for other in sorted(self._loads, key=self._pressure):
+            load = self._loads[other]
+            if other == name:
+                continue
+            if pressure < RESTAGE_LOAD_RATIO * load.load(self._slots):
+                continue
+            kept = 0
+            if load.spec.size > SPARES_OF_A_DOMAIN and domain.serving[other]:
+                kept = SPARES_OF_A_DOMAIN
+            donors.extend(domain.idle[other][kept:])
+        missing = self._missing(domain, name)
+        if len(donors) < missing:
+            return []
+        taken = donors[:missing]
+        for runners in domain.idle.values():
+            runners[:] = [runner for runner in runners if runner not in taken]
+        return taken
 
 
 def _survey(
@@ -182,37 +247,3 @@
                 domain.idle[held].append(runner)
         domains.append(domain)
     return domains
-
-
-def _change_over(
-    domain: _Domain,
-    loads: dict[str, ModelLoad],
-    name: str,
-    traits: EngineTraits,
-) -> list[RunnerEntry]:
-    """Returns idle runners that complete a group of a model by a load.
-
-    They are taken from models that are much less pressed. Empty if there are
-    too few of them, or if a group comes without them.
-    """
-    size = loads[name].spec.size
-    missing = size - domain.coming(name) % size
-    pressure = loads[name].load(traits.slots)
-    donors: list[RunnerEntry] = []
-    for other, load in sorted(
-        loads.items(), key=lambda item: item[1].load(traits.slots)
-    ):
-        if other == name:
-            continue
-        if pressure < RESTAGE_LOAD_RATIO * load.load(traits.slots):
-            continue
-        kept = 0
-        if load.spec.size > SPARES_OF_A_DOMAIN and domain.serving[other]:
-            kept = SPARES_OF_A_DOMAIN
-        donors.extend(domain.idle[other][kept:])
-    if len(donors) < missing:
-        return []
-    taken = donors[:missing]
-    for runners in domain.idle.values():
-        runners[:] = [runner for runner in runners if runner not in taken]
-    return taken
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -92,7 +92,7 @@
         pause_seconds: Callable[[], float],
         wait_seconds: Callable[[], float],
         may_rest: Callable[[], bool] = lambda: False,
-        patience: Callable[[], float] = lambda: 1.0,
+        pause_factor: Callable[[], float] = lambda: 1.0,
     ) -> None:
         """Prepares a feed.
 
@@ -106,14 +106,14 @@
                 silent on a watch, so that this bounds how old the collection
                 can get unnoticed.
             may_rest: Returns whether another router watches for this one.
-            patience: Returns the factor on the pause between failed calls.
+            pause_factor: Returns the factor on the pause between failed calls.
         """
         self._store = store
         self._on_update = on_update
         self._pause_seconds = pause_seconds
         self._wait_seconds = wait_seconds
         self._may_rest = may_rest
-        self._patience = patience
+        self._pause_factor = pause_factor
         self._removals: list[tuple[int, str]] = []
         self._whole_since = 0
         self._must_list = True
@@ -176,7 +176,7 @@
             LONGEST_PAUSE_SECONDS,
             FIRST_PAUSE_SECONDS * 2 ** min(self._failures, 8),
         )
-        until = time.monotonic() + pause * self._patience()
+        until = time.monotonic() + pause * self._pause_factor()
         # Whoever is served first tells the others, so that many need not try.
         while time.monotonic() < until and not self.rests:
             await asyncio.sleep(min(pause, REST_SECONDS))
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -123,7 +123,7 @@
             pause_seconds=pause_seconds,
             wait_seconds=self._wait_seconds,
             may_rest=self._may_rest,
-            patience=self._patience,
+            pause_factor=self._pause_factor,
         )
 
     def is_ready(self) -> bool:
@@ -228,9 +228,9 @@
     def _runners_pause(self) -> float:
         if self._owner.holds():
             return OWNER_RUNNERS_PAUSE_SECONDS
-        return RUNNERS_PAUSE_SECONDS * self._patience()
+        return RUNNERS_PAUSE_SECONDS * self._pause_factor()
 
-    def _patience(self) -> float:
+    def _pause_factor(self) -> float:
         """Returns how much longer than in a small fleet this router pauses.
 
         The calls of all routers together then don't grow with their number.
