--- a/mulberrypaddle/serving/admission.py
+++ b/mulberrypaddle/serving/admission.py
@@ -66,18 +66,18 @@
         service: Service that it goes to.
         organisation: Name of its organisation; empty if none.
         urgency: Its rank, 0 first.
-        deadline: Loop time at which its time is up.
-        on_time_until: Loop time until which a sending makes the answer come
-            within the target.
+        deadline_seconds: Loop time at which its time is up.
+        on_time_until_seconds: Loop time until which a sending makes the
+            answer come within the target.
         busy_seconds: How long it will hold a slot.
         mark: Fingerprint that tells it from others, whatever its id.
     """
 
     __slots__ = (
         "busy_seconds",
-        "deadline",
+        "deadline_seconds",
         "mark",
-        "on_time_until",
+        "on_time_until_seconds",
         "organisation",
         "route",
         "service",
@@ -91,8 +91,8 @@
         service: ServiceSpec,
         organisation: str,
         urgency: int,
-        deadline: float,
-        on_time_until: float,
+        deadline_seconds: float,
+        on_time_until_seconds: float,
         busy_seconds: float,
         mark: str,
     ) -> None:
@@ -100,8 +100,8 @@
         self.service = service
         self.organisation = organisation
         self.urgency = urgency
-        self.deadline = deadline
-        self.on_time_until = on_time_until
+        self.deadline_seconds = deadline_seconds
+        self.on_time_until_seconds = on_time_until_seconds
         self.busy_seconds = busy_seconds
         self.mark = mark
 
@@ -116,8 +116,8 @@
     *,
     line: RequestLine,
     fields: CallerFields,
-    arrived_at: float,
-    ends_at: float | None,
+    arrived_at_seconds: float,
+    ends_at_seconds: float | None,
     rng: random.Random,
 ) -> Result[Admission, Refusal]:
     """Decides on a request by its head.
@@ -126,8 +126,9 @@
         config: Configuration in force; None if none is known yet.
         line: Method, target and body.
         fields: What its headers say.
-        arrived_at: Loop time at which it came.
-        ends_at: Loop time at which this router ends; None if it does not.
+        arrived_at_seconds: Loop time at which it came.
+        ends_at_seconds: Loop time at which this router ends; None if it does
+            not.
         rng: Chooses between the services of a route.
 
     Returns:
@@ -150,15 +151,15 @@
         return _refuse(
             ErrorKind.NO_RUNNER, "the route's service is not configured"
         )
-    wait = route.timeout_seconds
+    wait_seconds = route.timeout_seconds
     if fields.wait_seconds is not None:
-        wait = min(wait, fields.wait_seconds)
-    deadline = arrived_at + wait
-    if ends_at is not None and not ends_in_time(
-        now_seconds=arrived_at,
-        deadline_seconds=deadline,
+        wait_seconds = min(wait_seconds, fields.wait_seconds)
+    deadline_seconds = arrived_at_seconds + wait_seconds
+    if ends_at_seconds is not None and not ends_in_time(
+        now_seconds=arrived_at_seconds,
+        deadline_seconds=deadline_seconds,
         longest_seconds=_longest_seconds(service, fields),
-        ends_at_seconds=ends_at,
+        ends_at_seconds=ends_at_seconds,
     ):
         return _refuse(
             ErrorKind.SHUTTING_DOWN,
@@ -172,9 +173,9 @@
             service=service,
             organisation=name,
             urgency=_urgency_of(route, organisation),
-            deadline=deadline,
-            on_time_until=on_time_until(
-                arrived_at_seconds=arrived_at,
+            deadline_seconds=deadline_seconds,
+            on_time_until_seconds=on_time_until(
+                arrived_at_seconds=arrived_at_seconds,
                 target_seconds=route.target_seconds,
                 is_stream=route.repeat_rule is RepeatRule.STREAM,
             ),
--- a/mulberrypaddle/serving/beat.py
+++ b/mulberrypaddle/serving/beat.py
@@ -35,7 +35,7 @@
             the owner.
         lease_left: Milliseconds for which that ownership still holds.
         store_sight: What it lately saw of the store.
-        store_sight_age: How long ago, in milliseconds.
+        store_sight_age_ms: How long ago.
         asks_for_store: Whether it wants to know what others see of it.
         resigned_revision: Revision of the owner's record up to which it has
             handed the groups over; 0 if it never has.
@@ -66,7 +66,7 @@
         "resigned_revision",
         "stopping",
         "store_sight",
-        "store_sight_age",
+        "store_sight_age_ms",
         "asks_for_store",
         "changes",
         "routers",
@@ -94,7 +94,7 @@
         lease_left: int,
         watches: bool,
         store_sight: int,
-        store_sight_age: int,
+        store_sight_age_ms: int,
         asks_for_store: bool,
         resigned_revision: int,
         routers: int = 0,
@@ -119,7 +119,7 @@
         self.lease_left = lease_left
         self.watches = watches
         self.store_sight = store_sight
-        self.store_sight_age = store_sight_age
+        self.store_sight_age_ms = store_sight_age_ms
         self.asks_for_store = asks_for_store
         self.resigned_revision = resigned_revision
         self.routers = routers
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -125,8 +125,8 @@
             board.config,
             line=self._line,
             fields=self._fields,
-            arrived_at=self._arrived_at,
-            ends_at=board.ends_at_seconds,
+            arrived_at_seconds=self._arrived_at,
+            ends_at_seconds=board.ends_at_seconds,
             rng=board.rng,
         )
         if isinstance(admitted, Success):
@@ -146,6 +146,14 @@
         assert self._admitted is not None
         return self._admitted
 
+    def _left_seconds(self, now: float) -> float:
+        """Returns the time that the request still has."""
+        return self._terms.deadline_seconds - now
+
+    def _is_on_time(self, now: float) -> bool:
+        """Returns whether its answer can still come within the target."""
+        return now <= self._terms.on_time_until_seconds
+
     # Placing.
 
     def _demand(self) -> Demand:
@@ -171,12 +179,14 @@
         waited = False
         while not self._caller.gone:
             now = board.now()
-            if self._terms.deadline - now < LEAST_SEND_SECONDS:
+            if self._left_seconds(now) < LEAST_SEND_SECONDS:
                 self._end_late()
                 return None
             demand = self._demand()
             ahead = line.ahead_of(
-                order, on_time=now <= self._terms.on_time_until, now_seconds=now
+                order,
+                on_time=now <= self._terms.on_time_until_seconds,
+                now_seconds=now,
             )
             # What was begun goes before what waits.
             if waited or self._may_have_run or ahead == 0:
@@ -221,7 +231,7 @@
             Whether there may be one now; if not, the request was answered.
         """
         board = self._board
-        on_time = now <= self._terms.on_time_until
+        on_time = self._is_on_time(now)
         patience, serving = self._judge_wait(
             demand, line, order, on_time=on_time, now=now
         )
@@ -230,7 +240,7 @@
             return False
         waiter = Waiter(
             order,
-            on_time_until_seconds=self._terms.on_time_until,
+            on_time_until_seconds=self._terms.on_time_until_seconds,
             until_seconds=patience.until_seconds,
             turn=board.loop.create_future(),
         )
@@ -239,7 +249,8 @@
         try:
             if on_time:
                 await asyncio.wait(
-                    {waiter.turn}, timeout=self._terms.on_time_until - now
+                    {waiter.turn},
+                    timeout=self._terms.on_time_until_seconds - now,
                 )
                 if not waiter.turn.done():
                     patience, serving = self._judge_wait(
@@ -259,7 +270,7 @@
                 retry_after(
                     self._terms.busy_seconds,
                     now_seconds=board.now(),
-                    deadline_seconds=self._terms.deadline,
+                    deadline_seconds=self._terms.deadline_seconds,
                 ),
                 serving,
             )
@@ -277,7 +288,7 @@
         """Decides on waiting; returns the decision and the runners counted."""
         board = self._board
         serving = board.chooser.sound(demand, now_seconds=now)
-        give_up_at = self._terms.deadline
+        give_up_at = self._terms.deadline_seconds
         if self._terms.is_stream:
             give_up_at = self._last_sign_at() + stream_gap_seconds(
                 target_seconds=self._terms.route.target_seconds,
@@ -295,7 +306,7 @@
         patience = judge(
             now_seconds=now,
             give_up_at_seconds=give_up_at,
-            deadline_seconds=self._terms.deadline,
+            deadline_seconds=self._terms.deadline_seconds,
             is_stream=self._terms.is_stream,
             serving_slots=sum(max(1, entry.slots) for entry in serving),
             ahead=ahead,
@@ -352,7 +363,7 @@
             entry=entry,
             request_id=self._fields.request_id,
             route=self._terms.route,
-            deadline_seconds=self._terms.deadline,
+            deadline_seconds=self._terms.deadline_seconds,
             previous=previous,
             can_move=self._can_move,
         )
@@ -368,14 +379,14 @@
         urgency = RESUMED_URGENCY
         if self._sends == 1:
             # At a head, too, what can still be in time goes first.
-            late = now > self._terms.on_time_until
+            late = not self._is_on_time(now)
             urgency = URGENCIES_A_RANK * self._terms.urgency + late
         return self._board.dialect.runner_headers(
             self._fields,
             organisation=self._terms.organisation,
             runner_id=entry.runner_id,
             urgency=min(LEAST_URGENCY, urgency),
-            remaining_seconds=max(0.0, self._terms.deadline - now),
+            remaining_seconds=max(0.0, self._left_seconds(now)),
             last_event_id=last_event_id,
         )
 
@@ -466,7 +477,10 @@
             return _Verdict.AGAIN
         self._may_have_run = True
         self._runs.append(entry.life)
-        if end is AttemptEnd.TIMED_OUT and now >= self._terms.deadline - 0.01:
+        if (
+            end is AttemptEnd.TIMED_OUT
+            and now >= self._terms.deadline_seconds - 0.01
+        ):
             return _Verdict.UNKNOWN
         if end is AttemptEnd.STALLED:
             board.soundness.unreachable(runner_id, now)
@@ -493,7 +507,7 @@
         return retry_after(
             self._terms.busy_seconds,
             now_seconds=self._board.now(),
-            deadline_seconds=self._terms.deadline,
+            deadline_seconds=self._terms.deadline_seconds,
         )
 
     def _end_late(self) -> None:
@@ -509,7 +523,10 @@
             self._caller.cut()
             return
         kind = ErrorKind.OUTCOME_UNKNOWN
-        if self._board.now() >= self._terms.deadline - LEAST_SEND_SECONDS:
+        if (
+            self._board.now()
+            >= self._terms.deadline_seconds - LEAST_SEND_SECONDS
+        ):
             kind = ErrorKind.DEADLINE_PASSED
         self._refuse(kind, "it may have run")
 
--- a/mulberrypaddle/serving/owner_loop.py
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -155,7 +155,7 @@
             self._probe = asyncio.ensure_future(self._look_at_store())
         self._told_sights[beat.node] = _ToldSight(
             StoreSight(beat.store_sight),
-            seen_at_seconds=now - beat.store_sight_age / 1000,
+            seen_at_seconds=now - beat.store_sight_age_ms / 1000,
             heard_at_seconds=now,
         )
         if beat.renewals < 0:
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -101,7 +101,7 @@
         opening: Milliseconds until a group opens, by model.
         watches: Whether the store serves it the changes of the runners.
         store_sight: What it lately saw of the store.
-        store_sight_age: How long ago, in milliseconds.
+        store_sight_age_ms: How long ago.
         asks_for_store: Whether it wants to know what others see of it.
         resigned_revision: Revision of the owner's record up to which it has
             handed the groups over; 0 if it never has.
@@ -114,7 +114,7 @@
         "renewals",
         "resigned_revision",
         "store_sight",
-        "store_sight_age",
+        "store_sight_age_ms",
         "watches",
     )
 
@@ -126,12 +126,12 @@
         opening: dict[str, int] | None = None,
         watches: bool = False,
         store_sight: int = -1,
-        store_sight_age: int = 0,
+        store_sight_age_ms: int = 0,
         asks_for_store: bool = False,
         resigned_revision: int = 0,
     ) -> None:
         self.store_sight = store_sight
-        self.store_sight_age = store_sight_age
+        self.store_sight_age_ms = store_sight_age_ms
         self.asks_for_store = asks_for_store
         self.resigned_revision = resigned_revision
         self.watches = watches
@@ -419,7 +419,7 @@
             lease_left=claim.lease_left,
             watches=claim.watches,
             store_sight=claim.store_sight,
-            store_sight_age=claim.store_sight_age,
+            store_sight_age_ms=claim.store_sight_age_ms,
             asks_for_store=claim.asks_for_store,
             resigned_revision=claim.resigned_revision,
             stopping=board.stopping,
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -261,7 +261,7 @@
         owner = self._owner
         claim = Claim(
             store_sight=owner.store_sight(),
-            store_sight_age=int(owner.sight_age_seconds() * 1000),
+            store_sight_age_ms=int(owner.sight_age_seconds() * 1000),
             resigned_revision=owner.resigned_revision,
         )
         left = owner.ownership.lease_left_seconds(boot_seconds())
--- a/tests/serving/test_admission.py
+++ b/tests/serving/test_admission.py
@@ -86,8 +86,8 @@
         config or _config(),
         line=RequestLine("POST", target=path, host="shop.example", body=b""),
         fields=_fields(**changes),
-        arrived_at=100.0,
-        ends_at=ends_at,
+        arrived_at_seconds=100.0,
+        ends_at_seconds=ends_at,
         rng=random.Random(1),
     )
 
@@ -101,9 +101,9 @@
         return admitted.unwrap()
 
     def test_shorter_of_two_time_limits_holds(self) -> None:
-        self.assertEqual(106.0, self._terms().deadline)
-        self.assertEqual(102.0, self._terms(wait_seconds=2.0).deadline)
-        self.assertEqual(106.0, self._terms(wait_seconds=9.0).deadline)
+        self.assertEqual(106.0, self._terms().deadline_seconds)
+        self.assertEqual(102.0, self._terms(wait_seconds=2.0).deadline_seconds)
+        self.assertEqual(106.0, self._terms(wait_seconds=9.0).deadline_seconds)
 
     def test_urgency_of_the_organisation_goes_before_the_routes(self) -> None:
         self.assertEqual(1, self._terms().urgency)
@@ -140,8 +140,8 @@
             None,
             line=RequestLine("GET", target="/", host="x", body=b""),
             fields=_fields(),
-            arrived_at=0.0,
-            ends_at=None,
+            arrived_at_seconds=0.0,
+            ends_at_seconds=None,
             rng=random.Random(1),
         )
         self.assertIs(ErrorKind.NOT_IN_FORCE, refused.failure().kind)
--- a/tests/serving/test_digest.py
+++ b/tests/serving/test_digest.py
@@ -28,7 +28,7 @@
         silent=silent or [],
         stalled=stalled or {},
         losses=losses or {},
-        store_sight_age=0,
+        store_sight_age_ms=0,
         retries={},
         waiting={},
         demand={},
--- a/tests/serving/test_owner_loop.py
+++ b/tests/serving/test_owner_loop.py
@@ -106,7 +106,7 @@
         beats = [make_beat(name, loads={}) for name in ("a", "b")]
         for beat in beats:
             beat.store_sight = int(self.sight)
-            beat.store_sight_age = self.age_ms
+            beat.store_sight_age_ms = self.age_ms
         return beats
 
     def incarnation_of(self, node: str) -> str | None:
