Judge no runner lost by a router whose own link fails

Change: an unanswered question counts only if another runner has just answered; two runners that nobody suspects are asked along. Lost runners, and those that have just answered, are asked once a second. What another router could not reach is chosen last, no longer left alone.

--- a/mulberrypaddle/dispatch/soundness.py
+++ b/mulberrypaddle/dispatch/soundness.py
@@ -1,8 +1,9 @@
 """Which runners failed lately and are left alone for a while.
 
-Three signs are kept apart. A runner that could not be reached is not used. One
-that answers with failures is left alone while enough others are there. A head
-whose streams stand still is only chosen after the others.
+Three signs are kept apart. A runner that this router could not reach is not
+used by it. One that answers with failures is left alone while enough others are
+there. A head whose streams stand still, or that another router could not reach,
+is only chosen after the others.
 """
 
 from __future__ import annotations
@@ -149,11 +150,9 @@
             )
             record.told = True
         for runner_id in silent:
-            record = self._records.setdefault(runner_id, _Record())
-            record.silent_until_seconds = max(
-                record.silent_until_seconds, until
-            )
-            record.told = True
+            # The link of the other router may be at fault: all would leave the
+            # same runners alone and press the rest.
+            self.suspect(runner_id, now_seconds)
 
     def own_failing(self, now_seconds: float) -> list[str]:
         """Returns the runners that failed requests of this router."""
--- a/mulberrypaddle/replicas/losses.py
+++ b/mulberrypaddle/replicas/losses.py
@@ -18,6 +18,14 @@
 # one packet in thirty leaves two unanswered once in some hundred times.
 QUESTIONS_BEFORE_LOST = 2
 
+# Pause between two questions to a runner that counts as lost, or that has just
+# answered.
+SETTLED_SECONDS = 1.0
+
+# Age up to which an answer of any runner shows that this router's own link
+# works.
+PROOF_SECONDS = 1.0
+
 # Time beyond a question's own limit after which this router itself was late: it
 # may have been suspended or starved, so that the silence says nothing.
 LATE_SECONDS = 0.15
@@ -30,27 +38,46 @@
         lost: Lives that count as lost.
     """
 
-    __slots__ = ("_asked_at_seconds", "_unanswered", "lost")
+    __slots__ = (
+        "_answered_at_seconds",
+        "_asked_at_seconds",
+        "_last_answer_seconds",
+        "_unanswered",
+        "lost",
+    )
 
     def __init__(self) -> None:
+        self._answered_at_seconds: dict[tuple[str, int | None], float] = {}
+        self._last_answer_seconds: float | None = None
         self._asked_at_seconds: dict[tuple[str, int | None], float] = {}
         self._unanswered: dict[tuple[str, int | None], int] = {}
         self.lost: set[tuple[str, int | None]] = set()
 
     def may_ask(self, life: tuple[str, int | None], now_seconds: float) -> bool:
         """Returns whether a question is due; it counts as asked if so."""
+        pause = ASK_SECONDS
+        answered_at = self._answered_at_seconds.get(life)
+        if life in self.lost or (
+            answered_at is not None
+            and now_seconds - answered_at < SETTLED_SECONDS
+        ):
+            pause = SETTLED_SECONDS
         asked_at = self._asked_at_seconds.get(life)
-        if asked_at is not None and now_seconds - asked_at < ASK_SECONDS:
+        if asked_at is not None and now_seconds - asked_at < pause:
             return False
         self._asked_at_seconds[life] = now_seconds
         return True
 
-    def answered(self, life: tuple[str, int | None]) -> bool:
+    def answered(
+        self, life: tuple[str, int | None], now_seconds: float
+    ) -> bool:
         """Takes an answer.
 
         Returns:
             Whether the runner counted as lost until now.
         """
+        self._last_answer_seconds = now_seconds
+        self._answered_at_seconds[life] = now_seconds
         self._unanswered.pop(life, None)
         if life not in self.lost:
             return False
@@ -63,19 +90,27 @@
         *,
         waited_seconds: float,
         limit_seconds: float,
+        now_seconds: float,
     ) -> bool:
         """Takes that a question was left unanswered.
 
+        It counts only if some other runner has just answered: a router whose
+        own link is full or cut hears of none.
+
         Args:
             life: Life of the runner.
             waited_seconds: How long the answer was waited for.
             limit_seconds: How long it should have been.
+            now_seconds: Monotonic time.
 
         Returns:
             Whether the runner counts as lost from now on.
         """
         if waited_seconds > limit_seconds + LATE_SECONDS or life in self.lost:
             return False
+        last = self._last_answer_seconds
+        if last is None or now_seconds - last > PROOF_SECONDS:
+            return False
         count = self._unanswered.get(life, 0) + 1
         self._unanswered[life] = count
         if count < QUESTIONS_BEFORE_LOST:
@@ -87,7 +122,7 @@
         """Forgets runners that are gone."""
         known = set(lives)
         self.lost &= known
-        for kept in (self._asked_at_seconds, self._unanswered):
-            for life in list(kept):
-                if life not in known:
-                    del kept[life]
+        for life in self._asked_at_seconds.keys() - known:
+            del self._asked_at_seconds[life]
+            self._answered_at_seconds.pop(life, None)
+            self._unanswered.pop(life, None)
--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -36,7 +36,11 @@
 
 # Time for an answer to a question: a runner answers in some milliseconds, a
 # slow one in some tens.
-ANSWER_SECONDS = 0.35
+ANSWER_SECONDS = 0.6
+
+# Runners that are asked along with suspects: their answers show that this
+# router's own link works.
+CONTROL_QUESTIONS = 2
 
 
 class GroupControl:
@@ -175,6 +179,11 @@
                     continue
                 for member in picture.members.values():
                     asked[member.runner_id] = member
+        if asked:
+            others = [e for e in entries if e.runner_id not in asked]
+            count = min(CONTROL_QUESTIONS, len(others))
+            for entry in board.rng.sample(others, count):
+                asked[entry.runner_id] = entry
         for entry in asked.values():
             if losses.may_ask(entry.life, now):
                 self._spawn(self._ask(losses, entry))
@@ -188,7 +197,7 @@
         asked_at = self._board.now()
         result = await self._control.report(entry, limit_seconds=ANSWER_SECONDS)
         if isinstance(result, Success):
-            if losses.answered(entry.life):
+            if losses.answered(entry.life, self._board.now()):
                 log_belief("runner_back", runner=entry.runner_id)
             return
         waited_seconds = self._board.now() - asked_at
@@ -196,6 +205,7 @@
             entry.life,
             waited_seconds=waited_seconds,
             limit_seconds=ANSWER_SECONDS,
+            now_seconds=self._board.now(),
         ):
             log_belief(
                 "runner_lost",
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -21,9 +21,9 @@
 
     from mulberrypaddle.backends.curl import CurlClient
 
-# Time for a connection: a VM answers in a few milliseconds, a dead one never,
-# and an opening packet that was lost is sent again only after a second.
-CONNECT_TIMEOUT_MILLISECONDS = 250
+# Time for a connection: a VM answers in a few milliseconds, a dead one never;
+# a full runner, or a router whose own link is full, takes some hundred.
+CONNECT_TIMEOUT_MILLISECONDS = 400
 
 # Buffer of curl for one answer.
 RECEIVE_BUFFER_BYTES = 16_384
