--- a/mulberrypaddle/dispatch/loads.py
+++ b/mulberrypaddle/dispatch/loads.py
@@ -21,10 +21,13 @@
 
     __slots__ = ("_own", "_peers", "_sums")
 
+    # Sums over the other routers; None when they are to be made anew.
+    _sums: dict[str, int] | None
+
     def __init__(self) -> None:
         self._own: dict[str, int] = {}
         self._peers: dict[str, _PeerCounts] = {}
-        self._sums: dict[str, int] = {}
+        self._sums = None
 
     @property
     def own(self) -> dict[str, int]:
@@ -48,22 +51,29 @@
     ) -> None:
         """Takes the counts of another router."""
         self._peers[node] = _PeerCounts(counts, now_seconds)
-        self._sum_up()
+        self._sums = None
+
+    def drop_peers(self) -> None:
+        """Forgets what all other routers told."""
+        self._peers.clear()
+        self._sums = None
 
     def forget_stale(self, now_seconds: float) -> None:
         """Drops counts of routers that have fallen silent."""
         for node, peer in list(self._peers.items()):
             if now_seconds - peer.told_at_seconds > STALE_SECONDS:
                 del self._peers[node]
-        self._sum_up()
+                self._sums = None
 
     def total(self, runner_id: str) -> int:
         """Returns the requests in hand at a runner."""
+        if self._sums is None:
+            self._sums = self._sum_up()
         return self._own.get(runner_id, 0) + self._sums.get(runner_id, 0)
 
-    def _sum_up(self) -> None:
+    def _sum_up(self) -> dict[str, int]:
         sums: dict[str, int] = {}
         for peer in self._peers.values():
             for runner_id, count in peer.counts.items():
                 sums[runner_id] = sums.get(runner_id, 0) + count
-        self._sums = sums
+        return sums
--- a/mulberrypaddle/fleet/node.py
+++ b/mulberrypaddle/fleet/node.py
@@ -14,6 +14,9 @@
     Attributes:
         node: Name of the VM.
         data_centre: Data centre of the VM.
+        data_centres: All data centres of the deployment, sorted.
+        capacity: Fitness of the VM for duties beside its callers: percent of
+            a core or Mbit/s of its link, whichever is less.
         ip: Address of the VM.
         caller_address: Where callers connect, as host and port.
         readiness_address: Where readiness is asked, as host and port.
@@ -27,7 +30,9 @@
     __slots__ = (
         "bounds",
         "caller_address",
+        "capacity",
         "data_centre",
+        "data_centres",
         "first_start",
         "ip",
         "node",
@@ -42,6 +47,8 @@
         *,
         node: str,
         data_centre: str,
+        data_centres: tuple[str, ...],
+        capacity: int,
         ip: str,
         caller_address: tuple[str, int],
         readiness_address: tuple[str, int],
@@ -53,6 +60,8 @@
     ) -> None:
         self.node = node
         self.data_centre = data_centre
+        self.data_centres = data_centres
+        self.capacity = capacity
         self.ip = ip
         self.caller_address = caller_address
         self.readiness_address = readiness_address
--- a/mulberrypaddle/platform/node_file.py
+++ b/mulberrypaddle/platform/node_file.py
@@ -19,6 +19,9 @@
 
 DEFAULT_PATH = "/etc/mulberrypaddle/node.toml"
 
+# Link of a VM whose settings say nothing of it.
+USUAL_LINK_MBPS = 1_000.0
+
 
 def node_file_path(environment: Mapping[str, str] = os.environ) -> str:
     """Returns where the settings file lies."""
@@ -54,6 +57,10 @@
     return NodeSettings(
         node=str(fields["node"]),
         data_centre=str(fields["zone"]),
+        data_centres=tuple(
+            sorted({str(fields["zone"]), *map(str, fields.get("zones", {}))})
+        ),
+        capacity=_read_capacity(fields.get("limits", {})),
         ip=str(fields["ip"]),
         caller_address=_host_port(listen["frontend"]),
         readiness_address=_host_port(listen["readiness"]),
@@ -65,6 +72,15 @@
     )
 
 
+def _read_capacity(fields: dict[str, Any]) -> int:
+    """Returns the lesser of percent of a core and Mbit/s of the link."""
+    cores = float(fields.get("cpuShare", 1.0)) * float(
+        fields.get("cpuCores", 1)
+    )
+    link_mbps = float(fields.get("bandwidthMbps", USUAL_LINK_MBPS))
+    return max(1, int(min(100.0 * cores, link_mbps)))
+
+
 def _read_bounds(fields: dict[str, Any]) -> Bounds:
     known = Bounds()
     seconds = {
--- a/mulberrypaddle/replicas/keeper.py
+++ b/mulberrypaddle/replicas/keeper.py
@@ -48,6 +48,9 @@
 # Groups that may be in preparation at once.
 MOST_FORMATIONS = 16
 
+# Pause between two counts of the groups that other keepers look after.
+COUNT_OTHERS_SECONDS = 1.0
+
 # Time without a new runner after which the first start counts as complete.
 SETTLED_SECONDS = 1.2
 
@@ -87,6 +90,8 @@
         "_load_window_seconds",
         "_opening",
         "_orders",
+        "_others",
+        "_others_counted_seconds",
         "_pending",
         "_seen_runners",
         "losses",
@@ -103,6 +108,9 @@
         self._seen_runners: set[tuple[str, int | None]] = set()
         self._last_new_runner_seconds = 0.0
         self._load_rate = LoadRate()
+        # Groups that other keepers look after, by model, and when counted.
+        self._others: dict[str, int] = {}
+        self._others_counted_seconds = -COUNT_OTHERS_SECONDS
         self.losses = LossJudge()
 
     @property
@@ -134,23 +142,36 @@
         wanted_slots: dict[str, float],
         traffic_seen: bool,
         first_start: bool,
-        next_epoch: Callable[[], int],
+        next_epoch: Callable[[str], int],
         now_seconds: float,
+        data_centres: frozenset[str] | None = None,
     ) -> list[Directive]:
         """Returns the orders to give now.
 
         Args:
             view: What the runners report.
             service: The service, with an engine.
-            wanted_slots: Slots that the demand for each model keeps busy.
+            wanted_slots: Slots that the demand for each model keeps busy,
+                in all data centres.
             traffic_seen: Whether requests have come.
             first_start: Whether the whole system started just now.
-            next_epoch: Returns an epoch higher than all before.
+            next_epoch: Returns an epoch higher than all before in a data
+                centre.
             now_seconds: Monotonic time.
+            data_centres: Those whose groups it keeps; None for all. Other
+                keepers look after the rest.
         """
         traits = service.engine
         assert traits is not None
-        entries = view.of_service(service.name)
+        everywhere = view.of_service(service.name)
+        entries = everywhere
+        if data_centres is not None:
+            entries = [
+                entry
+                for entry in everywhere
+                if entry.data_centre in data_centres
+            ]
+        part = len(entries) / max(1, len(everywhere))
         self._note_runners(entries, now_seconds)
         self._orders.settle(entries, now_seconds)
         living = [e for e in entries if e.life not in self.losses.lost]
@@ -163,16 +184,36 @@
             if entry.runner_id not in busy and view.usable(entry)
         ]
         loads = self._loads(traits, pictures, view, wanted_slots)
+        if part < 1:
+            self._count_others(
+                loads, everywhere, data_centres, traits, now_seconds
+            )
         quick = first_start and not traffic_seen
         settled = now_seconds - self._last_new_runner_seconds >= SETTLED_SECONDS
         if not quick:
             self._choose(free, traits, loads, now_seconds)
         elif settled:
-            self._choose_first(free, pictures, traits, loads, now_seconds)
+            first = [
+                ModelLoad(
+                    load.spec,
+                    wanted_slots=load.wanted_slots,
+                    groups=load.groups - self._others_groups(load),
+                )
+                for load in loads
+            ]
+            self._choose_first(free, pictures, traits, first, now_seconds)
         self._advance(pictures, living, next_epoch, now_seconds)
         # Spares load after the groups of the first start, which hold traffic.
         if not quick or (settled and not self._pending):
-            self._stage(free, living, traits, loads, quick, now_seconds)
+            self._stage(
+                free,
+                living,
+                traits,
+                loads,
+                quick=quick,
+                part=part,
+                now_seconds=now_seconds,
+            )
         return self._orders.take_new()
 
     def _note_runners(
@@ -334,6 +375,38 @@
             for spec in traits.models.values()
         ]
 
+    def _count_others(
+        self,
+        loads: list[ModelLoad],
+        everywhere: list[RunnerEntry],
+        data_centres: frozenset[str] | None,
+        traits: EngineTraits,
+        now_seconds: float,
+    ) -> None:
+        """Adds the groups of the data centres that other keepers look after."""
+        if now_seconds - self._others_counted_seconds >= COUNT_OTHERS_SECONDS:
+            self._others_counted_seconds = now_seconds
+            counts: dict[str, int] = {}
+            others = [
+                entry
+                for entry in everywhere
+                if entry.data_centre not in (data_centres or ())
+            ]
+            for picture in draw_groups(others, traits).values():
+                if picture.spec is None or not picture.whole:
+                    continue
+                if picture.head_state is MembershipState.BROKEN:
+                    continue
+                name = picture.spec.name
+                counts[name] = counts.get(name, 0) + 1
+            self._others = counts
+        for load in loads:
+            load.groups += self._others_groups(load)
+
+    def _others_groups(self, load: ModelLoad) -> int:
+        """Returns the groups of a model that other keepers look after."""
+        return self._others.get(load.spec.name, 0)
+
     def _choose_first(
         self,
         free: list[RunnerEntry],
@@ -393,7 +466,7 @@
         self,
         pictures: dict[tuple[str, int], GroupPicture],
         living: list[RunnerEntry],
-        next_epoch: Callable[[], int],
+        next_epoch: Callable[[str], int],
         now_seconds: float,
     ) -> None:
         """Moves each formation one step on."""
@@ -415,7 +488,8 @@
             pending.formation.members = present
             key = pending.key
             if key is None:
-                self._order_join(pending, next_epoch(), now_seconds)
+                epoch = next_epoch(pending.formation.members[0].data_centre)
+                self._order_join(pending, epoch, now_seconds)
                 kept.append(pending)
             elif not _has_joined(pictures.get(key)):
                 # Once its group stands, that is tended like any other.
@@ -448,17 +522,20 @@
         living: list[RunnerEntry],
         traits: EngineTraits,
         loads: list[ModelLoad],
+        *,
         quick: bool,
+        part: float,
         now_seconds: float,
     ) -> None:
         """Lets free runners load weights, as many as the weight store bears.
 
-        Loads before the first request are not counted by it.
+        Loads before the first request are not counted by it. A keeper of some
+        data centres has their part of what all may load.
         """
         loading = self._orders.loading()
-        room = traits.loads_at_once - len(loading)
+        room = max(1, int(traits.loads_at_once * part)) - len(loading)
         allowance = self._load_rate.allowance(
-            per_second=traits.loads_per_second,
+            per_second=traits.loads_per_second * part,
             window_seconds=self._load_window_seconds,
             now_seconds=now_seconds,
         )
--- a/mulberrypaddle/serving/beat.py
+++ b/mulberrypaddle/serving/beat.py
@@ -1,21 +1,73 @@
-"""The message that each router sends to the others many times a second."""
+"""The message that routers send one another many times a second."""
 
 from __future__ import annotations
 
 import json
+import zlib
 from typing import Any
 
 # Name and version of the message; others are left out.
-FORM = 2
+FORM = 3
+
+# Messages longer than this are compressed: one packet needs no less.
+PLAIN_BYTES = 1_200
+
+# Compression of messages: a quick level, since they are sent all the time.
+PACKING_LEVEL = 1
+
+# Longest message once it is unpacked.
+MOST_BEAT_BYTES = 1_048_576
+
+# First byte of a message that is not compressed.
+_PLAIN_START = b"{"
+
+# Types of the fields; a message with others is left out whole.
+_FIELD_TYPES: dict[str, type | tuple[type, ...]] = {
+    "node": str,
+    "incarnation": str,
+    "ip": str,
+    "data_centre": str,
+    "capacity": int,
+    "revisions": dict,
+    "loads": dict,
+    "failing": list,
+    "silent": list,
+    "stalled": dict,
+    "losses": dict,
+    "waiting": dict,
+    "retries": dict,
+    "demand": dict,
+    "known": list,
+    "opening": dict,
+    "claims": dict,
+    "resigned": dict,
+    "watches": bool,
+    "store_sight": int,
+    "store_sight_age_ms": int,
+    "asks_for_store": bool,
+    "scope": str,
+    "routers": int,
+    "relays": dict,
+    "successor": str,
+    "changes": dict,
+    "stopping": bool,
+}
+
+# Whom a message speaks for: its sender, the routers of its data centre, or all.
+SCOPE_ROUTER = "router"
+SCOPE_DATA_CENTRE = "data_centre"
+SCOPE_FLEET = "fleet"
 
 
 class Beat:
-    """What one router tells the others.
+    """What one router tells others, of itself or of all it hears.
 
     Attributes:
         node: Router that sends it.
         incarnation: Process of that router.
         ip: Address of its VM.
+        data_centre: Data centre of its VM.
+        capacity: Fitness of its VM for duties; 0 if it should have none.
         revisions: Revision of each of its feeds, by collection.
         loads: Requests in hand by runner.
         failing: Runners that failed its requests.
@@ -28,109 +80,85 @@
         retries: First sendings and repeats in the window of the bound on
             repeats, by service.
         demand: Slots that its arrivals keep busy, by model.
-        known: Addresses of the routers that it hears.
+        known: Addresses of some routers of its data centre, those fittest for
+            duties first.
         opening: Time until the next group of a model opens, in
-            milliseconds; from the owner of the groups only.
-        renewals: Renewals of its ownership of the groups; -1 if it is not
-            the owner.
-        lease_left: Milliseconds for which that ownership still holds.
+            milliseconds.
+        claims: Owner, renewals and milliseconds left of the lease, by duty.
+        resigned: Revision up to which a process has handed a duty over, by
+            process and duty.
+        watches: Whether who hears this need not watch the store itself.
         store_sight: What it lately saw of the store.
         store_sight_age_ms: How long ago.
         asks_for_store: Whether it wants to know what others see of it.
-        resigned_revision: Revision of the owner's record up to which it has
-            handed the groups over; 0 if it never has.
-        watches: Whether it watches the runners for all, and the store
-            serves it.
-        stopping: Whether it is about to end.
-        routers: Routers whose beats it sums up; 0 if it speaks for itself.
+        scope: Whom the message speaks for.
+        routers: Routers that it speaks for.
+        relays: Address of the relay of each data centre.
+        successor: Address of the router that relays after this one; empty
+            if this one does not relay.
         changes: What lately changed in collections, for those who keep up.
+        stopping: Whether it is about to end.
     """
 
-    __slots__ = (
-        "demand",
-        "retries",
-        "waiting",
-        "incarnation",
-        "ip",
-        "known",
-        "lease_left",
-        "loads",
-        "losses",
-        "node",
-        "opening",
-        "failing",
-        "silent",
-        "renewals",
-        "revisions",
-        "stalled",
-        "resigned_revision",
-        "stopping",
-        "store_sight",
-        "store_sight_age_ms",
-        "asks_for_store",
-        "changes",
-        "routers",
-        "watches",
-    )
-
-    def __init__(
-        self,
-        *,
-        node: str,
-        incarnation: str,
-        ip: str,
-        revisions: dict[str, int],
-        loads: dict[str, int],
-        failing: list[str],
-        silent: list[str],
-        stalled: dict[str, int],
-        losses: dict[str, list[str]],
-        waiting: dict[str, int],
-        retries: dict[str, tuple[int, int]],
-        demand: dict[str, float],
-        known: list[str],
-        opening: dict[str, int],
-        renewals: int,
-        lease_left: int,
-        watches: bool,
-        store_sight: int,
-        store_sight_age_ms: int,
-        asks_for_store: bool,
-        resigned_revision: int,
-        routers: int = 0,
-        changes: dict[str, Any] | None = None,
-        stopping: bool,
-    ) -> None:
-        self.node = node
-        self.incarnation = incarnation
-        self.ip = ip
-        self.revisions = revisions
-        self.loads = loads
-        self.failing = failing
-        self.silent = silent
-        self.stalled = stalled
-        self.losses = losses
-        self.waiting = waiting
-        self.retries = retries
-        self.demand = demand
-        self.known = known
-        self.opening = opening
-        self.renewals = renewals
-        self.lease_left = lease_left
-        self.watches = watches
-        self.store_sight = store_sight
-        self.store_sight_age_ms = store_sight_age_ms
-        self.asks_for_store = asks_for_store
-        self.resigned_revision = resigned_revision
-        self.routers = routers
-        self.changes = changes or {}
-        self.stopping = stopping
+    __slots__ = tuple(_FIELD_TYPES)
+
+    node: str
+    incarnation: str
+    ip: str
+    data_centre: str
+    capacity: int
+    revisions: dict[str, int]
+    loads: dict[str, int]
+    failing: list[str]
+    silent: list[str]
+    stalled: dict[str, int]
+    losses: dict[str, list[str]]
+    waiting: dict[str, int]
+    retries: dict[str, tuple[int, int]]
+    demand: dict[str, float]
+    known: list[str]
+    opening: dict[str, int]
+    claims: dict[str, tuple[str, int, int]]
+    resigned: dict[str, dict[str, int]]
+    watches: bool
+    store_sight: int
+    store_sight_age_ms: int
+    asks_for_store: bool
+    scope: str
+    routers: int
+    relays: dict[str, str]
+    successor: str
+    changes: dict[str, Any]
+    stopping: bool
+
+    def __init__(self, **fields: Any) -> None:
+        """Takes the fields by name.
+
+        Raises:
+            ValueError: If one is missing, unknown or of another type.
+        """
+        if fields.keys() != _FIELD_TYPES.keys():
+            differing = sorted(fields.keys() ^ _FIELD_TYPES.keys())
+            raise ValueError(f"got missing or unknown fields {differing}")
+        for name, kind in _FIELD_TYPES.items():
+            value = fields[name]
+            if not isinstance(value, kind):
+                raise ValueError(f"got {value!r} for {name}, allowed is {kind}")
+            setattr(self, name, value)
+
+    @property
+    def is_sum(self) -> bool:
+        """Returns whether it speaks for more than its sender."""
+        return self.scope != SCOPE_ROUTER
 
     def to_bytes(self) -> bytes:
         """Returns the datagram."""
         fields = {name: getattr(self, name) for name in self.__slots__}
         fields["form"] = FORM
-        return json.dumps(fields, separators=(",", ":")).encode()
+        plain = json.dumps(fields, separators=(",", ":")).encode()
+        if len(plain) <= PLAIN_BYTES:
+            return plain
+        return zlib.compress(plain, PACKING_LEVEL)
 
     @classmethod
     def from_bytes(cls, data: bytes) -> Beat:
@@ -139,10 +167,21 @@
         Raises:
             ValueError: If it is no such message.
         """
-        fields: Any = json.loads(data)
+        fields: Any = json.loads(_unpack(data))
         if not isinstance(fields, dict) or fields.pop("form", None) != FORM:
             raise ValueError(f"got {data[:40]!r}, allowed is form {FORM}")
-        try:
-            return cls(**fields)
-        except TypeError as error:
-            raise ValueError(str(error)) from error
+        return cls(**fields)
+
+
+def _unpack(data: bytes) -> bytes:
+    """Returns the plain text of a message, bounded in length."""
+    if data[:1] == _PLAIN_START:
+        return data
+    unpacker = zlib.decompressobj()
+    try:
+        plain = unpacker.decompress(data, MOST_BEAT_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"got {data[:40]!r}: {error}") from error
+    if unpacker.unconsumed_tail:
+        raise ValueError(f"got a message of over {MOST_BEAT_BYTES} bytes")
+    return plain
--- a/mulberrypaddle/serving/demand.py
+++ b/mulberrypaddle/serving/demand.py
@@ -44,6 +44,15 @@
         if any(slots.values()):
             self.seen = True
 
+    def take_only(self, node: str, slots: dict[str, float]) -> None:
+        """Takes what one message tells of all other routers."""
+        self._peers.clear()
+        self.take_peer(node, slots)
+
+    def drop_peers(self) -> None:
+        """Forgets what all other routers told."""
+        self._peers.clear()
+
     def drop_peer(self, node: str) -> None:
         """Forgets a router that is gone."""
         self._peers.pop(node, None)
--- a/mulberrypaddle/serving/digest.py
+++ b/mulberrypaddle/serving/digest.py
@@ -1,9 +1,4 @@
-"""One message for all in place of one from each router to each other.
-
-In a small deployment every router sends its beat to every other. Messages grow
-with the square of the routers, so that a larger one uses a hub: the owner of
-the groups takes the beats of all and sends each router one digest of them.
-"""
+"""One message for many routers in place of one from each."""
 
 from __future__ import annotations
 
@@ -16,50 +11,72 @@
 
     from mulberrypaddle.serving.beat import Beat
 
-# Most routers that send their beats to one another directly: so many send
-# about a thousand messages a second in all.
-MOST_IN_MESH = 12
-
 
-def merge_into(own: Beat, others: Iterable[Beat]) -> Beat:
-    """Makes a router's own beat the digest of all.
+def merge_into(own: Beat, others: Iterable[Beat], *, scope: str) -> Beat:
+    """Makes a router's own beat the sum of many.
 
     Args:
-        own: Beat of the hub; it is changed.
-        others: Last beats of the routers that it hears.
+        own: Beat of the relay; it is changed.
+        others: Last beats of the routers that it hears, or sums of them.
+        scope: Whom the sum speaks for.
 
     Returns:
-        The digest: counts are summed, sightings joined.
+        The sum: counts are added, sightings joined.
     """
     loads = dict(own.loads)
     waiting = dict(own.waiting)
+    demand = dict(own.demand)
+    opening = dict(own.opening)
     stalled = dict(own.stalled)
+    claims = dict(own.claims)
+    resigned = {process: dict(up_to) for process, up_to in own.resigned.items()}
     failing = set(own.failing)
     silent = set(own.silent)
     losses = {mark: set(runners) for mark, runners in own.losses.items()}
-    routers = 1
+    routers = own.routers
     for beat in others:
-        routers += 1
-        for runner_id, count in beat.loads.items():
-            loads[runner_id] = loads.get(runner_id, 0) + count
-        for model, count in beat.waiting.items():
-            waiting[model] = waiting.get(model, 0) + count
-        for runner_id, age_ms in beat.stalled.items():
-            stalled[runner_id] = min(stalled.get(runner_id, age_ms), age_ms)
+        routers += beat.routers
+        _add(loads, beat.loads)
+        _add(waiting, beat.waiting)
+        for model, slots in beat.demand.items():
+            demand[model] = round(demand.get(model, 0.0) + slots, 3)
+        _take_least(opening, beat.opening)
+        _take_least(stalled, beat.stalled)
+        for duty, claim in beat.claims.items():
+            claims.setdefault(duty, claim)
+        for process, up_to in beat.resigned.items():
+            known = resigned.setdefault(process, {})
+            for duty, revision in up_to.items():
+                known[duty] = max(revision, known.get(duty, 0))
         failing.update(beat.failing)
         silent.update(beat.silent)
         for mark, runners in beat.losses.items():
             losses.setdefault(mark, set()).update(runners)
     own.loads = loads
     own.waiting = waiting
+    own.demand = demand
+    own.opening = opening
     own.stalled = stalled
+    own.claims = claims
+    own.resigned = resigned
     own.failing = sorted(failing)
     own.silent = sorted(silent)
     own.losses = {mark: sorted(runners) for mark, runners in losses.items()}
     own.routers = routers
+    own.scope = scope
     return own
 
 
+def _add(total: dict[str, int], counts: dict[str, int]) -> None:
+    for name, count in counts.items():
+        total[name] = total.get(name, 0) + count
+
+
+def _take_least(known: dict[str, int], told: dict[str, int]) -> None:
+    for name, value in told.items():
+        known[name] = min(known.get(name, value), value)
+
+
 def sum_retries(beats: Iterable[Beat]) -> dict[str, RetryCounts]:
     """Sums up what routers have sent, by service."""
     total: dict[str, RetryCounts] = {}
@@ -75,11 +92,11 @@
 
     Args:
         total: Counts of all, as a digest gives them.
-        told: Own counts as they were last told to the hub.
+        told: Own counts as they were last told to the relay.
     """
     others: dict[str, int] = {}
-    for runner_id, count in total.items():
-        left = count - told.get(runner_id, 0)
+    for name, count in total.items():
+        left = count - told.get(name, 0)
         if left > 0:
-            others[runner_id] = left
+            others[name] = left
     return others
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -32,6 +32,9 @@
 # Pause between two looks while another router watches for this one.
 REST_SECONDS = 0.1
 
+# Pause between two looks for a collection that another router may hand over.
+START_LOOK_SECONDS = 0.02
+
 # Removals that are remembered for routers that ask what changed.
 MOST_REMOVALS = 512
 
@@ -93,6 +96,7 @@
         wait_seconds: Callable[[], float],
         may_rest: Callable[[], bool] = lambda: False,
         pause_factor: Callable[[], float] = lambda: 1.0,
+        may_wait: Callable[[], bool] = lambda: False,
     ) -> None:
         """Prepares a feed.
 
@@ -107,6 +111,8 @@
                 can get unnoticed.
             may_rest: Returns whether another router watches for this one.
             pause_factor: Returns the factor on the pause between failed calls.
+            may_wait: Returns whether, after the start, another router may yet
+                hand the collection over, so that the store need not be asked.
         """
         self._store = store
         self._on_update = on_update
@@ -114,6 +120,7 @@
         self._wait_seconds = wait_seconds
         self._may_rest = may_rest
         self._pause_factor = pause_factor
+        self._may_wait = may_wait
         self._removals: list[tuple[int, str]] = []
         self._whole_since = 0
         self._must_list = True
@@ -148,6 +155,11 @@
 
     async def run(self) -> None:
         """Keeps the collection current until the task is cancelled."""
+        while not self.revision and self._may_wait():
+            await asyncio.sleep(START_LOOK_SECONDS)
+        if self.revision:
+            # What another router handed over is watched from there.
+            self._must_list = False
         while True:
             if self.rests:
                 await asyncio.sleep(REST_SECONDS)
--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -57,7 +57,8 @@
         self._control = control
         self._owner = owner
         self._keepers: dict[str, GroupKeeper] = {}
-        self._fence = 0
+        # Fence of each duty that the keepers were made for.
+        self._fences: dict[str, int] = {}
         self._noted_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -71,8 +72,9 @@
             if config is None or self._board.view.revision == 0:
                 continue
             self._note_groups()
-            if self._fence != self._owner.ownership.fence:
-                self._fence = self._owner.ownership.fence
+            fences = self._owner.fences()
+            if self._fences != fences:
+                self._fences = fences
                 self._keepers.clear()
             for service in config.services.values():
                 if service.engine is not None and service.engine.models:
@@ -152,8 +154,9 @@
             wanted_slots=wanted,
             traffic_seen=board.demand.seen,
             first_start=board.settings.first_start,
-            next_epoch=self._owner.ownership.next_epoch,
+            next_epoch=self._owner.next_epoch,
             now_seconds=now,
+            data_centres=frozenset(self._fences),
         )
         for directive in directives:
             self._spawn(self._order(keeper, directive))
@@ -166,7 +169,11 @@
         suspects = board.soundness.suspects(now, within_seconds=SIGHT_SECONDS)
         losses = keeper.losses
         assert service.engine is not None
-        entries = board.view.of_service(service.name)
+        entries = [
+            entry
+            for entry in board.view.of_service(service.name)
+            if entry.data_centre in self._fences
+        ]
         asked: dict[str, RunnerEntry] = {}
         for entry in entries:
             silent = board.soundness.silent(entry.runner_id, now)
@@ -215,15 +222,14 @@
             )
 
     async def _order(self, keeper: GroupKeeper, directive: Directive) -> None:
-        owner = self._owner
-        if not owner.holds() or owner.ownership.fence != self._fence:
+        runner = directive.runner
+        fence = self._fences.get(runner.data_centre, 0)
+        held = self._owner.fences().get(runner.data_centre)
+        if not fence or held != fence:
             keeper.refused(directive, self._board.now())
             return
-        runner = directive.runner
         name = type(directive.order).__name__
-        result = await self._control.order(
-            runner, directive.order, fence=self._fence
-        )
+        result = await self._control.order(runner, directive.order, fence=fence)
         outcome = (
             result.unwrap().value
             if isinstance(result, Success)
--- a/mulberrypaddle/serving/owner_loop.py
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -1,9 +1,13 @@
-"""Takes, renews and hands over the right to give orders to runners."""
+"""Takes, renews and gives up the duties of this router.
+
+Each data centre's groups are a duty with an object of its own in the store. In
+a small fleet one router takes them all. In a large one each data centre's relay
+takes its own, and those of a data centre that has no router left.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 from returns.result import Failure, Result, Success
@@ -13,10 +17,10 @@
     RENEW_SECONDS,
     OutageVerdict,
     OwnerRecord,
-    Ownership,
     StoreSight,
     judge_outage,
 )
+from mulberrypaddle.serving.duty import Duty, HeardClaim, boot_seconds
 from mulberrypaddle.serving.events_log import log_belief
 from mulberrypaddle.serving.store import Collection
 
@@ -28,20 +32,25 @@
     from mulberrypaddle.serving.peers import Peers
     from mulberrypaddle.serving.store import ObjectStore, StoredItem
 
-# Name of the object that says who owns the groups.
-DUTY_NAME = "groups"
-
-# Pause between two looks at the duty.
+# Pause between two looks at the duties.
 LOOK_SECONDS = 0.25
 
-# Silence of the owner after which the store is asked about it.
+# Silence of an owner after which the store is asked about its duty: the own
+# one, and one of another data centre, whose own routers go first.
 CLAIM_SILENCE_SECONDS = 0.6
+FOREIGN_SILENCE_SECONDS = 2.0
 
-# Pause between two reads of the object while no owner is heard, and routers
+# Pause between two reads of the objects while no owner is heard, and routers
 # for which it holds; more of them read less often each.
 READ_SECONDS = 0.5
 READING_ROUTERS = 12
 
+# Spread of the first tries of routers that start together, and how much longer
+# those wait whose VMs have little to spare for a duty.
+FIRST_TRY_SECONDS = 0.2
+WEAK_WAIT_SECONDS = 0.5
+WEAK_CAPACITY = 60
+
 # Time for a renewal, and for a look at the store on an owner's behalf. The
 # store answers in 4 ms, in 0.25 s when it is slow; the lease leaves little.
 RENEWAL_TIMEOUT_SECONDS = 0.7
@@ -62,14 +71,6 @@
 # Pause between two looks at the store for an owner that asks.
 PROBE_SECONDS = 1.0
 
-# Time for a connection that proves that the owner's process has ended.
-CONNECT_SECONDS = 0.3
-
-
-def boot_seconds() -> float:
-    """Returns a monotonic time that also counts the VM's suspension."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
 
 class _ToldSight:
     """What another router told of the store.
@@ -99,13 +100,11 @@
 
 
 class OwnerLoop:
-    """Keeps one router's view of the duty, and its hold on it.
+    """Keeps one router's view of the duties, and its hold on them.
 
     Attributes:
-        ownership: What is known of the duty, and the right to it.
-        resigned_revision: Revision of the record up to which this process has
-            handed the duty over; 0 if it never has.
-        on_taken: Called when this router has taken the duty.
+        duties: All duties, by data centre.
+        on_taken: Called when this router has taken a duty.
     """
 
     def __init__(
@@ -114,42 +113,71 @@
         self._board = board
         self._store = store
         self._peers = peers
-        self._heard_at = 0.0
-        self._heard: tuple[str, int, float] | None = None
         self._read_next_at = 0.0
-        self._sent_at = 0.0
-        self._unanswered_since: float | None = None
         self._served_at = 0.0
         self._failed_at = 0.0
         self._probed_at = 0.0
         self._probe: asyncio.Task[None] | None = None
         self._told_sights: dict[str, _ToldSight] = {}
-        # Revision of the record up to which each process has resigned.
-        self._resignations: dict[str, int] = {}
-        self.resigned_revision = 0
-        self.ownership = Ownership()
+        # Revision of the record up to which a process has handed a duty over,
+        # by process and duty.
+        self._resignations: dict[tuple[str, str], int] = {}
+        self.duties = {name: Duty(name) for name in board.settings.data_centres}
         self.on_taken: Callable[[], None] = lambda: None
 
-    def _unanswered_seconds(self) -> float:
-        """Returns how long the owner has waited for a renewal; 0 if not."""
-        if self.ownership.fence == 0 or self._unanswered_since is None:
-            return 0.0
-        return boot_seconds() - self._unanswered_since
-
     @property
     def renewal_fails(self) -> bool:
-        """Returns whether this router owns the duty and can't renew."""
-        return self._unanswered_seconds() >= ASK_AFTER_SECONDS
+        """Returns whether this router owns a duty and can't renew it."""
+        return any(
+            duty.unanswered_seconds() >= ASK_AFTER_SECONDS
+            for duty in self.duties.values()
+        )
 
     def holds(self) -> bool:
-        """Returns whether this router may give orders now."""
-        return self.ownership.holds(boot_seconds())
+        """Returns whether this router may act on some duty now."""
+        return any(duty.held() for duty in self.duties.values())
+
+    def fences(self) -> dict[str, int]:
+        """Returns the fence of each duty that is held now, by name."""
+        return {
+            name: duty.ownership.fence
+            for name, duty in self.duties.items()
+            if duty.held()
+        }
+
+    def next_epoch(self, name: str) -> int:
+        """Returns an epoch above all that any owner of a duty gave before."""
+        return self.duties[name].ownership.next_epoch()
+
+    def claims(self) -> dict[str, tuple[str, int, int]]:
+        """Returns own process, renewals and milliseconds left, by duty."""
+        claims: dict[str, tuple[str, int, int]] = {}
+        for name, duty in self.duties.items():
+            left = duty.lease_left_seconds()
+            if left > 0:
+                claims[name] = (
+                    self._peers.incarnation,
+                    duty.ownership.renewals,
+                    int(left * 1000),
+                )
+        return claims
+
+    def resigned(self) -> dict[str, int]:
+        """Returns up to which revision this process resigned, by duty."""
+        return {
+            name: duty.resigned_revision
+            for name, duty in self.duties.items()
+            if duty.resigned_revision
+        }
 
     def take_beat(self, beat: Beat) -> None:
-        """Takes what another router says of its ownership."""
+        """Takes what another router says of duties and of the store."""
         now = boot_seconds()
-        if beat.resigned_revision:
-            self._resignations[beat.incarnation] = beat.resigned_revision
+        for process, up_to in beat.resigned.items():
+            for name, revision in up_to.items():
+                key = (process, name)
+                known = self._resignations.get(key, 0)
+                self._resignations[key] = max(known, revision)
         if beat.asks_for_store and now - self._probed_at >= PROBE_SECONDS:
             self._probed_at = now
             self._probe = asyncio.ensure_future(self._look_at_store())
@@ -158,14 +186,17 @@
             seen_at_seconds=now - beat.store_sight_age_ms / 1000,
             heard_at_seconds=now,
         )
-        if beat.renewals < 0:
-            return
-        self._heard_at = now
-        self._heard = (
-            beat.incarnation,
-            beat.renewals,
-            now + beat.lease_left / 1000,
-        )
+        for name, (incarnation, renewals, left_ms) in beat.claims.items():
+            duty = self.duties.get(name)
+            if duty is None or incarnation == self._peers.incarnation:
+                continue
+            duty.take_claim(
+                HeardClaim(
+                    incarnation,
+                    renewals=renewals,
+                    until_seconds=now + left_ms / 1000,
+                )
+            )
 
     def store_sight(self) -> StoreSight:
         """Returns what this router lately saw of the store."""
@@ -181,10 +212,13 @@
 
     def tick(self) -> None:
         """Acts on what the others see, while renewals fail."""
+        for duty in self.duties.values():
+            waited_seconds = duty.unanswered_seconds()
+            if waited_seconds >= CONSENT_AFTER_SECONDS:
+                self._act_without_store(duty, waited_seconds)
+
+    def _act_without_store(self, duty: Duty, waited_seconds: float) -> None:
         now = boot_seconds()
-        waited_seconds = self._unanswered_seconds()
-        if waited_seconds < CONSENT_AFTER_SECONDS:
-            return
         since = now - waited_seconds
         sights = {
             node: told.sight_since(since)
@@ -192,18 +226,18 @@
             if now - told.heard_at_seconds <= SILENT_SECONDS
         }
         verdict = judge_outage(
-            list(sights.values()), routers=self._board.live_routers
+            list(sights.values()), routers=self._peers.direct_routers()
         )
         if verdict is OutageVerdict.GO_ON:
-            self.ownership.consented(now)
+            duty.ownership.consented(now)
             return
-        if waited_seconds < HAND_OVER_AFTER_SECONDS or not self.holds():
+        if waited_seconds < HAND_OVER_AFTER_SECONDS or not duty.held():
             return
         if verdict is OutageVerdict.HAND_OVER:
-            self.resigned_revision = self.ownership.revision
-            self.ownership.lost()
+            duty.resign()
             log_belief(
                 "ownership_handed_over",
+                duty=duty.name,
                 reason="others reach the store",
                 who=[
                     node
@@ -216,8 +250,7 @@
     async def _look_at_store(self) -> None:
         try:
             read = await asyncio.wait_for(
-                self._store.read(Collection.DUTIES, DUTY_NAME),
-                PROBE_TIMEOUT_SECONDS,
+                self._store.list(Collection.DUTIES), PROBE_TIMEOUT_SECONDS
             )
         except TimeoutError:
             self._note_store(served=False)
@@ -231,78 +264,129 @@
             self._failed_at = boot_seconds()
 
     async def run(self) -> None:
-        """Looks after the duty until the task is cancelled."""
-        # Routers start together; their first tries are spread a little.
-        await asyncio.sleep(self._board.rng.uniform(0, 0.2))
+        """Looks after the duties until the task is cancelled."""
+        wait_seconds = self._board.rng.uniform(0, FIRST_TRY_SECONDS)
+        if self._board.settings.capacity < WEAK_CAPACITY:
+            wait_seconds += WEAK_WAIT_SECONDS
+        await asyncio.sleep(wait_seconds)
         while True:
             if not self._board.stopping:
                 await self._look()
             await asyncio.sleep(LOOK_SECONDS)
 
-    async def give_up(self) -> None:
-        """Hands the duty over, before the process ends."""
-        if not self.holds():
+    async def _give_back(self) -> None:
+        """Hands duties of other data centres to their own routers."""
+        if not self._peers.is_large:
             return
-        record = self._own_record(given_up=True)
-        revision = self.ownership.revision
-        self.ownership.lost()
-        self.resigned_revision = revision
+        for name, duty in self.duties.items():
+            if name == self._board.settings.data_centre or not duty.held():
+                continue
+            if self._peers.relays_for(name):
+                await self._give_up_one(duty)
+
+    async def give_up(self) -> None:
+        """Hands the duties over, before the process ends or while it is slow.
+
+        What can't be written is told to the other routers.
+        """
+        await asyncio.gather(
+            *(
+                self._give_up_one(duty)
+                for duty in self.duties.values()
+                if duty.held()
+            )
+        )
+
+    async def _give_up_one(self, duty: Duty) -> None:
+        record = self._own_record(duty.ownership.renewals, given_up=True)
+        revision = duty.resign()
         result = await self._store.replace(
-            Collection.DUTIES, DUTY_NAME, record.to_value(), revision=revision
+            Collection.DUTIES, duty.name, record.to_value(), revision=revision
+        )
+        log_belief(
+            "ownership_given_up",
+            duty=duty.name,
+            written=isinstance(result, Success),
         )
-        log_belief("ownership_given_up", written=isinstance(result, Success))
 
     async def _look(self) -> None:
+        await self._give_back()
         now = boot_seconds()
-        if self.ownership.fence > 0:
-            if now - self._sent_at >= RENEW_SECONDS:
-                await self._renew()
-            return
-        if now - self._heard_at < CLAIM_SILENCE_SECONDS:
-            return
+        due = [
+            duty
+            for duty in self.duties.values()
+            if duty.owned and now - duty.sent_at_seconds >= RENEW_SECONDS
+        ]
+        await asyncio.gather(*(self._renew(duty) for duty in due))
         if now < self._read_next_at:
             return
+        wanted = [duty for duty in self.duties.values() if self._wants(duty)]
+        if not wanted:
+            return
         pause = READ_SECONDS * max(
             1.0, self._board.live_routers / READING_ROUTERS
         )
         self._read_next_at = now + pause * self._board.rng.uniform(0.5, 1.0)
-        await self._try_take()
+        await self._try_take(wanted)
 
-    async def _renew(self) -> None:
+    def _wants(self, duty: Duty) -> bool:
+        """Returns whether this router should try to take a duty now."""
+        if duty.owned or not self._peers.fit():
+            return False
+        silence_seconds = boot_seconds() - duty.heard_at_seconds
+        if silence_seconds < CLAIM_SILENCE_SECONDS:
+            return False
+        owns_some = any(other.owned for other in self.duties.values())
+        if self._peers.is_large:
+            if duty.name == self._board.settings.data_centre:
+                return self._peers.may_lead()
+            return owns_some and silence_seconds >= FOREIGN_SILENCE_SECONDS
+        return owns_some or not self._others_own()
+
+    def _others_own(self) -> bool:
+        """Returns whether another router is heard that owns some duty."""
+        now = boot_seconds()
+        return any(
+            not duty.owned
+            and now - duty.heard_at_seconds < CLAIM_SILENCE_SECONDS
+            for duty in self.duties.values()
+        )
+
+    async def _renew(self, duty: Duty) -> None:
         sent_at = boot_seconds()
-        self._sent_at = sent_at
-        renewals = self.ownership.renewals + 1
-        if self._unanswered_since is None:
-            self._unanswered_since = sent_at
-        result = await self._write_renewal(renewals)
-        if self.ownership.fence == 0:
+        duty.sent_at_seconds = sent_at
+        renewals = duty.ownership.renewals + 1
+        if duty.unanswered_since_seconds is None:
+            duty.unanswered_since_seconds = sent_at
+        result = await self._write_renewal(duty, renewals)
+        if not duty.owned:
             # Handed over while the answer was awaited.
             return
         if isinstance(result, Success):
-            self._unanswered_since = None
-            self.ownership.renewals = renewals
-            self.ownership.renewed(
-                result.unwrap().revision, sent_at_seconds=sent_at
+            duty.renewed(
+                result.unwrap().revision,
+                renewals=renewals,
+                sent_at_seconds=sent_at,
             )
             self._note_store(served=True)
             return
         problem = result.failure()
         if problem.kind is ErrorKind.CONFLICT:
-            await self._settle_conflict(sent_at)
+            await self._settle_conflict(duty, sent_at)
             return
         self._note_store(served=False)
-        log_belief("renewal_failed", reason=problem.detail)
+        log_belief("renewal_failed", duty=duty.name, reason=problem.detail)
 
     async def _write_renewal(
-        self, renewals: int
+        self, duty: Duty, renewals: int
     ) -> Result[StoredItem, Problem]:
         try:
             return await asyncio.wait_for(
                 self._store.replace(
                     Collection.DUTIES,
-                    DUTY_NAME,
-                    self._own_record(renewals=renewals).to_value(),
-                    revision=self.ownership.revision,
+                    duty.name,
+                    self._own_record(renewals).to_value(),
+                    revision=duty.ownership.revision,
                 ),
                 RENEWAL_TIMEOUT_SECONDS,
             )
@@ -316,10 +400,10 @@
                 )
             )
 
-    async def _settle_conflict(self, sent_at: float) -> None:
+    async def _settle_conflict(self, duty: Duty, sent_at: float) -> None:
         """Finds out whether an own write whose answer was lost came first."""
-        read = await self._store.read(Collection.DUTIES, DUTY_NAME)
-        if not isinstance(read, Success):
+        read = await self._store.read(Collection.DUTIES, duty.name)
+        if not isinstance(read, Success) or not duty.owned:
             return
         item = read.unwrap()
         record = self._record_of(item)
@@ -331,89 +415,109 @@
         ):
             # An earlier renewal took effect; its lease runs from its sending,
             # which was at least one renewal before.
-            self._unanswered_since = None
-            self.ownership.renewals = record.renewals
-            self.ownership.renewed(
-                item.revision, sent_at_seconds=sent_at - RENEW_SECONDS
+            duty.renewed(
+                item.revision,
+                renewals=record.renewals,
+                sent_at_seconds=sent_at - RENEW_SECONDS,
             )
             return
-        self.ownership.lost()
-        self._observe(item, record)
-        log_belief("ownership_lost", owner=record.node if record else "nobody")
+        duty.ownership.lost()
+        self._observe(duty, item, record)
+        log_belief(
+            "ownership_lost",
+            duty=duty.name,
+            owner=record.node if record else "nobody",
+        )
 
-    async def _try_take(self) -> None:
-        read = await self._store.read(Collection.DUTIES, DUTY_NAME)
-        self._note_store(served=isinstance(read, Success))
-        if not isinstance(read, Success):
+    async def _try_take(self, wanted: list[Duty]) -> None:
+        listed = await self._store.list(Collection.DUTIES)
+        self._note_store(served=isinstance(listed, Success))
+        if not isinstance(listed, Success):
             return
-        item = read.unwrap()
+        items = {item.name: item for item in listed.unwrap().items}
+        self._learn_relays(items)
+        for duty in wanted:
+            if duty.owned:
+                continue
+            if not await self._try_take_one(duty, items.get(duty.name)):
+                # Another router was faster; it will take the others too.
+                break
+
+    def _learn_relays(self, items: dict[str, StoredItem]) -> None:
+        """Learns from the owners' records who relays for a data centre."""
+        relays: dict[str, str] = {}
+        for name, item in items.items():
+            record = self._record_of(item)
+            if record is not None and not record.given_up:
+                relays[name] = record.address.rpartition(":")[0]
+        self._peers.relays.take_told(relays)
+
+    async def _try_take_one(self, duty: Duty, item: StoredItem | None) -> bool:
+        """Takes a duty if its owner is gone.
+
+        Returns:
+            Whether other duties may be tried; not if another router was
+            faster.
+        """
         record = self._record_of(item)
-        self._observe(item, record)
-        if self._heard is not None:
-            incarnation, renewals, until = self._heard
-            self.ownership.observe_claim(
-                incarnation, renewals=renewals, until_seconds=until
-            )
-        now = boot_seconds()
-        ended = record is not None and await self._has_ended(
-            record, self.ownership.revision
+        self._observe(duty, item, record)
+        ended = record is not None and self._has_ended(
+            record, duty=duty.name, revision=duty.ownership.revision
         )
-        if not self.ownership.may_take(now, owner_ended=ended):
-            return
-        self.ownership.renewals = 0
-        value = self._own_record().to_value()
+        if not duty.may_take(owner_ended=ended):
+            return True
+        duty.ownership.renewals = 0
+        value = self._own_record(0).to_value()
         sent_at = boot_seconds()
-        self._sent_at = sent_at
+        duty.sent_at_seconds = sent_at
         if item is None:
             result = await self._store.create(
-                Collection.DUTIES, DUTY_NAME, value
+                Collection.DUTIES, duty.name, value
             )
         else:
             result = await self._store.replace(
-                Collection.DUTIES, DUTY_NAME, value, revision=item.revision
+                Collection.DUTIES, duty.name, value, revision=item.revision
             )
         if not isinstance(result, Success):
-            log_belief("ownership_not_taken", reason=result.failure().detail)
-            return
-        self._unanswered_since = None
-        self.ownership.taken(result.unwrap().revision, sent_at_seconds=sent_at)
+            # Whoever was faster is about to be heard.
+            duty.heard_at_seconds = boot_seconds()
+            log_belief(
+                "ownership_not_taken",
+                duty=duty.name,
+                reason=result.failure().detail,
+            )
+            return False
+        duty.taken(result.unwrap().revision, sent_at_seconds=sent_at)
         log_belief(
             "ownership_taken",
-            fence=self.ownership.fence,
+            duty=duty.name,
+            fence=duty.ownership.fence,
             before=record.node if record else "nobody",
             ended=ended,
         )
         self.on_taken()
+        return True
 
-    async def _has_ended(self, record: OwnerRecord, revision: int) -> bool:
+    def _has_ended(
+        self, record: OwnerRecord, *, duty: str, revision: int
+    ) -> bool:
         """Returns whether the owner is known to have ended or resigned."""
         if record.incarnation == self._peers.incarnation:
             return True
         # A later write of the same process is a new ownership.
-        if self._resignations.get(record.incarnation, 0) >= revision:
-            return True
-        heard = self._peers.incarnation_of(record.node)
-        if heard is not None and heard != record.incarnation:
-            return True
-        host, _, port = record.address.rpartition(":")
-        if host == self._board.settings.ip:
-            # This VM runs one router, and it is another process.
+        if self._resignations.get((record.incarnation, duty), 0) >= revision:
             return True
-        try:
-            _, writer = await asyncio.wait_for(
-                asyncio.open_connection(host, int(port)), CONNECT_SECONDS
-            )
-        except ConnectionRefusedError:
+        if self._peers.has_ended(record.incarnation):
             return True
-        except (OSError, ValueError, TimeoutError):
-            return False
-        writer.close()
-        return False
+        # Of this VM it is another process than this one. A port that refuses
+        # a connection proves nothing: a link that is cut may refuse too.
+        host = record.address.rpartition(":")[0]
+        return host == self._board.settings.ip
 
     def _observe(
-        self, item: StoredItem | None, record: OwnerRecord | None
+        self, duty: Duty, item: StoredItem | None, record: OwnerRecord | None
     ) -> None:
-        self.ownership.observe(
+        duty.ownership.observe(
             record,
             revision=item.revision if item else 0,
             now_seconds=boot_seconds(),
@@ -425,7 +529,7 @@
         return OwnerRecord.from_value(self._store.value_of(item))
 
     def _own_record(
-        self, *, renewals: int = 0, given_up: bool = False
+        self, renewals: int, *, given_up: bool = False
     ) -> OwnerRecord:
         settings = self._board.settings
         return OwnerRecord(
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -1,37 +1,40 @@
-"""What the routers of a deployment tell one another.
+"""Beats between the routers of a deployment: small counts in datagrams.
 
-Small counts travel in datagrams, some times a second; whole collections are
-fetched over HTTP by a router that the store does not serve. Few routers send
-their beats to one another; many send them to the owner of the groups, which
-sends each of them a digest.
+A few routers send their beats to one another. In a large fleet each sends its
+own to the relay of its data centre (see `relays`), which answers with a digest.
 """
 
 from __future__ import annotations
 
 import asyncio
-import gzip
-import json
 import logging
 import uuid
 from typing import TYPE_CHECKING, Any
 
-import tornado.httpclient
-from tornado import httputil
-from tornado.httpserver import HTTPServer
-
-from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.dispatch.retry_budget import RetryCounts
-from mulberrypaddle.serving.beat import Beat
+from mulberrypaddle.serving.beat import (
+    SCOPE_DATA_CENTRE,
+    SCOPE_FLEET,
+    SCOPE_ROUTER,
+    Beat,
+)
+from mulberrypaddle.serving.catch_up import CatchUp
+from mulberrypaddle.serving.changes import ChangeTracker
 from mulberrypaddle.serving.digest import (
-    MOST_IN_MESH,
     merge_into,
     sum_retries,
     without_own,
 )
 from mulberrypaddle.serving.events_log import log_belief
+from mulberrypaddle.serving.relays import (
+    LONE_SILENCE_SECONDS,
+    MOST_IN_MESH,
+    RelayRank,
+    Relays,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from mulberrypaddle.serving.board import ServingBoard
     from mulberrypaddle.serving.feed import Feed
@@ -41,20 +44,11 @@
 # Pause between two beats: a head frees a slot about as often.
 BEAT_SECONDS = 0.1
 
-# Pause between two beats to the hub, and between two of its digests.
-HUB_SECONDS = 0.2
+# Pause between two beats to a relay, and between two of its digests.
+RELAY_SECONDS = 0.2
 
-# Silence of the hub after which routers send their beats to one another.
-HUB_SILENCE_SECONDS = 0.8
-
-# Pause between two beats of many routers to one another, while no hub is heard.
-SLOW_SECONDS = 1.0
-
-# Longest digest that carries changes; routers that lack more fetch them.
-MOST_CHANGE_BYTES = 8_192
-
-# Age of a sign that never came.
-WATCHER_NEVER_SECONDS = 3_600.0
+# Pause between two beats to other routers while no relay is heard.
+LOST_SECONDS = 1.0
 
 # Silence after which a router counts as gone.
 SILENT_SECONDS = 1.0
@@ -63,29 +57,30 @@
 # and what it used lies in the window of the bound.
 FORGOTTEN_SECONDS = 10.0
 
-# Pause between beats to addresses that do not answer.
+# Pause between beats to addresses that do not answer, and between two answers
+# to a router that is looking for its relay.
 KNOCK_SECONDS = 1.0
 
+# Addresses of others in a beat, and addresses that are tried at a time: a
+# router that knows hundreds need not try all of them.
+MOST_KNOWN = 16
+MOST_KNOCKS = 16
+
 # Time for which losses of runners are told again.
 TELL_LOSSES_SECONDS = 3.0
 
-# Lag behind another router after which a collection is fetched from it,
-# although this one watches too: a change reaches all watchers within the pause
-# between two watches.
-FETCH_LAG_SECONDS = 0.4
+# Silence of the router that watches the store for all after which each watches
+# for itself: some beats. The many members of a large fleet leave it to the
+# relays for longer, since their calls would come all at once.
+WATCHER_SILENCE_SECONDS = 0.6
+MEMBER_WATCHER_SILENCE_SECONDS = 2.0
 
-# Compression of collections: a quick level, since many ask at once.
-PACKING_LEVEL = 1
-
-# Answers that are kept packed: some revisions of each collection.
-MOST_PACKED = 8
-
-# Time for a collection to be sent.
-FETCH_TIMEOUT_SECONDS = 1.0
+# Name under which the rest of the fleet is counted, as a digest sums it up.
+FLEET = "fleet"
 
 
 class Peer:
-    """Another router.
+    """Another router, or the sum of a data centre.
 
     Attributes:
         beat: What it told last.
@@ -100,92 +95,100 @@
 
 
 class Claim:
-    """What this router tells of its own ownership of the groups.
+    """What this router tells of its duties and of the store.
 
     Attributes:
-        renewals: Renewals so far; -1 if it is not the owner.
-        lease_left: Milliseconds for which the ownership holds.
+        claims: Own process, renewals and milliseconds left, by duty held.
+        resigned: Revision up to which it has handed a duty over, by duty.
         opening: Milliseconds until a group opens, by model.
-        watches: Whether the store serves it the changes of the runners.
+        reads: Whether it reads the store for others, and is served.
         store_sight: What it lately saw of the store.
         store_sight_age_ms: How long ago.
         asks_for_store: Whether it wants to know what others see of it.
-        resigned_revision: Revision of the owner's record up to which it has
-            handed the groups over; 0 if it never has.
     """
 
     __slots__ = (
         "asks_for_store",
-        "lease_left",
+        "claims",
         "opening",
-        "renewals",
-        "resigned_revision",
+        "reads",
+        "resigned",
         "store_sight",
         "store_sight_age_ms",
-        "watches",
     )
 
     def __init__(
         self,
         *,
-        renewals: int = -1,
-        lease_left: int = 0,
+        claims: dict[str, tuple[str, int, int]] | None = None,
+        resigned: dict[str, int] | None = None,
         opening: dict[str, int] | None = None,
-        watches: bool = False,
+        reads: bool = False,
         store_sight: int = -1,
         store_sight_age_ms: int = 0,
         asks_for_store: bool = False,
-        resigned_revision: int = 0,
     ) -> None:
+        self.claims = claims or {}
+        self.resigned = resigned or {}
+        self.opening = opening or {}
+        self.reads = reads
         self.store_sight = store_sight
         self.store_sight_age_ms = store_sight_age_ms
         self.asks_for_store = asks_for_store
-        self.resigned_revision = resigned_revision
-        self.watches = watches
-        self.renewals = renewals
-        self.lease_left = lease_left
-        self.opening = opening or {}
 
 
 class Peers(asyncio.DatagramProtocol):
-    """Exchanges beats and collections with the other routers.
+    """Exchanges beats with the other routers.
 
     Attributes:
         incarnation: Id of this process.
-        peers: Other routers by address.
-        listed_ips: Addresses that the store knows.
-        claim: Returns what this router says of its ownership.
+        peers: Routers that spoke for themselves, by address.
+        listed: Data centre of each router that the store lists, by address.
+        relays: Which routers sum up for others.
+        catch_up: Hands collections on and fetches them.
+        claim: Returns what this router says of its duties.
+        collections_heard: Whether a router was heard that has collections.
+        fit: Returns whether this router should have duties.
         on_beat: Takes each beat.
-        watcher_heard_at: Loop time at which a router that watches the
-            runners for all was last heard.
     """
 
     def __init__(self, board: ServingBoard, feeds: list[Feed]) -> None:
+        settings = board.settings
         self._board = board
         self._feeds = {feed.collection.value: feed for feed in feeds}
-        self._behind_since: dict[str, float] = {}
-        self._fetching: set[str] = set()
         self._transport: asyncio.DatagramTransport | None = None
         self._knocked_at: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._client = make_client()
-        self._server = HTTPServer(self._serve)
         self.incarnation = uuid.uuid4().hex[:12]
         self.peers: dict[str, Peer] = {}
-        self.listed_ips: set[str] = set()
+        self.listed: dict[str, str] = {}
+        self.relays = Relays(
+            settings.data_centre,
+            ip=settings.ip,
+            started_at_seconds=board.now(),
+        )
+        self.catch_up = CatchUp(
+            self._feeds, address=(settings.ip, settings.peer_port)
+        )
         self.claim: Callable[[], Claim] = Claim
+        self.fit: Callable[[], bool] = lambda: True
+        self.collections_heard = False
         self.on_beat: Callable[[Beat], None] = lambda beat: None
-        self.watcher_heard_at = -WATCHER_NEVER_SECONDS
-        # The router that sums up for all, where there are many.
-        self._hub_ip = ""
-        self._hub_at = -WATCHER_NEVER_SECONDS
-        self._hub_routers = 0
-        # The last beat that was sent to it.
+        # Sums of the other data centres, for a relay.
+        self._summaries: dict[str, Peer] = {}
+        # Processes that another one of the same VM has followed.
+        self._ended: set[str] = set()
+        self._processes: dict[str, str] = {}
+        # When a router that watches the store for others was last heard.
+        self._watchers: dict[str, float] = {}
+        self._known_fleet = 0
+        self._known_fleet_at = -FORGOTTEN_SECONDS
+        # The last beat that was sent to the relay.
         self._told: Beat | None = None
-        self._digest_revisions: dict[str, int] = {}
-        # Answers to other routers, by collection and revisions.
-        self._packed_answers: dict[tuple[str, int, int], bytes] = {}
-        self._sent_at = 0.0
+        # Routers that relay for the same data centre, and when they were heard.
+        self._rivals: dict[str, float] = {}
+        self._changes = ChangeTracker(self._feeds)
+        self._sent_at = -RELAY_SECONDS
+        self._lost_sent_at = -LOST_SECONDS
 
     async def start(self) -> None:
         """Opens the port for other routers."""
@@ -194,7 +197,7 @@
         await self._board.loop.create_datagram_endpoint(
             lambda: self, local_addr=address
         )
-        self._server.listen(settings.peer_port, address=settings.ip)
+        self.catch_up.listen()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the socket."""
@@ -204,6 +207,13 @@
         """Learns that a datagram found no listener; silence tells it too."""
         _LOGGER.debug("datagram_refused", extra={"reason": str(exc)})
 
+    @property
+    def is_large(self) -> bool:
+        """Returns whether the fleet is too large for all to tell all."""
+        return self._board.live_routers > MOST_IN_MESH
+
+    # What others tell.
+
     def datagram_received(
         self, data: bytes, addr: tuple[str | Any, int]
     ) -> None:
@@ -215,103 +225,247 @@
             return
         if beat.incarnation == self.incarnation:
             return
-        board = self._board
-        now = board.now()
-        known = self.peers.get(beat.ip)
-        if known is None or known.beat.incarnation != beat.incarnation:
-            log_belief(
-                "router_heard", peer=beat.node, incarnation=beat.incarnation
-            )
+        if not self._note_process(beat):
+            return
+        now = self._board.now()
+        if beat.scope == SCOPE_ROUTER:
+            self._take_router(beat, now)
+        elif beat.scope == SCOPE_DATA_CENTRE:
+            self._take_summary(beat, now)
+        elif not self._take_digest(beat, now):
+            return
+        if beat.watches:
+            self._watchers[beat.node] = now
+        if any(beat.revisions.values()):
+            self.collections_heard = True
+        self.on_beat(beat)
+        self.catch_up.compare(beat, now)
+
+    def _note_process(self, beat: Beat) -> bool:
+        """Returns whether a beat comes from the last process of its VM."""
+        if beat.incarnation in self._ended:
+            return False
+        known = self._processes.get(beat.node)
+        if known == beat.incarnation:
+            return True
+        if known is not None:
+            self._ended.add(known)
+        self._processes[beat.node] = beat.incarnation
+        log_belief("router_heard", peer=beat.node, incarnation=beat.incarnation)
+        return True
+
+    def has_ended(self, incarnation: str) -> bool:
+        """Returns whether another process followed one on its VM.
+
+        Only a process that was itself heard before the other one counts: of
+        one that was never heard, nobody can say which of them is the later.
+        """
+        return incarnation in self._ended
+
+    def _take_router(self, beat: Beat, now: float) -> None:
         self.peers[beat.ip] = Peer(beat, now)
-        if not beat.routers:
-            board.loads.take_peer(beat.node, beat.loads, now_seconds=now)
-            board.waiting_elsewhere[beat.node] = beat.waiting
+        self.relays.take_told(beat.relays)
+        own = beat.data_centre == self._board.settings.data_centre
+        if self.is_large and not (own and self.relays.acts):
+            self._refer(beat, now)
+        if own or not self.is_large:
+            self._take_counts(beat.node, beat, now)
+        if beat.claims:
+            self._take_opening(beat)
+
+    def _refer(self, beat: Beat, now: float) -> None:
+        """Tells a router that looks for its relay which one that is."""
+        if beat.relays.get(beat.data_centre) or beat.ip == (
+            self.relays.relay_ip(now)
+        ):
+            return
+        if now - self._knocked_at.get(beat.ip, -KNOCK_SECONDS) < KNOCK_SECONDS:
+            return
+        self._knocked_at[beat.ip] = now
+        self._send(self._make_beat(now), [beat.ip])
+
+    def _take_summary(self, beat: Beat, now: float) -> None:
+        """Takes the sum of another data centre, as its relay tells it."""
+        self.relays.take_other(
+            beat.data_centre, _rank_of(beat), now_seconds=now
+        )
+        self._summaries[beat.data_centre] = Peer(beat, now)
+        if self.relays.acts:
+            self._take_counts(beat.data_centre, beat, now)
+            self._changes.take(beat.changes)
+
+    def _take_counts(self, name: str, beat: Beat, now: float) -> None:
+        """Takes counts and sightings of one router or one data centre."""
+        board = self._board
+        board.loads.take_peer(name, beat.loads, now_seconds=now)
+        board.waiting_elsewhere[name] = beat.waiting
+        board.demand.take_peer(name, beat.demand)
+        self._take_sightings(beat, now)
+
+    def _take_sightings(self, beat: Beat, now: float) -> None:
+        board = self._board
         board.soundness.take_peer(
             failing=beat.failing, silent=beat.silent, now_seconds=now
         )
         board.crashes.take_peer(beat.losses, now)
-        board.demand.take_peer(beat.node, beat.demand)
         for runner_id, age_ms in beat.stalled.items():
             board.soundness.suspect(runner_id, now - age_ms / 1000)
-        if beat.renewals >= 0:
-            board.opening_in = {
-                model: left / 1000 for model, left in beat.opening.items()
-            }
-        if beat.watches:
-            self.watcher_heard_at = now
-        if beat.routers:
-            self._take_digest(beat, now)
-        self.on_beat(beat)
-        self._compare(beat, now)
 
-    def tick(self) -> None:
-        """Sends what is due and forgets the silent routers."""
+    def _take_opening(self, beat: Beat) -> None:
+        self._board.opening_in = {
+            model: left_ms / 1000 for model, left_ms in beat.opening.items()
+        }
+
+    def _take_digest(self, beat: Beat, now: float) -> bool:
+        """Takes what the relay of the own data centre says of all.
+
+        Returns:
+            Whether it was taken.
+        """
         board = self._board
-        now = board.now()
-        for ip, peer in list(self.peers.items()):
-            if now - peer.heard_at_seconds > FORGOTTEN_SECONDS:
-                log_belief("router_silent", peer=peer.beat.node)
-                board.demand.drop_peer(peer.beat.node)
-                board.waiting_elsewhere.pop(peer.beat.node, None)
-                del self.peers[ip]
-        board.loads.forget_stale(now)
-        listed = len(self.listed_ips | {board.settings.ip})
-        board.live_routers = max(1 + len(self.peers), listed)
-        if self._hub_heard(now):
-            board.live_routers = max(board.live_routers, self._hub_routers)
-        if self._transport is None:
-            return
-        if board.live_routers <= MOST_IN_MESH:
-            self._lend_retries(now)
-            self._send(self._make_beat(now), self._targets(now))
-            return
-        claim = self.claim()
-        if claim.renewals >= 0:
-            if now - self._sent_at >= HUB_SECONDS:
-                self._send_digest(now)
-        elif self._hub_heard(now):
-            if now - self._sent_at >= HUB_SECONDS:
-                beat = self._make_beat(now)
-                self._told = beat
-                self._send(beat, [self._hub_ip])
-        elif now - self._sent_at >= SLOW_SECONDS:
-            self._send(self._make_beat(now), self._targets(now))
-
-    def _hub_heard(self, now: float) -> bool:
-        return now - self._hub_at < HUB_SILENCE_SECONDS
-
-    def _take_digest(self, beat: Beat, now: float) -> None:
-        """Takes what the hub sums up for all."""
-        self._hub_ip = beat.ip
-        self._hub_at = now
-        self._hub_routers = beat.routers
+        own = board.settings.data_centre
+        if beat.data_centre != own:
+            return False
+        if not self.relays.take_own(
+            _rank_of(beat), successor=beat.successor, now_seconds=now
+        ):
+            # Told of this one, it stops.
+            self._rivals[beat.ip] = now
+            return False
+        self.relays.take_told(beat.relays)
+        for ip in beat.known:
+            self.listed[str(ip)] = own
+        self._known_fleet = beat.routers
+        self._known_fleet_at = now
+        if self.relays.acts:
+            return True
         told = self._told
-        board = self._board
         board.loads.take_peer(
-            beat.node,
+            FLEET,
             without_own(beat.loads, told.loads if told else {}),
             now_seconds=now,
         )
         board.waiting_elsewhere = {
-            beat.node: without_own(beat.waiting, told.waiting if told else {})
+            FLEET: without_own(beat.waiting, told.waiting if told else {})
         }
-        others = sum_retries([beat])
+        others = dict(beat.demand)
+        for model, slots in (told.demand if told else {}).items():
+            others[model] = max(0.0, others.get(model, 0.0) - slots)
+        board.demand.take_only(FLEET, others)
+        self._take_sightings(beat, now)
+        self._take_opening(beat)
+        counts = sum_retries([beat])
         if told is not None:
             for service, (firsts, repeats) in told.retries.items():
-                if service in others:
-                    others[service].add(RetryCounts(-firsts, -repeats))
-        board.retries.lend(others, routers=board.live_routers, now_seconds=now)
-        for name, message in beat.changes.items():
-            feed = self._feeds.get(name)
-            if feed is None or not feed.rests:
-                continue
-            try:
-                feed.take_message(message)
-            except (KeyError, TypeError, ValueError) as error:
-                _LOGGER.warning(
-                    "unreadable_changes",
-                    extra={"collection": name, "reason": str(error)},
-                )
+                if service in counts:
+                    counts[service].add(RetryCounts(-firsts, -repeats))
+        board.retries.lend(counts, routers=board.live_routers, now_seconds=now)
+        self._changes.take(beat.changes)
+        return True
+
+    # What this router tells.
+
+    def tick(self) -> None:
+        """Sends what is due and forgets the silent routers."""
+        board = self._board
+        now = board.now()
+        self._forget(now)
+        board.live_routers = self._count_routers(now)
+        if self._transport is None:
+            return
+        if not self.is_large:
+            self.relays.acts = False
+            self._lend_retries(now)
+            self._send(self._make_beat(now), self._mesh_targets(now))
+            return
+        acted = self.relays.acts
+        settings = board.settings
+        acts = self.relays.decide(
+            RelayRank(
+                settings.ip,
+                owns=settings.data_centre in self.claim().claims,
+                capacity=self._capacity(),
+            ),
+            fittest=self._is_fittest(now),
+            now_seconds=now,
+        )
+        if acts != acted:
+            self._change_part(acts)
+        if now - self._sent_at < RELAY_SECONDS:
+            return
+        if acts:
+            self._send_sums(now)
+            return
+        beat = self._make_beat(now)
+        self._told = beat
+        self._send(beat, self._member_targets(now))
+
+    def _change_part(self, acts: bool) -> None:
+        """Forgets what was told in the other part, of relay or of member."""
+        board = self._board
+        log_belief(
+            "relay_begun" if acts else "relay_ended",
+            data_centre=board.settings.data_centre,
+        )
+        board.waiting_elsewhere.clear()
+        board.loads.drop_peers()
+        board.demand.drop_peers()
+        self._told = None
+
+    def _forget(self, now: float) -> None:
+        board = self._board
+        for ip, peer in list(self.peers.items()):
+            if now - peer.heard_at_seconds > FORGOTTEN_SECONDS:
+                log_belief("router_silent", peer=peer.beat.node)
+                self._drop_counts(peer.beat.node)
+                del self.peers[ip]
+        for data_centre, peer in list(self._summaries.items()):
+            if now - peer.heard_at_seconds > FORGOTTEN_SECONDS:
+                log_belief("relay_silent", data_centre=data_centre)
+                self._drop_counts(data_centre)
+                del self._summaries[data_centre]
+        board.loads.forget_stale(now)
+
+    def _drop_counts(self, name: str) -> None:
+        self._board.demand.drop_peer(name)
+        self._board.waiting_elsewhere.pop(name, None)
+
+    def _count_routers(self, now: float) -> int:
+        """Returns how many routers may be alive, this one counted."""
+        listed = len(self.listed.keys() | {self._board.settings.ip})
+        count = listed
+        if now - self._known_fleet_at < FORGOTTEN_SECONDS:
+            count = max(count, self._known_fleet)
+        if not self._summaries:
+            return max(count, 1 + len(self.peers))
+        sums = sum(peer.beat.routers for peer in self._summaries.values())
+        return max(count, 1 + len(self._local()) + sums)
+
+    def may_lead(self) -> bool:
+        """Returns whether this router may take its data centre's duty.
+
+        That is its relay, so that not all ask the store at once; any router
+        if there is no relay.
+        """
+        silence = self.relays.silence_seconds(self._board.now())
+        return self.relays.acts or silence >= LONE_SILENCE_SECONDS
+
+    def relays_for(self, data_centre: str) -> bool:
+        """Returns whether a relay of another data centre is heard."""
+        return self.relays.heard_for(data_centre, self._board.now())
+
+    def direct_routers(self) -> int:
+        """Returns the routers that tell this one of themselves, and itself."""
+        if not self.is_large:
+            return self._board.live_routers
+        return 1 + len(self._local()) + len(self._summaries)
+
+    def _local(self) -> list[Peer]:
+        """Returns the routers of the own data centre that are remembered."""
+        own = self._board.settings.data_centre
+        return [
+            peer for peer in self.peers.values() if peer.beat.data_centre == own
+        ]
 
     def _lend_retries(self, now: float) -> dict[str, RetryCounts]:
         """Lends what the fleet leaves unused; returns the others' counts.
@@ -319,45 +473,95 @@
         Routers that fell silent count on until they are forgotten: what they
         have sent still lies in the window.
         """
-        others = sum_retries(peer.beat for peer in self._routers_heard())
+        others = sum_retries(
+            peer.beat
+            for peer in [*self.peers.values(), *self._summaries.values()]
+        )
         self._board.retries.lend(
             others, routers=self._board.live_routers, now_seconds=now
         )
         return others
 
-    def _routers_heard(self) -> list[Peer]:
-        """Returns the routers that spoke for themselves when last heard."""
-        return [peer for peer in self.peers.values() if not peer.beat.routers]
-
-    def _send_digest(self, now: float) -> None:
-        others = [
-            peer.beat
-            for peer in self.peers.values()
-            if now - peer.heard_at_seconds <= SILENT_SECONDS
+    def _send_sums(self, now: float) -> None:
+        """Tells the own data centre of all, and the other relays of it."""
+        self._lend_retries(now)
+        changes = self._changes.since_last()
+        own = self._board.settings.data_centre
+        local = [
+            peer for peer in self.peers.values() if peer.beat.data_centre == own
         ]
-        digest = merge_into(self._make_beat(now), others)
-        for service, counts in self._lend_retries(now).items():
-            firsts, repeats = digest.retries.get(service, (0, 0))
-            digest.retries[service] = (
-                firsts + counts.firsts,
-                repeats + counts.repeats,
-            )
-        size_bytes = 0
-        for name, feed in self._feeds.items():
-            since = self._digest_revisions.get(name, 0)
-            if since and feed.revision > since:
-                message = feed.to_message(since)
-                size_bytes += len(json.dumps(message))
-                if size_bytes <= MOST_CHANGE_BYTES:
-                    digest.changes[name] = message
-            self._digest_revisions[name] = feed.revision
-        targets = sorted({*self.listed_ips, *self._targets(now)})
-        # All of them hear the hub; its list would be most of the message.
-        digest.known = []
-        self._send(digest, targets)
+        locals_heard = [peer.beat for peer in local if _is_fresh(peer, now)]
+        fittest = sorted(
+            locals_heard, key=lambda beat: (-beat.capacity, beat.ip)
+        )
+        summary = merge_into(
+            self._make_beat(now), locals_heard, scope=SCOPE_DATA_CENTRE
+        )
+        _count_all_retries(summary, (peer.beat for peer in local))
+        # Those that just fell silent may have restarted, and send again.
+        summary.routers = 1 + len(local)
+        summary.changes = changes
+        self._send(summary, sorted(self.relays.others().values()))
+        digest = merge_into(
+            self._make_beat(now),
+            [
+                *locals_heard,
+                *(
+                    peer.beat
+                    for peer in self._summaries.values()
+                    if _is_fresh(peer, now)
+                ),
+            ],
+            scope=SCOPE_FLEET,
+        )
+        _count_all_retries(
+            digest,
+            (peer.beat for peer in [*local, *self._summaries.values()]),
+        )
+        self._take_opening(digest)
+        digest.routers = self._board.live_routers
+        digest.watches = summary.watches or self.watcher_heard(now)
+        digest.changes = changes
+        digest.known = [beat.ip for beat in fittest[:MOST_KNOWN]]
+        fit = [beat.ip for beat in fittest if beat.capacity > 0]
+        digest.successor = fit[0] if fit else ""
+        targets = {peer.beat.ip for peer in local}
+        targets.update(self._rivals_heard(now))
+        if now - self._lost_sent_at >= LOST_SECONDS:
+            # Routers nearby that don't know this one may relay, too.
+            self._lost_sent_at = now
+            targets.update(self._knocks(self._known_ips() - targets, now))
+        self._send(digest, sorted(targets))
+
+    def _rivals_heard(self, now: float) -> set[str]:
+        """Returns others that relay here, and who is said to."""
+        rivals = {
+            ip
+            for ip, heard_at in self._rivals.items()
+            if now - heard_at <= SILENT_SECONDS
+        }
+        told = self.relays.told_ip()
+        return {*rivals, told} if told else rivals
+
+    def _is_fittest(self, now: float) -> bool:
+        """Returns whether no router nearby that is heard is fitter."""
+        settings = self._board.settings
+        own = (self._capacity(), settings.ip)
+        for ip, peer in self.peers.items():
+            if peer.beat.data_centre != settings.data_centre:
+                continue
+            if _is_fresh(peer, now) and (peer.beat.capacity, ip) > own:
+                return False
+        return True
+
+    def _capacity(self) -> int:
+        if self._board.stopping or not self.fit():
+            return 0
+        return self._board.settings.capacity
 
     def _send(self, beat: Beat, ips: list[str]) -> None:
-        assert self._transport is not None
+        if self._transport is None:
+            return
         self._sent_at = self._board.now()
         data = beat.to_bytes()
         for ip in ips:
@@ -365,40 +569,91 @@
                 address = (ip, self._board.settings.peer_port)
                 self._transport.sendto(data, address)
 
-    def incarnation_of(self, node: str) -> str | None:
-        """Returns the process that a router was last heard of, or None."""
-        for peer in self.peers.values():
-            if peer.beat.node == node:
-                return peer.beat.incarnation
-        return None
+    def _mesh_targets(self, now: float) -> list[str]:
+        heard = [ip for ip, peer in self.peers.items() if _is_fresh(peer, now)]
+        return heard + self._knocks(self._known_ips() - set(heard), now)
 
-    def _targets(self, now: float) -> list[str]:
-        settings = self._board.settings
-        heard = [
+    def _member_targets(self, now: float) -> list[str]:
+        """Returns the relay; without one, who may be it, or know it."""
+        relay = self.relays.relay_ip(now)
+        if relay:
+            return [relay]
+        likely = [
             ip
-            for ip, peer in self.peers.items()
-            if now - peer.heard_at_seconds <= SILENT_SECONDS
+            for ip in (self.relays.told_ip(), self.relays.successor)
+            if ip and ip != self._board.settings.ip
         ]
-        others = {*settings.seed_ips, *self.listed_ips, *self.peers}
+        if now - self._lost_sent_at < LOST_SECONDS:
+            return likely
+        self._lost_sent_at = now
+        return likely + self._knocks(self._known_ips() - set(likely), now)
+
+    def _known_ips(self) -> set[str]:
+        """Returns addresses that may be those of routers, nearby if large."""
+        settings = self._board.settings
+        known = {*settings.seed_ips, *self.listed, *self.peers}
         for peer in self.peers.values():
-            others.update(peer.beat.known)
-        targets = list(heard)
-        for ip in others.difference(heard):
-            if ip == settings.ip:
-                continue
-            if now - self._knocked_at.get(ip, 0.0) < KNOCK_SECONDS:
-                continue
+            known.update(peer.beat.known)
+        known.discard(settings.ip)
+        if not self.is_large:
+            return known
+        return {
+            ip
+            for ip in known
+            if self.listed.get(ip, settings.data_centre) == settings.data_centre
+        }
+
+    def _knocks(self, ips: set[str], now: float) -> list[str]:
+        """Returns some addresses that were not tried just now."""
+        due = sorted(
+            ip
+            for ip in ips
+            if now - self._knocked_at.get(ip, -KNOCK_SECONDS) >= KNOCK_SECONDS
+        )
+        if len(due) > MOST_KNOCKS:
+            due = self._board.rng.sample(due, MOST_KNOCKS)
+        for ip in due:
             self._knocked_at[ip] = now
-            targets.append(ip)
-        return targets
+        return due
+
+    # Who watches the store.
+
+    def watcher_heard(self, now: float, *, before: str = "") -> bool:
+        """Returns whether a router that watches for others is heard.
+
+        Args:
+            now: Loop time in seconds.
+            before: If given, only routers whose names come before it count.
+        """
+        relies = self.is_large and not self.relays.acts
+        silence = (
+            MEMBER_WATCHER_SILENCE_SECONDS
+            if relies
+            else WATCHER_SILENCE_SECONDS
+        )
+        for node, heard_at in self._watchers.items():
+            if now - heard_at >= silence:
+                continue
+            if not before or node < before:
+                return True
+        return False
+
+    def _some_known(self) -> list[str]:
+        known = list(self.peers)
+        if len(known) <= MOST_KNOWN:
+            return known
+        return self._board.rng.sample(known, MOST_KNOWN)
 
     def _make_beat(self, now: float) -> Beat:
         board = self._board
+        settings = board.settings
         claim = self.claim()
         return Beat(
-            node=board.settings.node,
+            node=settings.node,
             incarnation=self.incarnation,
-            ip=board.settings.ip,
+            ip=settings.ip,
+            data_centre=settings.data_centre,
+            capacity=self._capacity(),
             revisions={
                 name: feed.changed_revision
                 for name, feed in self._feeds.items()
@@ -422,99 +677,44 @@
                 model: round(slots, 3)
                 for model, slots in board.demand.own_slots(now).items()
             },
-            known=list(self.peers),
+            known=self._some_known(),
             opening=claim.opening,
-            renewals=claim.renewals,
-            lease_left=claim.lease_left,
-            watches=claim.watches,
+            claims=claim.claims,
+            resigned={self.incarnation: claim.resigned}
+            if claim.resigned
+            else {},
+            watches=claim.reads,
             store_sight=claim.store_sight,
             store_sight_age_ms=claim.store_sight_age_ms,
             asks_for_store=claim.asks_for_store,
-            resigned_revision=claim.resigned_revision,
+            scope=SCOPE_ROUTER,
+            routers=1,
+            relays=self.relays.all(now),
+            successor="",
+            changes={},
             stopping=board.stopping,
         )
 
-    def _compare(self, beat: Beat, now: float) -> None:
-        """Fetches collections in which another router is ahead for long."""
-        for name, feed in self._feeds.items():
-            if beat.revisions.get(name, 0) <= max(
-                feed.changed_revision, feed.revision
-            ):
-                self._behind_since.pop(f"{name} {beat.ip}", None)
-                continue
-            key = f"{name} {beat.ip}"
-            since = self._behind_since.setdefault(key, now)
-            watches = feed.connected and not feed.rests
-            if watches and now - since < FETCH_LAG_SECONDS:
-                continue
-            if name in self._fetching:
-                continue
-            self._fetching.add(name)
-            task = asyncio.ensure_future(self._fetch(name, beat.ip))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _fetch(self, name: str, ip: str) -> None:
-        feed = self._feeds[name]
-        port = self._board.settings.peer_port
-        try:
-            response = await self._client.fetch(
-                f"http://{ip}:{port}/{name}?since={feed.revision}",
-                connect_timeout=FETCH_TIMEOUT_SECONDS,
-                request_timeout=FETCH_TIMEOUT_SECONDS,
-            )
-            newer = feed.take_message(json.loads(response.body))
-        except (
-            tornado.httpclient.HTTPError,
-            OSError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as error:
-            log_belief(
-                "fetch_failed", collection=name, peer=ip, reason=str(error)
-            )
-            return
-        finally:
-            self._fetching.discard(name)
-        if newer and not feed.rests:
-            log_belief(
-                "fetched", collection=name, peer=ip, revision=feed.revision
-            )
-
-    def _serve(self, request: httputil.HTTPServerRequest) -> None:
-        """Answers another router that asks for a collection."""
-        name = request.path.lstrip("/")
-        status, body = 404, gzip.compress(b"{}")
-        if name in self._feeds:
-            since = request.arguments.get("since", [b"0"])[0]
-            status = 200
-            body = self._packed(name, int(since) if since.isdigit() else 0)
-        connection = request.connection
-        assert connection is not None
-        headers = httputil.HTTPHeaders(
-            {
-                "Content-Type": "application/json",
-                "Content-Encoding": "gzip",
-                "Content-Length": str(len(body)),
-            }
-        )
-        connection.write_headers(
-            httputil.ResponseStartLine("HTTP/1.1", status, ""), headers, body
-        )
-        connection.finish()
 
-    def _packed(self, name: str, since: int) -> bytes:
-        """Returns what a router lacks of a collection, compressed.
+def _rank_of(beat: Beat) -> RelayRank:
+    """Returns the rank of a router that sent a sum."""
+    claim = beat.claims.get(beat.data_centre)
+    return RelayRank(
+        beat.ip,
+        owns=claim is not None and claim[0] == beat.incarnation,
+        capacity=beat.capacity,
+    )
 
-        All routers ask for the same after a change; a configuration of many
-        routes, sent to each, would fill the link of a small VM for seconds.
-        """
-        key = (name, since, self._feeds[name].revision)
-        if key not in self._packed_answers:
-            message = self._feeds[name].to_message(since)
-            packed = gzip.compress(json.dumps(message).encode(), PACKING_LEVEL)
-            while len(self._packed_answers) >= MOST_PACKED:
-                del self._packed_answers[next(iter(self._packed_answers))]
-            self._packed_answers[key] = packed
-        return self._packed_answers[key]
+
+def _is_fresh(peer: Peer, now: float) -> bool:
+    return now - peer.heard_at_seconds <= SILENT_SECONDS
+
+
+def _count_all_retries(total: Beat, beats: Iterable[Beat]) -> None:
+    """Adds what others sent, those that lately fell silent counted too."""
+    for service, counts in sum_retries(beats).items():
+        firsts, repeats = total.retries.get(service, (0, 0))
+        total.retries[service] = (
+            firsts + counts.firsts,
+            repeats + counts.repeats,
+        )
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -12,15 +12,15 @@
 
 from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.serving.board import ServingBoard
-from mulberrypaddle.serving.digest import MOST_IN_MESH
 from mulberrypaddle.serving.door import Door
 from mulberrypaddle.serving.events_log import log_belief
 from mulberrypaddle.serving.feed import Feed, Update
 from mulberrypaddle.serving.group_control import GroupControl
 from mulberrypaddle.serving.metrics import watch_board
-from mulberrypaddle.serving.owner_loop import OwnerLoop, boot_seconds
+from mulberrypaddle.serving.owner_loop import OwnerLoop
 from mulberrypaddle.serving.peers import BEAT_SECONDS, Claim, Peers
 from mulberrypaddle.serving.readiness import METRICS_PORT, ReadinessServer
+from mulberrypaddle.serving.relays import MOST_IN_MESH
 from mulberrypaddle.serving.store import Collection
 
 if TYPE_CHECKING:
@@ -42,9 +42,12 @@
 OWNER_WAIT_SECONDS = 1.5
 WAIT_SECONDS = 8.0
 
-# Silence of the router that watches the runners for all after which each
-# watches for itself: some beats.
-WATCHER_SILENCE_SECONDS = 0.6
+# Time after a start in which collections may come from another router: until a
+# first answer, and once one was heard that has them. When the whole system
+# starts, no caller waits yet.
+FIRST_ANSWER_SECONDS = 0.15
+HANDED_OVER_SECONDS = 0.6
+FIRST_START_SECONDS = 2.5
 
 # Pause between two watches of what must be in force at once.
 URGENT_PAUSE_SECONDS = 0.05
@@ -103,12 +106,13 @@
         )
         # A watch from before, on which the store may have fallen silent, would
         # hide changes from all routers that rely on the owner.
-        self._owner.on_taken = self._list_all
+        self._owner.on_taken = self._list_if_reader
         self._peers.claim = self._claim
         self._peers.on_beat = self._owner.take_beat
         self._door = Door(self.board)
         self._readiness = ReadinessServer(self.is_ready)
         watch_board(self.board)
+        self._started_at = self.board.now()
 
     def _make_feed(
         self,
@@ -124,6 +128,7 @@
             wait_seconds=self._wait_seconds,
             may_rest=self._may_rest,
             pause_factor=self._pause_factor,
+            may_wait=self._may_wait,
         )
 
     def is_ready(self) -> bool:
@@ -200,11 +205,20 @@
             await asyncio.sleep(BEAT_SECONDS)
 
     async def _register(self) -> None:
-        """Writes where this router is, and learns where the others are."""
+        """Writes where this router is, and learns where the others are.
+
+        A router that hears its relay needs neither.
+        """
         settings = self._settings
-        value = {"ip": settings.ip, "incarnation": self._peers.incarnation}
+        value = {
+            "ip": settings.ip,
+            "incarnation": self._peers.incarnation,
+            "data_centre": settings.data_centre,
+        }
         pause = BEAT_SECONDS
-        while True:
+        while self._may_wait():
+            await asyncio.sleep(BEAT_SECONDS)
+        while not self._has_relay():
             written = await self._store.create(
                 Collection.ROUTERS, settings.node, value
             )
@@ -219,14 +233,33 @@
                 for item in listed.unwrap().items:
                     content = self._store.value_of(item)
                     if isinstance(content, dict) and content.get("ip"):
-                        self._peers.listed_ips.add(str(content["ip"]))
+                        self._peers.listed[str(content["ip"])] = str(
+                            content.get("data_centre", settings.data_centre)
+                        )
                 if isinstance(written, Success):
                     return
             await asyncio.sleep(pause)
             pause = min(2.0, pause * 2)
 
+    def _has_relay(self) -> bool:
+        relays = self._peers.relays
+        return relays.acts or bool(relays.relay_ip(self.board.now()))
+
+    def _may_wait(self) -> bool:
+        """Returns whether another router may yet hand its collections over."""
+        passed = self.board.now() - self._started_at
+        if self._settings.first_start:
+            return passed < FIRST_START_SECONDS and not self._leads()
+        if self._peers.collections_heard:
+            return passed < HANDED_OVER_SECONDS
+        return passed < FIRST_ANSWER_SECONDS
+
+    def _leads(self) -> bool:
+        """Returns whether other routers may rely on this one."""
+        return self._owner.holds() or self._peers.relays.acts
+
     def _runners_pause(self) -> float:
-        if self._owner.holds():
+        if self._leads():
             return OWNER_RUNNERS_PAUSE_SECONDS
         return RUNNERS_PAUSE_SECONDS * self._pause_factor()
 
@@ -235,22 +268,29 @@
 
         The calls of all routers together then don't grow with their number.
         """
-        if self._owner.holds():
+        if self._leads():
             return 1.0
         return max(1.0, self.board.live_routers / MOST_IN_MESH)
 
     def _wait_seconds(self) -> float:
-        if self._owner.holds():
+        if self._leads():
             return OWNER_WAIT_SECONDS
         return WAIT_SECONDS
 
     def _may_rest(self) -> bool:
-        """Returns whether the owner of the groups watches for this router.
+        """Returns whether another router watches the store for this one.
 
-        Then it fetches from the owner what the owner has seen change.
+        Of those that watch for others, the first by name does it for all.
         """
-        silent = self.board.now() - self._peers.watcher_heard_at
-        return not self._owner.holds() and silent < WATCHER_SILENCE_SECONDS
+        return self._peers.watcher_heard(
+            self.board.now(),
+            before=self._settings.node if self._leads() else "",
+        )
+
+    def _list_if_reader(self) -> None:
+        """Lists all collections unless another router watches them."""
+        if not self._may_rest():
+            self._list_all()
 
     def _list_all(self) -> None:
         """Lists all collections, whatever their watches may still say."""
@@ -260,22 +300,23 @@
     def _claim(self) -> Claim:
         owner = self._owner
         claim = Claim(
+            claims=owner.claims(),
+            resigned=owner.resigned(),
             store_sight=owner.store_sight(),
             store_sight_age_ms=int(owner.sight_age_seconds() * 1000),
-            resigned_revision=owner.resigned_revision,
         )
-        left = owner.ownership.lease_left_seconds(boot_seconds())
-        if left <= 0:
+        claim.reads = self._leads() and all(
+            feed.current and not feed.rests for feed in self._feeds
+        )
+        if not claim.claims:
             return claim
-        opening = self._groups.opening()
-        self.board.opening_in = {
-            model: left_ms / 1000 for model, left_ms in opening.items()
-        }
-        claim.renewals = owner.ownership.renewals
-        claim.lease_left = int(left * 1000)
         claim.asks_for_store = owner.renewal_fails
-        claim.opening = opening
-        claim.watches = all(feed.current for feed in self._feeds)
+        claim.opening = self._groups.opening()
+        if not self._peers.is_large:
+            self.board.opening_in = {
+                model: left_ms / 1000
+                for model, left_ms in claim.opening.items()
+            }
         return claim
 
     # What the feeds bring.
--- a/tests/serving/test_owner_loop.py
+++ b/tests/serving/test_owner_loop.py
@@ -15,9 +15,11 @@
     StoreSight,
 )
 from mulberrypaddle.serving.owner_loop import (
+    FOREIGN_SILENCE_SECONDS,
     PROBE_TIMEOUT_SECONDS,
     OwnerLoop,
 )
+from mulberrypaddle.serving.relays import Relays
 from mulberrypaddle.serving.store import (
     Changes,
     Collection,
@@ -27,7 +29,7 @@
 )
 from tests.serving.test_digest import make_beat
 from tests.support.asynchronous import run
-from tests.support.serving_path import ServingPath
+from tests.support.serving_path import ServingPath, free_port
 
 if TYPE_CHECKING:
     from mulberrypaddle.serving.beat import Beat
@@ -39,13 +41,17 @@
 
     def __init__(self) -> None:
         self.silent = False
-        self._value: Any = None
+        self.calls = 0
+        self._values: dict[str, Any] = {}
+        self._revisions: dict[str, int] = {}
         self._revision = 0
 
     async def list(
         self, collection: Collection, *, may_be_stale: bool = False
     ) -> Result[Listing, Problem]:
-        raise NotImplementedError
+        await self._answer()
+        items = [self._item(name) for name in self._values]
+        return Success(Listing(items, revision=self._revision))
 
     async def watch(
         self, collection: Collection, *, revision: int, wait_seconds: float
@@ -56,13 +62,15 @@
         self, collection: Collection, name: str
     ) -> Result[StoredItem | None, Problem]:
         await self._answer()
-        if self._value is None:
+        if name not in self._values:
             return Success(None)
-        return Success(self._item())
+        return Success(self._item(name))
 
     async def create(
         self, collection: Collection, name: str, value: dict[str, Any]
     ) -> Result[StoredItem, Problem]:
+        if name in self._values:
+            return Failure(Problem(ErrorKind.CONFLICT, name))
         return await self.replace(collection, name, value, revision=None)
 
     async def replace(
@@ -74,21 +82,23 @@
         revision: int | None,
     ) -> Result[StoredItem, Problem]:
         await self._answer()
-        if revision not in (None, self._revision):
+        if revision not in (None, self._revisions.get(name)):
             return Failure(Problem(ErrorKind.CONFLICT, name))
         self._revision += 1
-        self._value = value
-        return Success(self._item())
+        self._revisions[name] = self._revision
+        self._values[name] = value
+        return Success(self._item(name))
 
     def value_of(self, item: StoredItem) -> Any:
         return item.content
 
-    def _item(self) -> StoredItem:
+    def _item(self, name: str) -> StoredItem:
         return StoredItem(
-            "groups", revision=self._revision, content=self._value
+            name, revision=self._revisions[name], content=self._values[name]
         )
 
     async def _answer(self) -> None:
+        self.calls += 1
         while self.silent:
             await asyncio.sleep(0.05)
 
@@ -97,10 +107,15 @@
     """Two other routers that see the store as a test says."""
 
     incarnation = "own"
+    is_large = False
 
     def __init__(self) -> None:
         self.sight = StoreSight.FAILED
         self.age_ms = 0
+        self.leads = True
+        self.heard_relays: set[str] = set()
+        self.ended: set[str] = set()
+        self.relays = Relays("south", ip="127.0.0.1", started_at_seconds=0.0)
 
     def beats(self) -> list[Beat]:
         beats = [make_beat(name, loads={}) for name in ("a", "b")]
@@ -109,8 +124,20 @@
             beat.store_sight_age_ms = self.age_ms
         return beats
 
-    def incarnation_of(self, node: str) -> str | None:
-        return None
+    def has_ended(self, incarnation: str) -> bool:
+        return incarnation in self.ended
+
+    def direct_routers(self) -> int:
+        return 3
+
+    def fit(self) -> bool:
+        return True
+
+    def may_lead(self) -> bool:
+        return self.leads
+
+    def relays_for(self, data_centre: str) -> bool:
+        return data_centre in self.heard_relays
 
 
 class _Owner:
@@ -124,7 +151,6 @@
             self.store,
             self.peers,  # type: ignore[arg-type]
         )
-        board.live_routers = 3
 
     async def tick(self, seconds: float) -> list[bool]:
         """Ticks as a router does and says whether it held each time."""
@@ -156,7 +182,7 @@
             held = await owner.tick(LEASE_SECONDS + 2.0)
             task.cancel()
             path.close()
-            return held, owner.loop.resigned_revision > 0
+            return held, bool(owner.loop.resigned())
 
         return run(scenario())
 
@@ -184,14 +210,18 @@
             other.loop._store = owner.store
             other.peers.incarnation = "other"  # type: ignore[misc]
             resigned = make_beat("own", loads={})
-            resigned.resigned_revision = 3
+            resigned.resigned = {"own": {"south": 3}}
             other.loop.take_beat(resigned)
             record = OwnerRecord(
                 "x", incarnation="own", address="10.255.255.1:1", renewals=0
             )
             found = []
             for revision in (3, 4):
-                found.append(await other.loop._has_ended(record, revision))
+                found.append(
+                    other.loop._has_ended(
+                        record, duty="south", revision=revision
+                    )
+                )
             path.close()
             return found
 
@@ -244,3 +274,102 @@
         self.assertEqual(
             [StoreSight.SERVED, StoreSight.FAILED], run(scenario())
         )
+
+
+class EndedOwnerTest(testtools.TestCase):
+    """What proves that the process of an owner has ended."""
+
+    def test_refused_connection_proves_nothing(self) -> None:
+        # A link that is cut may refuse connections to a router that lives and
+        # gives orders.
+        async def scenario() -> bool:
+            path = ServingPath()
+            other = _Owner(path.board)
+            record = OwnerRecord(
+                "x",
+                incarnation="alive",
+                address=f"127.0.0.2:{free_port()}",
+                renewals=0,
+            )
+            await other.store.create(
+                Collection.DUTIES, "south", record.to_value()
+            )
+            task = asyncio.ensure_future(other.loop.run())
+            await asyncio.sleep(1.2)
+            held = other.loop.holds()
+            task.cancel()
+            path.close()
+            return held
+
+        self.assertFalse(run(scenario()))
+
+    def test_later_process_of_the_same_vm_proves_it(self) -> None:
+        async def scenario() -> bool:
+            path = ServingPath()
+            other = _Owner(path.board)
+            other.peers.ended.add("dead")
+            record = OwnerRecord(
+                "x", incarnation="dead", address="127.0.0.2:1", renewals=0
+            )
+            await other.store.create(
+                Collection.DUTIES, "south", record.to_value()
+            )
+            task = asyncio.ensure_future(other.loop.run())
+            await asyncio.sleep(0.6)
+            held = other.loop.holds()
+            task.cancel()
+            path.close()
+            return held
+
+        self.assertTrue(run(scenario()))
+
+
+class DutiesTest(testtools.TestCase):
+    """One duty for each data centre."""
+
+    def _play(self, *, large: bool, seconds: float) -> tuple[set[str], int]:
+        async def scenario() -> tuple[set[str], int]:
+            path = ServingPath()
+            path.board.settings.data_centres = ("north", "south", "west")
+            owner = _Owner(path.board)
+            owner.peers.is_large = large  # type: ignore[misc]
+            task = asyncio.ensure_future(owner.loop.run())
+            await asyncio.sleep(seconds)
+            owner.peers.heard_relays.add("west")
+            await asyncio.sleep(0.5)
+            task.cancel()
+            path.close()
+            return set(owner.loop.fences()), len(owner.loop.resigned())
+
+        return run(scenario())
+
+    def test_one_router_of_a_small_fleet_takes_all(self) -> None:
+        held, _ = self._play(large=False, seconds=0.6)
+        self.assertEqual({"north", "south", "west"}, held)
+
+    def test_relay_of_a_large_fleet_takes_its_own(self) -> None:
+        held, _ = self._play(large=True, seconds=0.6)
+        self.assertEqual({"south"}, held & {"south"})
+
+    def test_duty_of_another_data_centre_is_given_back(self) -> None:
+        held, resigned = self._play(
+            large=True, seconds=FOREIGN_SILENCE_SECONDS + 1.5
+        )
+        self.assertEqual({"north", "south"}, held)
+        self.assertEqual(1, resigned)
+
+    def test_second_router_of_a_small_fleet_takes_none(self) -> None:
+        async def scenario() -> tuple[set[str], int]:
+            path = ServingPath()
+            other = _Owner(path.board)
+            for _ in range(10):
+                beat = make_beat("owner", claims={"south": ("owner", 1, 2000)})
+                other.loop.take_beat(beat)
+                if not _:
+                    task = asyncio.ensure_future(other.loop.run())
+                await asyncio.sleep(0.1)
+            task.cancel()
+            path.close()
+            return set(other.loop.fences()), other.store.calls
+
+        self.assertEqual((set(), 0), run(scenario()))
--- a/tests/serving/test_peers.py
+++ b/tests/serving/test_peers.py
@@ -8,7 +8,8 @@
 import testtools
 import tornado.httpclient
 
-from mulberrypaddle.serving.peers import MOST_PACKED, Peers
+from mulberrypaddle.serving.catch_up import MOST_PACKED
+from mulberrypaddle.serving.peers import Peers
 from mulberrypaddle.serving.store import Collection, Listing, StoredItem
 from tests.serving.test_feed import _Store, _Watched
 from tests.support.asynchronous import run
@@ -31,7 +32,7 @@
             source.feed.take_listing(Listing([item], revision=7))
             peers = Peers(path.board, [source.feed])
             name = Collection.RUNNERS.value
-            packed = len(peers._packed(name, 0))
+            packed = len(peers.catch_up.packed(name, 0))
             await peers.start()
             settings = path.board.settings
             response = await tornado.httpclient.AsyncHTTPClient().fetch(
@@ -54,9 +55,9 @@
             peers = Peers(path.board, [source.feed])
             for revision in range(1, 50):
                 source.feed.take_listing(Listing([], revision=revision))
-                peers._packed(Collection.RUNNERS.value, 0)
+                peers.catch_up.packed(Collection.RUNNERS.value, 0)
             await asyncio.sleep(0)
             path.close()
-            return len(peers._packed_answers)
+            return len(peers.catch_up.packed_answers)
 
         self.assertEqual(MOST_PACKED, run(scenario()))
--- a/tests/support/group_fleet.py
+++ b/tests/support/group_fleet.py
@@ -175,7 +175,7 @@
             for directive in directives:
                 self._send(directive.runner, directive.order)
 
-    def _next_epoch(self) -> int:
+    def _next_epoch(self, data_centre: str) -> int:
         self._epoch += 1
         return self._epoch
 
--- a/tests/support/serving_path.py
+++ b/tests/support/serving_path.py
@@ -38,6 +38,8 @@
     return NodeSettings(
         node="router-1",
         data_centre="south",
+        data_centres=("south",),
+        capacity=100,
         ip=ip,
         caller_address=(ip, free_port()),
         readiness_address=(ip, free_port()),
