--- a/mulberrypaddle/serving/digest.py
+++ b/mulberrypaddle/serving/digest.py
@@ -5,11 +5,70 @@
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.dispatch.retry_budget import RetryCounts
+from mulberrypaddle.serving.beat import SCOPE_DATA_CENTRE, SCOPE_FLEET
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from mulberrypaddle.serving.beat import Beat
+    from mulberrypaddle.serving.peer import Peer
+
+# Addresses of other routers in a message.
+MOST_KNOWN = 16
+
+
+def sum_data_centre(
+    own: Beat, local: list[Peer], *, now_seconds: float
+) -> Beat:
+    """Returns what a relay tells the other relays of its data centre.
+
+    Args:
+        own: Beat of the relay; it is changed.
+        local: Routers of the data centre that it remembers.
+        now_seconds: Monotonic time.
+    """
+    heard = [peer.beat for peer in local if peer.is_fresh(now_seconds)]
+    summary = merge_into(own, heard, scope=SCOPE_DATA_CENTRE)
+    _count_all_retries(summary, (peer.beat for peer in local))
+    # Those that just fell silent may have restarted, and send again.
+    summary.routers = 1 + len(local)
+    return summary
+
+
+def sum_fleet(
+    own: Beat,
+    local: list[Peer],
+    summaries: list[Peer],
+    *,
+    now_seconds: float,
+) -> Beat:
+    """Returns what a relay tells the routers of its data centre of all.
+
+    Args:
+        own: Beat of the relay; it is changed.
+        local: Routers of the data centre that it remembers.
+        summaries: Sums of the other data centres.
+        now_seconds: Monotonic time.
+    """
+    heard = [peer.beat for peer in local if peer.is_fresh(now_seconds)]
+    others = [peer.beat for peer in summaries if peer.is_fresh(now_seconds)]
+    digest = merge_into(own, [*heard, *others], scope=SCOPE_FLEET)
+    _count_all_retries(digest, (peer.beat for peer in [*local, *summaries]))
+    fittest = sorted(heard, key=lambda beat: (-beat.capacity, beat.ip))
+    digest.known = [beat.ip for beat in fittest[:MOST_KNOWN]]
+    fit = [beat.ip for beat in fittest if beat.capacity > 0]
+    digest.successor = fit[0] if fit else ""
+    return digest
+
+
+def _count_all_retries(total: Beat, beats: Iterable[Beat]) -> None:
+    """Adds what others sent, those that lately fell silent counted too."""
+    for service, counts in sum_retries(beats).items():
+        firsts, repeats = total.retries.get(service, (0, 0))
+        total.retries[service] = (
+            firsts + counts.firsts,
+            repeats + counts.repeats,
+        )
 
 
 def merge_into(own: Beat, others: Iterable[Beat], *, scope: str) -> Beat:
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -14,18 +14,21 @@
 from mulberrypaddle.dispatch.retry_budget import RetryCounts
 from mulberrypaddle.serving.beat import (
     SCOPE_DATA_CENTRE,
-    SCOPE_FLEET,
     SCOPE_ROUTER,
     Beat,
 )
 from mulberrypaddle.serving.catch_up import CatchUp
 from mulberrypaddle.serving.changes import ChangeTracker
 from mulberrypaddle.serving.digest import (
-    merge_into,
+    MOST_KNOWN,
+    sum_data_centre,
+    sum_fleet,
     sum_retries,
     without_own,
 )
 from mulberrypaddle.serving.events_log import log_belief
+from mulberrypaddle.serving.own_beat import make_own_beat
+from mulberrypaddle.serving.peer import SILENT_SECONDS, Claim, Peer
 from mulberrypaddle.serving.relays import (
     LONE_SILENCE_SECONDS,
     MOST_IN_MESH,
@@ -34,7 +37,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from mulberrypaddle.serving.board import ServingBoard
     from mulberrypaddle.serving.feed import Feed
@@ -50,9 +53,6 @@
 # Pause between two beats to other routers while no relay is heard.
 LOST_SECONDS = 1.0
 
-# Silence after which a router counts as gone.
-SILENT_SECONDS = 1.0
-
 # Silence after which it no longer shares in budgets: it may have restarted,
 # and what it used lies in the window of the bound.
 FORGOTTEN_SECONDS = 10.0
@@ -61,14 +61,10 @@
 # to a router that is looking for its relay.
 KNOCK_SECONDS = 1.0
 
-# Addresses of others in a beat, and addresses that are tried at a time: a
-# router that knows hundreds need not try all of them.
-MOST_KNOWN = 16
+# Addresses that are tried at a time: a router that knows hundreds need not try
+# all of them.
 MOST_KNOCKS = 16
 
-# Time for which losses of runners are told again.
-TELL_LOSSES_SECONDS = 3.0
-
 # Silence of the router that watches the store for all after which each watches
 # for itself: some beats. The many members of a large fleet leave it to the
 # relays for longer, since their calls would come all at once.
@@ -79,64 +75,6 @@
 FLEET = "fleet"
 
 
-class Peer:
-    """Another router, or the sum of a data centre.
-
-    Attributes:
-        beat: What it told last.
-        heard_at_seconds: When.
-    """
-
-    __slots__ = ("beat", "heard_at_seconds")
-
-    def __init__(self, beat: Beat, heard_at_seconds: float) -> None:
-        self.beat = beat
-        self.heard_at_seconds = heard_at_seconds
-
-
-class Claim:
-    """What this router tells of its duties and of the store.
-
-    Attributes:
-        claims: Own process, renewals and milliseconds left, by duty held.
-        resigned: Revision up to which it has handed a duty over, by duty.
-        opening: Milliseconds until a group opens, by model.
-        reads: Whether it reads the store for others, and is served.
-        store_sight: What it lately saw of the store.
-        store_sight_age_ms: How long ago.
-        asks_for_store: Whether it wants to know what others see of it.
-    """
-
-    __slots__ = (
-        "asks_for_store",
-        "claims",
-        "opening",
-        "reads",
-        "resigned",
-        "store_sight",
-        "store_sight_age_ms",
-    )
-
-    def __init__(
-        self,
-        *,
-        claims: dict[str, tuple[str, int, int]] | None = None,
-        resigned: dict[str, int] | None = None,
-        opening: dict[str, int] | None = None,
-        reads: bool = False,
-        store_sight: int = -1,
-        store_sight_age_ms: int = 0,
-        asks_for_store: bool = False,
-    ) -> None:
-        self.claims = claims or {}
-        self.resigned = resigned or {}
-        self.opening = opening or {}
-        self.reads = reads
-        self.store_sight = store_sight
-        self.store_sight_age_ms = store_sight_age_ms
-        self.asks_for_store = asks_for_store
-
-
 class Peers(asyncio.DatagramProtocol):
     """Exchanges beats with the other routers.
 
@@ -451,8 +389,7 @@
             return False
         candidates = self._local() if self.is_large else self.peers.values()
         return any(
-            peer.beat.capacity > 0 and _is_fresh(peer, now)
-            for peer in candidates
+            peer.beat.capacity > 0 and peer.is_fresh(now) for peer in candidates
         )
 
     def may_lead(self) -> bool:
@@ -500,45 +437,20 @@
         """Tells the own data centre of all, and the other relays of it."""
         self._lend_retries(now)
         changes = self._changes.since_last()
-        own = self._board.settings.data_centre
-        local = [
-            peer for peer in self.peers.values() if peer.beat.data_centre == own
-        ]
-        locals_heard = [peer.beat for peer in local if _is_fresh(peer, now)]
-        fittest = sorted(
-            locals_heard, key=lambda beat: (-beat.capacity, beat.ip)
-        )
-        summary = merge_into(
-            self._make_beat(now), locals_heard, scope=SCOPE_DATA_CENTRE
-        )
-        _count_all_retries(summary, (peer.beat for peer in local))
-        # Those that just fell silent may have restarted, and send again.
-        summary.routers = 1 + len(local)
+        local = self._local()
+        summary = sum_data_centre(self._make_beat(now), local, now_seconds=now)
         summary.changes = changes
         self._send(summary, sorted(self.relays.others().values()))
-        digest = merge_into(
+        digest = sum_fleet(
             self._make_beat(now),
-            [
-                *locals_heard,
-                *(
-                    peer.beat
-                    for peer in self._summaries.values()
-                    if _is_fresh(peer, now)
-                ),
-            ],
-            scope=SCOPE_FLEET,
-        )
-        _count_all_retries(
-            digest,
-            (peer.beat for peer in [*local, *self._summaries.values()]),
+            local,
+            list(self._summaries.values()),
+            now_seconds=now,
         )
         self._take_opening(digest)
         digest.routers = self._board.live_routers
         digest.watches = summary.watches or self.watcher_heard(now)
         digest.changes = changes
-        digest.known = [beat.ip for beat in fittest[:MOST_KNOWN]]
-        fit = [beat.ip for beat in fittest if beat.capacity > 0]
-        digest.successor = fit[0] if fit else ""
         targets = {peer.beat.ip for peer in local}
         targets.update(self._rivals_heard(now))
         if now - self._lost_sent_at >= LOST_SECONDS:
@@ -564,7 +476,7 @@
         for ip, peer in self.peers.items():
             if peer.beat.data_centre != settings.data_centre:
                 continue
-            if _is_fresh(peer, now) and (peer.beat.capacity, ip) > own:
+            if peer.is_fresh(now) and (peer.beat.capacity, ip) > own:
                 return False
         return True
 
@@ -584,7 +496,7 @@
                 self._transport.sendto(data, address)
 
     def _mesh_targets(self, now: float) -> list[str]:
-        heard = [ip for ip, peer in self.peers.items() if _is_fresh(peer, now)]
+        heard = [ip for ip, peer in self.peers.items() if peer.is_fresh(now)]
         return heard + self._knocks(self._known_ips() - set(heard), now)
 
     def _member_targets(self, now: float) -> list[str]:
@@ -652,61 +564,22 @@
                 return True
         return False
 
-    def _some_known(self) -> list[str]:
-        known = list(self.peers)
-        if len(known) <= MOST_KNOWN:
-            return known
-        return self._board.rng.sample(known, MOST_KNOWN)
-
     def _make_beat(self, now: float) -> Beat:
-        board = self._board
-        settings = board.settings
-        claim = self.claim()
-        return Beat(
-            node=settings.node,
+        known = list(self.peers)
+        if len(known) > MOST_KNOWN:
+            known = self._board.rng.sample(known, MOST_KNOWN)
+        return make_own_beat(
+            self._board,
+            claim=self.claim(),
             incarnation=self.incarnation,
-            ip=settings.ip,
-            data_centre=settings.data_centre,
             capacity=self._capacity(),
             revisions={
                 name: feed.changed_revision
                 for name, feed in self._feeds.items()
             },
-            loads=board.loads.own,
-            failing=board.soundness.own_failing(now),
-            silent=board.soundness.own_silent(now),
-            stalled={
-                runner_id: int(age_seconds * 1000)
-                for runner_id, age_seconds in board.soundness.suspects(
-                    now, within_seconds=SILENT_SECONDS
-                ).items()
-            },
-            losses=board.crashes.recent(now, since_seconds=TELL_LOSSES_SECONDS),
-            waiting=board.waiting(),
-            retries={
-                service: (counts.firsts, counts.repeats)
-                for service, counts in board.retries.counts(now).items()
-            },
-            demand={
-                model: round(slots, 3)
-                for model, slots in board.demand.own_slots(now).items()
-            },
-            known=self._some_known(),
-            opening=claim.opening,
-            claims=claim.claims,
-            resigned={self.incarnation: claim.resigned}
-            if claim.resigned
-            else {},
-            watches=claim.reads,
-            store_sight=claim.store_sight,
-            store_sight_age_ms=claim.store_sight_age_ms,
-            asks_for_store=claim.asks_for_store,
-            scope=SCOPE_ROUTER,
-            routers=1,
+            known=known,
             relays=self.relays.all(now),
-            successor="",
-            changes={},
-            stopping=board.stopping,
+            now_seconds=now,
         )
 
 
@@ -718,17 +591,3 @@
         owns=claim is not None and claim[0] == beat.incarnation,
         capacity=beat.capacity,
     )
-
-
-def _is_fresh(peer: Peer, now: float) -> bool:
-    return now - peer.heard_at_seconds <= SILENT_SECONDS
-
-
-def _count_all_retries(total: Beat, beats: Iterable[Beat]) -> None:
-    """Adds what others sent, those that lately fell silent counted too."""
-    for service, counts in sum_retries(beats).items():
-        firsts, repeats = total.retries.get(service, (0, 0))
-        total.retries[service] = (
-            firsts + counts.firsts,
-            repeats + counts.repeats,
-        )
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -19,7 +19,8 @@
 from mulberrypaddle.serving.group_control import GroupControl
 from mulberrypaddle.serving.metrics import watch_board
 from mulberrypaddle.serving.owner_loop import OwnerLoop
-from mulberrypaddle.serving.peers import BEAT_SECONDS, Claim, Peers
+from mulberrypaddle.serving.peer import Claim
+from mulberrypaddle.serving.peers import BEAT_SECONDS, Peers
 from mulberrypaddle.serving.readiness import METRICS_PORT, ReadinessServer
 from mulberrypaddle.serving.relays import MOST_IN_MESH
 from mulberrypaddle.serving.store import Collection
--- a/tests/support/peer_net.py
+++ b/tests/support/peer_net.py
@@ -5,7 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from mulberrypaddle.serving.peers import BEAT_SECONDS, Claim, Peers
+from mulberrypaddle.serving.peer import Claim
+from mulberrypaddle.serving.peers import BEAT_SECONDS, Peers
 from tests.support.serving_path import ServingPath
 
 if TYPE_CHECKING:
