Serve what still arrives at a planned stop; end streams that only dribble

Change: requests being read count as in hand, and a stop waits until no new one has come for 0.3 s; only whole events count as progress; answers to the system's own calls are bounded; after a start only routers that vouch for the store are relied on, unless the store fails.

--- a/mulberrypaddle/backends/curl.py
+++ b/mulberrypaddle/backends/curl.py
@@ -4,11 +4,15 @@
 
 import contextlib
 import socket
+from typing import TYPE_CHECKING
 
 import pycurl
 import tornado.curl_httpclient
 import tornado.httpclient
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # curl errors after which no byte of the request can have been processed.
 UNSENT_ERRORS = frozenset(
     {
@@ -88,6 +92,19 @@
     return int(pycurl.SOCKOPT_OK)
 
 
+def bound_answer(most_bytes: int) -> Callable[[pycurl.Curl], None]:
+    """Returns what makes curl give an answer up beyond a size.
+
+    Args:
+        most_bytes: Longest body that is taken, in bytes.
+    """
+
+    def prepare(curl: pycurl.Curl) -> None:
+        curl.setopt(pycurl.MAXFILESIZE, most_bytes)
+
+    return prepare
+
+
 def was_unsent(error: BaseException) -> bool:
     """Returns whether an error proves that nothing was sent."""
     number = getattr(error, "errno", None)
--- a/mulberrypaddle/platform/orders.py
+++ b/mulberrypaddle/platform/orders.py
@@ -10,7 +10,7 @@
 import tornado.httpclient
 from returns.result import Failure, Result, Success
 
-from mulberrypaddle.backends.curl import make_client, was_unsent
+from mulberrypaddle.backends.curl import bound_answer, make_client, was_unsent
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
 from mulberrypaddle.replicas.orders import (
     CloseGroup,
@@ -29,6 +29,9 @@
 # Time for a runner to answer; it takes a few milliseconds.
 ORDER_TIMEOUT_SECONDS = 0.6
 
+# Longest answer that is taken; a report has some hundred bytes.
+MOST_ANSWER_BYTES = 1_048_576
+
 _OUTCOMES = {
     200: OrderOutcome.HOLDS,
     202: OrderOutcome.BEGUN,
@@ -126,6 +129,7 @@
     curl.setopt(pycurl.FRESH_CONNECT, 1)
     curl.setopt(pycurl.FORBID_REUSE, 1)
     curl.setopt(pycurl.SOCKOPTFUNCTION, probe_dead_peers)
+    bound_answer(MOST_ANSWER_BYTES)(curl)
 
 
 def _unreachable(entry: RunnerEntry, error: BaseException | None) -> Problem:
--- a/mulberrypaddle/platform/store.py
+++ b/mulberrypaddle/platform/store.py
@@ -11,7 +11,7 @@
 import tornado.httpclient
 from returns.result import Failure, Result, Success
 
-from mulberrypaddle.backends.curl import make_client, was_unsent
+from mulberrypaddle.backends.curl import bound_answer, make_client, was_unsent
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
 from mulberrypaddle.serving.sockets import probe_dead_peers
 from mulberrypaddle.serving.store import (
@@ -44,6 +44,9 @@
 # Added to the wait of a watch before it counts as lost: three slow answers.
 WATCH_SLACK_SECONDS = 0.8
 
+# Longest answer that is taken; a page of a listing has about a megabyte.
+MOST_ANSWER_BYTES = 8_388_608
+
 # Pages of a listing that are read before it counts as endless.
 MOST_PAGES = 200
 
@@ -188,6 +191,7 @@
 
 def _prepare_read(curl: pycurl.Curl) -> None:
     curl.setopt(pycurl.SOCKOPTFUNCTION, probe_dead_peers)
+    bound_answer(MOST_ANSWER_BYTES)(curl)
 
 
 def _prepare_write(curl: pycurl.Curl) -> None:
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -274,7 +274,7 @@
         board = self._board
         runner_id = self._entry.runner_id
         progress_at = board.head_progress.get(runner_id, 0.0)
-        silent = now - max(progress_at, self._call.last_byte_at_seconds)
+        silent = now - max(progress_at, self._call.last_sign_at_seconds)
         has_events = self._events > 0
         queued = board.loads.total(runner_id) > max(1, self._entry.slots)
         if tells_on_head(
@@ -320,13 +320,19 @@
     def _pass_event(
         self, head: RunnerHead, event_id: int | None, data: bytes
     ) -> bool:
+        if event_id is None:
+            # A comment, say: it is no sign that the stream goes on, and
+            # begins no answer.
+            if self._given_up is not None or not self._caller.started:
+                return True
+            return self._caller.write(data)
         progress = self._progress
         last = progress.last_event_id
         self._events += 1
         self._board.head_progress[self._entry.runner_id] = self._board.now()
-        if event_id is not None and last is not None and event_id <= last:
+        if last is not None and event_id <= last:
             return True
-        if event_id is not None and last is not None and event_id != last + 1:
+        if last is not None and event_id != last + 1:
             self.detail = f"got event {event_id} after event {last}"
             self._give_up(AttemptEnd.BROKEN)
             return True
@@ -334,8 +340,7 @@
             return True
         if not self._caller.started:
             self._caller.start(head.status, _without_length(head.passed))
-        if event_id is not None:
-            progress.last_event_id = event_id
+        progress.last_event_id = event_id
         progress.last_event_at = self._board.now()
         progress.first_event_at = (
             progress.first_event_at or progress.last_event_at
--- a/mulberrypaddle/serving/board.py
+++ b/mulberrypaddle/serving/board.py
@@ -43,6 +43,8 @@
         ends_at_seconds: Loop time at which the process ends, once it is so
             close that new requests could be cut off; None before.
         in_hand: Requests in hand.
+        reading: Requests whose head came and whose body is on its way.
+        last_request_at: Loop time at which a request was last read whole.
         waiting_elsewhere: Requests that wait in other routers, by router and
             by line.
     """
@@ -58,11 +60,13 @@
         "dialect",
         "head_progress",
         "in_hand",
+        "last_request_at",
         "lines",
         "live_routers",
         "loads",
         "loop",
         "opening_in",
+        "reading",
         "retries",
         "rng",
         "settings",
@@ -114,6 +118,8 @@
         self.stopping = False
         self.ends_at_seconds: float | None = None
         self.in_hand = 0
+        self.reading = 0
+        self.last_request_at = 0.0
         self.waiting_elsewhere: dict[str, dict[str, int]] = {}
 
     def now(self) -> float:
--- a/mulberrypaddle/serving/catch_up.py
+++ b/mulberrypaddle/serving/catch_up.py
@@ -15,7 +15,7 @@
 from tornado import httputil
 from tornado.httpserver import HTTPServer
 
-from mulberrypaddle.backends.curl import make_client
+from mulberrypaddle.backends.curl import bound_answer, make_client
 from mulberrypaddle.serving.events_log import log_belief
 
 if TYPE_CHECKING:
@@ -36,6 +36,9 @@
 # Time for a collection to be sent.
 FETCH_TIMEOUT_SECONDS = 1.0
 
+# Longest collection that is taken from another router: some thousand runners.
+MOST_COLLECTION_BYTES = 67_108_864
+
 
 class CatchUp:
     """Serves collections to other routers and fetches them from those."""
@@ -73,6 +76,10 @@
             ):
                 self._behind_since.pop(key, None)
                 continue
+            if not (feed.revision or beat.watches or feed.failed):
+                # After a start, what a router knows that is itself cut off
+                # may be long out of force; the store goes first.
+                continue
             since = self._behind_since.setdefault(key, now_seconds)
             watches = feed.connected and not feed.rests
             if watches and now_seconds - since < FETCH_LAG_SECONDS:
@@ -91,6 +98,7 @@
                 f"http://{ip}:{self._address[1]}/{name}?since={feed.revision}",
                 connect_timeout=FETCH_TIMEOUT_SECONDS,
                 request_timeout=FETCH_TIMEOUT_SECONDS,
+                prepare_curl_callback=bound_answer(MOST_COLLECTION_BYTES),
             )
             newer = feed.take_message(json.loads(response.body))
         except (
--- a/mulberrypaddle/serving/door.py
+++ b/mulberrypaddle/serving/door.py
@@ -40,6 +40,7 @@
         self._headers = httputil.HTTPHeaders()
         self._chunks: list[bytes] = []
         self._size_bytes = 0
+        self._reading = False
 
     def headers_received(
         self,
@@ -50,6 +51,8 @@
         assert isinstance(start_line, httputil.RequestStartLine)
         self._start_line = start_line
         self._headers = headers
+        self._reading = True
+        self._door.board.reading += 1
 
     def data_received(self, chunk: bytes) -> None:
         """Takes a part of the body."""
@@ -59,6 +62,7 @@
     def finish(self) -> None:
         """Answers the request, which is now whole."""
         assert self._start_line is not None
+        self._stop_reading()
         board = self._door.board
         caller = Caller(self._connection, close_after=board.stopping)
         self._caller = caller
@@ -92,9 +96,17 @@
     def on_connection_close(self) -> None:
         """Learns that the caller has left."""
         self._chunks.clear()
+        self._stop_reading()
         if self._caller is not None:
             self._caller.left()
 
+    def _stop_reading(self) -> None:
+        if self._reading:
+            self._reading = False
+            board = self._door.board
+            board.reading -= 1
+            board.last_request_at = board.now()
+
 
 class Door(httputil.HTTPServerConnectionDelegate):
     """Takes callers' connections and runs an exchange for each request.
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -140,6 +140,11 @@
         """Returns whether another router watches for this one now."""
         return not self._must_list and self._may_rest()
 
+    @property
+    def failed(self) -> bool:
+        """Returns whether the store did not answer the last call."""
+        return self._failures > 0
+
     @property
     def current(self) -> bool:
         """Returns whether the store has served it since it was last asked to.
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -85,7 +85,8 @@
         relays: Which routers sum up for others.
         catch_up: Hands collections on and fetches them.
         claim: Returns what this router says of its duties.
-        collections_heard: Whether a router was heard that has collections.
+        collections_heard: Whether a router was heard that has collections
+            and watches the store for others.
         fit: Returns whether this router should have duties.
         on_beat: Takes each beat.
     """
@@ -174,8 +175,8 @@
             return
         if beat.watches:
             self._watchers[beat.node] = now
-        if any(beat.revisions.values()):
-            self.collections_heard = True
+            if any(beat.revisions.values()):
+                self.collections_heard = True
         self.on_beat(beat)
         self.catch_up.compare(beat, now)
 
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -62,6 +62,10 @@
 # Left of the grace at the end for handing over and closing.
 STOP_MARGIN_SECONDS = 0.7
 
+# Time without a new request after which a process that stops counts as left by
+# its callers: connections that it has not read yet may hold some.
+STOP_QUIET_SECONDS = 0.3
+
 # Pause between two looks at what is still in hand while stopping.
 STOP_LOOK_SECONDS = 0.05
 
@@ -191,10 +195,17 @@
         )
         await asyncio.sleep(LAST_CALLERS_SECONDS)
         board.ends_at_seconds = end
-        while board.now() < end and board.in_hand:
+        while board.now() < end and self._is_busy():
             await asyncio.sleep(STOP_LOOK_SECONDS)
         self._door.stop_listening()
 
+    def _is_busy(self) -> bool:
+        """Returns whether requests are in hand, on their way or still come."""
+        board = self.board
+        if board.in_hand or board.reading:
+            return True
+        return board.now() - board.last_request_at < STOP_QUIET_SECONDS
+
     async def _beat(self) -> None:
         """Tells the others, and lets waiting requests go on."""
         board = self.board
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -47,7 +47,9 @@
     Attributes:
         sent: Whether the request may have left this VM.
         error: What curl said, if the call broke.
-        last_byte_at_seconds: Loop time of the last bytes that came.
+        last_sign_at_seconds: Loop time at which the connection was made or the
+            head of the answer came. Bytes of the body are no sign of work: a
+            runner that stands still may send some now and then.
     """
 
     __slots__ = (
@@ -64,7 +66,7 @@
         "_paused",
         "_status",
         "error",
-        "last_byte_at_seconds",
+        "last_sign_at_seconds",
         "sent",
     )
 
@@ -97,7 +99,7 @@
         self._ended = False
         self.sent = False
         self.error = ""
-        self.last_byte_at_seconds = self._loop.time()
+        self.last_sign_at_seconds = self._loop.time()
 
     async def run(
         self,
@@ -198,7 +200,7 @@
     def _connected(self, *_: object) -> int:
         # From here on the request may have reached the runner.
         self.sent = True
-        self.last_byte_at_seconds = self._loop.time()
+        self.last_sign_at_seconds = self._loop.time()
         return int(pycurl.PREREQFUNC_OK)
 
     def _take_header(self, line: bytes) -> None:
@@ -217,7 +219,7 @@
         if self._status < 200:
             return
         self._head_done = True
-        self.last_byte_at_seconds = self._loop.time()
+        self.last_sign_at_seconds = self._loop.time()
         self._on_head(self._status, self._headers)
 
     def _take_body(self, data: bytes) -> int | None:
@@ -225,7 +227,6 @@
             return None
         if self._paused:
             return int(pycurl.WRITEFUNC_PAUSE)
-        self.last_byte_at_seconds = self._loop.time()
         if not self._on_body(data):
             # These bytes are taken; the next ones wait.
             self._paused = True
--- /dev/null
+++ b/tests/platform/test_endless_answers.py
@@ -0,0 +1,77 @@
+"""The store and runners whose answers to the system's own calls do not end."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import testtools
+from returns.result import Failure
+
+from mulberrypaddle.fleet import RunnerEntry
+from mulberrypaddle.platform.orders import PlatformRunnerControl
+from mulberrypaddle.platform.store import PlatformStore
+from mulberrypaddle.serving.store import Collection
+from tests.serving.test_endless_answers import (
+    ENDLESS_BYTES,
+    MOST_GROWTH_BYTES,
+    Endless,
+    peak_bytes,
+)
+from tests.support.asynchronous import run
+from tests.support.raw_runner import RawRunner
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+_CHUNK = b"4000\r\n" + b"x" * 16_384 + b"\r\n"
+
+
+class EndlessCallTest(testtools.TestCase):
+    """Calls of the system itself, given up at a stated size."""
+
+    def _assert_cut(
+        self, call: Callable[[str], Awaitable[Any]], start: bytes, part: bytes
+    ) -> None:
+        endless = Endless(start, part)
+
+        async def scenario() -> Any:
+            server = RawRunner(endless.answer)
+            address = await server.start()
+            result = await asyncio.wait_for(call(address), 10.0)
+            await server.stop()
+            return result
+
+        before = peak_bytes()
+        self.assertIsInstance(run(scenario()), Failure)
+        self.assertLess(endless.sent_bytes, ENDLESS_BYTES)
+        self.assertLess(peak_bytes() - before, MOST_GROWTH_BYTES)
+
+    async def _list(self, address: str) -> Any:
+        return await PlatformStore(address).list(Collection.RUNNERS)
+
+    async def _report(self, address: str) -> Any:
+        entry = RunnerEntry(
+            "r1",
+            born_ms=1,
+            service="cards",
+            address=address,
+            data_centre="south",
+            slots=1,
+            draining=False,
+        )
+        return await PlatformRunnerControl().report(entry, limit_seconds=5.0)
+
+    def test_listing(self) -> None:
+        self._assert_cut(self._list, _CHUNKED, _CHUNK)
+
+    def test_listing_until_the_connection_closes(self) -> None:
+        self._assert_cut(self._list, b"HTTP/1.1 200 OK\r\n\r\n", b"{}")
+
+    def test_report(self) -> None:
+        self._assert_cut(self._report, _CHUNKED, _CHUNK)
+
+    def test_head_of_a_report(self) -> None:
+        start = b"HTTP/1.1 200 OK\r\n"
+        self._assert_cut(self._report, start, b"X-Some: value\r\n")
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -11,8 +11,9 @@
 
 import testtools
 
+from mulberrypaddle.serving.router import LAST_CALLERS_SECONDS
 from tests.support.asynchronous import run
-from tests.support.platform_world import Caller, World
+from tests.support.platform_world import KEY, Caller, World
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -144,6 +145,51 @@
 
         self.assertEqual([], _play(part).breaches)
 
+    def test_stop_waits_for_requests_that_still_arrive(self) -> None:
+        # A body that is on its way when the last callers have come, and
+        # requests on kept connections up to the end.
+        async def part(world: World, caller: Caller) -> None:
+            router = next(iter(world.routers.values()))
+            slow_reader, slow_writer = await asyncio.open_connection(
+                router.ip, world.caller_port
+            )
+            head = (
+                "POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                f"X-Api-Key: {KEY}\r\nX-Request-Id: slow\r\n"
+                "X-Deadline-Ms: 1500\r\nContent-Length: 4\r\n\r\n"
+            )
+            router.signal(signal.SIGTERM)
+            await asyncio.sleep(LAST_CALLERS_SECONDS - 0.3)
+            slow_writer.write(head.encode() + b"no")
+            await slow_writer.drain()
+            await asyncio.sleep(0.8)
+            slow_writer.write(b"te")
+            answer = await asyncio.wait_for(slow_reader.read(), 4.0)
+            slow_writer.close()
+            self.assertEqual(b"HTTP/1.1 200", answer[:12])
+
+        self.assertEqual([], _play(part).breaches)
+
+    def test_requests_in_a_row_up_to_the_end_are_answered(self) -> None:
+        async def part(world: World, caller: Caller) -> None:
+            router = next(iter(world.routers.values()))
+            router.signal(signal.SIGTERM)
+            router.signal(signal.SIGTERM)
+            outcomes = []
+            deadline = time.monotonic() + 8.0
+            while router.alive and time.monotonic() < deadline:
+                outcomes.append(
+                    await caller.send(router, "safe", f"n{len(outcomes)}")
+                )
+                await asyncio.sleep(0.02)
+            # None that was taken is cut off.
+            self.assertEqual(
+                set(), set(outcomes) - {"served", "refused 503", "not taken"}
+            )
+            self.assertIn("served", outcomes)
+
+        self.assertEqual([], _play(part).breaches)
+
     def test_withdrawn_key_is_refused_within_the_bound(self) -> None:
         async def part(world: World, caller: Caller) -> None:
             world.put_config(keys=("other",))
--- a/tests/support/platform_world.py
+++ b/tests/support/platform_world.py
@@ -641,6 +641,9 @@
         """Sends one request and returns how it ended."""
         try:
             outcome = await self._send(router, kind, request_id)
+        except ConnectionRefusedError:
+            # Nothing was sent: the process is gone.
+            outcome = "not taken"
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             outcome = "no answer"
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
