Act on nothing that ran out while the VM was suspended

Cause: the loop's clock stands still during a suspension. A request was sent with the time that it had before, and an order after its lease had ended, if the suspension fell between the check and the connection. Change: time left is counted less the suspension; calls are given up unsent if one fell between decision and sending; the lease is asked once more when the connection for an order stands; collections are listed anew afterwards. Trials with the mark always holding, and with no suspension seen, make the tests fail.

--- a/mulberrypaddle/platform/orders.py
+++ b/mulberrypaddle/platform/orders.py
@@ -24,6 +24,8 @@
 from mulberrypaddle.serving.sockets import probe_dead_peers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mulberrypaddle.fleet import RunnerEntry
 
 # Time for a runner to answer; it takes a few milliseconds.
@@ -48,12 +50,17 @@
         self._client = make_client()
 
     async def order(
-        self, entry: RunnerEntry, order: GroupOrder, *, fence: int
+        self,
+        entry: RunnerEntry,
+        order: GroupOrder,
+        *,
+        fence: int,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[OrderOutcome, Problem]:
         """Sends one order."""
         body = _body_of(order)
         body["fencingToken"] = fence
-        result = await self._call(entry, "/order", body=body)
+        result = await self._call(entry, "/order", body=body, may_send=may_send)
         if not isinstance(result, Success):
             return Failure(result.failure())
         status = result.unwrap().code
@@ -100,6 +107,7 @@
         *,
         body: dict[str, Any] | None = None,
         limit_seconds: float = ORDER_TIMEOUT_SECONDS,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[tornado.httpclient.HTTPResponse, Problem]:
         headers = {"X-Expect-Instance": entry.runner_id}
         if body is not None:
@@ -113,7 +121,7 @@
             request_timeout=limit_seconds,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=_prepare,
+            prepare_curl_callback=functools.partial(_prepare, may_send),
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
@@ -124,7 +132,13 @@
         return Success(response)
 
 
-def _prepare(curl: pycurl.Curl) -> None:
+def _prepare(may_send: Callable[[], bool], curl: pycurl.Curl) -> None:
+    def before_sending(*_: object) -> int:
+        if may_send():
+            return int(pycurl.PREREQFUNC_OK)
+        return int(pycurl.PREREQFUNC_ABORT)
+
+    curl.setopt(pycurl.PREREQFUNCTION, before_sending)
     # A kept connection that dies would make curl send an order twice.
     curl.setopt(pycurl.FRESH_CONNECT, 1)
     curl.setopt(pycurl.FORBID_REUSE, 1)
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -30,6 +30,7 @@
     REQUESTS,
     WHOLE_ANSWER,
 )
+from mulberrypaddle.serving.suspension import SuspensionMark
 
 if TYPE_CHECKING:
     from mulberrypaddle.dispatch import Patience, WaitingLine
@@ -80,6 +81,7 @@
         self._line = line
         self._fields = fields
         self._arrived_at = board.now()
+        self._arrival = SuspensionMark()
         # Known once the request was admitted.
         self._admitted: Admission | None = None
         self._excluded: set[str] = set()
@@ -148,7 +150,8 @@
 
     def _left_seconds(self, now: float) -> float:
         """Returns the time that the request still has."""
-        return self._terms.deadline_seconds - now
+        left = self._terms.deadline_seconds - now
+        return left - self._arrival.passed_seconds()
 
     def _is_on_time(self, now: float) -> bool:
         """Returns whether its answer can still come within the target."""
@@ -355,6 +358,7 @@
         return self._judge_end(entry, attempt, end)
 
     def _make_attempt(self, entry: RunnerEntry) -> Attempt:
+        board = self._board
         kind = StreamAttempt if self._terms.is_stream else PlainAttempt
         previous = self._attempt
         attempt = kind(
@@ -363,7 +367,7 @@
             entry=entry,
             request_id=self._fields.request_id,
             route=self._terms.route,
-            deadline_seconds=self._terms.deadline_seconds,
+            deadline_seconds=board.now() + self._left_seconds(board.now()),
             previous=previous,
             can_move=self._can_move,
         )
--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -224,8 +224,12 @@
     async def _order(self, keeper: GroupKeeper, directive: Directive) -> None:
         runner = directive.runner
         fence = self._fences.get(runner.data_centre, 0)
-        held = self._owner.fences().get(runner.data_centre)
-        if not fence or held != fence:
+
+        def still_held() -> bool:
+            held = self._owner.fences().get(runner.data_centre)
+            return fence > 0 and held == fence
+
+        if not still_held():
             keeper.refused(directive, self._board.now())
             return
         name = type(directive.order).__name__
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -24,6 +24,7 @@
 from mulberrypaddle.serving.readiness import METRICS_PORT, ReadinessServer
 from mulberrypaddle.serving.relays import MOST_IN_MESH
 from mulberrypaddle.serving.store import Collection
+from mulberrypaddle.serving.suspension import SuspensionMark
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -209,8 +210,14 @@
     async def _beat(self) -> None:
         """Tells the others, and lets waiting requests go on."""
         board = self.board
+        mark = SuspensionMark()
         while True:
             now = board.now()
+            if not mark.holds():
+                # What changed meanwhile is not known, and a watch may be dead.
+                log_belief("resumed", seconds=round(mark.passed_seconds(), 2))
+                mark = SuspensionMark()
+                self._list_if_reader()
             if self._fitness.ticked(now, pause_seconds=BEAT_SECONDS):
                 self._step_back()
             self._owner.tick()
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -15,6 +15,7 @@
 import tornado.httpclient
 
 from mulberrypaddle.serving.sockets import probe_dead_peers
+from mulberrypaddle.serving.suspension import SuspensionMark
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -61,6 +62,7 @@
         "_headers",
         "_info",
         "_loop",
+        "_mark",
         "_on_body",
         "_on_head",
         "_paused",
@@ -89,6 +91,7 @@
         self._on_head = on_head
         self._on_body = on_body
         self._loop = asyncio.get_running_loop()
+        self._mark = SuspensionMark()
         self._curl: pycurl.Curl | None = None
         self._info: object = None
         self._headers: list[tuple[str, str]] = []
@@ -120,6 +123,7 @@
             body: Body of the request; empty if it has none.
         """
         lines = _header_lines(headers)
+        self._mark = SuspensionMark()
 
         def prepare(curl: pycurl.Curl) -> None:
             self._prepare(curl, target, lines)
@@ -138,7 +142,7 @@
         try:
             await self._client.fetch(request, raise_error=False)
         except (tornado.httpclient.HTTPError, OSError) as error:
-            self.error = str(error)
+            self.error = self.error or str(error)
         finally:
             self._ended = True
             self._curl = None
@@ -198,6 +202,10 @@
         curl.setopt(pycurl.WRITEFUNCTION, self._take_body)
 
     def _connected(self, *_: object) -> int:
+        if not self._mark.holds():
+            # Its time may be up, or its runner be another one by now.
+            self.error = "this router was suspended before it could send"
+            return int(pycurl.PREREQFUNC_ABORT)
         # From here on the request may have reached the runner.
         self.sent = True
         self.last_sign_at_seconds = self._loop.time()
--- a/mulberrypaddle/serving/runner_control.py
+++ b/mulberrypaddle/serving/runner_control.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from returns.result import Result
 
     from mulberrypaddle.core.errors import Problem
@@ -29,7 +31,12 @@
 
     @abc.abstractmethod
     async def order(
-        self, entry: RunnerEntry, order: GroupOrder, *, fence: int
+        self,
+        entry: RunnerEntry,
+        order: GroupOrder,
+        *,
+        fence: int,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[OrderOutcome, Problem]:
         """Sends one order.
 
@@ -37,6 +44,8 @@
             entry: The runner, with the count of orders that it last told.
             order: What it is to do.
             fence: Fencing token of the sender's ownership.
+            may_send: Asked once the connection stands, just before the order
+                leaves: the right to give it may have run out meanwhile.
 
         Returns:
             The runner's word; a failure leaves open whether it was taken.
--- /dev/null
+++ b/tests/serving/test_suspension.py
@@ -0,0 +1,123 @@
+"""A process that was suspended acts on nothing that ran out meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import mock
+
+import testtools
+
+from mulberrypaddle.platform.orders import PlatformRunnerControl
+from mulberrypaddle.replicas.orders import OpenGroup
+from mulberrypaddle.serving import suspension
+from tests.serving.test_exchange import _whole
+from tests.support.asynchronous import run
+from tests.support.raw_runner import RawRunner
+from tests.support.serving_path import ServingPath, request_bytes
+
+
+class _Clock:
+    """The time for which the VM was suspended, as a test sets it."""
+
+    def __init__(self) -> None:
+        self.suspended = 0.0
+
+    def read(self) -> float:
+        return self.suspended
+
+
+class SuspensionTest(testtools.TestCase):
+    """Suspensions between a decision and its sending."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = _Clock()
+        patch = mock.patch.object(
+            suspension, "suspended_seconds", self.clock.read
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_request_whose_time_ran_out_is_not_sent(self) -> None:
+        async def answer(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(_whole(200, b"done"))
+
+        async def scenario() -> tuple[bytes, int]:
+            path = ServingPath()
+            runner = RawRunner(answer)
+            reader, writer = await path.connect()
+            writer.write(
+                request_bytes("/pay/1", headers=("X-Deadline-Ms: 2000",))
+            )
+            # It waits for a runner when the VM is suspended.
+            await asyncio.sleep(0.2)
+            self.clock.suspended = 5.0
+            path.add_runner("r0", await runner.start())
+            path.board.on_room()
+            got = await asyncio.wait_for(reader.read(), 5.0)
+            writer.close()
+            path.close()
+            await runner.stop()
+            return got, len(runner.heads)
+
+        got, sent = run(scenario())
+        self.assertEqual(0, sent)
+        self.assertNotIn(b"200", got[:12])
+
+    def test_call_is_given_up_between_connection_and_sending(self) -> None:
+        async def answer(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(_whole(200, b"done"))
+
+        async def scenario() -> tuple[bytes, int]:
+            path = ServingPath()
+            runner = RawRunner(answer)
+            path.add_runner("r0", await runner.start())
+            client = path.board.client
+            fetch = client.fetch
+
+            def suspended_fetch(*args: object, **fields: object) -> object:
+                # After the headers were made, before the connection stands.
+                self.clock.suspended += 5.0
+                return fetch(*args, **fields)  # type: ignore[arg-type]
+
+            client.fetch = suspended_fetch  # type: ignore[assignment]
+            got = await path.ask("/pay/1", headers=("X-Deadline-Ms: 2000",))
+            path.close()
+            await runner.stop()
+            return got, len(runner.heads)
+
+        got, sent = run(scenario())
+        self.assertEqual(0, sent)
+        self.assertNotIn(b"200", got[:12])
+
+    def test_order_is_not_sent_once_the_lease_has_ended(self) -> None:
+        async def answer(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+
+        async def scenario() -> list[int]:
+            path = ServingPath()
+            runner = RawRunner(answer)
+            path.add_runner("r0", await runner.start())
+            entry = path.board.view.get("r0")
+            assert entry is not None
+            control = PlatformRunnerControl()
+            sent = []
+            for held in (True, False):
+                await control.order(
+                    entry,
+                    OpenGroup("g1", epoch=1),
+                    fence=1,
+                    may_send=lambda held=held: held,
+                )
+                sent.append(len(runner.heads))
+            path.close()
+            await runner.stop()
+            return sent
+
+        self.assertEqual([1, 1], run(scenario()))
