--- a/mulberrypaddle/platform/orders.py
+++ b/mulberrypaddle/platform/orders.py
@@ -121,7 +121,11 @@
             request_timeout=limit_seconds,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=functools.partial(_prepare, may_send),
+            prepare_curl_callback=(
+                _prepare_report
+                if body is None
+                else functools.partial(_prepare_order, may_send)
+            ),
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
@@ -132,7 +136,13 @@
         return Success(response)
 
 
-def _prepare(may_send: Callable[[], bool], curl: pycurl.Curl) -> None:
+def _prepare_report(curl: pycurl.Curl) -> None:
+    # A report may be asked for twice, so that its connection may be kept.
+    curl.setopt(pycurl.SOCKOPTFUNCTION, probe_dead_peers)
+    bound_answer(MOST_ANSWER_BYTES)(curl)
+
+
+def _prepare_order(may_send: Callable[[], bool], curl: pycurl.Curl) -> None:
     def before_sending(*_: object) -> int:
         if may_send():
             return int(pycurl.PREREQFUNC_OK)
@@ -142,8 +152,7 @@
     # A kept connection that dies would make curl send an order twice.
     curl.setopt(pycurl.FRESH_CONNECT, 1)
     curl.setopt(pycurl.FORBID_REUSE, 1)
-    curl.setopt(pycurl.SOCKOPTFUNCTION, probe_dead_peers)
-    bound_answer(MOST_ANSWER_BYTES)(curl)
+    _prepare_report(curl)
 
 
 def _unreachable(entry: RunnerEntry, error: BaseException | None) -> Problem:
--- a/tests/serving/test_suspension.py
+++ b/tests/serving/test_suspension.py
@@ -47,14 +47,19 @@
         async def scenario() -> tuple[bytes, int]:
             path = ServingPath()
             runner = RawRunner(answer)
+            path.add_runner("r0", await runner.start())
+            # Others fill the runner.
+            path.board.loads.take_peer(
+                "other", {"r0": 100}, now_seconds=path.board.now()
+            )
             reader, writer = await path.connect()
             writer.write(
                 request_bytes("/pay/1", headers=("X-Deadline-Ms: 2000",))
             )
-            # It waits for a runner when the VM is suspended.
-            await asyncio.sleep(0.2)
+            # It waits for room when the VM is suspended.
+            await asyncio.sleep(0.1)
             self.clock.suspended = 5.0
-            path.add_runner("r0", await runner.start())
+            path.board.loads.drop_peers()
             path.board.on_room()
             got = await asyncio.wait_for(reader.read(), 5.0)
             writer.close()
