Keep a large fleet large, and leave duties given back to their relays

Change: a duty given back counts as heard, and one whose relay is heard is left alone; the count of routers is the highest of ten seconds, and routers tell it to those that are new; addresses are told by data centre.

--- a/mulberrypaddle/serving/beat.py
+++ b/mulberrypaddle/serving/beat.py
@@ -47,6 +47,7 @@
     "asks_for_store": bool,
     "scope": str,
     "routers": int,
+    "fleet": int,
     "relays": dict,
     "successor": str,
     "changes": dict,
@@ -93,6 +94,7 @@
         asks_for_store: Whether it wants to know what others see of it.
         scope: Whom the message speaks for.
         routers: Routers that it speaks for.
+        fleet: Routers that its sender believes alive.
         relays: Address of the relay of each data centre.
         successor: Address of the router that relays after this one; empty
             if this one does not relay.
@@ -126,6 +128,7 @@
     asks_for_store: bool
     scope: str
     routers: int
+    fleet: int
     relays: dict[str, str]
     successor: str
     changes: dict[str, Any]
--- a/mulberrypaddle/serving/own_beat.py
+++ b/mulberrypaddle/serving/own_beat.py
@@ -79,6 +79,7 @@
         asks_for_store=claim.asks_for_store,
         scope=SCOPE_ROUTER,
         routers=1,
+        fleet=board.live_routers,
         relays=relays,
         successor="",
         changes={},
--- a/mulberrypaddle/serving/owner_loop.py
+++ b/mulberrypaddle/serving/owner_loop.py
@@ -283,6 +283,8 @@
                 continue
             if self._peers.relays_for(name):
                 await self._give_up_one(duty)
+                # Its own relay is about to take it.
+                duty.heard_at_seconds = boot_seconds()
 
     async def give_up(self) -> None:
         """Hands the duties over, before the process ends or while it is slow.
@@ -323,9 +325,9 @@
         wanted = [duty for duty in self.duties.values() if self._wants(duty)]
         if not wanted:
             return
-        pause = READ_SECONDS * max(
-            1.0, self._board.live_routers / READING_ROUTERS
-        )
+        pause = READ_SECONDS
+        if not self._peers.relays.acts:
+            pause *= max(1.0, self._board.live_routers / READING_ROUTERS)
         self._read_next_at = now + pause * self._board.rng.uniform(0.5, 1.0)
         await self._try_take(wanted)
 
@@ -340,6 +342,8 @@
         if self._peers.is_large:
             if duty.name == self._board.settings.data_centre:
                 return self._peers.may_lead()
+            if self._peers.relays_for(duty.name):
+                return False
             return owns_some and silence_seconds >= FOREIGN_SILENCE_SECONDS
         return owns_some or not self._others_own()
 
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -119,6 +119,8 @@
         self._processes: dict[str, str] = {}
         # When a router that watches the store for others was last heard.
         self._watchers: dict[str, float] = {}
+        self._most_routers = 0
+        self._most_routers_at = -FORGOTTEN_SECONDS
         self._known_fleet = 0
         self._known_fleet_at = -FORGOTTEN_SECONDS
         # The last beat that was sent to the relay.
@@ -204,6 +206,11 @@
     def _take_router(self, beat: Beat, now: float) -> None:
         self.peers[beat.ip] = Peer(beat, now)
         self.relays.take_told(beat.relays)
+        if not self.is_large and beat.fleet > self._board.live_routers:
+            # It knows the fleet for longer. Once large, only sums count, so
+            # that routers don't echo one another's counts.
+            self._known_fleet = beat.fleet
+            self._known_fleet_at = now
         own = beat.data_centre == self._board.settings.data_centre
         if self.is_large and not (own and self.relays.acts):
             self._refer(beat, now)
@@ -221,7 +228,14 @@
         if now - self._knocked_at.get(beat.ip, -KNOCK_SECONDS) < KNOCK_SECONDS:
             return
         self._knocked_at[beat.ip] = now
-        self._send(self._make_beat(now), [beat.ip])
+        answer = self._make_beat(now)
+        near = [
+            ip
+            for ip, peer in self.peers.items()
+            if peer.beat.data_centre == beat.data_centre and ip != beat.ip
+        ]
+        answer.known = self._board.rng.sample(near, min(MOST_KNOWN, len(near)))
+        self._send(answer, [beat.ip])
 
     def _take_summary(self, beat: Beat, now: float) -> None:
         """Takes the sum of another data centre, as its relay tells it."""
@@ -370,7 +384,21 @@
         self._board.waiting_elsewhere.pop(name, None)
 
     def _count_routers(self, now: float) -> int:
-        """Returns how many routers may be alive, this one counted."""
+        """Returns how many routers may be alive, this one counted.
+
+        Of the counts of the last seconds it is the highest: sums of data
+        centres grow while relays find their routers.
+        """
+        count = self._count_now(now)
+        if (
+            count >= self._most_routers
+            or now - self._most_routers_at >= FORGOTTEN_SECONDS
+        ):
+            self._most_routers = count
+            self._most_routers_at = now
+        return self._most_routers
+
+    def _count_now(self, now: float) -> int:
         listed = len(self.listed.keys() | {self._board.settings.ip})
         count = listed
         if now - self._known_fleet_at < FORGOTTEN_SECONDS:
@@ -524,11 +552,15 @@
         known.discard(settings.ip)
         if not self.is_large:
             return known
-        return {
-            ip
-            for ip in known
-            if self.listed.get(ip, settings.data_centre) == settings.data_centre
-        }
+        return {ip for ip in known if self._is_local(ip)}
+
+    def _is_local(self, ip: str) -> bool:
+        """Returns whether a router may be one of the own data centre."""
+        own = self._board.settings.data_centre
+        peer = self.peers.get(ip)
+        if peer is not None:
+            return peer.beat.data_centre == own
+        return self.listed.get(ip, own) == own
 
     def _knocks(self, ips: set[str], now: float) -> list[str]:
         """Returns some addresses that were not tried just now."""
@@ -567,6 +599,8 @@
 
     def _make_beat(self, now: float) -> Beat:
         known = list(self.peers)
+        if self.is_large:
+            known = [ip for ip in known if self._is_local(ip)]
         if len(known) > MOST_KNOWN:
             known = self._board.rng.sample(known, MOST_KNOWN)
         return make_own_beat(
--- a/tests/serving/test_digest.py
+++ b/tests/serving/test_digest.py
@@ -49,6 +49,7 @@
         "asks_for_store": False,
         "scope": SCOPE_ROUTER,
         "routers": 1,
+        "fleet": 1,
         "relays": {},
         "successor": "",
         "changes": {},
--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -27,8 +27,7 @@
         async def played() -> None:
             net = PeerNet(SIZES)
             try:
-                for number in range(len(SIZES)):
-                    net.routers[f"10.{number}.0.2"].owns = True
+                net.own_all()
                 await net.play(SETTLE_SECONDS)
                 await scenario(net)
             finally:
@@ -112,6 +111,26 @@
 
         self._run(scenario)
 
+    def test_fleet_counts_as_large_from_its_start_on(self) -> None:
+        # Sums of data centres that begin small must not make routers tell all
+        # others again.
+        async def played() -> list[str]:
+            net = PeerNet(SIZES)
+            net.own_all()
+            await net.play(1.0)
+            found = []
+            for _ in range(100):
+                await net.play(0.2)
+                found += [
+                    f"{router.ip} {router.board.live_routers}"
+                    for router in net.routers.values()
+                    if not router.peers.is_large
+                ]
+            net.close()
+            return found
+
+        self.assertEqual([], run_virtual(played()))
+
 
 class ProcessOrderTest(testtools.TestCase):
     """Which of two processes of a VM is the later one."""
--- a/tests/serving/test_owner_loop.py
+++ b/tests/serving/test_owner_loop.py
@@ -359,6 +359,22 @@
         self.assertEqual({"north", "south"}, held)
         self.assertEqual(1, resigned)
 
+    def test_duty_that_was_given_back_is_left_to_others(self) -> None:
+        async def scenario() -> int:
+            path = ServingPath()
+            path.board.settings.data_centres = ("north", "south")
+            owner = _Owner(path.board)
+            owner.peers.is_large = True  # type: ignore[misc]
+            task = asyncio.ensure_future(owner.loop.run())
+            await asyncio.sleep(FOREIGN_SILENCE_SECONDS + 1.5)
+            owner.peers.heard_relays.add("north")
+            await asyncio.sleep(FOREIGN_SILENCE_SECONDS + 1.5)
+            task.cancel()
+            path.close()
+            return len(owner.loop.fences())
+
+        self.assertEqual(1, run(scenario()))
+
     def test_second_router_of_a_small_fleet_takes_none(self) -> None:
         async def scenario() -> tuple[set[str], int]:
             path = ServingPath()
--- a/tests/support/peer_net.py
+++ b/tests/support/peer_net.py
@@ -74,6 +74,19 @@
                 ip = f"10.{number}.0.{host}"
                 self.routers[ip] = PlayedRouter(self, ip, data_centre)
 
+    def own_all(self) -> None:
+        """Makes the second router of each data centre own its groups.
+
+        Each has read the records of those that took theirs before.
+        """
+        told: dict[str, str] = {}
+        for ip, router in self.routers.items():
+            if not ip.endswith(".0.2"):
+                continue
+            router.owns = True
+            router.peers.relays.take_told(dict(told))
+            told[router.data_centre] = ip
+
     def of(self, data_centre: str) -> list[PlayedRouter]:
         """Returns the living routers of a data centre."""
         return [
