Leave out messages whose fields hold what they should not

Cause: types were checked of whole fields only; a datagram with a bad value inside one was kept, and the next sum over all ended the task that sends beats (a test with such datagrams failed first). Change: values within mappings and lists are checked before a message is taken.

--- a/mulberrypaddle/serving/beat.py
+++ b/mulberrypaddle/serving/beat.py
@@ -4,7 +4,10 @@
 
 import json
 import zlib
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 # Name and version of the message; others are left out.
 FORM = 3
@@ -54,10 +57,63 @@
     "stopping": bool,
 }
 
+
+def _is_count(value: Any) -> bool:
+    return isinstance(value, int)
+
+
+def _is_number(value: Any) -> bool:
+    return isinstance(value, int | float)
+
+
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str)
+
+
+def _are_texts(value: Any) -> bool:
+    return isinstance(value, list) and all(map(_is_text, value))
+
+
+def _are_two_counts(value: Any) -> bool:
+    return len(value) == 2 and all(map(_is_count, value))
+
+
+def _is_claim(value: Any) -> bool:
+    return (
+        len(value) == 3
+        and _is_text(value[0])
+        and _is_count(value[1])
+        and _is_count(value[2])
+    )
+
+
+def _are_counts(value: Any) -> bool:
+    return isinstance(value, dict) and all(map(_is_count, value.values()))
+
+
+# What the values of mappings are; keys are texts by the form of the message.
+_VALUE_CHECKS: dict[str, Callable[[Any], bool]] = {
+    "revisions": _is_count,
+    "loads": _is_count,
+    "stalled": _is_count,
+    "losses": _are_texts,
+    "waiting": _is_count,
+    "retries": _are_two_counts,
+    "demand": _is_number,
+    "opening": _is_count,
+    "claims": _is_claim,
+    "resigned": _are_counts,
+    "relays": _is_text,
+}
+
+# Lists of addresses or ids.
+_TEXT_LISTS = ("failing", "silent", "known")
+
 # Whom a message speaks for: its sender, the routers of its data centre, or all.
 SCOPE_ROUTER = "router"
 SCOPE_DATA_CENTRE = "data_centre"
 SCOPE_FLEET = "fleet"
+_SCOPES = frozenset({SCOPE_ROUTER, SCOPE_DATA_CENTRE, SCOPE_FLEET})
 
 
 class Beat:
@@ -148,6 +204,23 @@
             if not isinstance(value, kind):
                 raise ValueError(f"got {value!r} for {name}, allowed is {kind}")
             setattr(self, name, value)
+        self._check_values()
+
+    def _check_values(self) -> None:
+        """Checks what lies within the fields: other parts rely on it."""
+        if self.scope not in _SCOPES:
+            raise ValueError(f"got scope {self.scope!r}, allowed are {_SCOPES}")
+        for name in _TEXT_LISTS:
+            if not _are_texts(getattr(self, name)):
+                raise ValueError(f"got no list of texts for {name}")
+        for name, check in _VALUE_CHECKS.items():
+            for value in getattr(self, name).values():
+                try:
+                    fits = check(value)
+                except TypeError:
+                    fits = False
+                if not fits:
+                    raise ValueError(f"got {value!r} within {name}")
 
     @property
     def is_sum(self) -> bool:
--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -161,11 +161,13 @@
         """Takes a beat."""
         try:
             beat = Beat.from_bytes(data)
-        except ValueError as error:
+            if beat.incarnation != self.incarnation:
+                self._take(beat)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            # Foreign bytes, or a field that holds what it should not.
             _LOGGER.warning("unreadable_beat", extra={"reason": str(error)})
-            return
-        if beat.incarnation == self.incarnation:
-            return
+
+    def _take(self, beat: Beat) -> None:
         if not self._note_process(beat):
             return
         now = self._board.now()
--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -8,6 +8,7 @@
 
 from mulberrypaddle.serving.peers import RELAY_SECONDS
 from mulberrypaddle.serving.relays import MOST_IN_MESH
+from tests.serving.test_digest import make_beat
 from tests.support.peer_net import PeerNet, PlayedRouter
 from tests.support.virtual_time import run_virtual
 
@@ -155,3 +156,37 @@
             return found
 
         self.assertEqual([False, True, False], run_virtual(played()))
+
+
+class ForeignBytesTest(testtools.TestCase):
+    """What is no message of a router ends none."""
+
+    def test_bytes_and_fields_of_another_form_are_left_out(self) -> None:
+        async def played() -> int:
+            net = PeerNet({"south": 1})
+            router = net.routers["10.0.0.1"]
+            sound = make_beat("x", ip="10.0.0.9")
+            datagrams = [b"", b"\x78\x9c", b"{", b"x" * 60_000]
+            for name, value in (
+                ("claims", {"south": 3}),
+                ("claims", {"south": ["a"]}),
+                ("loads", {"r": "many"}),
+                ("stalled", {"r": None}),
+                ("retries", {"s": [1]}),
+                ("retries", {"s": 1}),
+                ("resigned", {"a": 1}),
+                ("known", [1]),
+                ("relays", {"south": 2}),
+                ("scope", "other"),
+            ):
+                setattr(sound, name, value)
+                datagrams.append(sound.to_bytes())
+                setattr(sound, name, getattr(make_beat("x"), name))
+            for data in datagrams:
+                router.peers.datagram_received(data, ("10.0.0.9", 1))
+            router.peers.tick()
+            heard = len(router.peers.peers)
+            net.close()
+            return heard
+
+        self.assertEqual(0, run_virtual(played()))
