--- a/mulberrypaddle/serving/peers.py
+++ b/mulberrypaddle/serving/peers.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypaddle.dispatch.retry_budget import RetryCounts
+from mulberrypaddle.serving.addresses import Addresses
 from mulberrypaddle.serving.beat import (
     SCOPE_DATA_CENTRE,
     SCOPE_ROUTER,
@@ -27,6 +28,7 @@
     without_own,
 )
 from mulberrypaddle.serving.events_log import log_belief
+from mulberrypaddle.serving.highest import HighestOf
 from mulberrypaddle.serving.own_beat import make_own_beat
 from mulberrypaddle.serving.peer import SILENT_SECONDS, Claim, Peer
 from mulberrypaddle.serving.relays import (
@@ -35,6 +37,7 @@
     RelayRank,
     Relays,
 )
+from mulberrypaddle.serving.watchers import Watchers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -57,20 +60,6 @@
 # and what it used lies in the window of the bound.
 FORGOTTEN_SECONDS = 10.0
 
-# Pause between beats to addresses that do not answer, and between two answers
-# to a router that is looking for its relay.
-KNOCK_SECONDS = 1.0
-
-# Addresses that are tried at a time: a router that knows hundreds need not try
-# all of them.
-MOST_KNOCKS = 16
-
-# Silence of the router that watches the store for all after which each watches
-# for itself: some beats. The many members of a large fleet leave it to the
-# relays for longer, since their calls would come all at once.
-WATCHER_SILENCE_SECONDS = 0.6
-MEMBER_WATCHER_SILENCE_SECONDS = 2.0
-
 # Name under which the rest of the fleet is counted, as a digest sums it up.
 FLEET = "fleet"
 
@@ -81,7 +70,6 @@
     Attributes:
         incarnation: Id of this process.
         peers: Routers that spoke for themselves, by address.
-        listed: Data centre of each router that the store lists, by address.
         relays: Which routers sum up for others.
         catch_up: Hands collections on and fetches them.
         claim: Returns what this router says of its duties.
@@ -96,10 +84,9 @@
         self._board = board
         self._feeds = {feed.collection.value: feed for feed in feeds}
         self._transport: asyncio.DatagramTransport | None = None
-        self._knocked_at: dict[str, float] = {}
         self.incarnation = uuid.uuid4().hex[:12]
         self.peers: dict[str, Peer] = {}
-        self.listed: dict[str, str] = {}
+        self._addresses = Addresses(settings, self.peers, rng=board.rng)
         self.relays = Relays(
             settings.data_centre,
             ip=settings.ip,
@@ -117,10 +104,8 @@
         # Processes that another one of the same VM has followed.
         self._ended: set[str] = set()
         self._processes: dict[str, str] = {}
-        # When a router that watches the store for others was last heard.
-        self._watchers: dict[str, float] = {}
-        self._most_routers = 0
-        self._most_routers_at = -FORGOTTEN_SECONDS
+        self._watchers = Watchers()
+        self._most_routers = HighestOf(FORGOTTEN_SECONDS)
         self._known_fleet = 0
         self._known_fleet_at = -FORGOTTEN_SECONDS
         # The last beat that was sent to the relay.
@@ -148,6 +133,10 @@
         """Learns that a datagram found no listener; silence tells it too."""
         _LOGGER.debug("datagram_refused", extra={"reason": str(exc)})
 
+    def learn_address(self, ip: str, data_centre: str) -> None:
+        """Learns where a router is."""
+        self._addresses.listed[ip] = data_centre
+
     @property
     def is_large(self) -> bool:
         """Returns whether the fleet is too large for all to tell all."""
@@ -178,7 +167,7 @@
         elif not self._take_digest(beat, now):
             return
         if beat.watches:
-            self._watchers[beat.node] = now
+            self._watchers.take(beat.node, now)
             if any(beat.revisions.values()):
                 self.collections_heard = True
         self.on_beat(beat)
@@ -227,9 +216,8 @@
             self.relays.relay_ip(now)
         ):
             return
-        if now - self._knocked_at.get(beat.ip, -KNOCK_SECONDS) < KNOCK_SECONDS:
+        if not self._addresses.may_knock(beat.ip, now):
             return
-        self._knocked_at[beat.ip] = now
         answer = self._make_beat(now)
         near = [
             ip
@@ -289,7 +277,7 @@
             return False
         self.relays.take_told(beat.relays)
         for ip in beat.known:
-            self.listed[str(ip)] = own
+            self.learn_address(ip, own)
         self._known_fleet = beat.routers
         self._known_fleet_at = now
         if self.relays.acts:
@@ -325,7 +313,7 @@
         board = self._board
         now = board.now()
         self._forget(now)
-        board.live_routers = self._count_routers(now)
+        board.live_routers = self._most_routers.take(self._count_now(now), now)
         if self._transport is None:
             return
         if not self.is_large:
@@ -385,23 +373,9 @@
         self._board.demand.drop_peer(name)
         self._board.waiting_elsewhere.pop(name, None)
 
-    def _count_routers(self, now: float) -> int:
-        """Returns how many routers may be alive, this one counted.
-
-        Of the counts of the last seconds it is the highest: sums of data
-        centres grow while relays find their routers.
-        """
-        count = self._count_now(now)
-        if (
-            count >= self._most_routers
-            or now - self._most_routers_at >= FORGOTTEN_SECONDS
-        ):
-            self._most_routers = count
-            self._most_routers_at = now
-        return self._most_routers
-
     def _count_now(self, now: float) -> int:
-        listed = len(self.listed.keys() | {self._board.settings.ip})
+        """Returns how many routers may be alive, this one counted."""
+        listed = self._addresses.count()
         count = listed
         if now - self._known_fleet_at < FORGOTTEN_SECONDS:
             count = max(count, self._known_fleet)
@@ -487,7 +461,8 @@
         if now - self._lost_sent_at >= LOST_SECONDS:
             # Routers nearby that don't know this one may relay, too.
             self._lost_sent_at = now
-            targets.update(self._knocks(self._known_ips() - targets, now))
+            unknown = self._addresses.known(large=True) - targets
+            targets.update(self._addresses.knocks(unknown, now))
         self._send(digest, sorted(targets))
 
     def _rivals_heard(self, now: float) -> set[str]:
@@ -528,7 +503,9 @@
 
     def _mesh_targets(self, now: float) -> list[str]:
         heard = [ip for ip, peer in self.peers.items() if peer.is_fresh(now)]
-        return heard + self._knocks(self._known_ips() - set(heard), now)
+        return heard + self._addresses.knocks(
+            self._addresses.known(large=False) - set(heard), now
+        )
 
     def _member_targets(self, now: float) -> list[str]:
         """Returns the relay; without one, who may be it, or know it."""
@@ -543,39 +520,9 @@
         if now - self._lost_sent_at < LOST_SECONDS:
             return likely
         self._lost_sent_at = now
-        return likely + self._knocks(self._known_ips() - set(likely), now)
-
-    def _known_ips(self) -> set[str]:
-        """Returns addresses that may be those of routers, nearby if large."""
-        settings = self._board.settings
-        known = {*settings.seed_ips, *self.listed, *self.peers}
-        for peer in self.peers.values():
-            known.update(peer.beat.known)
-        known.discard(settings.ip)
-        if not self.is_large:
-            return known
-        return {ip for ip in known if self._is_local(ip)}
-
-    def _is_local(self, ip: str) -> bool:
-        """Returns whether a router may be one of the own data centre."""
-        own = self._board.settings.data_centre
-        peer = self.peers.get(ip)
-        if peer is not None:
-            return peer.beat.data_centre == own
-        return self.listed.get(ip, own) == own
-
-    def _knocks(self, ips: set[str], now: float) -> list[str]:
-        """Returns some addresses that were not tried just now."""
-        due = sorted(
-            ip
-            for ip in ips
-            if now - self._knocked_at.get(ip, -KNOCK_SECONDS) >= KNOCK_SECONDS
+        return likely + self._addresses.knocks(
+            self._addresses.known(large=True) - set(likely), now
         )
-        if len(due) > MOST_KNOCKS:
-            due = self._board.rng.sample(due, MOST_KNOCKS)
-        for ip in due:
-            self._knocked_at[ip] = now
-        return due
 
     # Who watches the store.
 
@@ -587,22 +534,12 @@
             before: If given, only routers whose names come before it count.
         """
         relies = self.is_large and not self.relays.acts
-        silence = (
-            MEMBER_WATCHER_SILENCE_SECONDS
-            if relies
-            else WATCHER_SILENCE_SECONDS
-        )
-        for node, heard_at in self._watchers.items():
-            if now - heard_at >= silence:
-                continue
-            if not before or node < before:
-                return True
-        return False
+        return self._watchers.heard(now, relies=relies, before=before)
 
     def _make_beat(self, now: float) -> Beat:
         known = list(self.peers)
         if self.is_large:
-            known = [ip for ip in known if self._is_local(ip)]
+            known = [ip for ip in known if self._addresses.is_local(ip)]
         if len(known) > MOST_KNOWN:
             known = self._board.rng.sample(known, MOST_KNOWN)
         return make_own_beat(
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -265,8 +265,11 @@
                 for item in listed.unwrap().items:
                     content = self._store.value_of(item)
                     if isinstance(content, dict) and content.get("ip"):
-                        self._peers.listed[str(content["ip"])] = str(
-                            content.get("data_centre", settings.data_centre)
+                        self._peers.learn_address(
+                            str(content["ip"]),
+                            str(
+                                content.get("data_centre", settings.data_centre)
+                            ),
                         )
                 if isinstance(written, Success):
                     return
