--- a/mulberrypaddle/serving/group_control.py
+++ b/mulberrypaddle/serving/group_control.py
@@ -233,7 +233,9 @@
             keeper.refused(directive, self._board.now())
             return
         name = type(directive.order).__name__
-        result = await self._control.order(runner, directive.order, fence=fence)
+        result = await self._control.order(
+            runner, directive.order, fence=fence, may_send=still_held
+        )
         outcome = (
             result.unwrap().value
             if isinstance(result, Success)
