Serve connections that were accepted when the listener closes

Change: the queue is accepted before the listener closes, and connections without a request are awaited for the quiet time.

--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -8,12 +8,16 @@
 
 from tornado import httputil
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
 
 from mulberrypaddle.serving.caller_connection import CallerConnection
 from mulberrypaddle.serving.caller_request import CallerRequest
 from mulberrypaddle.serving.exchange import Exchange
 
 if TYPE_CHECKING:
+    import socket
+
     from tornado.http1connection import HTTP1Connection
 
     from mulberrypaddle.serving.blackboard import Blackboard
@@ -29,15 +33,23 @@
 # Connections that the kernel queues until this process accepts them.
 LISTEN_BACKLOG = 512
 
+# Pause between two checks for requests in flight while stopping.
+STOP_POLL_SECONDS = 0.05
+
 
 class _RequestReader(httputil.HTTPMessageDelegate):
     """Buffers one request and starts an `Exchange` once it is complete."""
 
     def __init__(
-        self, caller_server: CallerServer, connection: HTTP1Connection
+        self,
+        caller_server: CallerServer,
+        connection: HTTP1Connection,
+        *,
+        server_connection: object,
     ) -> None:
         self._caller_server = caller_server
         self._connection = connection
+        self._server_connection = server_connection
         self._caller: CallerConnection | None = None
         self._start_line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
@@ -57,6 +69,7 @@
         self._headers = headers
         self._reading = True
         self._caller_server.board.reading += 1
+        self._caller_server.record_first_request(self._server_connection)
 
     def data_received(self, chunk: bytes) -> None:
         """Appends a chunk of the body."""
@@ -124,6 +137,10 @@
     def __init__(self, board: Blackboard) -> None:
         self.board = board
         self._tasks: set[asyncio.Task[None]] = set()
+        self._sockets: list[socket.socket] = []
+        # Open connections, by whether a request has arrived on them.
+        self._unused_connections: set[object] = set()
+        self._used_connections: set[object] = set()
         self._server = HTTPServer(
             self,
             idle_connection_timeout=DEFAULT_IDLE_SECONDS,
@@ -134,7 +151,8 @@
     def listen(self) -> None:
         """Starts to accept connections on the address of the settings."""
         host, port = self.board.settings.caller_address
-        self._server.listen(port, address=host, backlog=LISTEN_BACKLOG)
+        self._sockets = bind_sockets(port, host, backlog=LISTEN_BACKLOG)
+        self._server.add_sockets(self._sockets)
 
     def start_request(
         self,
@@ -151,7 +169,23 @@
             params.header_timeout = config.limits.idle_seconds + (
                 config.limits.header_seconds
             )
-        return _RequestReader(self, request_conn)  # type: ignore[arg-type]
+        if server_conn not in self._used_connections:
+            self._unused_connections.add(server_conn)
+        return _RequestReader(
+            self,
+            request_conn,  # type: ignore[arg-type]
+            server_connection=server_conn,
+        )
+
+    def on_close(self, server_conn: object) -> None:
+        """Forgets a connection that has been closed."""
+        self._unused_connections.discard(server_conn)
+        self._used_connections.discard(server_conn)
+
+    def record_first_request(self, server_conn: object) -> None:
+        """Records that a request has arrived on a connection."""
+        self._unused_connections.discard(server_conn)
+        self._used_connections.add(server_conn)
 
     def start_exchange(
         self, exchange: Exchange, caller: CallerConnection
@@ -177,6 +211,46 @@
         finally:
             self.board.in_flight_count -= 1
 
+    async def stop(self, *, quiet_seconds: float, until_seconds: float) -> None:
+        """Stops listening and serves what was accepted before.
+
+        Args:
+            quiet_seconds: Time in which the first request of a connection is
+                awaited.
+            until_seconds: Loop time until which requests in flight are awaited;
+                first requests are awaited beyond it.
+        """
+        self.stop_listening()
+        board = self.board
+        quiet_until_seconds = board.now() + quiet_seconds
+        until_seconds = max(until_seconds, quiet_until_seconds)
+        while board.now() < until_seconds:
+            awaits_request = (
+                self._unused_connections and board.now() < quiet_until_seconds
+            )
+            if not (awaits_request or board.in_flight_count or board.reading):
+                return
+            await asyncio.sleep(STOP_POLL_SECONDS)
+
     def stop_listening(self) -> None:
-        """Stops accepting new connections; open ones stay."""
+        """Stops accepting new connections; open ones stay.
+
+        Connections in the accept queue of the kernel are accepted first, since
+        closing the listener would reset them.
+        """
+        for listener in self._sockets:
+            self._accept_queued(listener)
         self._server.stop()
+
+    def _accept_queued(self, listener: socket.socket) -> None:
+        """Accepts all connections that are in the accept queue now."""
+        while True:
+            try:
+                connection, address = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                _LOGGER.warning("accept_failed", extra={"reason": str(error)})
+                return
+            connection.setblocking(False)
+            self._server.handle_stream(IOStream(connection), address)
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -233,7 +233,9 @@
         board.ends_at_seconds = end_seconds
         while board.now() < end_seconds and self._is_busy():
             await asyncio.sleep(STOP_POLL_SECONDS)
-        self._caller_server.stop_listening()
+        await self._caller_server.stop(
+            quiet_seconds=STOP_QUIET_SECONDS, until_seconds=end_seconds
+        )
 
     def _is_busy(self) -> bool:
         """Returns whether requests are in flight, being read or expected."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -42,6 +42,9 @@
                     deployment.add_router(number)
                 await deployment.wait_until_ready()
                 await scenario(deployment, Caller(deployment))
+            except BaseException:
+                _print_logs(deployment)
+                raise
             finally:
                 await deployment.close()
             return deployment
@@ -49,6 +52,15 @@
     return run(run_deployment())
 
 
+def _print_logs(deployment: SimulatedDeployment) -> None:
+    """Prints the logs of all routers, which pytest shows with the failure."""
+    for number, router in deployment.routers.items():
+        if router.log_path.exists():
+            print(f"log of router {number}:\n{router.log_path.read_text()}")
+    for runner_id, runner in deployment.runners.items():
+        print(f"runner {runner_id}: {runner.state}, members {runner.members}")
+
+
 async def _send_all(
     deployment: SimulatedDeployment,
     caller: Caller,
--- a/tests/support/front_end_harness.py
+++ b/tests/support/front_end_harness.py
@@ -189,6 +189,12 @@
         writer.close()
         return answer
 
+    async def stop(self, *, quiet_seconds: float, until_seconds: float) -> None:
+        """Stops the server for callers as a planned stop does."""
+        await self._door.stop(
+            quiet_seconds=quiet_seconds, until_seconds=until_seconds
+        )
+
     def close(self) -> None:
         """Stops listening and closes the client to runners."""
         self._door.stop_listening()
