Keep spares in each domain of large groups, and some runners in no group

Cause: the first layout gave all runners to groups; a large group that lost a member found no spare beside it, and three survivors a group stayed idle. Change: the model with the smallest groups gets its share and no more; a domain that gets a group larger than the reserve keeps the reserve free.

--- a/mulberrypaddle/replicas/first_layout.py
+++ b/mulberrypaddle/replicas/first_layout.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.replicas.placement import (
@@ -54,6 +55,19 @@
         """Returns whether the domain holds groups of another model."""
         return any(name != model for name in self.members)
 
+    def reserved_spares(self, demand: ModelDemand) -> int:
+        """Returns how many free runners a further group must leave.
+
+        Survivors of a large group need spares beside them: alone they form no
+        group. A group of the smallest size needs none in its own domain.
+
+        Args:
+            demand: Demand for the model of the further group.
+        """
+        if self.hosts_other_models(demand.spec.name):
+            return SPARES_PER_DOMAIN
+        return SPARES_PER_DOMAIN if demand.spec.size > SPARES_PER_DOMAIN else 0
+
 
 def choose_first_groups(
     free: list[RunnerEntry],
@@ -91,17 +105,12 @@
     ordered = sorted(demands, key=lambda demand: -demand.spec.size)
     formations: list[Formation] = []
     for demand in ordered:
-        is_smallest = demand is ordered[-1]
-        # Rounded down, since a model's share also covers its spares.
-        quota = int(
-            assignable_runners * demand.spec.demand_share / demand.spec.size
-        )
-        quota -= demand.groups
-        # The model with the smallest groups gets all remaining runners except
-        # the spares reserved for other models.
-        max_groups = len(free) if is_smallest and len(ordered) > 1 else quota
-        for _ in range(max_groups):
-            best = _best_domain(domains, demand, keep_spares=is_smallest)
+        share = assignable_runners * demand.spec.demand_share / demand.spec.size
+        # Rounded down, since a model's share also covers its spares; up for
+        # the model with the smallest groups, which fit into what is left.
+        quota = math.ceil(share) if demand is ordered[-1] else int(share)
+        for _ in range(quota - demand.groups):
+            best = _best_domain(domains, demand)
             if best is None:
                 break
             formation = pick_members(best.free, demand.spec)
@@ -117,7 +126,7 @@
 
 
 def _best_domain(
-    domains: list[_DomainPlan], demand: ModelDemand, *, keep_spares: bool
+    domains: list[_DomainPlan], demand: ModelDemand
 ) -> _DomainPlan | None:
     """Returns the domain for a model's next group, or None if none fits.
 
@@ -128,7 +137,6 @@
     Args:
         domains: All fabric domains.
         demand: Demand for the model.
-        keep_spares: Whether to reserve spares in domains of other models.
     """
     name = demand.spec.name
     by_data_centre: dict[str, int] = {}
@@ -139,9 +147,7 @@
     best: _DomainPlan | None = None
     best_rank: tuple[int, bool, int, int] | None = None
     for domain in domains:
-        free_count = len(domain.free)
-        if keep_spares and domain.hosts_other_models(name):
-            free_count -= SPARES_PER_DOMAIN
+        free_count = len(domain.free) - domain.reserved_spares(demand)
         if free_count < demand.spec.size:
             continue
         rank = (
