Don't count groups of an evacuated data centre as capacity elsewhere

Cause: the owner of one data centre counted the open groups of the others, also of an evacuated one, which get no requests. Change: remote groups with a member that may get no new work are not counted; the log line on groups counts usable groups and runners only.

--- a/mulberrypaddle/replicas/group_reconciler.py
+++ b/mulberrypaddle/replicas/group_reconciler.py
@@ -125,7 +125,7 @@
         self._seen_incarnations: set[tuple[str, int | None]] = set()
         self._last_new_runner_seconds = 0.0
         self._load_limiter = LoadRateLimiter()
-        # Number of remote groups, by model, and when they were counted.
+        # Number of usable remote groups, by model, and when they were counted.
         self._remote_group_counts: dict[str, int] = {}
         self._remote_counted_at_seconds = -REMOTE_COUNT_INTERVAL_SECONDS
         self.loss_detector = LossDetector()
@@ -214,7 +214,7 @@
         demands = self._model_demands(traits, snapshots, view, wanted_slots)
         if runner_fraction < 1:
             self._add_remote_groups(
-                demands, all_entries, data_centres, traits, now_seconds
+                demands, view, all_entries, data_centres, traits, now_seconds
             )
         before_traffic = first_start and not traffic_seen
         fleet_settled = (
@@ -443,15 +443,17 @@
     def _add_remote_groups(
         self,
         demands: list[ModelDemand],
+        view: FleetView,
         all_entries: list[RunnerEntry],
         data_centres: frozenset[str] | None,
         traits: EngineTraits,
         now_seconds: float,
     ) -> None:
-        """Adds the existing remote groups to the `groups` of each demand.
+        """Adds the usable remote groups to the `groups` of each demand.
 
         Remote groups are those in data centres outside `data_centres`. Their
-        count is refreshed every `REMOTE_COUNT_INTERVAL_SECONDS`.
+        count is refreshed every `REMOTE_COUNT_INTERVAL_SECONDS`. Groups in an
+        evacuated data centre may still be open, but get no requests.
         """
         if (
             now_seconds - self._remote_counted_at_seconds
@@ -469,6 +471,8 @@
                     continue
                 if snapshot.head_state is MembershipState.BROKEN:
                     continue
+                if self._has_unusable_member(view, snapshot):
+                    continue
                 name = snapshot.spec.name
                 counts[name] = counts.get(name, 0) + 1
             self._remote_group_counts = counts
@@ -476,7 +480,7 @@
             demand.groups += self._remote_group_count(demand)
 
     def _remote_group_count(self, demand: ModelDemand) -> int:
-        """Returns the last count of the complete remote groups of a model."""
+        """Returns the last count of the usable remote groups of a model."""
         return self._remote_group_counts.get(demand.spec.name, 0)
 
     def _start_first_formations(
--- a/mulberrypaddle/serving/group_controller.py
+++ b/mulberrypaddle/serving/group_controller.py
@@ -126,6 +126,10 @@
                     group.spec is spec
                     and group.complete
                     and group.head_state is MembershipState.OPEN
+                    and all(
+                        board.view.accepts_new_work(member)
+                        for member in group.members.values()
+                    )
                     for group in groups
                 )
                 OPEN_GROUPS.labels(spec.name).set(open_groups)
@@ -136,7 +140,11 @@
                     open=open_groups,
                     wanted_slots=round(wanted_slots.get(spec.name, 0.0), 1),
                     forming=reconciler.forming_count,
-                    single=sum(entry.group is None for entry in entries),
+                    single=sum(
+                        entry.group is None
+                        and board.view.accepts_new_work(entry)
+                        for entry in entries
+                    ),
                     staged=sum(spec.name in entry.staged for entry in entries),
                     runners=len(entries),
                     lost=len(reconciler.loss_detector.lost),
--- a/tests/replicas/test_group_reconciler.py
+++ b/tests/replicas/test_group_reconciler.py
@@ -8,7 +8,16 @@
 
 import testtools
 
-from tests.support.group_fleet import GroupFleet
+from mulberrypaddle.fleet import (
+    FleetView,
+    GroupMembership,
+    MembershipState,
+    RunnerEntry,
+    ServiceSpec,
+)
+from mulberrypaddle.replicas.group_reconciler import GroupReconciler
+from mulberrypaddle.replicas.orders import StageModel
+from tests.support.group_fleet import GroupFleet, make_traits
 
 SEEDS = range(20)
 
@@ -110,6 +119,91 @@
         self.assertEqual([], fleet.breaches)
 
 
+class RemoteGroupsTest(testtools.TestCase):
+    """Groups in data centres that other routers maintain."""
+
+    def _staged_models(self, evacuated: frozenset[str]) -> list[str]:
+        """Returns the models that runners of `south` are ordered to load.
+
+        Six groups of the small model are open in `north`, one in `south`, where
+        two free runners hold the weights of the large model.
+        """
+        entries = [_member("north", number, rank) for number, rank in _PAIRS]
+        entries += [_member("south", 9, 0), _member("south", 9, 1)]
+        entries += [_free_runner("south", name) for name in ("x", "y")]
+        view = FleetView()
+        view.replace_all(entries, revision=1, now_seconds=0.0)
+        view.evacuated = evacuated
+        traits = make_traits()
+        reconciler = GroupReconciler(load_window_seconds=5.0)
+        orders = []
+        for step in range(30):
+            orders += reconciler.reconcile(
+                view,
+                ServiceSpec(
+                    name="cards",
+                    health_path="/health",
+                    cold_requests_per_second=0.0,
+                    engine=traits,
+                ),
+                wanted_slots={"large": 0.0, "small": 3.0 * traits.slots},
+                traffic_seen=True,
+                first_start=False,
+                next_epoch=lambda _: 5,
+                now_seconds=step / 10,
+                data_centres=frozenset({"south"}),
+            )
+        return [
+            directive.order.model
+            for directive in orders
+            if isinstance(directive.order, StageModel)
+        ]
+
+    def test_groups_elsewhere_serve_the_demand(self) -> None:
+        self.assertEqual([], self._staged_models(frozenset()))
+
+    def test_groups_in_an_evacuated_data_centre_serve_no_demand(self) -> None:
+        self.assertEqual(
+            {"small"}, set(self._staged_models(frozenset({"north"})))
+        )
+
+
+_PAIRS = [(number, rank) for number in range(6) for rank in range(2)]
+
+
+def _member(data_centre: str, number: int, rank: int) -> RunnerEntry:
+    """Returns a member of an open group of the small model."""
+    state = MembershipState.READY if rank else MembershipState.OPEN
+    return RunnerEntry(
+        f"{data_centre}-{number}-{rank}",
+        started_at_ms=1,
+        service="cards",
+        address="127.0.0.1:1",
+        data_centre=data_centre,
+        slots=9,
+        draining=False,
+        models=("small",),
+        domain=f"{data_centre}-d",
+        staged=("small",),
+        group=GroupMembership(f"g{number}", epoch=1, rank=rank, state=state),
+    )
+
+
+def _free_runner(data_centre: str, name: str) -> RunnerEntry:
+    """Returns a runner in no group, with the weights of the large model."""
+    return RunnerEntry(
+        f"{data_centre}-{name}",
+        started_at_ms=1,
+        service="cards",
+        address="127.0.0.1:1",
+        data_centre=data_centre,
+        slots=9,
+        draining=False,
+        domain=f"{data_centre}-d",
+        staged=("large",),
+    )
+
+
 class LossesTest(testtools.TestCase):
     """Two runners of a domain are lost for good every few seconds.
 
