Value spares by the chance that they are needed, and lend a reserve

Change: the weights of a spare follow from the chance that members in its domain are lost more often than there are spares, times the model's utilisation. A reserve is lent to a model that would stay busier than its owner with two groups fewer. The fleet of tests/support takes traits and demand as parameters.

--- a/mulberrypaddle/replicas/staging.py
+++ b/mulberrypaddle/replicas/staging.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.replicas.placement import (
@@ -30,6 +31,17 @@
 # replaced weights again takes ten seconds and more.
 RESTAGE_UTILISATION_RATIO = 1.5
 
+# Chance that a runner is lost while another one loads weights. The rarer losses
+# are, the less it matters: then models without a spare always come first.
+LOSS_CHANCE_DURING_LOAD = 0.15
+
+# Serving runners assumed in a domain that has none of a model: its spares help
+# little there, but a new group may be formed of them.
+MIN_SERVING = 0.1
+
+# Groups that a model could lose before its reserved spares are needed.
+RESERVE_GROUPS = 2
+
 # Bounds on the utilisation of a model in comparisons: it is infinite for a
 # model without a group and zero for one without requests.
 MAX_UTILISATION = 100.0
@@ -178,20 +190,30 @@
     def add_spares(self, domain: _DomainInventory) -> None:
         """Plans loads on the remaining empty runners, which become spares.
 
-        Each loads the model with the highest product of its utilisation and the
-        number of runners in the domain that hold or load its weights.
+        Each loads the model with the highest `_spare_value` in the domain.
         """
         while domain.empty:
             best = max(
-                self._demands,
-                key=lambda name: (
-                    max(MIN_UTILISATION, self._expected_utilisation(name))
-                    * (1 + domain.serving[name] + domain.idle_or_loading(name))
-                ),
+                self._demands, key=lambda name: self._spare_value(domain, name)
             )
             runner = domain.empty.pop()
             self._plan_load(domain, runner, best, "a spare for repairs")
 
+    def _spare_value(self, domain: _DomainInventory, name: str) -> float:
+        """Returns the value of one more spare of a model in a domain.
+
+        It is the chance that members in the domain are lost, before runners
+        that replace them have loaded the weights, more often than there are
+        spares, times the utilisation of the model.
+        """
+        spares = domain.idle_or_loading(name)
+        expected_losses = (
+            max(MIN_SERVING, domain.serving[name]) * LOSS_CHANCE_DURING_LOAD
+        )
+        return max(
+            MIN_UTILISATION, self._expected_utilisation(name)
+        ) * _chance_of_more_than(spares, mean=expected_losses)
+
     def restage_idle_runners(self) -> None:
         """Plans loads that replace the weights of idle runners.
 
@@ -268,7 +290,18 @@
             ):
                 continue
             reserved = 0
-            if demand.spec.size > SPARES_PER_DOMAIN and domain.serving[other]:
+            needs_reserve = (
+                utilisation
+                < RESTAGE_UTILISATION_RATIO
+                * demand.utilisation(
+                    self._slots_per_group, extra_groups=-RESERVE_GROUPS
+                )
+            )
+            if (
+                needs_reserve
+                and demand.spec.size > SPARES_PER_DOMAIN
+                and domain.serving[other]
+            ):
                 reserved = SPARES_PER_DOMAIN
             donors.extend(domain.idle[other][reserved:])
         missing = self._missing_runners(domain, name)
@@ -280,6 +313,21 @@
         return taken
 
 
+def _chance_of_more_than(count: int, *, mean: float) -> float:
+    """Returns the chance of more than `count` events, by Poisson's law.
+
+    Args:
+        count: Number of events that must be exceeded.
+        mean: Mean number of events.
+    """
+    term = math.exp(-mean)
+    chance_of_at_most = term
+    for number in range(1, count + 1):
+        term *= mean / number
+        chance_of_at_most += term
+    return max(0.0, 1.0 - chance_of_at_most)
+
+
 def _inventory_by_domain(
     free: list[RunnerEntry],
     service_runners: list[RunnerEntry],
--- a/tests/support/group_fleet.py
+++ b/tests/support/group_fleet.py
@@ -35,28 +35,41 @@
 JOIN_LIKE_STATES = (MembershipState.OPEN, MembershipState.CLOSING)
 
 
-def make_traits() -> EngineTraits:
-    """Returns traits with models of four runners and of two."""
+def make_traits(
+    *,
+    large_size: int = 4,
+    small_size: int = 2,
+    large_share: float = 0.5,
+    slots: int = 9,
+) -> EngineTraits:
+    """Returns traits with a model of large groups and one of small groups.
+
+    Args:
+        large_size: Number of runners in a group of the model `large`.
+        small_size: Number of runners in a group of the model `small`.
+        large_share: Share of the work that the model `large` has.
+        slots: Requests that one group serves at once.
+    """
     models = {
         "large": ModelSpec(
             name="large",
-            size=4,
-            demand_share=0.5,
+            size=large_size,
+            demand_share=large_share,
             time_factor=1.0,
             load_seconds=16.0,
             warm_join_seconds=1.6,
         ),
         "small": ModelSpec(
             name="small",
-            size=2,
-            demand_share=0.5,
+            size=small_size,
+            demand_share=1.0 - large_share,
             time_factor=0.6,
             load_seconds=12.0,
             warm_join_seconds=1.1,
         ),
     }
     return EngineTraits(
-        slots=9,
+        slots=slots,
         models=models,
         step_seconds=0.0078,
         step_seconds_per_request=0.00018,
@@ -102,11 +115,24 @@
 
 
 class GroupFleet:
-    """Runners, their reports, and one keeper."""
+    """Runners, their reports, and one keeper.
+
+    Attributes:
+        demand: Slots that the requests of each model keep busy.
+    """
 
-    def __init__(self, *, domains: int, domain_size: int, seed: int) -> None:
+    def __init__(
+        self,
+        *,
+        domains: int,
+        domain_size: int,
+        seed: int,
+        traits: EngineTraits | None = None,
+        demand: dict[str, float] | None = None,
+    ) -> None:
         self.rng = random.Random(seed)
-        self.traits = make_traits()
+        self.traits = traits or make_traits()
+        self.demand = demand or {"large": 23.0, "small": 55.0}
         self.service = ServiceSpec(
             name="cards",
             health_path="/health",
@@ -152,7 +178,7 @@
 
     def wanted(self) -> dict[str, float]:
         """Returns the demand that is played."""
-        return {"large": 23.0, "small": 55.0}
+        return self.demand
 
     def play(self, seconds: float) -> None:
         """Plays some time."""
@@ -350,7 +376,7 @@
             service="cards",
             address="127.0.0.1:1",
             data_centre="south",
-            slots=9,
+            slots=self.traits.slots,
             draining=runner.draining,
             models=(runner.model,) if joined else (),
             domain=runner.domain,
