--- a/mulberrypaddle/cli/commands.py
+++ b/mulberrypaddle/cli/commands.py
@@ -13,6 +13,7 @@
 from mulberrypaddle.cli.output import fail, print_json, print_table
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.observe.log_reader import LogLine, explain, parse_line
+from mulberrypaddle.observe.losses import count_losses
 from mulberrypaddle.operators.documents import DocumentKind, validate_document
 
 if TYPE_CHECKING:
@@ -331,12 +332,54 @@
             the fleet) from this long before the first until this long after
             the last line that mentions the subject; negative for none.
     """
-    lines: list[LogLine] = []
-    for path in paths.split(","):
-        text = unwrap_or_exit(read_text(path))
-        lines.extend(parse_line(line) for line in text.splitlines())
-    found = explain(lines, subject, around_seconds=around_seconds)
+    found = explain(
+        _read_log_lines(paths), subject, around_seconds=around_seconds
+    )
     if not found:
         fail(Problem(ErrorKind.NOT_FOUND, f"no log line mentions {subject!r}"))
     for line in found:
         print(line.text)
+
+
+def print_losses(*, paths: str, interval_seconds: float, json: bool) -> None:
+    """Prints how many requests were late or not answered, by cause.
+
+    Args:
+        paths: Comma-separated paths of log files.
+        interval_seconds: Length of the intervals to divide the counts by; 0
+            for a single count.
+        json: Print JSON.
+    """
+    if interval_seconds < 0:
+        fail(
+            Problem(
+                ErrorKind.BAD_REQUEST,
+                f"the interval must not be negative, got {interval_seconds}",
+            )
+        )
+    rows = []
+    for count in count_losses(
+        _read_log_lines(paths), interval_seconds=interval_seconds
+    ):
+        row: dict[str, Any] = {}
+        if interval_seconds:
+            moment = time.gmtime(count.interval_seconds)
+            row["from"] = time.strftime("%H:%M:%S", moment)
+        row["model"] = count.model or "-"
+        row["event"] = count.event
+        row["cause"] = count.cause
+        row["requests"] = count.requests
+        rows.append(row)
+    if json:
+        print_json(rows)
+        return
+    print_table("", rows)
+
+
+def _read_log_lines(paths: str) -> list[LogLine]:
+    """Reads the lines of comma-separated log files, or exits with a message."""
+    lines: list[LogLine] = []
+    for path in paths.split(","):
+        text = unwrap_or_exit(read_text(path))
+        lines.extend(parse_line(line) for line in text.splitlines())
+    return lines
--- a/mulberrypaddle/cli/main.py
+++ b/mulberrypaddle/cli/main.py
@@ -12,6 +12,7 @@
     DocumentCommands,
     print_explanation,
     print_log_lines,
+    print_losses,
     print_status,
     unwrap_or_exit,
 )
@@ -124,6 +125,21 @@
             return
         print_explanation(str(subject), router=router, json=json)
 
+    def losses(
+        self, logs: str, *, interval: float = 0.0, json: bool = False
+    ) -> None:
+        """Shows how many requests were late or not answered, by cause.
+
+        Args:
+            logs: Comma-separated log files of the routers.
+            interval: Length in seconds of the intervals to divide the counts
+                by; 0 for a single count.
+            json: Print JSON.
+        """
+        print_losses(
+            paths=str(logs), interval_seconds=float(interval), json=json
+        )
+
     def demo(self) -> None:
         """Runs a demonstration on a small fleet with embedded stand-ins."""
         if not asyncio.run(run_demo()):
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -74,14 +74,32 @@
             forwarded; 0 before the first.
         first_event_at: Loop time in seconds at which the first event was
             forwarded; 0 before that.
+        longest_pause_seconds: Longest time between two forwarded events.
     """
 
-    __slots__ = ("first_event_at", "last_event_at", "last_event_id")
+    __slots__ = (
+        "first_event_at",
+        "last_event_at",
+        "last_event_id",
+        "longest_pause_seconds",
+    )
 
     def __init__(self) -> None:
         self.last_event_id: int | None = None
         self.last_event_at = 0.0
         self.first_event_at = 0.0
+        self.longest_pause_seconds = 0.0
+
+    def record_event(self, event_id: int, now_seconds: float) -> None:
+        """Records that an event was forwarded."""
+        if self.first_event_at:
+            self.longest_pause_seconds = max(
+                self.longest_pause_seconds, now_seconds - self.last_event_at
+            )
+        else:
+            self.first_event_at = now_seconds
+        self.last_event_id = event_id
+        self.last_event_at = now_seconds
 
 
 class Attempt:
@@ -361,6 +379,11 @@
             self._progress = StreamProgress()
         self._caller.set_drained_callback(self._on_caller_drained)
 
+    @property
+    def longest_pause_seconds(self) -> float:
+        """Returns the longest pause between two forwarded events."""
+        return self._progress.longest_pause_seconds
+
     @property
     def last_event_at(self) -> float:
         """Returns the loop time of the last forwarded event; 0 if none."""
@@ -478,11 +501,7 @@
             self._caller.start(
                 head.status, _without_content_length(head.forwarded_headers)
             )
-        progress.last_event_id = event_id
-        progress.last_event_at = self._board.now()
-        progress.first_event_at = (
-            progress.first_event_at or progress.last_event_at
-        )
+        progress.record_event(event_id, self._board.now())
         self.first_byte_at = progress.first_event_at
         return self._caller.write(data)
 
--- a/mulberrypaddle/serving/metrics.py
+++ b/mulberrypaddle/serving/metrics.py
@@ -55,6 +55,12 @@
     buckets=LATENCY_BUCKETS_SECONDS,
     registry=REGISTRY,
 )
+LATE_ANSWERS = Counter(
+    "mulberrypaddle_serving_late_answers",
+    "Answers that missed the target of their route, by service and cause.",
+    ["service", "cause"],
+    registry=REGISTRY,
+)
 ORDERS = Counter(
     "mulberrypaddle_serving_orders",
     "Orders to runners, by order and outcome.",
