Load first what is worth most: groups completed, then spares likely needed

Change: each load has a value: that of the group it completes, or of a spare by the chance that it is needed.

--- a/mulberrypaddle/replicas/group_reconciler.py
+++ b/mulberrypaddle/replicas/group_reconciler.py
@@ -19,6 +19,7 @@
 )
 from mulberrypaddle.replicas.load_rate_limiter import LoadRateLimiter
 from mulberrypaddle.replicas.loss_detector import LossDetector
+from mulberrypaddle.replicas.loss_rate import LossRate
 from mulberrypaddle.replicas.order_tracker import Directive, OrderTracker
 from mulberrypaddle.replicas.orders import (
     CloseGroup,
@@ -103,6 +104,7 @@
         "_transition_since_seconds",
         "_last_new_runner_seconds",
         "_load_limiter",
+        "_loss_rate",
         "_load_window_seconds",
         "_opening_models",
         "_orders",
@@ -125,6 +127,7 @@
         self._seen_incarnations: set[tuple[str, int | None]] = set()
         self._last_new_runner_seconds = 0.0
         self._load_limiter = LoadRateLimiter()
+        self._loss_rate = LossRate()
         # Number of usable remote groups, by model, and when they were counted.
         self._remote_group_counts: dict[str, int] = {}
         self._remote_counted_at_seconds = -REMOTE_COUNT_INTERVAL_SECONDS
@@ -204,6 +207,20 @@
             e for e in entries if e.incarnation not in self.loss_detector.lost
         ]
         snapshots = snapshot_groups(entries, traits)
+        self._loss_rate.update(
+            members=frozenset(
+                member.incarnation
+                for snapshot in snapshots.values()
+                if snapshot.complete
+                for member in snapshot.members.values()
+            ),
+            usable=frozenset(
+                entry.incarnation
+                for entry in live_entries
+                if not entry.draining
+            ),
+            now_seconds=now_seconds,
+        )
         self._reconcile_groups(snapshots, now_seconds)
         busy = self._busy_runners(snapshots)
         free = [
@@ -642,6 +659,7 @@
             loading=loading,
             traits=traits,
             demands=demands,
+            loss_rate=self._loss_rate,
         ):
             if remaining_loads <= 0:
                 break
--- a/mulberrypaddle/replicas/staging.py
+++ b/mulberrypaddle/replicas/staging.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from mulberrypaddle.fleet.config import EngineTraits
     from mulberrypaddle.fleet.runners import RunnerEntry
+    from mulberrypaddle.replicas.loss_rate import LossRate
 
 # Utilisation of a model above which another group of it has priority over
 # spares of other models: its requests then start to wait for a slot.
@@ -31,10 +32,6 @@
 # replaced weights again takes ten seconds and more.
 RESTAGE_UTILISATION_RATIO = 1.5
 
-# Chance that a runner is lost while another one loads weights. The rarer losses
-# are, the less it matters: then models without a spare always come first.
-LOSS_CHANCE_DURING_LOAD = 0.15
-
 # Serving runners assumed in a domain that has none of a model: its spares help
 # little there, but a new group may be formed of them.
 MIN_SERVING = 0.1
@@ -54,24 +51,23 @@
     Attributes:
         runner: Free runner that loads the weights.
         model: Name of the model.
-        utilisation: Expected utilisation of the model; loads for the most
-            utilised model come first.
+        value: Value of the load; those with the highest come first.
         reason: Why the weights are loaded, in a few words, for the log.
     """
 
-    __slots__ = ("model", "utilisation", "reason", "runner")
+    __slots__ = ("model", "reason", "runner", "value")
 
     def __init__(
         self,
         runner: RunnerEntry,
         model: str,
         *,
-        utilisation: float,
+        value: float,
         reason: str,
     ) -> None:
         self.runner = runner
         self.model = model
-        self.utilisation = utilisation
+        self.value = value
         self.reason = reason
 
 
@@ -106,6 +102,7 @@
     loading: dict[str, str],
     traits: EngineTraits,
     demands: list[ModelDemand],
+    loss_rate: LossRate,
 ) -> list[Staging]:
     """Chooses the weights that free runners load, the most urgent first.
 
@@ -115,17 +112,19 @@
         loading: Model that is being loaded, by runner id.
         traits: Traits of the service.
         demands: Demand for each model.
+        loss_rate: Rate at which members of groups are lost.
     """
     by_name = {demand.spec.name: demand for demand in demands}
     domains = _inventory_by_domain(
         free, service_runners, loading, list(by_name)
     )
-    planner = _StagingPlanner(by_name, domains, slots_per_group=traits.slots)
+    planner = _StagingPlanner(
+        by_name, domains, slots_per_group=traits.slots, loss_rate=loss_rate
+    )
     for domain in domains:
-        planner.complete_groups(domain)
-        planner.add_spares(domain)
+        planner.load_empty_runners(domain)
     planner.restage_idle_runners()
-    return sorted(planner.chosen, key=lambda staging: -staging.utilisation)
+    return sorted(planner.chosen, key=lambda staging: -staging.value)
 
 
 class _StagingPlanner:
@@ -139,6 +138,7 @@
         "_expected_groups",
         "_domains",
         "_demands",
+        "_loss_chances",
         "_slots_per_group",
         "chosen",
     )
@@ -149,8 +149,14 @@
         domains: list[_DomainInventory],
         *,
         slots_per_group: int,
+        loss_rate: LossRate,
     ) -> None:
         self._demands = demands
+        # Chance that a runner is lost while another loads the weights.
+        self._loss_chances = {
+            name: loss_rate.chance_within(demand.spec.load_seconds)
+            for name, demand in demands.items()
+        }
         self._domains = domains
         self._slots_per_group = slots_per_group
         # Groups that free runners can form once their loads end, by model.
@@ -163,56 +169,68 @@
         }
         self.chosen: list[Staging] = []
 
-    def complete_groups(self, domain: _DomainInventory) -> None:
-        """Plans loads on empty runners that complete new groups.
+    def load_empty_runners(self, domain: _DomainInventory) -> None:
+        """Plans loads on all empty runners of a domain.
 
-        Only for models with an expected utilisation of at least
-        `HIGH_UTILISATION`.
+        Each load is for the model to which it is worth most.
         """
-        for name in sorted(
-            self._demands,
-            key=lambda name: (
-                -self._utilisation_per_missing_runner(domain, name)
-            ),
-        ):
+        while domain.empty:
+            name = max(
+                self._demands, key=lambda name: self._load_value(domain, name)
+            )
+            value = self._load_value(domain, name)
             missing = self._missing_runners(domain, name)
-            while (
-                self._expected_utilisation(name) >= HIGH_UTILISATION
-                and len(domain.empty) >= missing
-            ):
-                for _ in range(missing):
-                    runner = domain.empty.pop()
-                    self._plan_load(
-                        domain, runner, name, "it completes a group"
-                    )
-                missing = self._missing_runners(domain, name)
+            completes_group = missing <= len(
+                domain.empty
+            ) and value > self._spare_value(domain, name)
+            reason = (
+                "it completes a group"
+                if completes_group
+                else "a spare for repairs"
+            )
+            for _ in range(missing if completes_group else 1):
+                self._plan_load(
+                    domain, domain.empty.pop(), name, value=value, reason=reason
+                )
 
-    def add_spares(self, domain: _DomainInventory) -> None:
-        """Plans loads on the remaining empty runners, which become spares.
+    def _load_value(self, domain: _DomainInventory, name: str) -> float:
+        """Returns the value of loading a model onto an empty runner.
 
-        Each loads the model with the highest `_spare_value` in the domain.
+        It is that of a group for each load that completes it, or that of a
+        spare if this is more or there are too few empty runners.
         """
-        while domain.empty:
-            best = max(
-                self._demands, key=lambda name: self._spare_value(domain, name)
-            )
-            runner = domain.empty.pop()
-            self._plan_load(domain, runner, best, "a spare for repairs")
+        missing = self._missing_runners(domain, name)
+        value = self._spare_value(domain, name)
+        if missing <= len(domain.empty):
+            value = max(value, self._group_value(name) / missing)
+        return value
+
+    def _group_value(self, name: str) -> float:
+        """Returns the value of one more group of a model.
+
+        It grows with the square of the utilisation that is left once the groups
+        expected to be lost during a load are gone: the share of requests that
+        wait rises more steeply than the utilisation itself.
+        """
+        size = self._demands[name].spec.size
+        surviving_fraction = (1 - self._loss_chances[name]) ** size
+        utilisation = max(MIN_UTILISATION, self._expected_utilisation(name))
+        return (utilisation / surviving_fraction) ** 2
 
     def _spare_value(self, domain: _DomainInventory, name: str) -> float:
         """Returns the value of one more spare of a model in a domain.
 
-        It is the chance that members in the domain are lost, before runners
-        that replace them have loaded the weights, more often than there are
-        spares, times the utilisation of the model.
+        It is that of a group, times the chance that members in the domain are
+        lost more often than there are spares before others have loaded the
+        weights.
         """
         spares = domain.idle_or_loading(name)
         expected_losses = (
-            max(MIN_SERVING, domain.serving[name]) * LOSS_CHANCE_DURING_LOAD
+            max(MIN_SERVING, domain.serving[name]) * self._loss_chances[name]
+        )
+        return self._group_value(name) * _chance_of_more_than(
+            spares, mean=expected_losses
         )
-        return max(
-            MIN_UTILISATION, self._expected_utilisation(name)
-        ) * _chance_of_more_than(spares, mean=expected_losses)
 
     def restage_idle_runners(self) -> None:
         """Plans loads that replace the weights of idle runners.
@@ -226,9 +244,14 @@
             for domain in self._domains:
                 if self._expected_utilisation(name) < HIGH_UTILISATION:
                     break
-                for runner in self._claim_donors(domain, name):
+                donors = self._claim_donors(domain, name)
+                for runner in donors:
                     self._plan_load(
-                        domain, runner, name, "it completes a group"
+                        domain,
+                        runner,
+                        name,
+                        value=self._group_value(name) / len(donors),
+                        reason="it completes a group",
                     )
 
     def _expected_utilisation(self, name: str) -> float:
@@ -243,30 +266,17 @@
         size = self._demands[name].spec.size
         return size - domain.idle_or_loading(name) % size
 
-    def _utilisation_per_missing_runner(
-        self, domain: _DomainInventory, name: str
-    ) -> float:
-        """Returns the expected utilisation divided by `_missing_runners`."""
-        return self._expected_utilisation(name) / self._missing_runners(
-            domain, name
-        )
-
     def _plan_load(
         self,
         domain: _DomainInventory,
         runner: RunnerEntry,
         name: str,
+        *,
+        value: float,
         reason: str,
     ) -> None:
         """Adds a load to the plan and counts the group that it completes."""
-        self.chosen.append(
-            Staging(
-                runner,
-                name,
-                utilisation=self._expected_utilisation(name),
-                reason=reason,
-            )
-        )
+        self.chosen.append(Staging(runner, name, value=value, reason=reason))
         domain.loading[name] += 1
         if domain.idle_or_loading(name) % self._demands[name].spec.size == 0:
             self._expected_groups[name] += 1
--- a/tests/replicas/test_placement.py
+++ b/tests/replicas/test_placement.py
@@ -5,6 +5,7 @@
 import testtools
 
 from mulberrypaddle.fleet import RunnerEntry
+from mulberrypaddle.replicas.loss_rate import LossRate
 from mulberrypaddle.replicas.placement import (
     Formation,
     ModelDemand,
@@ -114,6 +115,7 @@
             loading=loading or {},
             traits=TRAITS,
             demands=demands,
+            loss_rate=LossRate(),
         )
         return [(staging.runner.runner_id, staging.model) for staging in chosen]
 
