--- a/mulberrypaddle/replicas/staging.py
+++ b/mulberrypaddle/replicas/staging.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.replicas.placement import (
-    MIN_UTILISATION_TO_FORM,
+    SPARES_PER_DOMAIN,
     ModelDemand,
     runners_by_domain,
 )
@@ -23,14 +23,22 @@
     from mulberrypaddle.fleet.runners import RunnerEntry
     from mulberrypaddle.replicas.loss_rate import LossRate
 
-# Ratio by which the value of a group must exceed that of the spares that are
-# given up for it: the group is there only after the load.
-RESTAGE_VALUE_RATIO = 1.5
+# Utilisation of a model above which another group of it has priority over
+# spares of other models: its requests then start to wait for a slot.
+HIGH_UTILISATION = 0.6
+
+# Ratio by which a model's utilisation must exceed that of another model before
+# a free runner replaces the other model's weights by its own. Loading the
+# replaced weights again takes ten seconds and more.
+RESTAGE_UTILISATION_RATIO = 1.5
 
 # Serving runners assumed in a domain that has none of a model: its spares help
 # little there, but a new group may be formed of them.
 MIN_SERVING = 0.1
 
+# Groups that a model could lose before its reserved spares are needed.
+RESERVE_GROUPS = 2
+
 # Bounds on the utilisation of a model in comparisons: it is infinite for a
 # model without a group and zero for one without requests.
 MAX_UTILISATION = 100.0
@@ -209,22 +217,14 @@
         utilisation = max(MIN_UTILISATION, self._expected_utilisation(name))
         return (utilisation / surviving_fraction) ** 2
 
-    def _spare_value(
-        self, domain: _DomainInventory, name: str, *, spares: int | None = None
-    ) -> float:
+    def _spare_value(self, domain: _DomainInventory, name: str) -> float:
         """Returns the value of one more spare of a model in a domain.
 
         It is that of a group, times the chance that members in the domain are
         lost more often than there are spares before others have loaded the
         weights.
-
-        Args:
-            domain: The domain.
-            name: The model.
-            spares: Number of spares without it; None for all that there are.
         """
-        if spares is None:
-            spares = domain.idle_or_loading(name)
+        spares = domain.idle_or_loading(name)
         expected_losses = (
             max(MIN_SERVING, domain.serving[name]) * self._loss_chances[name]
         )
@@ -235,11 +235,15 @@
     def restage_idle_runners(self) -> None:
         """Plans loads that replace the weights of idle runners.
 
-        Only where that completes a group, and if the group is worth more than
-        the spares that are given up.
+        They switch to models with an expected utilisation of at least
+        `HIGH_UTILISATION`, and only where that completes a group.
         """
-        for name in sorted(self._demands, key=self._group_value, reverse=True):
+        for name in sorted(
+            self._demands, key=self._expected_utilisation, reverse=True
+        ):
             for domain in self._domains:
+                if self._expected_utilisation(name) < HIGH_UTILISATION:
+                    break
                 donors = self._claim_donors(domain, name)
                 for runner in donors:
                     self._plan_load(
@@ -282,34 +286,40 @@
     ) -> list[RunnerEntry]:
         """Takes idle runners that can switch weights to complete a group.
 
-        They are removed from `domain.idle`. Returns none if too few runners are
-        idle, or if they are worth more as spares of their models.
+        They hold the weights of models with a much lower utilisation, and are
+        removed from `domain.idle`. Returns none if too few runners qualify.
         """
-        if self._expected_utilisation(name) < MIN_UTILISATION_TO_FORM:
-            return []
+        utilisation = self._demands[name].utilisation(self._slots_per_group)
+        donors: list[RunnerEntry] = []
+        for other in sorted(self._demands, key=self._expected_utilisation):
+            demand = self._demands[other]
+            if other == name:
+                continue
+            if utilisation < RESTAGE_UTILISATION_RATIO * demand.utilisation(
+                self._slots_per_group
+            ):
+                continue
+            reserved = 0
+            needs_reserve = (
+                utilisation
+                < RESTAGE_UTILISATION_RATIO
+                * demand.utilisation(
+                    self._slots_per_group, extra_groups=-RESERVE_GROUPS
+                )
+            )
+            if (
+                needs_reserve
+                and demand.spec.size > SPARES_PER_DOMAIN
+                and domain.serving[other]
+            ):
+                reserved = SPARES_PER_DOMAIN
+            donors.extend(domain.idle[other][reserved:])
         missing = self._missing_runners(domain, name)
-        spares = {
-            other: list(runners)
-            for other, runners in domain.idle.items()
-            if other != name
-        }
-        taken: list[RunnerEntry] = []
-        cost = 0.0
-        while len(taken) < missing:
-            values = {
-                other: self._spare_value(domain, other, spares=len(runners) - 1)
-                for other, runners in spares.items()
-                if runners
-            }
-            if not values:
-                return []
-            other = min(values, key=lambda model: values[model])
-            cost += values[other]
-            taken.append(spares[other].pop())
-        if self._group_value(name) < RESTAGE_VALUE_RATIO * cost:
+        if len(donors) < missing:
             return []
-        for other, runners in spares.items():
-            domain.idle[other] = runners
+        taken = donors[:missing]
+        for runners in domain.idle.values():
+            runners[:] = [runner for runner in runners if runner not in taken]
         return taken
 
 
