Mend small faults: own findings reported, refusals named, memory bounded

Cause: findings of the last read-through. A peer's report of a runner kept this router from reporting what it had found itself; a spent retry budget was reported as a lack of runners; the processes that ended were remembered without a bound; two functions had no caller. Change: own ejections are kept apart; the refusal is overloaded; the latest 8,192 ended processes are remembered; the two functions are gone.

--- a/mulberrypaddle/dispatch/runner_health.py
+++ b/mulberrypaddle/dispatch/runner_health.py
@@ -45,24 +45,24 @@
         ejected_until_seconds: Monotonic time at which the ejection ends.
         unreachable_until_seconds: Monotonic time until which the runner counts
             as unreachable.
-        reported_by_peer: Whether the last ejection was reported by another
-            router, in which case this router does not report it.
+        locally_ejected_until_seconds: The same for the ejections that this
+            router decided itself, the only ones that it reports.
     """
 
     __slots__ = (
         "failures",
         "ejected_until_seconds",
         "ejections",
+        "locally_ejected_until_seconds",
         "unreachable_until_seconds",
-        "reported_by_peer",
     )
 
     def __init__(self) -> None:
         self.failures = 0
         self.ejections = 0
         self.ejected_until_seconds = 0.0
+        self.locally_ejected_until_seconds = 0.0
         self.unreachable_until_seconds = 0.0
-        self.reported_by_peer = False
 
 
 class RunnerHealth:
@@ -108,6 +108,7 @@
         record.failures = 0
         record.ejections = max(0, record.ejections - 1)
         record.ejected_until_seconds = 0.0
+        record.locally_ejected_until_seconds = 0.0
         record.unreachable_until_seconds = 0.0
 
     def record_failure(self, runner_id: str, now_seconds: float) -> bool:
@@ -125,15 +126,16 @@
         )
         record.ejections += 1
         record.failures = 0
-        record.ejected_until_seconds = now_seconds + ejection_seconds
-        record.reported_by_peer = False
+        record.locally_ejected_until_seconds = now_seconds + ejection_seconds
+        record.ejected_until_seconds = max(
+            record.ejected_until_seconds, record.locally_ejected_until_seconds
+        )
         return True
 
     def record_unreachable(self, runner_id: str, now_seconds: float) -> None:
         """Records that a connection to a runner failed or went silent."""
         record = self._records.setdefault(runner_id, _RunnerRecord())
         record.unreachable_until_seconds = now_seconds + UNREACHABLE_SECONDS
-        record.reported_by_peer = False
 
     def mark_suspected(
         self, runner_id: str, observed_at_seconds: float
@@ -186,7 +188,6 @@
             record.ejected_until_seconds = max(
                 record.ejected_until_seconds, ejected_until
             )
-            record.reported_by_peer = True
         for runner_id in silent:
             # The network link of the other router may be at fault. If all
             # routers stopped using these runners, the rest would be overloaded.
@@ -197,8 +198,7 @@
         return [
             runner_id
             for runner_id, record in self._records.items()
-            if not record.reported_by_peer
-            and now_seconds < record.ejected_until_seconds
+            if now_seconds < record.locally_ejected_until_seconds
         ]
 
     def locally_unreachable(self, now_seconds: float) -> list[str]:
@@ -206,8 +206,7 @@
         return [
             runner_id
             for runner_id, record in self._records.items()
-            if not record.reported_by_peer
-            and now_seconds < record.unreachable_until_seconds
+            if now_seconds < record.unreachable_until_seconds
         ]
 
     def retain_only(self, runner_ids: Iterable[str]) -> None:
--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -158,12 +158,6 @@
         self._record_change()
         return True
 
-    def update_entry(self, entry: RunnerEntry) -> None:
-        """Replaces the entry of a listed runner by its answer to a poll."""
-        if entry.runner_id in self._entries:
-            self._entries[entry.runner_id] = entry
-            self._record_change()
-
     def remove_expired(self, now_seconds: float) -> list[str]:
         """Removes entries that were not written again in the grace period.
 
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -438,7 +438,11 @@
             )
             if self._may_have_run:
                 return _NextStep.OUTCOME_UNKNOWN
-            self._refuse_no_capacity(self._default_retry_after_seconds(), 0)
+            self._refuse(
+                ErrorKind.OVERLOADED,
+                "no retry is permitted now",
+                retry_after_seconds=self._default_retry_after_seconds(),
+            )
             return _NextStep.DONE
         self._send_count += 1
         attempt = self._make_attempt(entry)
--- a/mulberrypaddle/serving/heartbeat.py
+++ b/mulberrypaddle/serving/heartbeat.py
@@ -248,11 +248,6 @@
                         f"invalid value {value!r} within the field {name}"
                     )
 
-    @property
-    def is_aggregate(self) -> bool:
-        """Returns whether the message covers more than its sender."""
-        return self.scope != SCOPE_ROUTER
-
     def to_bytes(self) -> bytes:
         """Encodes the message as a datagram."""
         fields = {name: getattr(self, name) for name in self.__slots__}
--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -68,6 +68,10 @@
 # Name under which the counts of the rest of the fleet, from a digest, are kept.
 FLEET_SOURCE = "fleet"
 
+# Processes and VMs that are remembered: several times those of a large fleet,
+# so that only processes that ended long ago are forgotten.
+MAX_REMEMBERED_PROCESSES = 8_192
+
 
 class PeerExchange(asyncio.DatagramProtocol):
     """Sends and receives heartbeats, and applies the received ones.
@@ -117,7 +121,7 @@
         # receive them.
         self._summaries: dict[str, Peer] = {}
         # Incarnations that a later process on the same VM replaced.
-        self._superseded: set[str] = set()
+        self._superseded: dict[str, None] = {}
         # Last known incarnation of each router, by the router's name.
         self._incarnations: dict[str, str] = {}
         self._store_watchers = StoreWatchers()
@@ -211,8 +215,14 @@
         if known == heartbeat.incarnation:
             return True
         if known is not None:
-            self._superseded.add(known)
+            self._superseded[known] = None
+        # Moves the VM to the end, so that the one replaced longest ago is
+        # forgotten first.
+        self._incarnations.pop(heartbeat.node, None)
         self._incarnations[heartbeat.node] = heartbeat.incarnation
+        for remembered in (self._superseded, self._incarnations):
+            while len(remembered) > MAX_REMEMBERED_PROCESSES:
+                del remembered[next(iter(remembered))]
         log_state_change(
             "router_heard",
             peer=heartbeat.node,
--- a/tests/dispatch/test_runner_health.py
+++ b/tests/dispatch/test_runner_health.py
@@ -23,6 +23,17 @@
         self.assertTrue(runner_health.is_ejected("r1", 0.0))
         self.assertFalse(runner_health.is_ejected("r1", FIRST_EJECTION_SECONDS))
 
+    def test_report_of_a_peer_hides_no_own_finding(self) -> None:
+        runner_health = RunnerHealth()
+        runner_health.record_failure("r1", 0.0)
+        runner_health.record_failure("r1", 0.0)
+        runner_health.record_unreachable("r2", 0.0)
+        runner_health.apply_peer_report(
+            failing=["r1", "r2", "r3"], silent=[], now_seconds=0.1
+        )
+        self.assertEqual(["r1"], runner_health.locally_ejected(0.2))
+        self.assertEqual(["r2"], runner_health.locally_unreachable(0.2))
+
     def test_success_ends_ejection_and_unreachability(self) -> None:
         runner_health = RunnerHealth()
         runner_health.record_failure("r1", 0.0)
--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from mulberrypaddle.serving import peer_exchange
 from mulberrypaddle.serving.peer_exchange import RELAY_INTERVAL_SECONDS
 from mulberrypaddle.serving.relays import MAX_MESH_ROUTERS
 from tests.serving.test_digest import make_heartbeat
@@ -176,6 +177,26 @@
 
         self.assertEqual([False, True, False], run_virtual(scenario()))
 
+    def test_only_the_latest_ended_processes_are_remembered(self) -> None:
+        self.patch(peer_exchange, "MAX_REMEMBERED_PROCESSES", 3)
+
+        async def scenario() -> list[bool]:
+            net = PeerNet({"south": 2})
+            receiver, sender = net.routers.values()
+            for number in range(6):
+                sender.peers.incarnation = f"p{number}"
+                await net.play(0.3)
+            found = [
+                receiver.peers.is_superseded(f"p{number}")
+                for number in range(6)
+            ]
+            net.close()
+            return found
+
+        self.assertEqual(
+            [False, False, True, True, True, False], run_virtual(scenario())
+        )
+
 
 class ForeignBytesTest(testtools.TestCase):
     """Datagrams that are no valid heartbeats."""
