Suspect heads by the pace of their own events

Cause: a head was suspected after 0.4 s without an event, whatever its pace: new requests went to dead heads of fast engines for that long, and slow sound heads were suspected (on paces 2.5 times as long requests were moved away from them). Change: the silence is twice the longest recent pause between two events of its streams, from 0.2 to 0.8 s; what is kept of heads that are gone is dropped.

--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -372,6 +372,9 @@
         """Takes over the progress of the stream from the previous attempt."""
         self._parser = EventParser()
         self._event_count = 0
+        # When this attempt last received an event; None before the first, and
+        # after a pause for a slow caller.
+        self._received_event_at: float | None = None
         self._paused = False
         if isinstance(previous, StreamAttempt):
             self._progress: StreamProgress = previous._progress
@@ -416,14 +419,19 @@
             return
         board = self._board
         runner_id = self._entry.runner_id
-        progress_at = board.head_progress_at.get(runner_id, 0.0)
+        progress_at = board.head_progress.last_event_at(runner_id)
         silent_seconds = now - max(
             progress_at, self._call.last_progress_at_seconds
         )
         has_events = self._event_count > 0
         queued = board.loads.total(runner_id) > max(1, self._entry.slots)
         if is_head_stalled(
-            silent_seconds=silent_seconds, has_events=has_events, queued=queued
+            silent_seconds=silent_seconds,
+            has_events=has_events,
+            queued=queued,
+            suspect_after_seconds=board.head_progress.suspect_after_seconds(
+                runner_id
+            ),
         ):
             board.runner_health.mark_suspected(runner_id, now)
         limit_seconds = silence_limit_seconds(
@@ -488,7 +496,7 @@
         progress = self._progress
         last = progress.last_event_id
         self._event_count += 1
-        self._board.head_progress_at[self._entry.runner_id] = self._board.now()
+        self._record_head_progress()
         if last is not None and event_id <= last:
             return True
         if last is not None and event_id != last + 1:
@@ -505,9 +513,21 @@
         self.first_byte_at = progress.first_event_at
         return self._caller.write(data)
 
+    def _record_head_progress(self) -> None:
+        """Records that the head has sent an event of this attempt."""
+        now = self._board.now()
+        previous = self._received_event_at
+        self._received_event_at = now
+        self._board.head_progress.record_event(
+            self._entry.runner_id,
+            pause_seconds=None if previous is None else now - previous,
+            now_seconds=now,
+        )
+
     def _on_caller_drained(self) -> None:
         """Resumes the transfer once a slow caller has caught up."""
         self._paused = False
+        self._received_event_at = None
         self._call.resume()
 
     def _deliver(self, head: RunnerResponseHead) -> AttemptOutcome:
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -16,6 +16,7 @@
     RunnerRequirements,
     WaitQueue,
 )
+from mulberrypaddle.dispatch.stalls import HeadProgress
 from mulberrypaddle.dispatch.wait_queue import share_of_free_slots
 from mulberrypaddle.fleet import FleetView
 from mulberrypaddle.serving.demand import DemandMeter
@@ -56,8 +57,8 @@
             runners accepts requests, by model, as reported by the routers that
             form the groups. A model has no entry if no group of it is forming
             and no runner is loading its weights.
-        head_progress_at: Loop time in seconds at which the head of a group
-            last sent an event of any stream of this router, by runner id.
+        head_progress: When the heads of groups last sent an event of any
+            stream of this router, and how long they pause.
         stopping: Whether the process is shutting down.
         ends_at_seconds: Loop time at which the process ends, once this is so
             close that new requests could be interrupted; None before that.
@@ -80,7 +81,7 @@
         "demand",
         "ends_at_seconds",
         "header_codec",
-        "head_progress_at",
+        "head_progress",
         "in_flight_count",
         "last_request_at",
         "queues",
@@ -141,7 +142,7 @@
         )
         self.live_routers = 1
         self.next_group_opens_in_seconds: dict[str, float] = {}
-        self.head_progress_at: dict[str, float] = {}
+        self.head_progress = HeadProgress()
         self.stopping = False
         self.ends_at_seconds: float | None = None
         self.in_flight_count = 0
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -495,6 +495,7 @@
             {entry.incarnation for entry in board.view}, now
         )
         board.runner_health.retain_only(entry.runner_id for entry in board.view)
+        board.head_progress.retain_only(entry.runner_id for entry in board.view)
         self.board.dispatch_waiting()
 
 
--- a/tests/dispatch/test_stalls.py
+++ b/tests/dispatch/test_stalls.py
@@ -5,6 +5,7 @@
 import testtools
 
 from mulberrypaddle.dispatch.stalls import (
+    HeadProgress,
     is_head_stalled,
     silence_limit_seconds,
 )
@@ -53,3 +54,38 @@
         self.assertTrue(
             is_head_stalled(silent_seconds=1.3, has_events=False, queued=False)
         )
+
+
+class HeadProgressTest(testtools.TestCase):
+    """The silence that counts as a stall follows the pace of the head."""
+
+    def _suspect_after(self, *pauses_seconds: float) -> float:
+        progress = HeadProgress()
+        for pause_seconds in pauses_seconds:
+            progress.record_event(
+                "h1", pause_seconds=pause_seconds, now_seconds=1.0
+            )
+        return progress.suspect_after_seconds("h1")
+
+    def test_slower_heads_are_given_more_time(self) -> None:
+        for factor in (1.0, 2.5, 5.0):
+            pauses = [0.05 * factor] * 20 + [0.12 * factor] + [0.05 * factor]
+            suspect_after = self._suspect_after(*pauses)
+            self.assertGreater(suspect_after, max(pauses))
+            self.assertLess(suspect_after, 5 * max(pauses))
+
+    def test_single_long_pause_is_forgotten(self) -> None:
+        self.assertEqual(
+            self._suspect_after(*[0.05] * 200),
+            self._suspect_after(0.3, *[0.05] * 200),
+        )
+
+    def test_time_is_bounded(self) -> None:
+        self.assertEqual(0.2, self._suspect_after(0.001))
+        self.assertEqual(0.8, self._suspect_after(5.0))
+
+    def test_removed_heads_are_forgotten(self) -> None:
+        progress = HeadProgress()
+        progress.record_event("h1", pause_seconds=0.3, now_seconds=1.0)
+        progress.retain_only(["h2"])
+        self.assertEqual(0.0, progress.last_event_at("h1"))
