Let as many requests queue at a head as it frees slots meanwhile

Change: the queue at a head is what it frees while the counts of other routers are on their way: the age of the counts over the time that a request holds a slot.

--- a/mulberrypaddle/dispatch/runner_choice.py
+++ b/mulberrypaddle/dispatch/runner_choice.py
@@ -28,10 +28,10 @@
 # two choices").
 SAMPLE_SIZE = 2
 
-# Requests that may queue at the head of a group, per slot. The counts of other
-# routers are a tenth of a second old, in which time a head frees about a
-# twentieth of its slots.
-HEAD_BACKLOG_PER_SLOT = 0.35
+# Age of the counts of other routers' requests, in small fleets and in larger
+# ones, where relays add them up.
+COUNT_AGE_SECONDS = 0.1
+RELAYED_COUNT_AGE_SECONDS = 0.4
 
 # Requests that may queue at a plain runner, per slot. It sheds load only beyond
 # its own queue, which is several times its slots.
@@ -202,13 +202,22 @@
         )
 
     def free_capacity(
-        self, requirements: RunnerRequirements, *, now_seconds: float
+        self,
+        requirements: RunnerRequirements,
+        *,
+        routers: int,
+        now_seconds: float,
     ) -> int:
         """Returns how many more requests the healthy runners can accept.
 
         This includes the requests that may queue at them beyond their slots.
+
+        Args:
+            requirements: Requirements of the requests.
+            routers: Number of routers that may be alive, including this one.
+            now_seconds: Monotonic time.
         """
-        backlog_per_slot = _backlog_per_slot(requirements)
+        backlog_per_slot = _backlog_per_slot(requirements, routers)
         free_capacity = 0
         for entry in self.healthy_runners(
             requirements, now_seconds=now_seconds
@@ -241,7 +250,7 @@
             routers: Number of routers that may be alive, including this one.
             now_seconds: Monotonic time.
         """
-        backlog_per_slot = _backlog_per_slot(requirements)
+        backlog_per_slot = _backlog_per_slot(requirements, routers)
         candidates: list[tuple[float, RunnerEntry]] = []
         for entry in self.healthy_runners(
             requirements, now_seconds=now_seconds
@@ -316,14 +325,33 @@
         )
 
 
-def _backlog_per_slot(requirements: RunnerRequirements) -> float:
-    """Returns how many requests may queue at a runner for each of its slots."""
-    if requirements.service.engine is None:
+def _backlog_per_slot(requirements: RunnerRequirements, routers: int) -> float:
+    """Returns how many requests may queue at a runner for each of its slots.
+
+    A head may queue as many as it frees slots while the counts of its requests
+    are on their way: with fewer, slots would stay unused; more would wait there
+    though another head may free a slot earlier.
+
+    Args:
+        requirements: Requirements of the requests.
+        routers: Number of routers that may be alive, including this one.
+    """
+    engine = requirements.service.engine
+    if engine is None:
         return PLAIN_BACKLOG_PER_SLOT
-    return (
-        RESUMED_BACKLOG_PER_SLOT
-        if requirements.resumed
-        else HEAD_BACKLOG_PER_SLOT
+    if requirements.resumed:
+        return RESUMED_BACKLOG_PER_SLOT
+    spec = engine.models.get(requirements.model)
+    if spec is None:
+        return 0.0
+    count_age_seconds = (
+        COUNT_AGE_SECONDS
+        if routers <= MAX_ROUTERS_COMPARING_ALL
+        else RELAYED_COUNT_AGE_SECONDS
+    )
+    return min(
+        RESUMED_BACKLOG_PER_SLOT,
+        count_age_seconds / max(0.001, engine.busy_seconds(spec)),
     )
 
 
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -196,7 +196,11 @@
             if service is not None:
                 requirements = RunnerRequirements(service, model=model)
                 free_capacity = share_of_free_slots(
-                    self.chooser.free_capacity(requirements, now_seconds=now),
+                    self.chooser.free_capacity(
+                        requirements,
+                        routers=self.live_routers,
+                        now_seconds=now,
+                    ),
                     local_waiting=len(queue),
                     peers_waiting=self.others_waiting(service_name, model),
                     chance=self.rng.random(),
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -514,7 +514,11 @@
             resumed=True,
         )
         return (
-            board.chooser.free_capacity(requirements, now_seconds=board.now())
+            board.chooser.free_capacity(
+                requirements,
+                routers=board.live_routers,
+                now_seconds=board.now(),
+            )
             > 0
         )
 
