Take the mean age of relayed counts for the queue at a head

Cause: relayed counts are up to 0.4 s old, 0.2 s on average; with the greatest age more would queue at the heads of a large fleet than before. Change: the mean age.

--- a/mulberrypaddle/dispatch/runner_choice.py
+++ b/mulberrypaddle/dispatch/runner_choice.py
@@ -28,10 +28,10 @@
 # two choices").
 SAMPLE_SIZE = 2
 
-# Age of the counts of other routers' requests, in small fleets and in larger
-# ones, where relays add them up.
+# Mean age of the counts of other routers' requests, in small fleets and in
+# larger ones, where relays add them up.
 COUNT_AGE_SECONDS = 0.1
-RELAYED_COUNT_AGE_SECONDS = 0.4
+RELAYED_COUNT_AGE_SECONDS = 0.2
 
 # Requests that may queue at a plain runner, per slot. It sheds load only beyond
 # its own queue, which is several times its slots.
