--- a/tests/replicas/test_first_layout.py
+++ b/tests/replicas/test_first_layout.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from mulberrypaddle.fleet import RunnerEntry
+from mulberrypaddle.fleet import EngineTraits, RunnerEntry
 from mulberrypaddle.replicas.first_layout import choose_first_groups
 from mulberrypaddle.replicas.placement import Formation, ModelDemand
 from tests.support.group_fleet import make_traits
@@ -33,18 +33,21 @@
 
 
 def _choose_groups(
-    free: list[RunnerEntry], formed: list[Formation] | None = None
+    free: list[RunnerEntry],
+    formed: list[Formation] | None = None,
+    *,
+    traits: EngineTraits = TRAITS,
 ) -> list[Formation]:
     """Chooses first groups with equal demand for each model."""
     formed = formed or []
     demands = []
-    for spec in TRAITS.models.values():
+    for spec in traits.models.values():
         groups = sum(formation.spec is spec for formation in formed)
         demands.append(ModelDemand(spec, wanted_slots=1.0, groups=groups))
     return choose_first_groups(
         free,
         formed=[(f.spec, m) for f in formed for m in f.members],
-        traits=TRAITS,
+        traits=traits,
         demands=demands,
     )
 
@@ -100,6 +103,37 @@
         for domain in large:
             self.assertLessEqual(taken[domain], 8)
 
+    def test_each_large_group_has_spares_in_domains_of_any_size(self) -> None:
+        for domain_size in (6, 8, 9, 12, 18, 19, 27):
+            for large_size, small_size in ((4, 2), (8, 4), (12, 2)):
+                if large_size + 2 > domain_size:
+                    continue
+                free = _free_runners(
+                    data_centres=3, domains=6, domain_size=domain_size
+                )
+                chosen = _choose_groups(
+                    free,
+                    traits=make_traits(
+                        large_size=large_size, small_size=small_size
+                    ),
+                )
+                large = [f for f in chosen if f.spec.name == "large"]
+                self.assertNotEqual([], large)
+                taken: dict[str, int] = {}
+                for formation in chosen:
+                    domain = formation.members[0].domain
+                    taken[domain] = taken.get(domain, 0) + formation.spec.size
+                for formation in large:
+                    domain = formation.members[0].domain
+                    self.assertLessEqual(taken[domain], domain_size - 2)
+
+    def test_small_groups_get_their_share_and_no_more(self) -> None:
+        chosen = _choose_groups(
+            _free_runners(data_centres=3, domains=6, domain_size=8)
+        )
+        small = [f for f in chosen if f.spec.name == "small"]
+        self.assertLessEqual(2 * len(small), 24)
+
     def test_second_choice_adds_no_groups(self) -> None:
         free = _free_runners(data_centres=3, domains=6, domain_size=10)
         chosen = _choose_groups(free)
--- a/tests/replicas/test_group_reconciler.py
+++ b/tests/replicas/test_group_reconciler.py
@@ -237,6 +237,48 @@
                 )
 
 
+class SmallDomainsTest(testtools.TestCase):
+    """One runner at a time is lost where a domain has room for few groups.
+
+    Three survivors of a group of four form no group by themselves, and the load
+    of a fourth takes a third of the time that is played.
+    """
+
+    def test_both_models_keep_the_wanted_slots(self) -> None:
+        traits = make_traits(large_share=0.67, slots=13)
+        served = {"large": 0.0, "small": 0.0}
+        steps = 0
+        for seed in range(6):
+            fleet = GroupFleet(
+                domains=6,
+                domain_size=8,
+                seed=seed,
+                traits=traits,
+                demand={"large": 24.0, "small": 36.0},
+            )
+            fleet.play(8.0)
+            fleet.traffic = True
+            for turn in range(12):
+                members = [
+                    runner
+                    for runner in fleet.runners.values()
+                    if runner.alive and runner.group is not None
+                ]
+                fleet.kill(fleet.rng.choice(members).runner_id)
+                if turn >= 4:
+                    fleet.add(f"d{fleet.rng.randrange(6)}")
+                for _ in range(15):
+                    fleet.play(0.2)
+                    steps += 1
+                    groups = fleet.open_groups()
+                    for model, wanted in fleet.wanted().items():
+                        slots = groups.get(model, 0) * traits.slots
+                        served[model] += min(1.0, slots / wanted)
+            self.assertEqual([], fleet.breaches)
+        for model, sum_served in served.items():
+            self.assertGreater(sum_served / steps, 0.95, model)
+
+
 def _kill_pair(fleet: GroupFleet) -> None:
     """Kills two members of groups in one domain if possible.
 
--- a/tests/replicas/test_placement.py
+++ b/tests/replicas/test_placement.py
@@ -203,3 +203,35 @@
             spares, _demands(large=(24, 6), small=(65, 9)), serving=serving
         )
         self.assertEqual(2, len(chosen))
+
+    def test_reserve_is_lent_to_an_overloaded_model(self) -> None:
+        serving = [_runner(n, staged="large") for n in range(8)]
+        spares = [_runner(n, staged="large") for n in range(8, 10)]
+        chosen = self._choose_loads(
+            spares, _demands(large=(18, 6), small=(65, 5)), serving=serving
+        )
+        self.assertEqual(["small"] * 2, [model for _, model in chosen])
+
+    def test_survivors_are_completed_before_spares_load(self) -> None:
+        survivors = [_runner(n, staged="large") for n in range(3)]
+        serving = [
+            _runner(n, staged="small", domain="d2") for n in range(10, 18)
+        ]
+        empty = [_runner(3), _runner(18, domain="d2")]
+        chosen = self._choose_loads(
+            [*survivors, *empty],
+            _demands(large=(20, 3), small=(50, 9)),
+            serving=serving,
+        )
+        self.assertEqual(("r03", "large"), chosen[0])
+
+    def test_first_spare_of_a_model_goes_before_another_second(self) -> None:
+        serving = [_runner(n, staged="large") for n in range(4)]
+        serving += [_runner(n, staged="small") for n in range(4, 6)]
+        spare = _runner(6, staged="large")
+        chosen = self._choose_loads(
+            [spare, _runner(7)],
+            _demands(large=(20, 6), small=(30, 6)),
+            serving=serving,
+        )
+        self.assertEqual([("r07", "small")], chosen)
