Return to spares by chance and groups by utilisation, with an observed rate

Cause: loads by one value completed small groups first, as one load sufficed, and left the large model without spares.

--- a/mulberrypaddle/replicas/staging.py
+++ b/mulberrypaddle/replicas/staging.py
@@ -51,23 +51,24 @@
     Attributes:
         runner: Free runner that loads the weights.
         model: Name of the model.
-        value: Value of the load; those with the highest come first.
+        utilisation: Expected utilisation of the model; loads for the most
+            utilised model come first.
         reason: Why the weights are loaded, in a few words, for the log.
     """
 
-    __slots__ = ("model", "reason", "runner", "value")
+    __slots__ = ("model", "utilisation", "reason", "runner")
 
     def __init__(
         self,
         runner: RunnerEntry,
         model: str,
         *,
-        value: float,
+        utilisation: float,
         reason: str,
     ) -> None:
         self.runner = runner
         self.model = model
-        self.value = value
+        self.utilisation = utilisation
         self.reason = reason
 
 
@@ -122,9 +123,10 @@
         by_name, domains, slots_per_group=traits.slots, loss_rate=loss_rate
     )
     for domain in domains:
-        planner.load_empty_runners(domain)
+        planner.complete_groups(domain)
+        planner.add_spares(domain)
     planner.restage_idle_runners()
-    return sorted(planner.chosen, key=lambda staging: -staging.value)
+    return sorted(planner.chosen, key=lambda staging: -staging.utilisation)
 
 
 class _StagingPlanner:
@@ -169,68 +171,56 @@
         }
         self.chosen: list[Staging] = []
 
-    def load_empty_runners(self, domain: _DomainInventory) -> None:
-        """Plans loads on all empty runners of a domain.
+    def complete_groups(self, domain: _DomainInventory) -> None:
+        """Plans loads on empty runners that complete new groups.
 
-        Each load is for the model to which it is worth most.
+        Only for models with an expected utilisation of at least
+        `HIGH_UTILISATION`.
         """
-        while domain.empty:
-            name = max(
-                self._demands, key=lambda name: self._load_value(domain, name)
-            )
-            value = self._load_value(domain, name)
+        for name in sorted(
+            self._demands,
+            key=lambda name: (
+                -self._utilisation_per_missing_runner(domain, name)
+            ),
+        ):
             missing = self._missing_runners(domain, name)
-            completes_group = missing <= len(
-                domain.empty
-            ) and value > self._spare_value(domain, name)
-            reason = (
-                "it completes a group"
-                if completes_group
-                else "a spare for repairs"
-            )
-            for _ in range(missing if completes_group else 1):
-                self._plan_load(
-                    domain, domain.empty.pop(), name, value=value, reason=reason
-                )
-
-    def _load_value(self, domain: _DomainInventory, name: str) -> float:
-        """Returns the value of loading a model onto an empty runner.
-
-        It is that of a group for each load that completes it, or that of a
-        spare if this is more or there are too few empty runners.
-        """
-        missing = self._missing_runners(domain, name)
-        value = self._spare_value(domain, name)
-        if missing <= len(domain.empty):
-            value = max(value, self._group_value(name) / missing)
-        return value
+            while (
+                self._expected_utilisation(name) >= HIGH_UTILISATION
+                and len(domain.empty) >= missing
+            ):
+                for _ in range(missing):
+                    runner = domain.empty.pop()
+                    self._plan_load(
+                        domain, runner, name, "it completes a group"
+                    )
+                missing = self._missing_runners(domain, name)
 
-    def _group_value(self, name: str) -> float:
-        """Returns the value of one more group of a model.
+    def add_spares(self, domain: _DomainInventory) -> None:
+        """Plans loads on the remaining empty runners, which become spares.
 
-        It grows with the square of the utilisation that is left once the groups
-        expected to be lost during a load are gone: the share of requests that
-        wait rises more steeply than the utilisation itself.
+        Each loads the model with the highest `_spare_value` in the domain.
         """
-        size = self._demands[name].spec.size
-        surviving_fraction = (1 - self._loss_chances[name]) ** size
-        utilisation = max(MIN_UTILISATION, self._expected_utilisation(name))
-        return (utilisation / surviving_fraction) ** 2
+        while domain.empty:
+            best = max(
+                self._demands, key=lambda name: self._spare_value(domain, name)
+            )
+            runner = domain.empty.pop()
+            self._plan_load(domain, runner, best, "a spare for repairs")
 
     def _spare_value(self, domain: _DomainInventory, name: str) -> float:
         """Returns the value of one more spare of a model in a domain.
 
-        It is that of a group, times the chance that members in the domain are
-        lost more often than there are spares before others have loaded the
-        weights.
+        It is the chance that members in the domain are lost, before runners
+        that replace them have loaded the weights, more often than there are
+        spares, times the utilisation of the model.
         """
         spares = domain.idle_or_loading(name)
         expected_losses = (
             max(MIN_SERVING, domain.serving[name]) * self._loss_chances[name]
         )
-        return self._group_value(name) * _chance_of_more_than(
-            spares, mean=expected_losses
-        )
+        return max(
+            MIN_UTILISATION, self._expected_utilisation(name)
+        ) * _chance_of_more_than(spares, mean=expected_losses)
 
     def restage_idle_runners(self) -> None:
         """Plans loads that replace the weights of idle runners.
@@ -244,14 +234,9 @@
             for domain in self._domains:
                 if self._expected_utilisation(name) < HIGH_UTILISATION:
                     break
-                donors = self._claim_donors(domain, name)
-                for runner in donors:
+                for runner in self._claim_donors(domain, name):
                     self._plan_load(
-                        domain,
-                        runner,
-                        name,
-                        value=self._group_value(name) / len(donors),
-                        reason="it completes a group",
+                        domain, runner, name, "it completes a group"
                     )
 
     def _expected_utilisation(self, name: str) -> float:
@@ -266,17 +251,30 @@
         size = self._demands[name].spec.size
         return size - domain.idle_or_loading(name) % size
 
+    def _utilisation_per_missing_runner(
+        self, domain: _DomainInventory, name: str
+    ) -> float:
+        """Returns the expected utilisation divided by `_missing_runners`."""
+        return self._expected_utilisation(name) / self._missing_runners(
+            domain, name
+        )
+
     def _plan_load(
         self,
         domain: _DomainInventory,
         runner: RunnerEntry,
         name: str,
-        *,
-        value: float,
         reason: str,
     ) -> None:
         """Adds a load to the plan and counts the group that it completes."""
-        self.chosen.append(Staging(runner, name, value=value, reason=reason))
+        self.chosen.append(
+            Staging(
+                runner,
+                name,
+                utilisation=self._expected_utilisation(name),
+                reason=reason,
+            )
+        )
         domain.loading[name] += 1
         if domain.idle_or_loading(name) % self._demands[name].spec.size == 0:
             self._expected_groups[name] += 1
