Exchange counts with relays at most twice as often in fleets below 150 routers

Change: a router and its relay exchange messages each 0.1 s in fleets up to 77 routers, rising to the former 0.2 s at 154 (before: 0.2 s in each).

--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -53,8 +53,14 @@
 # Pause between two heartbeats: the head of a group frees a slot about as often.
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 
-# Pause between two heartbeats to a relay, and between two of its digests.
-RELAY_INTERVAL_SECONDS = 0.2
+# Pause between two heartbeats to a relay, and between two of its digests, for
+# each router of the fleet. The older the counts are, the more routers send to
+# the same head; the work of a relay grows with the routers.
+RELAY_INTERVAL_SECONDS_PER_ROUTER = 0.0013
+
+# Bounds on that pause.
+MIN_RELAY_INTERVAL_SECONDS = 0.1
+MAX_RELAY_INTERVAL_SECONDS = 0.2
 
 # Pause between two searches in a large fleet: by a member for a relay, and by a
 # relay for routers that do not know it.
@@ -73,6 +79,21 @@
 MAX_REMEMBERED_PROCESSES = 8_192
 
 
+def relay_interval_seconds(routers: int) -> float:
+    """Returns the pause between two messages to or from a relay.
+
+    Args:
+        routers: Number of routers that may be alive.
+    """
+    return min(
+        MAX_RELAY_INTERVAL_SECONDS,
+        max(
+            MIN_RELAY_INTERVAL_SECONDS,
+            routers * RELAY_INTERVAL_SECONDS_PER_ROUTER,
+        ),
+    )
+
+
 class PeerExchange(asyncio.DatagramProtocol):
     """Sends and receives heartbeats, and applies the received ones.
 
@@ -138,7 +159,7 @@
         # address.
         self._rival_relays: dict[str, float] = {}
         self._change_tracker = ChangeTracker(self._feeds)
-        self._sent_at_seconds = -RELAY_INTERVAL_SECONDS
+        self._sent_at_seconds = -MAX_RELAY_INTERVAL_SECONDS
         self._searched_at_seconds = -RELAY_SEARCH_SECONDS
 
     async def start(self) -> None:
@@ -418,7 +439,11 @@
         )
         if is_relay != was_relay:
             self._reset_for_role(is_relay)
-        if now - self._sent_at_seconds < RELAY_INTERVAL_SECONDS:
+        interval_seconds = relay_interval_seconds(board.live_routers)
+        # The ticks come a little late, so that half of one is allowed for.
+        if now - self._sent_at_seconds < (
+            interval_seconds - HEARTBEAT_INTERVAL_SECONDS / 2
+        ):
             return
         self._sent_at_seconds = now
         if is_relay:
