--- a/mulberrypaddle/replicas/staging.py
+++ b/mulberrypaddle/replicas/staging.py
@@ -215,9 +215,6 @@
         spares, times the utilisation of the model.
         """
         spares = domain.idle_or_loading(name)
-        size = self._demands[name].spec.size
-        if size > SPARES_PER_DOMAIN and spares % size == size - 1:
-            return max(MIN_UTILISATION, self._expected_utilisation(name))
         expected_losses = (
             max(MIN_SERVING, domain.serving[name]) * self._loss_chances[name]
         )
