Test kept connections and late answers through a whole request

Cause: connections and causes were tested at the call and the count only. Change: requests in a row through the exchange, a late second copy on a kept connection, a late answer's log line.

--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -244,6 +244,95 @@
         self.assertLess(run(scenario()), 0.5)
 
 
+class KeptConnectionTest(testtools.TestCase):
+    """Requests in a row to one runner, which announces an idle timeout."""
+
+    def _send_in_a_row(self, *paths: str) -> tuple[list[bytes], RawRunner]:
+        """Sends one request for each path; returns the answers and the runner.
+
+        The request id is the same each time, as the answers name it.
+        """
+        answer = _complete_response(200, b"done", b"Keep-Alive: timeout=2\r\n")
+
+        async def scenario() -> tuple[list[bytes], RawRunner]:
+            harness = FrontEndHarness()
+            runner = RawRunner(_answers(*[answer] * len(paths)))
+            harness.add_runner("r0", await runner.start())
+            got = [await harness.send_request(path) for path in paths]
+            harness.close()
+            await runner.stop()
+            return got, runner
+
+        return run(scenario())
+
+    def test_repeatable_requests_share_a_connection(self) -> None:
+        got, runner = self._send_in_a_row("/safe/1", "/safe/2", "/safe/3")
+        self.assertEqual([b"HTTP/1.1 200"] * 3, [head[:12] for head in got])
+        self.assertEqual(1, runner.connection_count)
+
+    def test_request_that_runs_at_most_once_has_its_own(self) -> None:
+        got, runner = self._send_in_a_row("/safe/1", "/pay/1", "/pay/2")
+        self.assertEqual([b"HTTP/1.1 200"] * 3, [head[:12] for head in got])
+        self.assertEqual(3, runner.connection_count)
+
+    def test_answer_of_another_request_ends_the_connection(self) -> None:
+        late_copy = _complete_response(200, b"old").replace(b"q1", b"q0")
+
+        async def scenario() -> tuple[bytes, int]:
+            harness = FrontEndHarness()
+            # The retry budget of a new process allows no second attempt.
+            for _ in range(20):
+                harness.board.retries.record_first_attempt(
+                    "stock", harness.board.now()
+                )
+            keep_alive = b"Keep-Alive: timeout=2\r\n"
+            answer = _complete_response(200, b"done", keep_alive)
+            runners = [
+                RawRunner(_answers(answer, late_copy + answer, answer))
+                for _ in range(2)
+            ]
+            for number, runner in enumerate(runners):
+                harness.add_runner(f"r{number}", await runner.start())
+            await harness.send_request("/safe/1")
+            got = await harness.send_request("/safe/2")
+            harness.close()
+            for runner in runners:
+                await runner.stop()
+            return got, sum(runner.connection_count for runner in runners)
+
+        got, connection_count = run(scenario())
+        self.assertTrue(got.endswith(b"done"))
+        # The second request used the kept connection, and its second attempt
+        # opened one to the other runner.
+        self.assertEqual(2, connection_count)
+
+
+class LateAnswerTest(testtools.TestCase):
+    """Answers beyond their target are logged with the cause."""
+
+    def test_slow_runner_is_named(self) -> None:
+        async def answer_slowly(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(0.3)
+            writer.write(_complete_response(200, b"done"))
+
+        async def scenario() -> None:
+            harness = FrontEndHarness()
+            runner = RawRunner(answer_slowly)
+            harness.add_runner("r0", await runner.start())
+            await harness.send_request("/pay/1")
+            harness.close()
+            await runner.stop()
+
+        with self.assertLogs("mulberrypaddle.requests", "INFO") as logs:
+            run(scenario())
+        late = [record for record in logs.records if record.msg == "late"]
+        self.assertEqual(1, len(late))
+        self.assertEqual("slow_start", late[0].__dict__["cause"])
+        self.assertEqual("r0", late[0].__dict__["runner"])
+
+
 class StreamTest(testtools.TestCase):
     """Requests that are answered by a stream of events."""
 
