--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -249,6 +249,11 @@
 
     is_complete = False
 
+    @property
+    def longest_pause_seconds(self) -> float:
+        """Returns the longest pause between two forwarded events."""
+        return 0.0
+
     def _check_limits(self) -> None:
         """Abandons the attempt if it has exceeded a time limit."""
         raise NotImplementedError
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -10,7 +10,6 @@
 
 from mulberrypaddle.core.errors import ANSWERS, ErrorKind
 from mulberrypaddle.dispatch import RunnerRequirements, decide_wait
-from mulberrypaddle.dispatch.lateness import RequestTimeline, late_cause
 from mulberrypaddle.dispatch.wait_decision import (
     MIN_SEND_SECONDS,
     retry_after,
@@ -25,11 +24,11 @@
     StreamAttempt,
 )
 from mulberrypaddle.serving.decision_log import log_request, log_success
+from mulberrypaddle.serving.late_answers import LatenessRecorder
 from mulberrypaddle.serving.metrics import (
     ANSWER_SECONDS,
     ATTEMPTS,
     FIRST_BYTE_SECONDS,
-    LATE_ANSWERS,
     REQUESTS,
 )
 from mulberrypaddle.serving.suspension import SuspensionMark
@@ -112,7 +111,7 @@
         # Incarnations of the runners at which the request may have run, as
         # runner id and start time in milliseconds.
         self._possible_runs: list[tuple[str, int | None]] = []
-        self._timeline = RequestTimeline()
+        self._lateness = LatenessRecorder()
         self.last_event_id = fields.last_event_id
 
     async def run(self) -> None:
@@ -313,7 +312,6 @@
         )
         self._waiter = waiter
         queue.add(waiter)
-        queued_at = now
         try:
             if on_time:
                 await asyncio.wait(
@@ -337,7 +335,10 @@
         finally:
             queue.drop(waiter)
             self._waiter = None
-            self._record_wait(board.now() - queued_at, healthy_count)
+            if not self._caller.response_started:
+                self._lateness.record_wait(
+                    board.now() - now, healthy_runners=healthy_count
+                )
         if self._caller.disconnected:
             return False
         if not may_send:
@@ -351,14 +352,6 @@
             )
         return may_send
 
-    def _record_wait(self, seconds: float, healthy_count: int) -> None:
-        """Adds a wait in the queue to the timeline, before the first byte."""
-        if self._caller.response_started:
-            return
-        self._timeline.queued_seconds += seconds
-        if not healthy_count:
-            self._timeline.without_runner_seconds += seconds
-
     def _evaluate_wait(
         self,
         requirements: RunnerRequirements,
@@ -453,9 +446,9 @@
         finally:
             board.loads.remove_request(entry.runner_id)
             board.dispatch_waiting()
-        self._timeline.sends += 1
-        if not self._caller.response_started:
-            self._timeline.failed_attempts_seconds += board.now() - now
+        self._lateness.record_attempt(
+            board.now() - now, answer_begun=self._caller.response_started
+        )
         return self._handle_outcome(entry, attempt, outcome)
 
     def _make_attempt(self, entry: RunnerEntry) -> Attempt:
@@ -556,7 +549,15 @@
             FIRST_BYTE_SECONDS.labels(self._terms.service.name).observe(
                 max(0.0, first_byte_at - self._arrived_at)
             )
-            self._log_if_late(runner_id, first_byte_at, attempt)
+            self._lateness.log_if_late(
+                route=self._terms.route,
+                first_byte_seconds=first_byte_at - self._arrived_at,
+                longest_pause_seconds=attempt.longest_pause_seconds,
+                request_id=self._fields.request_id,
+                runner_id=runner_id,
+                service=self._terms.service.name,
+                model=self._fields.model,
+            )
             log_success(
                 request_id=self._fields.request_id,
                 runner=runner_id,
@@ -617,37 +618,6 @@
             return self._forward_error_response(attempt)
         return _NextStep.RETRY
 
-    def _log_if_late(
-        self, runner_id: str, first_byte_at: float, attempt: Attempt
-    ) -> None:
-        """Logs and counts an answer that missed its target, with the cause."""
-        timeline = self._timeline
-        timeline.first_byte_seconds = first_byte_at - self._arrived_at
-        if isinstance(attempt, StreamAttempt):
-            timeline.longest_pause_seconds = attempt.longest_pause_seconds
-        cause = late_cause(
-            timeline,
-            target_seconds=self._terms.route.target_seconds,
-            pause_seconds=self._terms.route.pause_seconds,
-        )
-        if cause is None:
-            return
-        LATE_ANSWERS.labels(self._terms.service.name, cause.value).inc()
-        log_request(
-            "late",
-            request_id=self._fields.request_id,
-            runner=runner_id,
-            cause=cause.value,
-            service=self._terms.service.name,
-            model=self._fields.model,
-            sends=self._send_count,
-            first_byte=round(timeline.first_byte_seconds, 3),
-            queued=round(timeline.queued_seconds, 3),
-            pause=round(timeline.longest_pause_seconds, 3),
-            target=self._terms.route.target_seconds,
-            fleet=self._board.view.revision,
-        )
-
     def _forward_error_response(self, attempt: Attempt) -> _NextStep:
         """Forwards the runner's error response, if a complete one came."""
         if attempt.forward_error_response():
--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -36,9 +36,11 @@
 from mulberrypaddle.serving.recent_maximum import RecentMaximum
 from mulberrypaddle.serving.relays import (
     MAX_MESH_ROUTERS,
+    MAX_RELAY_INTERVAL_SECONDS,
     RELAY_FALLBACK_SECONDS,
     RelayRank,
     Relays,
+    relay_interval_seconds,
 )
 from mulberrypaddle.serving.store_watchers import StoreWatchers
 
@@ -53,15 +55,6 @@
 # Pause between two heartbeats: the head of a group frees a slot about as often.
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 
-# Pause between two heartbeats to a relay, and between two of its digests, for
-# each router of the fleet. The older the counts are, the more routers send to
-# the same head; the work of a relay grows with the routers.
-RELAY_INTERVAL_SECONDS_PER_ROUTER = 0.0013
-
-# Bounds on that pause.
-MIN_RELAY_INTERVAL_SECONDS = 0.1
-MAX_RELAY_INTERVAL_SECONDS = 0.2
-
 # Pause between two searches in a large fleet: by a member for a relay, and by a
 # relay for routers that do not know it.
 RELAY_SEARCH_SECONDS = 1.0
@@ -79,21 +72,6 @@
 MAX_REMEMBERED_PROCESSES = 8_192
 
 
-def relay_interval_seconds(routers: int) -> float:
-    """Returns the pause between two messages to or from a relay.
-
-    Args:
-        routers: Number of routers that may be alive.
-    """
-    return min(
-        MAX_RELAY_INTERVAL_SECONDS,
-        max(
-            MIN_RELAY_INTERVAL_SECONDS,
-            routers * RELAY_INTERVAL_SECONDS_PER_ROUTER,
-        ),
-    )
-
-
 class PeerExchange(asyncio.DatagramProtocol):
     """Sends and receives heartbeats, and applies the received ones.
 
--- a/mulberrypaddle/serving/relays.py
+++ b/mulberrypaddle/serving/relays.py
@@ -16,6 +16,15 @@
 # send about a thousand messages a second in all.
 MAX_MESH_ROUTERS = 12
 
+# Pause between two heartbeats to a relay, and between two of its digests, for
+# each router of the fleet. The older the counts are, the more routers send to
+# the same head; the work of a relay grows with the routers.
+RELAY_INTERVAL_SECONDS_PER_ROUTER = 0.0013
+
+# Bounds on that pause.
+MIN_RELAY_INTERVAL_SECONDS = 0.1
+MAX_RELAY_INTERVAL_SECONDS = 0.2
+
 # Time without a digest after which a relay counts as lost: several digests.
 RELAY_TIMEOUT_SECONDS = 0.6
 
@@ -24,6 +33,21 @@
 RELAY_FALLBACK_SECONDS = 1.4
 
 
+def relay_interval_seconds(routers: int) -> float:
+    """Returns the pause between two messages to or from a relay.
+
+    Args:
+        routers: Number of routers that may be alive.
+    """
+    return min(
+        MAX_RELAY_INTERVAL_SECONDS,
+        max(
+            MIN_RELAY_INTERVAL_SECONDS,
+            routers * RELAY_INTERVAL_SECONDS_PER_ROUTER,
+        ),
+    )
+
+
 class RelayRank:
     """Rank by which one of several relays in a data centre is chosen.
 
--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -7,7 +7,7 @@
 import testtools
 
 from mulberrypaddle.serving import peer_exchange
-from mulberrypaddle.serving.peer_exchange import relay_interval_seconds
+from mulberrypaddle.serving.relays import relay_interval_seconds
 from tests.serving.test_digest import make_heartbeat
 from tests.support.peer_net import PeerNet, PlayedRouter
 from tests.support.virtual_time import run_virtual
