Form groups also where a domain has no room for their spares

Cause: found on reading: with groups as large as their domain the reserve left no room for any group at the first start, and a model whose share was less than a group got none. Change: the reserve is what the domain has beyond the group, at most two; each model gets a group, before spares of others if need be.

--- a/mulberrypaddle/replicas/first_layout.py
+++ b/mulberrypaddle/replicas/first_layout.py
@@ -66,7 +66,10 @@
         """
         if self.hosts_other_models(demand.spec.name):
             return SPARES_PER_DOMAIN
-        return SPARES_PER_DOMAIN if demand.spec.size > SPARES_PER_DOMAIN else 0
+        if demand.spec.size <= SPARES_PER_DOMAIN:
+            return 0
+        # A domain that has no room for a group and its spares gets the group.
+        return max(0, min(SPARES_PER_DOMAIN, self.size - demand.spec.size))
 
 
 def choose_first_groups(
@@ -109,8 +112,12 @@
         # Rounded down, since a model's share also covers its spares; up for
         # the model with the smallest groups, which fit into what is left.
         quota = math.ceil(share) if demand is ordered[-1] else int(share)
+        quota = max(1, quota)
         for _ in range(quota - demand.groups):
             best = _best_domain(domains, demand)
+            if best is None and demand.groups == 0:
+                # A first group goes before spares of other models.
+                best = _best_domain(domains, demand, keep_spares=False)
             if best is None:
                 break
             formation = pick_members(best.free, demand.spec)
@@ -126,7 +133,7 @@
 
 
 def _best_domain(
-    domains: list[_DomainPlan], demand: ModelDemand
+    domains: list[_DomainPlan], demand: ModelDemand, *, keep_spares: bool = True
 ) -> _DomainPlan | None:
     """Returns the domain for a model's next group, or None if none fits.
 
@@ -137,6 +144,7 @@
     Args:
         domains: All fabric domains.
         demand: Demand for the model.
+        keep_spares: Whether to leave the spares of the domain free.
     """
     name = demand.spec.name
     by_data_centre: dict[str, int] = {}
@@ -147,7 +155,9 @@
     best: _DomainPlan | None = None
     best_rank: tuple[int, bool, int, int] | None = None
     for domain in domains:
-        free_count = len(domain.free) - domain.reserved_spares(demand)
+        free_count = len(domain.free)
+        if keep_spares:
+            free_count -= domain.reserved_spares(demand)
         if free_count < demand.spec.size:
             continue
         rank = (
--- a/tests/replicas/test_first_layout.py
+++ b/tests/replicas/test_first_layout.py
@@ -127,6 +127,24 @@
                     domain = formation.members[0].domain
                     self.assertLessEqual(taken[domain], domain_size - 2)
 
+    def test_domains_without_room_for_spares_get_groups(self) -> None:
+        for domain_size, large_size in ((4, 4), (8, 8), (9, 8), (12, 12)):
+            chosen = _choose_groups(
+                _free_runners(
+                    data_centres=3, domains=6, domain_size=domain_size
+                ),
+                traits=make_traits(large_size=large_size),
+            )
+            names = [formation.spec.name for formation in chosen]
+            self.assertGreaterEqual(names.count("large"), 2, domain_size)
+            self.assertGreaterEqual(names.count("small"), 2, domain_size)
+
+    def test_each_model_of_a_small_fleet_gets_a_group(self) -> None:
+        chosen = _choose_groups(
+            _free_runners(data_centres=1, domains=1, domain_size=7)
+        )
+        self.assertEqual({"large", "small"}, {f.spec.name for f in chosen})
+
     def test_small_groups_get_their_share_and_no_more(self) -> None:
         chosen = _choose_groups(
             _free_runners(data_centres=3, domains=6, domain_size=8)
