Leave a silent runner only with a retry in hand

Cause: a request that made no progress left its runner once another had a free slot; only then was the retry budget asked, and if it was spent the request failed with an unknown outcome, though its runner would have answered it. Change: the retry is reserved before the request leaves its runner.

--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -124,7 +124,7 @@
         route: Route,
         deadline_seconds: float,
         previous: Attempt | None,
-        can_reroute: Callable[[str], bool],
+        reserve_reroute: Callable[[str], bool],
     ) -> None:
         """Prepares an attempt.
 
@@ -137,8 +137,8 @@
             deadline_seconds: Loop time at which the attempt times out.
             previous: The attempt at the same request before this one; None
                 for the first.
-            can_reroute: Returns whether the request may leave the given
-                runner for another one.
+            reserve_reroute: Returns whether the request may leave the given
+                runner for another one, and reserves the retry.
         """
         self._board = board
         self._caller = caller
@@ -146,7 +146,7 @@
         self._request_id = request_id
         self._route = route
         self._deadline = deadline_seconds
-        self._can_reroute = can_reroute
+        self._reserve_reroute = reserve_reroute
         self._head: RunnerResponseHead | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -366,7 +366,9 @@
         reroute_after = self._route.target_seconds * REROUTE_AFTER_TARGETS
         if now - self._started_at < reroute_after:
             return
-        if self._route.may_retry and self._can_reroute(self._entry.runner_id):
+        if self._route.may_retry and self._reserve_reroute(
+            self._entry.runner_id
+        ):
             self._abandon(AttemptOutcome.STALLED)
 
 
@@ -444,7 +446,7 @@
             is_suspected=board.runner_health.is_suspected(runner_id, now),
             queued=queued,
         )
-        if silent_seconds >= limit_seconds and self._can_reroute(runner_id):
+        if silent_seconds >= limit_seconds and self._reserve_reroute(runner_id):
             self.detail = f"no progress for {silent_seconds:.2f} s"
             self._abandon(AttemptOutcome.STALLED)
 
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -107,6 +107,8 @@
         self._waiter: Waiter | None = None
         self._send_count = 0
         self._first_send_counted = False
+        # Whether the retry budget has already been charged for the next send.
+        self._retry_reserved = False
         self._may_have_run = False
         # Incarnations of the runners at which the request may have run, as
         # runner id and start time in milliseconds.
@@ -419,9 +421,7 @@
         if not self._first_send_counted:
             self._first_send_counted = True
             board.retries.record_first_attempt(service, now)
-        elif self._send_count and not board.retries.try_acquire(
-            service, routers=board.live_routers, now_seconds=now
-        ):
+        elif self._send_count and not self._acquire_retry(now):
             board.loads.remove_request(entry.runner_id)
             log_request(
                 "retry_refused",
@@ -451,6 +451,17 @@
         )
         return self._handle_outcome(entry, attempt, outcome)
 
+    def _acquire_retry(self, now: float) -> bool:
+        """Returns whether a retry was reserved or the budget allows one now."""
+        if self._retry_reserved:
+            self._retry_reserved = False
+            return True
+        return self._board.retries.try_acquire(
+            self._terms.service.name,
+            routers=self._board.live_routers,
+            now_seconds=now,
+        )
+
     def _make_attempt(self, entry: RunnerEntry) -> Attempt:
         """Creates the next attempt and makes it the current one."""
         board = self._board
@@ -464,7 +475,7 @@
             route=self._terms.route,
             deadline_seconds=board.now() + self._remaining_seconds(board.now()),
             previous=previous,
-            can_reroute=self._can_reroute,
+            reserve_reroute=self._reserve_reroute,
         )
         self._attempt = attempt
         return attempt
@@ -491,11 +502,15 @@
             last_event_id=last_event_id,
         )
 
-    def _can_reroute(self, runner_id: str) -> bool:
-        """Returns whether the request may leave a runner for another one.
+    def _reserve_reroute(self, runner_id: str) -> bool:
+        """Reserves a retry if the request may leave a runner for another one.
 
-        Only if another one has a free slot: a request that a runner holds may
-        still be answered, one in the queue of this router is not.
+        Only if another one has a free slot and the retry budget allows it: a
+        request that a runner holds may still be answered, one in the queue of
+        this router is not, and one without a retry fails.
+
+        Returns:
+            Whether the request may leave the runner.
         """
         if not self._terms.route.may_retry or not self._may_send_again(1):
             return False
@@ -506,14 +521,17 @@
             excluded=frozenset({*self._excluded_runners, runner_id}),
             resumed=True,
         )
-        return (
-            board.chooser.free_capacity(
-                requirements,
-                routers=board.live_routers,
-                now_seconds=board.now(),
-            )
-            > 0
+        free_capacity = board.chooser.free_capacity(
+            requirements, routers=board.live_routers, now_seconds=board.now()
+        )
+        if free_capacity <= 0:
+            return False
+        self._retry_reserved = board.retries.try_acquire(
+            self._terms.service.name,
+            routers=board.live_routers,
+            now_seconds=board.now(),
         )
+        return self._retry_reserved
 
     def _may_send_again(self, running: int = 0) -> bool:
         """Returns whether the request may run at one more runner.
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -337,18 +337,22 @@
     """Requests that are answered by a stream of events."""
 
     def _send_request(
-        self, *answers: AnswerWriter
+        self, *answers: AnswerWriter, first_attempts: int = 20
     ) -> tuple[bytes, list[RawRunner]]:
         """Requests a stream from a router with one head for each answer.
 
+        Args:
+            *answers: Writes the answers of a head.
+            first_attempts: Number of earlier requests. Without any, the retry
+                budget of a new process allows no second attempt.
+
         Returns:
             The bytes that the caller received, and the runners.
         """
 
         async def scenario() -> tuple[bytes, list[RawRunner]]:
             path = FrontEndHarness()
-            # The retry budget of a new process allows no second attempt.
-            for _ in range(20):
+            for _ in range(first_attempts):
                 path.board.retries.record_first_attempt(
                     "cards", path.board.now()
                 )
@@ -373,6 +377,19 @@
         self.assertIn(b"id: 1\ndata: x\n\n", got)
         self.assertTrue(got.endswith(b"0\r\n\r\n"))
 
+    def test_slow_head_is_not_left_without_a_retry_to_spend(self) -> None:
+        async def answer_slowly(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(1.6)
+            writer.write(_STREAM_HEAD + _event(1) + _STREAM_END)
+
+        got, runners = self._send_request(
+            answer_slowly, answer_slowly, first_attempts=0
+        )
+        self.assertIn(b"id: 1\ndata: x\n\n", got)
+        self.assertEqual(1, sum(len(r.request_heads) for r in runners))
+
     def test_broken_stream_is_resumed_at_another_head(self) -> None:
         seen: list[bytes] = []
 
