--- a/mulberrypaddle/dispatch/wait_decision.py
+++ b/mulberrypaddle/dispatch/wait_decision.py
@@ -18,8 +18,7 @@
 # engine reads the prompt and makes one pass of token steps.
 FIRST_EVENT_RESERVE_SECONDS = 0.35
 
-# Typical time from sending to the first event at a head with a free slot: the
-# median is 0.18 to 0.24 s on days of low load.
+# Typical time from sending to the first event at a head with a free slot.
 TYPICAL_FIRST_EVENT_SECONDS = 0.2
 
 # Fraction of the target of a plain request that its runner typically needs:
