Use one check of a group's members, and one pause while stopping

Cause: the read-through found the check that all members of a group may get new work in the reconciler and, written again, in the log of groups; and the same pause twice.

--- a/mulberrypaddle/replicas/group_reconciler.py
+++ b/mulberrypaddle/replicas/group_reconciler.py
@@ -371,15 +371,6 @@
             for member in snapshot.members.values()
         )
 
-    def _has_unusable_member(
-        self, view: FleetView, snapshot: GroupSnapshot
-    ) -> bool:
-        """Returns whether a member drains or is in an evacuated data centre."""
-        return any(
-            not view.accepts_new_work(member)
-            for member in snapshot.members.values()
-        )
-
     def _close_draining_group(
         self, snapshot: GroupSnapshot, now_seconds: float
     ) -> None:
@@ -439,7 +430,7 @@
                 continue
             if snapshot.head_state is MembershipState.BROKEN:
                 continue
-            if self._has_unusable_member(view, snapshot):
+            if not snapshot.accepts_new_work(view):
                 continue
             groups[snapshot.spec.name] = groups.get(snapshot.spec.name, 0) + 1
         for pending in self._pending:
@@ -488,7 +479,7 @@
                     continue
                 if snapshot.head_state is MembershipState.BROKEN:
                     continue
-                if self._has_unusable_member(view, snapshot):
+                if not snapshot.accepts_new_work(view):
                     continue
                 name = snapshot.spec.name
                 counts[name] = counts.get(name, 0) + 1
--- a/mulberrypaddle/replicas/group_snapshot.py
+++ b/mulberrypaddle/replicas/group_snapshot.py
@@ -14,6 +14,7 @@
 
     from mulberrypaddle.fleet.config import EngineTraits, ModelSpec
     from mulberrypaddle.fleet.runners import RunnerEntry
+    from mulberrypaddle.fleet.view import FleetView
 
 
 class GroupSnapshot:
@@ -85,6 +86,16 @@
         """
         return self.head_state is MembershipState.BROKEN
 
+    def accepts_new_work(self, view: FleetView) -> bool:
+        """Returns whether no member drains or is in an evacuated data centre.
+
+        Args:
+            view: The fleet that the members are part of.
+        """
+        return all(
+            view.accepts_new_work(member) for member in self.members.values()
+        )
+
 
 def snapshot_groups(
     entries: Iterable[RunnerEntry], traits: EngineTraits
--- a/mulberrypaddle/serving/group_controller.py
+++ b/mulberrypaddle/serving/group_controller.py
@@ -126,10 +126,7 @@
                     group.spec is spec
                     and group.complete
                     and group.head_state is MembershipState.OPEN
-                    and all(
-                        board.view.accepts_new_work(member)
-                        for member in group.members.values()
-                    )
+                    and group.accepts_new_work(board.view)
                     for group in groups
                 )
                 OPEN_GROUPS.labels(spec.name).set(open_groups)
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -12,7 +12,10 @@
 
 from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.serving.blackboard import Blackboard
-from mulberrypaddle.serving.caller_server import CallerServer
+from mulberrypaddle.serving.caller_server import (
+    STOP_POLL_SECONDS,
+    CallerServer,
+)
 from mulberrypaddle.serving.decision_log import log_state_change
 from mulberrypaddle.serving.duty_manager import DutyManager
 from mulberrypaddle.serving.feed import Feed, FeedUpdate
@@ -74,9 +77,6 @@
 # connections that were not read yet may hold some.
 STOP_QUIET_SECONDS = 0.3
 
-# Pause between two checks for requests in flight while stopping.
-STOP_POLL_SECONDS = 0.05
-
 
 class ServingRouter:
     """One router process.
