Log the prompt parts and the progress of failed attempts

Nothing logged told those requests from the sound ones of the same batch: `event=attempt_failed` named neither the parts of the prompt nor how many events the runner had sent.

Adds `parts` and `events` to the line. No decision reads the parts yet.

--- a/mulberrypaddle/platform/headers.py
+++ b/mulberrypaddle/platform/headers.py
@@ -18,6 +18,7 @@
 _API_KEY = "x-api-key"
 _MODEL = "x-model"
 _TOKEN_COUNTS = "x-token-counts"
+_PROMPT_PARTS = "x-prompt-prefix"
 _LENGTH_HINT = "x-length-hint"
 _LAST_EVENT_ID = "last-event-id"
 _ORGANISATION = "x-tenant"
@@ -28,6 +29,11 @@
 _NOT_EXECUTED = "x-not-executed"
 _FAULTY_RUNNER = "at-server"
 
+# Prompt parts that are parsed at most, and the length of an id above which it
+# is ignored: callers choose both, and parts of crashed requests are remembered.
+_MAX_PROMPT_PARTS = 16
+_MAX_PART_ID_LENGTH = 64
+
 # Hop-by-hop headers and those that frame the body; never forwarded.
 _HOP_BY_HOP = frozenset(
     {
@@ -93,6 +99,7 @@
                 _parse_non_negative(headers.get(_LENGTH_HINT)) or 0
             ),
             last_event_id=_parse_unsigned(headers.get(_LAST_EVENT_ID)),
+            prompt_parts=_parse_prompt_parts(headers.get(_PROMPT_PARTS, "")),
             forwarded_headers=forwarded_headers,
         )
 
@@ -170,3 +177,20 @@
     """Parses "PROMPT,ANSWER"; a missing or invalid count is 0."""
     prompt, _, answer = text.partition(",")
     return _parse_unsigned(prompt) or 0, _parse_unsigned(answer) or 0
+
+
+def _parse_prompt_parts(text: str) -> tuple[str, ...]:
+    """Parses "ID:TOKENS,ID:TOKENS,..." without the last part.
+
+    Returns:
+        Distinct ids in order, `_MAX_PROMPT_PARTS` at most.
+    """
+    part_ids: dict[str, None] = {}
+    for item in text.split(",")[:-1]:
+        part_id = item.partition(":")[0].strip().lower()
+        if not part_id or len(part_id) > _MAX_PART_ID_LENGTH:
+            continue
+        part_ids[part_id] = None
+        if len(part_ids) == _MAX_PROMPT_PARTS:
+            break
+    return tuple(part_ids)
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -249,6 +249,11 @@
 
     is_complete = False
 
+    @property
+    def event_count(self) -> int:
+        """Returns how many events the runner sent in this attempt."""
+        return 0
+
     @property
     def longest_pause_seconds(self) -> float:
         """Returns the longest pause between two forwarded events."""
@@ -389,6 +394,11 @@
             self._progress = StreamProgress()
         self._caller.set_drained_callback(self._on_caller_drained)
 
+    @property
+    def event_count(self) -> int:
+        """Returns how many events the runner sent in this attempt."""
+        return self._event_count
+
     @property
     def longest_pause_seconds(self) -> float:
         """Returns the longest pause between two forwarded events."""
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -600,6 +600,8 @@
             end=outcome.value,
             status=attempt.status,
             detail=attempt.detail,
+            events=attempt.event_count,
+            parts=",".join(self._fields.prompt_parts),
             sends=self._send_count,
             age=round(now - self._arrived_at, 3),
         )
--- a/mulberrypaddle/serving/header_codec.py
+++ b/mulberrypaddle/serving/header_codec.py
@@ -27,6 +27,9 @@
             unknown.
         last_event_id: Id of the last event that the caller has received; None
             if it starts a new stream.
+        prompt_parts: Ids of the parts of the prompt that other requests may
+            share, in order, up to a maximum; the last part of the prompt is
+            the request's own and left out.
         forwarded_headers: Headers that are forwarded to the runner unchanged.
     """
 
@@ -37,6 +40,7 @@
         "last_event_id",
         "model",
         "forwarded_headers",
+        "prompt_parts",
         "prompt_tokens",
         "request_id",
         "wait_seconds",
@@ -54,6 +58,7 @@
         expected_tokens: int,
         last_event_id: int | None,
         forwarded_headers: list[tuple[str, str]],
+        prompt_parts: tuple[str, ...] = (),
     ) -> None:
         self.request_id = request_id
         self.wait_seconds = wait_seconds
@@ -63,6 +68,7 @@
         self.answer_tokens = answer_tokens
         self.expected_tokens = expected_tokens
         self.last_event_id = last_event_id
+        self.prompt_parts = prompt_parts
         self.forwarded_headers = forwarded_headers
 
 
