--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -23,6 +24,13 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from tests.support.crashing_parts import (
+    FIRST_PART,
+    SHARED_PARTS,
+    CrashingParts,
+    make_prompt,
+    prompt_parts,
+)
 from tests.support.front_end_harness import free_port
 
 if TYPE_CHECKING:
@@ -31,8 +39,12 @@
 ROOT = Path(__file__).resolve().parents[2]
 # A runner writes its entry and checks its group four times in this time.
 HEARTBEAT_SECONDS = 0.4
-# The entry of a crashed runner is removed after this time.
+# The entry of a crashed runner is removed after this time, by default.
 ENTRY_EXPIRY_SECONDS = 1.2
+# Shortest and longest time after which a runner that a prompt crashed is back.
+RESTART_SECONDS = (2.0, 4.0)
+# `stableWindowMs` in the settings of the routers.
+STABLE_WINDOW_SECONDS = 3.0
 # A group that lacks a member breaks after this time.
 STALL_LIMIT_SECONDS = 1.5
 # Time between two events of a stream.
@@ -43,6 +55,9 @@
 GROUP_SIZE = 2
 API_KEY = "key-1"
 ORGANISATION = "museum"
+OTHER_API_KEY = "key-2"
+ORGANISATIONS = {API_KEY: ORGANISATION, OTHER_API_KEY: "library"}
+ANSWER_TOKENS = 60
 
 
 def _respond(
@@ -247,6 +262,10 @@
         breaches: Descriptions of the invariants that were breached.
         run_counts: How often each request ran, by request id.
         refused: Ids of requests that were refused as not run.
+        organisations: Organisation of each caller's request, by request id.
+        crashing_parts: Parts of prompts that crash runners.
+        entry_expiry_seconds: Time after which the entry of a crashed runner is
+            removed.
         ready_memberships: Runners that were ready in a group, each with the
             name and epoch of the group.
         store_address: Address at which routers reach the store.
@@ -263,6 +282,7 @@
         *,
         seed: int = 1,
         data_centres: tuple[str, ...] = ("south",),
+        entry_expiry_seconds: float = ENTRY_EXPIRY_SECONDS,
     ) -> None:
         self.data_centres = data_centres
         self.rng = random.Random(seed)
@@ -270,6 +290,9 @@
         self.breaches: list[str] = []
         self.run_counts: dict[str, int] = {}
         self.refused: set[str] = set()
+        self.organisations: dict[str, str] = {}
+        self.crashing_parts = CrashingParts()
+        self.entry_expiry_seconds = entry_expiry_seconds
         self.ready_memberships: set[tuple[str, tuple[str, int]]] = set()
         self.store_address = ("127.0.0.1", free_port())
         self.store = Store(self.store_address)
@@ -294,6 +317,29 @@
         self.runners[runner.runner_id] = runner
         return runner
 
+    def crash_on_prompt(self, runner: Runner, part: str) -> None:
+        """Crashes a runner because of a part of a prompt; it restarts later."""
+        self.crashing_parts.record_crash(part)
+        runner.crash()
+        asyncio.get_running_loop().call_later(
+            self.rng.uniform(*RESTART_SECONDS), self.restart_runner, runner
+        )
+
+    def restart_runner(self, crashed: Runner) -> Runner:
+        """Starts a crashed runner again, under its id or under a new one."""
+        runner_id = crashed.runner_id
+        if self.rng.random() < 0.5:
+            self._number += 1
+            runner_id = f"i-{self._number}"
+        runner = Runner(self, runner_id, crashed.service, crashed.domain)
+        runner.staged = crashed.staged
+        self.runners[runner_id] = runner
+        return runner
+
+    def open_heads(self) -> list[Runner]:
+        """Returns the heads of the groups that are open."""
+        return [r for r in self.runners.values() if r.state == "open"]
+
     def add_router(
         self, number: int, *, data_centre: str = "south", source: Path = ROOT
     ) -> Router:
@@ -323,15 +369,16 @@
         if self.run_counts.get(request_id):
             self.breaches.append(f"{request_id} was refused and had run")
 
-    async def wait_until_ready(self, seconds: float = 20.0) -> None:
-        """Waits until a group is open and all routers are ready."""
+    async def wait_until_ready(
+        self, seconds: float = 20.0, *, groups: int = 1
+    ) -> None:
+        """Waits until some groups are open and all routers are ready."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            heads = [r for r in self.runners.values() if r.state == "open"]
             ready = [
                 await router.is_ready() for router in self.routers.values()
             ]
-            if heads and all(ready):
+            if len(self.open_heads()) >= groups and all(ready):
                 # Routers learn of the open group a few messages later.
                 await asyncio.sleep(0.5)
                 return
@@ -356,6 +403,7 @@
         service: Service that it belongs to.
         domain: Fabric domain; empty for a plain service.
         alive: Whether it has not crashed.
+        started_at_ms: Unix time of its start.
         draining: Whether it registers itself as draining.
         staged: Models whose weights are staged.
         group: Name, epoch and rank in its group, or None.
@@ -380,6 +428,7 @@
         self.service = service
         self.domain = domain
         self.alive = True
+        self.started_at_ms = int(time.time() * 1000)
         self.in_store = True
         self.draining = False
         self.staged: list[str] = []
@@ -402,6 +451,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @property
+    def running(self) -> int:
+        """Returns the number of requests that it is running."""
+        return len(self._connections)
+
     def crash(self) -> None:
         """Closes all connections; the runner's entry expires later."""
         if not self.alive:
@@ -413,14 +467,17 @@
             task.cancel()
         for connection in list(self._connections):
             connection.stream.close()  # type: ignore[attr-defined]
+        self._spawn(self._server.close_all_connections())
         loop = asyncio.get_running_loop()
         loop.call_later(
-            ENTRY_EXPIRY_SECONDS,
-            self._deployment.store.remove,
-            "servers",
-            self.runner_id,
+            self._deployment.entry_expiry_seconds, self._remove_entry
         )
 
+    def _remove_entry(self) -> None:
+        """Removes the runner's entry, unless it restarted under its id."""
+        if self._deployment.runners[self.runner_id] is self:
+            self._deployment.store.remove("servers", self.runner_id)
+
     async def _heartbeat(self) -> None:
         while self.alive:
             self._break_if_member_lost()
@@ -439,7 +496,7 @@
             "slots": 6,
             "state": "draining" if self.draining else "ready",
             "coldRemainingMs": 0,
-            "born": 1,
+            "born": self.started_at_ms,
             "sequence": 0,
         }
         if self.domain:
@@ -519,11 +576,14 @@
     def _check_member(self, member_id: str, group_key: tuple[str, int]) -> None:
         """Checks that a member was ready before its group opens.
 
-        A member that has been ready and crashed since is no breach.
+        A member that has been ready and crashed since is no breach, also if it
+        has restarted under its id.
         """
         member = self._deployment.runners[member_id]
-        elsewhere = member.alive and (
-            member.group is None or member.group["epoch"] != group_key[1]
+        elsewhere = (
+            member.alive
+            and member.highest_epoch > 0
+            and (member.group is None or member.group["epoch"] != group_key[1])
         )
         if (
             elsewhere
@@ -570,15 +630,21 @@
 
     async def _serve(self, request: httputil.HTTPServerRequest) -> None:
         request_id = request.headers.get("X-Request-Id", "")
+        self._deployment.crashing_parts.record_arrival(
+            request.headers.get("X-Prompt-Prefix", "")
+        )
         if self.domain and self.state != "open":
             _respond(request, 503, headers={"X-Not-Executed": "1"})
             return
         streams = request.path.startswith("/write/")
         unsafe = request.path.startswith("/pay/")
         self._deployment.record_run(request_id, may_repeat=not unsafe)
-        if request.headers.get("X-Tenant") != ORGANISATION:
+        organisation = self._deployment.organisations.get(
+            request_id, ORGANISATION
+        )
+        if request.headers.get("X-Tenant") != organisation:
             self._deployment.breaches.append(
-                f"{request_id} has no organisation"
+                f"{request_id} has no or another organisation"
             )
         headers = {"X-Request-Id": request_id, "X-Response-Seal": "s"}
         connection = request.connection
@@ -599,12 +665,23 @@
         connection: httputil.HTTPConnection,
         headers: dict[str, str],
     ) -> None:
-        """Streams events; pauses while a member is missing."""
+        """Streams events; pauses while a member is missing.
+
+        A crashing part of the prompt crashes the runner after the headers.
+        """
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        connection.write_headers(
+        headers_sent = connection.write_headers(
             httputil.ResponseStartLine("HTTP/1.1", 200, ""),
             httputil.HTTPHeaders(headers),
         )
+        part = self._deployment.crashing_parts.find(
+            request.headers.get("X-Prompt-Prefix", "")
+        )
+        if part is not None:
+            with contextlib.suppress(OSError):
+                await headers_sent
+            self._deployment.crash_on_prompt(self, part)
+            return
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
             while self.state == "open" and not self._is_group_complete():
@@ -665,6 +742,7 @@
                 f'readiness = "{self.ip}:{deployment.ready_port}"',
                 "[bounds]",
                 "graceS = 6",
+                f"stableWindowMs = {int(STABLE_WINDOW_SECONDS * 1000)}",
                 "[zones]",
                 *(f'{name} = "region"' for name in deployment.data_centres),
                 "[platform]",
@@ -743,15 +821,38 @@
         self._deployment = deployment
         self.outcomes: dict[str, int] = {}
 
-    async def send(self, router: Router, kind: str, request_id: str) -> str:
+    async def send(
+        self,
+        router: Router,
+        kind: str,
+        request_id: str,
+        *,
+        prompt: str = "",
+        api_key: str = API_KEY,
+    ) -> str:
         """Sends one request and returns its outcome.
 
+        Args:
+            router: Router that it is sent to.
+            kind: Kind of the request: `safe`, `pay` or `write`.
+            request_id: Id of the request.
+            prompt: Parts of the prompt; by default shared ones and a last one
+                of its own.
+            api_key: Key of the caller.
+
         Returns:
             `served`, `cut` (interrupted stream), `refused STATUS` (not run),
             `failed STATUS`, `not taken` (no connection) or `no answer`.
         """
         try:
-            outcome = await self._send(router, kind, request_id)
+            outcome = await self._send(
+                router,
+                kind,
+                request_id,
+                prompt=prompt
+                or make_prompt((FIRST_PART, SHARED_PARTS[0]), request_id),
+                api_key=api_key,
+            )
         except ConnectionRefusedError:
             # Nothing was sent: the process does not listen any more.
             outcome = "not taken"
@@ -760,25 +861,39 @@
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
         return outcome
 
-    async def _send(self, router: Router, kind: str, request_id: str) -> str:
+    async def _send(
+        self,
+        router: Router,
+        kind: str,
+        request_id: str,
+        *,
+        prompt: str,
+        api_key: str,
+    ) -> str:
+        self._deployment.organisations[request_id] = ORGANISATIONS[api_key]
         method = "GET" if kind == "safe" else "POST"
+        prompt_tokens = sum(tokens for _, tokens in prompt_parts(prompt))
+        # Like the text of a prompt, the body differs between requests.
+        body = prompt if kind == "write" else ""
         lines = [
             f"{method} /{kind}/1 HTTP/1.1",
             "Host: shop.example",
             f"X-Request-Id: {request_id}",
-            f"X-Api-Key: {API_KEY}",
+            f"X-Api-Key: {api_key}",
             "X-Deadline-Ms: 4000",
             "X-Model: small",
-            "X-Token-Counts: 100,60",
+            f"X-Token-Counts: {prompt_tokens},{ANSWER_TOKENS}",
             "Connection: close",
-            "Content-Length: 0",
+            f"Content-Length: {len(body)}",
         ]
+        if kind == "write":
+            lines.append(f"X-Prompt-Prefix: {prompt}")
         reader, writer = await asyncio.wait_for(
             asyncio.open_connection(router.ip, self._deployment.caller_port),
             1.0,
         )
         try:
-            writer.write("\r\n".join([*lines, "", ""]).encode())
+            writer.write("\r\n".join([*lines, "", body]).encode())
             answer = await asyncio.wait_for(reader.read(), 8.0)
         finally:
             writer.close()
@@ -871,5 +986,11 @@
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
-        "tenants": [{"name": ORGANISATION, "apiKeys": list(keys)}],
+        "tenants": [
+            {"name": ORGANISATION, "apiKeys": list(keys)},
+            {
+                "name": ORGANISATIONS[OTHER_API_KEY],
+                "apiKeys": [OTHER_API_KEY],
+            },
+        ],
     }
