Number prompts and request ids of the crash tests separately

Each sequence has a counter now.

The loss of a busy domain was tested after one second, whatever was running then; on a run beside other work only four heads were busy where the test needs five. The crash now waits until five are busy. No bound is changed.

--- a/tests/platform/test_crashing_prompts.py
+++ b/tests/platform/test_crashing_prompts.py
@@ -82,7 +82,9 @@
     def __init__(self, deployment: SimulatedDeployment) -> None:
         self._deployment = deployment
         self._caller = Caller(deployment)
+        # Number of the prompt, which decides on its parts, and of the request.
         self._number = 0
+        self._request_count = 0
         self._senders: list[asyncio.Task[None]] = []
         self._requests: set[asyncio.Task[None]] = set()
         self.sent: list[_SentRequest] = []
@@ -183,12 +185,13 @@
         part: str,
         related: bool,
     ) -> None:
-        self._number += 1
+        self._request_count += 1
+        request_id = f"{self._request_count:016x}"
         sent_at = time.monotonic()
         outcome = await self._caller.send(
             router,
             "write",
-            f"{self._number:016x}",
+            request_id,
             prompt=prompt,
             api_key=api_key,
         )
@@ -435,13 +438,16 @@
         ) -> None:
             traffic.start(sound_per_second=60.0)
             await asyncio.sleep(1.0)
+            domain = [
+                runner
+                for runner in deployment.runners.values()
+                if runner.domain == "d0"
+            ]
+            while sum(r.running > 0 for r in domain) < CRASHES_ALLOWED:
+                await asyncio.sleep(0.005)
             killed_at = time.monotonic()
-            busy = 0
-            for runner in list(deployment.runners.values()):
-                if runner.domain == "d0":
-                    busy += runner.running > 0
-                    runner.crash()
-            self.assertGreaterEqual(busy, CRASHES_ALLOWED)
+            for runner in domain:
+                runner.crash()
             await asyncio.sleep(3 * STABLE_WINDOW_SECONDS)
             await traffic.stop()
             self._check_none_refused(traffic, killed_at)
