Quarantine prompt parts that crash the runners that answer them

Cause: crashes were remembered by a hash of the whole request, no two of which were alike; a cut stream was sent again at once, so that each request ended two runners; and an end was believed only when the runner's entry had expired, more than 3.6 s later. Class of fault: evidence kept under a key that is finer than the cause.

The suspects of a crash are now the shared parts of the prompts whose answers had only just begun. Routers report crashes and suspects to one another. A later answer with a part clears it; a part that stays a suspect of three separate crashes (five if any router has seen it answered) is quarantined. Crashes that a quarantine explains count against no other part, runners that end together count once, and a VM that does not answer at all (power, link) charges nobody: the router connects to the runner and counts a refused connection. A suspect is not sent a second time. The holder of the first duty lets one request through after 30 s, then at intervals that double up to 120 s.

--- a/mulberrypaddle/dispatch/__init__.py
+++ b/mulberrypaddle/dispatch/__init__.py
@@ -6,14 +6,16 @@
 connection is kept to) and `ColdRateLimiter` (rate limit of cold runners).
 
 `decide_wait` decides whether a request may wait, `WaitQueue` in which order,
-`RetryBudget` whether it may be retried, and `CrashRecords` whether it has
-crashed too many runners. The module `stalls` decides when a silent stream
+`RetryBudget` whether it may be retried, `CrashRecords` whether it has crashed
+too many runners, and `CrashAttribution` whether a part of its prompt crashes
+each runner. The module `stalls` decides when a silent stream
 moves to another runner.
 """
 
 from __future__ import annotations
 
 from mulberrypaddle.dispatch.cold_rate import ColdRateLimiter
+from mulberrypaddle.dispatch.crash_attribution import CrashAttribution
 from mulberrypaddle.dispatch.crash_records import CrashRecords
 from mulberrypaddle.dispatch.idle_connections import IdleConnections
 from mulberrypaddle.dispatch.in_flight import InFlightCounts
@@ -29,6 +31,7 @@
 __all__ = [
     "RunnerChooser",
     "ColdRateLimiter",
+    "CrashAttribution",
     "CrashRecords",
     "RunnerRequirements",
     "IdleConnections",
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -6,6 +6,7 @@
 import enum
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.dispatch.crash_attribution import CLEARING_EVENTS
 from mulberrypaddle.dispatch.stalls import (
     is_head_stalled,
     silence_limit_seconds,
@@ -123,6 +124,7 @@
         request_id: str,
         route: Route,
         deadline_seconds: float,
+        prompt_parts: tuple[str, ...],
         previous: Attempt | None,
         reserve_reroute: Callable[[str], bool],
     ) -> None:
@@ -135,6 +137,7 @@
             request_id: Id of the request.
             route: Route of the request.
             deadline_seconds: Loop time at which the attempt times out.
+            prompt_parts: Parts of its prompt that other requests may share.
             previous: The attempt at the same request before this one; None
                 for the first.
             reserve_reroute: Returns whether the request may leave the given
@@ -146,6 +149,7 @@
         self._request_id = request_id
         self._route = route
         self._deadline = deadline_seconds
+        self._prompt_parts = prompt_parts
         self._reserve_reroute = reserve_reroute
         self._head: RunnerResponseHead | None = None
         self._body: list[bytes] = []
@@ -513,6 +517,8 @@
         progress = self._progress
         last = progress.last_event_id
         self._event_count += 1
+        if self._event_count == CLEARING_EVENTS:
+            self._clear_prompt_parts()
         self._record_head_progress()
         if last is not None and event_id <= last:
             return True
@@ -559,8 +565,15 @@
                 head.status, _without_content_length(head.forwarded_headers)
             )
         self._caller.finish()
+        self._clear_prompt_parts()
         return AttemptOutcome.DELIVERED
 
+    def _clear_prompt_parts(self) -> None:
+        """Records that the runner answers prompts with these parts."""
+        self._board.crash_attribution.record_answer(
+            self._prompt_parts, self._board.now()
+        )
+
 
 def _without_content_length(
     headers: list[tuple[str, str]],
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -7,6 +7,7 @@
 
 from mulberrypaddle.dispatch import (
     ColdRateLimiter,
+    CrashAttribution,
     CrashRecords,
     IdleConnections,
     InFlightCounts,
@@ -45,6 +46,7 @@
         cold_rate: Rate limit of requests to runners that have just started.
         connections: Idle connections to runners, which requests that may be
             repeated use again.
+        crash_attribution: Parts of prompts that crash runners.
         crashes: Requests that crashed runners, by hash of their content.
         demand: Number of slots that the requests for each model keep busy,
             over all routers.
@@ -77,6 +79,7 @@
         "cold_rate",
         "config",
         "connections",
+        "crash_attribution",
         "crashes",
         "demand",
         "ends_at_seconds",
@@ -122,6 +125,7 @@
         self.runner_health = RunnerHealth()
         self.cold_rate = ColdRateLimiter(rng)
         self.connections = IdleConnections()
+        self.crash_attribution = CrashAttribution()
         self.crashes = CrashRecords()
         self.demand = DemandMeter()
         self.queues: dict[tuple[str, str], WaitQueue] = {}
--- /dev/null
+++ b/mulberrypaddle/serving/crash_monitor.py
@@ -0,0 +1,107 @@
+"""Finds out whether runners whose answers broke off have crashed.
+
+A router sees only that a connection ended. It then connects to the runner: a
+VM that refuses the connection still runs, but the runner's process has ended. A
+VM that does not answer has lost its power or its network link, for which no
+request is to blame, and a runner that accepts connections goes on serving.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from mulberrypaddle.serving.decision_log import log_state_change
+
+if TYPE_CHECKING:
+    from mulberrypaddle.dispatch.crash_attribution import Interruption
+    from mulberrypaddle.serving.blackboard import Blackboard
+
+# Timeout of a probe. A VM refuses a connection within a few milliseconds.
+PROBE_TIMEOUT_SECONDS = 0.4
+
+
+class CrashMonitor:
+    """Confirms crashes and logs which parts of prompts are quarantined."""
+
+    __slots__ = ("_board", "_probes", "_quarantined")
+
+    def __init__(self, board: Blackboard) -> None:
+        self._board = board
+        self._probes: set[asyncio.Task[None]] = set()
+        self._quarantined: set[frozenset[str]] = set()
+
+    def tick(self, *, may_try: bool) -> None:
+        """Starts due probes; called at short intervals.
+
+        Args:
+            may_try: Whether this router is the one that may let requests with
+                quarantined parts through as a trial.
+        """
+        board = self._board
+        attribution = board.crash_attribution
+        attribution.may_try = may_try
+        for interruption in attribution.interruptions(board.now()):
+            incarnation = interruption.incarnation
+            entry = board.view.get(incarnation[0])
+            if entry is not None and entry.draining:
+                attribution.dismiss(incarnation)
+                continue
+            if entry is not None and entry.incarnation != incarnation:
+                attribution.confirm_crash(incarnation, board.now())
+                continue
+            if interruption.probed:
+                continue
+            interruption.probed = True
+            task = asyncio.ensure_future(self._probe(interruption))
+            self._probes.add(task)
+            task.add_done_callback(self._probes.discard)
+        self._log_changes()
+
+    async def _probe(self, interruption: Interruption) -> None:
+        """Connects to a runner, and confirms or dismisses its crash.
+
+        A runner that accepts the connection may have been restarted, which its
+        entry shows later, so that its interruption is kept.
+        """
+        attribution = self._board.crash_attribution
+        host, _, port = interruption.address.rpartition(":")
+        result = "accepted"
+        try:
+            _, writer = await asyncio.wait_for(
+                asyncio.open_connection(host, int(port)),
+                timeout=PROBE_TIMEOUT_SECONDS,
+            )
+            writer.close()
+        except ConnectionRefusedError:
+            result = "refused"
+            attribution.confirm_crash(
+                interruption.incarnation, self._board.now()
+            )
+        except (OSError, TimeoutError) as error:
+            result = f"no answer: {error!r}"
+            attribution.dismiss(interruption.incarnation)
+        log_state_change(
+            "interrupted_runner_probed",
+            runner=interruption.incarnation[0],
+            result=result,
+            suspects=",".join(sorted(interruption.parts)),
+        )
+
+    def _log_changes(self) -> None:
+        """Logs quarantines that began or ended since the last call."""
+        quarantines = self._board.crash_attribution.quarantines()
+        for quarantine in quarantines:
+            if quarantine.parts in self._quarantined:
+                continue
+            log_state_change(
+                "prompt_parts_quarantined",
+                parts=",".join(sorted(quarantine.parts)),
+                crashes=quarantine.crashes,
+            )
+        in_force = {quarantine.parts for quarantine in quarantines}
+        for parts in self._quarantined - in_force:
+            log_state_change(
+                "prompt_parts_released", parts=",".join(sorted(parts))
+            )
+        self._quarantined = in_force
--- a/mulberrypaddle/serving/digest.py
+++ b/mulberrypaddle/serving/digest.py
@@ -98,7 +98,7 @@
     """Merges the heartbeats of other routers into that of the relay.
 
     Counts are added, and sets of observed runners are united. Retry counts are
-    not merged here.
+    not merged here, nor are crashes, since the relay reports all that it knows.
 
     Args:
         relay_heartbeat: Heartbeat of the relay; it is modified.
@@ -114,6 +114,7 @@
     opening = dict(relay_heartbeat.opening)
     stalled = dict(relay_heartbeat.stalled)
     claims = dict(relay_heartbeat.claims)
+    cleared = dict(relay_heartbeat.cleared)
     resigned = {
         process: dict(revisions)
         for process, revisions in relay_heartbeat.resigned.items()
@@ -133,6 +134,7 @@
             demand[model] = round(demand.get(model, 0.0) + slots, 3)
         _merge_minimums(opening, heartbeat.opening)
         _merge_minimums(stalled, heartbeat.stalled)
+        _merge_minimums(cleared, heartbeat.cleared)
         for duty, claim in heartbeat.claims.items():
             claims.setdefault(duty, claim)
         for process, revisions in heartbeat.resigned.items():
@@ -148,6 +150,7 @@
     relay_heartbeat.demand = demand
     relay_heartbeat.opening = opening
     relay_heartbeat.stalled = stalled
+    relay_heartbeat.cleared = cleared
     relay_heartbeat.claims = claims
     relay_heartbeat.resigned = resigned
     relay_heartbeat.failing = sorted(failing)
--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -151,6 +151,13 @@
         """Returns whether this router holds a valid lease on some duty."""
         return any(duty.holds_lease() for duty in self.duties.values())
 
+    def holds_first_duty(self) -> bool:
+        """Returns whether this router holds the first duty by name.
+
+        At most one router of the fleet does.
+        """
+        return self.duties[min(self.duties)].holds_lease()
+
     def fences(self) -> dict[str, int]:
         """Returns the fencing token of each duty that this router holds."""
         return {
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -10,7 +10,9 @@
 
 from mulberrypaddle.core.errors import ANSWERS, ErrorKind
 from mulberrypaddle.dispatch import RunnerRequirements, decide_wait
+from mulberrypaddle.dispatch.crash_attribution import MAX_STARTING_EVENTS
 from mulberrypaddle.dispatch.wait_decision import (
+    MIN_RETRY_AFTER_SECONDS,
     MIN_SEND_SECONDS,
     retry_after,
     stream_gap_seconds,
@@ -107,6 +109,8 @@
         self._waiter: Waiter | None = None
         self._send_count = 0
         self._first_send_counted = False
+        # Whether it may be sent although parts of its prompt are quarantined.
+        self._is_trial = False
         # Whether the retry budget has already been charged for the next send.
         self._retry_reserved = False
         self._may_have_run = False
@@ -129,6 +133,9 @@
                 "it has ended several runners",
             )
             return
+        if self._is_quarantined():
+            self._refuse_quarantined()
+            return
         self._board.demand.record_arrival(
             self._fields.model,
             busy_seconds=self._terms.busy_seconds,
@@ -418,6 +425,12 @@
         board = self._board
         now = board.now()
         service = self._terms.service.name
+        if self._is_quarantined():
+            board.loads.remove_request(entry.runner_id)
+            if self._may_have_run:
+                return _NextStep.OUTCOME_UNKNOWN
+            self._refuse_quarantined()
+            return _NextStep.DONE
         if not self._first_send_counted:
             self._first_send_counted = True
             board.retries.record_first_attempt(service, now)
@@ -474,6 +487,7 @@
             request_id=self._fields.request_id,
             route=self._terms.route,
             deadline_seconds=board.now() + self._remaining_seconds(board.now()),
+            prompt_parts=self._fields.prompt_parts,
             previous=previous,
             reserve_reroute=self._reserve_reroute,
         )
@@ -630,6 +644,23 @@
             board.crashes.record_interrupted_answer(
                 self._terms.request_fingerprint, entry.incarnation, now
             )
+        if self._may_have_crashed_runner(entry, attempt, outcome):
+            suspected = board.crash_attribution.is_suspected(
+                self._fields.prompt_parts
+            )
+            board.crash_attribution.record_interruption(
+                entry.incarnation,
+                address=entry.address,
+                parts=self._fields.prompt_parts,
+                now_seconds=now,
+            )
+            if suspected:
+                log_request(
+                    "suspect_not_sent_again",
+                    request_id=self._fields.request_id,
+                    parts=",".join(self._fields.prompt_parts),
+                )
+                return self._forward_error_response(attempt)
         if not self._terms.route.may_retry or not self._may_send_again():
             return self._forward_error_response(attempt)
         if outcome is AttemptOutcome.FAILED and not self._has_other_healthy(
@@ -638,6 +669,41 @@
             return self._forward_error_response(attempt)
         return _NextStep.RETRY
 
+    def _may_have_crashed_runner(
+        self, entry: RunnerEntry, attempt: Attempt, outcome: AttemptOutcome
+    ) -> bool:
+        """Returns whether a part of the prompt may have ended the runner.
+
+        That is, whether the answer broke off when it had only just begun.
+        """
+        if not self._fields.prompt_parts:
+            return False
+        if outcome not in (AttemptOutcome.BROKEN, AttemptOutcome.STALE):
+            return False
+        current = self._board.view.get(entry.runner_id)
+        if current is not None and current.draining:
+            return False
+        return attempt.event_count <= MAX_STARTING_EVENTS
+
+    def _is_quarantined(self) -> bool:
+        """Returns whether parts of the prompt forbid to send the request.
+
+        One request may be let through as a trial.
+        """
+        parts = self._fields.prompt_parts
+        attribution = self._board.crash_attribution
+        if self._is_trial or attribution.quarantine_of(parts) is None:
+            return False
+        if not attribution.try_acquire_trial(parts, self._board.now()):
+            return True
+        self._is_trial = True
+        log_request(
+            "quarantine_trial",
+            request_id=self._fields.request_id,
+            parts=",".join(parts),
+        )
+        return False
+
     def _forward_error_response(self, attempt: Attempt) -> _NextStep:
         """Forwards the runner's error response, if a complete one came."""
         if attempt.forward_error_response():
@@ -654,6 +720,26 @@
             deadline_seconds=self._terms.deadline_seconds,
         )
 
+    def _refuse_quarantined(self) -> None:
+        """Refuses a request whose prompt has quarantined parts.
+
+        The caller is asked to come back when the next trial is due.
+        """
+        attribution = self._board.crash_attribution
+        quarantine = attribution.quarantine_of(self._fields.prompt_parts)
+        retry_after_seconds = MIN_RETRY_AFTER_SECONDS
+        if quarantine is not None:
+            retry_after_seconds = max(
+                retry_after_seconds,
+                attribution.trial_due_at_seconds(quarantine)
+                - self._board.now(),
+            )
+        self._refuse(
+            ErrorKind.QUARANTINED,
+            "parts of its prompt have ended several runners",
+            retry_after_seconds=retry_after_seconds,
+        )
+
     def _refuse_expired(self) -> None:
         """Refuses a request with too little time left to send it.
 
--- a/mulberrypaddle/serving/heartbeat.py
+++ b/mulberrypaddle/serving/heartbeat.py
@@ -41,6 +41,8 @@
     "silent": list,
     "stalled": dict,
     "losses": dict,
+    "crashes": dict,
+    "cleared": dict,
     "waiting": dict,
     "retries": dict,
     "demand": dict,
@@ -92,16 +94,27 @@
     )
 
 
+def _is_crash(value: Any) -> bool:
+    """Returns whether a value is a crash, as described at `Heartbeat`."""
+    return len(value) == 2 and _is_int(value[0]) and _is_str_list(value[1])
+
+
 def _is_int_mapping(value: Any) -> bool:
     return isinstance(value, dict) and all(map(_is_int, value.values()))
 
 
+# Fields that a message leaves out if they are empty, so that routers of earlier
+# versions, which do not know them, accept it.
+_OPTIONAL_FIELDS = ("crashes", "cleared")
+
 # Checks for the values of mapping fields; JSON makes all keys strings.
 _VALUE_CHECKS: dict[str, Callable[[Any], bool]] = {
     "revisions": _is_int,
     "loads": _is_int,
     "stalled": _is_int,
     "losses": _is_str_list,
+    "crashes": _is_crash,
+    "cleared": _is_int,
     "waiting": _is_int,
     "retries": _is_int_pair,
     "demand": _is_number,
@@ -143,6 +156,10 @@
             group head.
         losses: Runners that were recently lost while they ran a request, by
             fingerprint of the request.
+        crashes: Runners that crashed when answers began: the milliseconds
+            since and the parts of prompts that may be the cause, by
+            incarnation of the runner.
+        cleared: Milliseconds since the last answer with such a part, by part.
         waiting: Number of queued requests, by model, or by service if it has no
             models.
         retries: Numbers of first attempts and of retries within the window of
@@ -187,6 +204,8 @@
     silent: list[str]
     stalled: dict[str, int]
     losses: dict[str, list[str]]
+    crashes: dict[str, tuple[int, list[str]]]
+    cleared: dict[str, int]
     waiting: dict[str, int]
     retries: dict[str, tuple[int, int]]
     demand: dict[str, float]
@@ -209,9 +228,12 @@
     def __init__(self, **fields: Any) -> None:
         """Sets all fields from keyword arguments.
 
+        Optional fields are empty by default.
+
         Raises:
             ValueError: If a field is missing, unknown or of another type.
         """
+        fields = {**{name: {} for name in _OPTIONAL_FIELDS}, **fields}
         if fields.keys() != _FIELD_TYPES.keys():
             differing = sorted(fields.keys() ^ _FIELD_TYPES.keys())
             raise ValueError(f"missing or unknown fields: {differing}")
@@ -251,6 +273,9 @@
     def to_bytes(self) -> bytes:
         """Encodes the message as a datagram."""
         fields = {name: getattr(self, name) for name in self.__slots__}
+        for name in _OPTIONAL_FIELDS:
+            if not fields[name]:
+                del fields[name]
         fields["form"] = FORMAT_VERSION
         uncompressed = json.dumps(fields, separators=(",", ":")).encode()
         if len(uncompressed) <= MAX_UNCOMPRESSED_BYTES:
--- a/mulberrypaddle/serving/local_heartbeat.py
+++ b/mulberrypaddle/serving/local_heartbeat.py
@@ -60,6 +60,16 @@
         losses=board.crashes.losses_within(
             now_seconds, since_seconds=REPORT_LOSSES_SECONDS
         ),
+        crashes={
+            report.name: (int(report.age_seconds * 1000), sorted(report.parts))
+            for report in board.crash_attribution.crash_reports(now_seconds)
+        },
+        cleared={
+            part: int(age_seconds * 1000)
+            for part, age_seconds in board.crash_attribution.cleared_ages(
+                now_seconds
+            ).items()
+        },
         waiting=board.waiting(),
         retries={
             service: (counts.first_attempts, counts.retry_attempts)
--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -14,6 +14,7 @@
 import uuid
 from typing import TYPE_CHECKING, Any
 
+from mulberrypaddle.dispatch.crash_attribution import CrashReport
 from mulberrypaddle.dispatch.retry_budget import RetryCounts
 from mulberrypaddle.serving.address_book import AddressBook
 from mulberrypaddle.serving.change_tracker import ChangeTracker
@@ -315,6 +316,14 @@
             failing=heartbeat.failing, silent=heartbeat.silent, now_seconds=now
         )
         board.crashes.apply_peer_report(heartbeat.losses, now)
+        board.crash_attribution.apply_peer_report(
+            [
+                CrashReport(name, age_seconds=age_ms / 1000, parts=parts)
+                for name, (age_ms, parts) in heartbeat.crashes.items()
+            ],
+            {part: age_ms / 1000 for part, age_ms in heartbeat.cleared.items()},
+            now,
+        )
         for runner_id, age_ms in heartbeat.stalled.items():
             board.runner_health.mark_suspected(runner_id, now - age_ms / 1000)
 
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -16,6 +16,7 @@
     STOP_POLL_SECONDS,
     CallerServer,
 )
+from mulberrypaddle.serving.crash_monitor import CrashMonitor
 from mulberrypaddle.serving.decision_log import log_state_change
 from mulberrypaddle.serving.duty_manager import DutyManager
 from mulberrypaddle.serving.feed import Feed, FeedUpdate
@@ -137,6 +138,7 @@
         # reporting. That would hide changes from all routers that rely on this
         # one, so the collections are listed again.
         self._duty_manager.on_acquired = self._relist_unless_passive
+        self._crash_monitor = CrashMonitor(self.board)
         self._tick_monitor = TickMonitor()
         self._peers.duty_status = self._make_duty_status
         self._peers.is_fit = lambda: self._tick_monitor.is_fit(self.board.now())
@@ -248,9 +250,9 @@
         """Runs the periodic work of the process until it is cancelled.
 
         Each round, at the interval of heartbeats, sends heartbeats, handles
-        overdue lease renewals, sends queued requests to runners with free
-        slots, removes expired runners, and detects that the VM was suspended
-        or this process is slow.
+        overdue lease renewals, probes runners that may have crashed, sends
+        queued requests to runners with free slots, removes expired runners, and
+        detects that the VM was suspended or this process is slow.
         """
         board = self.board
         mark = SuspensionMark()
@@ -269,6 +271,9 @@
             ):
                 self._handle_slowness()
             self._duty_manager.tick()
+            self._crash_monitor.tick(
+                may_try=self._duty_manager.holds_first_duty()
+            )
             self._peers.tick()
             board.dispatch_waiting()
             if board.view.remove_expired(now):
