Log every complete request that gets no complete response

No line named a complete request whose connection was closed before its response was written, whose caller left while it was queued, or which the end of a stop interrupted. event=unanswered does now, with its cause: closed by the caller, closed by this router (aborted), stopped, or closed otherwise. event=config says which idle and header limits came into force.

No logic changes.

--- a/mulberrypaddle/serving/caller_connection.py
+++ b/mulberrypaddle/serving/caller_connection.py
@@ -34,6 +34,7 @@
         response_started: Whether writing of the response has started. From
             then on no other response, such as an error, can be sent.
         disconnected: Whether the connection to the caller is closed.
+        aborted: Whether this router has closed it to end a response early.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "_on_disconnect",
         "_pending",
         "_pending_bytes",
+        "aborted",
         "disconnected",
         "response_started",
     )
@@ -71,6 +73,12 @@
         self._on_disconnect: Callable[[], None] | None = None
         self.response_started = False
         self.disconnected = False
+        self.aborted = False
+
+    @property
+    def response_ended(self) -> bool:
+        """Returns whether the end of a complete response was written."""
+        return self._finished
 
     def set_disconnect_callback(self, callback: Callable[[], None]) -> None:
         """Sets the callback for when the caller closes the connection."""
@@ -149,6 +157,7 @@
         """Closes the connection, so that the response is incomplete."""
         if self.disconnected:
             return
+        self.aborted = True
         self._connection.close()
 
     def _write_head(
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -13,6 +13,7 @@
 
 from mulberrypaddle.serving.caller_connection import CallerConnection
 from mulberrypaddle.serving.caller_request import CallerRequest
+from mulberrypaddle.serving.decision_log import log_request
 from mulberrypaddle.serving.exchange import Exchange
 
 if TYPE_CHECKING:
@@ -37,6 +38,47 @@
 STOP_POLL_SECONDS = 0.05
 
 
+class CompleteRequest:
+    """A request that was read completely and whose response may be due.
+
+    Attributes:
+        caller: Connection that the response is written to.
+        target: Path and query of the request line.
+        arrived_at_seconds: Loop time at which the request was complete.
+        request_id: Id of the request; empty until its headers are parsed.
+    """
+
+    __slots__ = ("arrived_at_seconds", "caller", "request_id", "target")
+
+    def __init__(
+        self,
+        caller: CallerConnection,
+        *,
+        target: str,
+        arrived_at_seconds: float,
+    ) -> None:
+        self.caller = caller
+        self.target = target
+        self.arrived_at_seconds = arrived_at_seconds
+        self.request_id = ""
+
+    def log_unanswered(self, cause: str, *, now_seconds: float) -> None:
+        """Logs that the request has got no complete response.
+
+        Args:
+            cause: What ended it.
+            now_seconds: Loop time.
+        """
+        log_request(
+            "unanswered",
+            request_id=self.request_id,
+            cause=cause,
+            begun=self.caller.response_started,
+            target=self.target,
+            age=round(now_seconds - self.arrived_at_seconds, 3),
+        )
+
+
 class _RequestReader(httputil.HTTPMessageDelegate):
     """Buffers one request and starts an `Exchange` once it is complete."""
 
@@ -93,6 +135,10 @@
             body=b"".join(self._chunks),
         )
         self._chunks.clear()
+        complete = CompleteRequest(
+            caller, target=request.target, arrived_at_seconds=board.now()
+        )
+        self._caller_server.record_request(self._server_connection, complete)
         if (
             board.config is not None
             and self._size_bytes > board.config.limits.body_bytes
@@ -103,12 +149,9 @@
                 f"{board.config.limits.body_bytes}",
             )
             return
-        exchange = Exchange(
-            board,
-            caller,
-            request=request,
-            fields=board.header_codec.parse_caller_headers(self._headers),
-        )
+        fields = board.header_codec.parse_caller_headers(self._headers)
+        complete.request_id = fields.request_id
+        exchange = Exchange(board, caller, request=request, fields=fields)
         self._caller_server.start_exchange(exchange, caller)
 
     def on_connection_close(self) -> None:
@@ -141,6 +184,9 @@
         # Open connections, by whether a request has arrived on them.
         self._unused_connections: set[object] = set()
         self._used_connections: set[object] = set()
+        # The last complete request of a connection, until its response is
+        # written and the next request is awaited.
+        self._requests: dict[object, CompleteRequest] = {}
         self._server = HTTPServer(
             self,
             idle_connection_timeout=DEFAULT_IDLE_SECONDS,
@@ -160,6 +206,7 @@
         request_conn: httputil.HTTPConnection,
     ) -> httputil.HTTPMessageDelegate:
         """Returns the delegate that reads the next request of a connection."""
+        self._end_request(server_conn)
         config = self.board.config
         if config is not None:
             # tornado's timeout runs while the connection is idle and while the
@@ -181,12 +228,42 @@
         """Forgets a connection that has been closed."""
         self._unused_connections.discard(server_conn)
         self._used_connections.discard(server_conn)
+        self._end_request(server_conn)
+
+    def _end_request(self, server_conn: object) -> None:
+        """Forgets the last request of a connection; logs an unanswered one.
+
+        tornado also awaits a further request of a connection that was closed.
+        """
+        request = self._requests.pop(server_conn, None)
+        if request is None:
+            return
+        caller = request.caller
+        if caller.response_ended and not caller.disconnected:
+            return
+        cause = "closed"
+        if caller.aborted:
+            cause = "aborted"
+        elif caller.disconnected:
+            cause = "caller_closed"
+        request.log_unanswered(cause, now_seconds=self.board.now())
 
     def record_first_request(self, server_conn: object) -> None:
         """Records that a request has arrived on a connection."""
         self._unused_connections.discard(server_conn)
         self._used_connections.add(server_conn)
 
+    def record_request(
+        self, server_conn: object, request: CompleteRequest
+    ) -> None:
+        """Records a complete request, whose response is due from now on."""
+        self._requests[server_conn] = request
+
+    def log_interrupted(self) -> None:
+        """Logs the requests that the end of this process interrupts."""
+        for request in self._requests.values():
+            request.log_unanswered("stopped", now_seconds=self.board.now())
+
     def start_exchange(
         self, exchange: Exchange, caller: CallerConnection
     ) -> None:
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -200,6 +200,7 @@
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+        self._caller_server.log_interrupted()
         log_state_change(
             "stop", node=settings.node, in_hand=self.board.in_flight_count
         )
@@ -450,6 +451,8 @@
             version=config.version,
             revision=config.revision,
             before=known.version if known else 0,
+            idle_seconds=config.limits.idle_seconds,
+            header_seconds=config.limits.header_seconds,
         )
 
     def _apply_evacuations(self, update: FeedUpdate) -> None:
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
+from typing import TYPE_CHECKING, Any
 
 import testtools
 
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness, request_bytes
+from tests.support.raw_runner import AnswerWriter, RawRunner
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
 
 # An unknown key is answered by the router itself, without a runner.
 _REQUEST = request_bytes("/pay/1", headers=("X-Api-Key: other",))
@@ -70,6 +76,85 @@
         run(scenario())
 
 
+class UnansweredTest(testtools.TestCase):
+    """Log lines of complete requests that get no complete response."""
+
+    def _log_of(self, answer: AnswerWriter) -> list[str]:
+        """Returns the lines about a request whose caller leaves after 0.2 s."""
+
+        async def scenario() -> None:
+            harness = FrontEndHarness()
+            runner = RawRunner(answer)
+            harness.add_runner("r0", await runner.start())
+            reader, writer = await harness.connect()
+            writer.write(request_bytes("/safe/1"))
+            await asyncio.sleep(0.2)
+            writer.close()
+            await asyncio.sleep(0.1)
+            harness.close()
+            await runner.stop()
+
+        return _unanswered_in(scenario())
+
+    def test_request_whose_caller_leaves_is_logged(self) -> None:
+        self.assertEqual(["q1 caller_closed"], self._log_of(_send_nothing))
+
+    def test_answered_request_is_not_logged(self) -> None:
+        self.assertEqual([], self._log_of(_send_refusal))
+
+    def test_request_at_the_end_of_a_stop_is_logged(self) -> None:
+        async def scenario() -> None:
+            harness = FrontEndHarness()
+            runner = RawRunner(_send_nothing)
+            harness.add_runner("r0", await runner.start())
+            _, writer = await harness.connect()
+            writer.write(request_bytes("/safe/1"))
+            await asyncio.sleep(0.2)
+            await harness.stop(quiet_seconds=0.0, until_seconds=0.0)
+            harness.log_interrupted()
+            writer.close()
+            harness.close()
+            await runner.stop()
+
+        self.assertIn("q1 stopped", _unanswered_in(scenario()))
+
+
+def _unanswered_in(scenario: Coroutine[Any, Any, None]) -> list[str]:
+    """Runs a scenario; returns id and cause of each unanswered request."""
+    records: list[logging.LogRecord] = []
+    handler = logging.Handler()
+    handler.emit = records.append  # type: ignore[method-assign]
+    logger = logging.getLogger("mulberrypaddle.requests")
+    level = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    try:
+        run(scenario)
+    finally:
+        logger.removeHandler(handler)
+        logger.setLevel(level)
+    return [
+        f"{vars(record)['request']} {vars(record)['cause']}"
+        for record in records
+        if record.getMessage() == "unanswered"
+    ]
+
+
+async def _send_nothing(
+    count: int, request: bytes, writer: asyncio.StreamWriter
+) -> None:
+    """Leaves the request without an answer."""
+
+
+async def _send_refusal(
+    count: int, request: bytes, writer: asyncio.StreamWriter
+) -> None:
+    """Answers that the request is wrong."""
+    writer.write(
+        b"HTTP/1.1 400 X\r\nX-Request-Id: q1\r\nContent-Length: 0\r\n\r\n"
+    )
+
+
 async def _read_answer(caller: socket.socket) -> bytes:
     """Reads up to the end of a connection that was opened by hand."""
     caller.setblocking(False)
--- a/tests/support/front_end_harness.py
+++ b/tests/support/front_end_harness.py
@@ -195,6 +195,10 @@
             quiet_seconds=quiet_seconds, until_seconds=until_seconds
         )
 
+    def log_interrupted(self) -> None:
+        """Logs the requests in flight, as the end of a process does."""
+        self._door.log_interrupted()
+
     def close(self) -> None:
         """Stops listening and closes the client to runners."""
         self._door.stop_listening()
