Answer requests whose numeric headers cannot be read

What callers saw: the connection was closed without an answer or a refusal, each time, for a complete request with X-Length-Hint: inf (or 1e999), with a non-ASCII digit in Last-Event-Id, or with an integer of over 4,300 digits.

Cause: int() raised OverflowError or ValueError while the headers were parsed. That is before the task which answers unexpected errors with 500, so that tornado logged the error and closed the connection.

Evidence: test_request_with_an_unreadable_number_is_answered got no byte for four of its headers on the code before, test_error_before_the_exchange_is_answered none either. Both get an answer now.

The parser returns None for numbers that are not finite, not ASCII digits or longer than 18 digits, and errors before the task are answered 500 as well.

--- a/mulberrypaddle/platform/headers.py
+++ b/mulberrypaddle/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.serving.header_codec import (
@@ -58,6 +59,9 @@
     }
 )
 
+# Most digits of an integer; a number with more is not a length or an id.
+_MAX_DIGITS = 18
+
 # HTTP 421: the runner that answers is not the one addressed, so that it did
 # not run the request.
 _MISDIRECTED_STATUS = 421
@@ -150,20 +154,24 @@
 
 
 def _parse_non_negative(text: str | None) -> float | None:
-    """Parses a number, negative ones as 0; None if it is not a number."""
+    """Parses a number, negative ones as 0; None if it is not a finite one."""
     if text is None:
         return None
     try:
-        return max(0.0, float(text))
+        number = float(text)
     except ValueError:
         return None
+    return max(0.0, number) if math.isfinite(number) else None
 
 
 def _parse_unsigned(text: str | None) -> int | None:
-    """Parses an integer of digits only; None if the text is not one."""
-    if text is None or not text.strip().isdigit():
+    """Parses an integer of ASCII digits; None if the text is not one."""
+    if text is None:
+        return None
+    digits = text.strip()
+    if not digits.isascii() or not digits.isdigit():
         return None
-    return int(text)
+    return int(digits) if len(digits) <= _MAX_DIGITS else None
 
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -149,7 +149,12 @@
                 f"{board.config.limits.body_bytes}",
             )
             return
-        fields = board.header_codec.parse_caller_headers(self._headers)
+        try:
+            fields = board.header_codec.parse_caller_headers(self._headers)
+        except Exception as error:  # noqa: BLE001 - tornado would only close
+            _LOGGER.exception("request_failed", extra={"reason": str(error)})
+            caller.send_error(500, detail="internal error")
+            return
         complete.request_id = fields.request_id
         exchange = Exchange(board, caller, request=request, fields=fields)
         self._caller_server.start_exchange(exchange, caller)
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -9,6 +9,7 @@
 
 import testtools
 
+from mulberrypaddle.platform.headers import PlatformHeaderCodec
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness, request_bytes
 from tests.support.raw_runner import AnswerWriter, RawRunner
@@ -16,6 +17,10 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from tornado.httputil import HTTPHeaders
+
+    from mulberrypaddle.serving.header_codec import CallerHeaders
+
 # An unknown key is answered by the router itself, without a runner.
 _REQUEST = request_bytes("/pay/1", headers=("X-Api-Key: other",))
 
@@ -76,6 +81,28 @@
         run(scenario())
 
 
+class UnexpectedErrorTest(testtools.TestCase):
+    """Errors of this router itself."""
+
+    def test_error_before_the_exchange_is_answered(self) -> None:
+        async def scenario() -> bytes:
+            harness = FrontEndHarness()
+            harness.board.header_codec = _FailingCodec()
+            answer = await harness.send_request("/safe/1")
+            harness.close()
+            return answer
+
+        self.assertEqual(b"HTTP/1.1 500", run(scenario())[:12])
+
+
+class _FailingCodec(PlatformHeaderCodec):
+    """Fails to parse the headers of each request."""
+
+    def parse_caller_headers(self, headers: HTTPHeaders) -> CallerHeaders:
+        """Raises an error that no caller of this method expects."""
+        raise RuntimeError("not parsed")
+
+
 class UnansweredTest(testtools.TestCase):
     """Log lines of complete requests that get no complete response."""
 
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import testtools
+from testtools.matchers import Equals
 
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness, request_bytes
@@ -95,6 +96,21 @@
         self.assertIn(b"X-Expect-Instance: r0", head)
         self.assertNotIn(b"key-1", head)
 
+    def test_request_with_an_unreadable_number_is_answered(self) -> None:
+        for header in (
+            "X-Length-Hint: inf",
+            "X-Length-Hint: 1e999",
+            "X-Token-Counts: 10," + "9" * 5000,
+            "Last-Event-Id: \xb2",
+            "X-Deadline-Ms: inf",
+        ):
+            got, _ = self._send_request(
+                "/pay/1",
+                _answers(_complete_response(200, b"done")),
+                headers=(header,),
+            )
+            self.expectThat(got[:12], Equals(b"HTTP/1.1 200"), header[:30])
+
     def test_unknown_key_is_refused(self) -> None:
         got, runners = self._send_request(
             "/pay/1", _answers(), headers=("X-Api-Key: other",)
--- a/tests/support/front_end_harness.py
+++ b/tests/support/front_end_harness.py
@@ -221,4 +221,4 @@
         f"Content-Length: {len(body)}",
         *headers,
     ]
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
