Treat an answer with an invalid header as incomplete

What callers saw: the connection was closed without an answer or a refusal after their request had been sent to a runner whose answer had a header with a space in its name or a control character in its value. A request that may be repeated was not sent to another runner.

Cause: curl accepts such headers, tornado refuses to write them. The error came after the response had been marked as started, so that it could not be answered with 500 either, and the connection was closed.

Evidence: test_invalid_header_of_a_runner_is_an_invalid_answer got no byte for both headers on the code before (exchange_failed in the log), 502 now.

The call to the runner now ends as broken, like any other answer that violates HTTP: it is repeated if the route allows, else answered 502. A response counts as started only once its headers are known to be valid.

--- a/mulberrypaddle/serving/caller_connection.py
+++ b/mulberrypaddle/serving/caller_connection.py
@@ -168,7 +168,6 @@
         size_bytes: int | None,
     ) -> None:
         """Writes status and headers; a size of None leaves out the length."""
-        self.response_started = True
         fields = httputil.HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
@@ -176,6 +175,7 @@
             fields["Content-Length"] = str(size_bytes)
         if self._close_after:
             fields["Connection"] = "close"
+        self.response_started = True
         line = httputil.ResponseStartLine(
             "HTTP/1.1", status, _REASON_PHRASES.get(status, "Unknown")
         )
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -16,6 +16,7 @@
 
 import pycurl
 import tornado.httpclient
+from tornado import httputil
 
 from mulberrypaddle.serving.socket_options import enable_keepalive_probes
 from mulberrypaddle.serving.suspension import SuspensionMark
@@ -275,7 +276,8 @@
     def _handle_header_line(self, line: bytes) -> int | None:
         """Collects header lines and reports the head after the last one.
 
-        Interim responses (status below 200) are skipped.
+        Interim responses (status below 200) are skipped. A header that can't be
+        forwarded makes the answer invalid.
 
         Returns:
             None to go on, or 0 to end the transfer: curl's HEADERFUNCTION.
@@ -291,7 +293,11 @@
             return None
         if text:
             name, _, value = text.partition(":")
-            self._headers.append((name.strip(), value.strip()))
+            name, value = name.strip(), value.strip()
+            if not _is_valid_header(name, value):
+                self.error = "the answer has an invalid header"
+                return 0
+            self._headers.append((name, value))
             return None
         if self._status < 200:
             return None
@@ -314,6 +320,15 @@
         return None
 
 
+def _is_valid_header(name: str, value: str) -> bool:
+    """Returns whether a header can be forwarded to a caller."""
+    try:
+        httputil.HTTPHeaders().add(name, value)
+    except httputil.HTTPInputError:
+        return False
+    return True
+
+
 def _parse_status(line: str) -> int:
     """Returns the status code of a status line, or 0 if there is none."""
     parts = line.split(" ", 2)
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -111,6 +111,12 @@
             )
             self.expectThat(got[:12], Equals(b"HTTP/1.1 200"), header[:30])
 
+    def test_invalid_header_of_a_runner_is_an_invalid_answer(self) -> None:
+        for header in (b"X Note: 1\r\n", b"X-Note: a\x01b\r\n"):
+            invalid = _answers(_complete_response(200, b"done", header))
+            got, _ = self._send_request("/pay/1", invalid)
+            self.expectThat(got[:12], Equals(b"HTTP/1.1 502"), header.decode())
+
     def test_unknown_key_is_refused(self) -> None:
         got, runners = self._send_request(
             "/pay/1", _answers(), headers=("X-Api-Key: other",)
