Count requests as in flight until their response is written

What callers saw: the end of a planned stop cut an answer short which the router had received completely, if its caller read it slowly.

Cause: a request stopped being counted as in flight when its answer had been handed to the connection. What the socket did not take was still in the process's buffer, and the process ended at its next check.

Evidence: test_answer_is_written_to_a_slow_caller_before_the_stop_ends: the stop was over with most of 8 MB unwritten on the code before; now it waits until the caller has read them.

The count now ends when tornado awaits the next request of the connection, which it does after the last byte, or when the connection closes. The wait is bounded by the grace period, as before.

--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -62,7 +62,8 @@
         stopping: Whether the process is shutting down.
         ends_at_seconds: Loop time at which the process ends, once this is so
             close that new requests could be interrupted; None before that.
-        in_flight_count: Number of requests that this router is handling.
+        in_flight_count: Number of complete requests whose response is not yet
+            written in full.
         reading: Number of requests whose headers were received and whose body
             is not yet complete.
         last_request_at: Loop time in seconds at which reading a request last
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -243,6 +243,7 @@
         request = self._requests.pop(server_conn, None)
         if request is None:
             return
+        self.board.in_flight_count -= 1
         caller = request.caller
         if caller.response_ended and not caller.disconnected:
             return
@@ -261,8 +262,9 @@
     def record_request(
         self, server_conn: object, request: CompleteRequest
     ) -> None:
-        """Records a complete request, whose response is due from now on."""
+        """Counts a complete request as in flight until it is responded to."""
         self._requests[server_conn] = request
+        self.board.in_flight_count += 1
 
     def log_interrupted(self) -> None:
         """Logs the requests that the end of this process interrupts."""
@@ -272,8 +274,7 @@
     def start_exchange(
         self, exchange: Exchange, caller: CallerConnection
     ) -> None:
-        """Starts an exchange as a task and counts it as in flight."""
-        self.board.in_flight_count += 1
+        """Starts an exchange as a task."""
         task = asyncio.ensure_future(self._run_exchange(exchange, caller))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -290,8 +291,6 @@
                 caller.abort()
             else:
                 caller.send_error(500, detail="internal error")
-        finally:
-            self.board.in_flight_count -= 1
 
     async def stop(self, *, quiet_seconds: float, until_seconds: float) -> None:
         """Stops listening and serves what was accepted before.
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -25,6 +25,9 @@
 _REQUEST = request_bytes("/pay/1", headers=("X-Api-Key: other",))
 
 
+_LONG_ANSWER_BYTES = 8_000_000
+
+
 class StopTest(testtools.TestCase):
     """Connections that were made just before the listener closes."""
 
@@ -65,6 +68,34 @@
 
         self.assertEqual(b"HTTP/1.1 401", run(scenario())[:12])
 
+    def test_answer_is_written_to_a_slow_caller_before_the_stop_ends(
+        self,
+    ) -> None:
+        async def scenario() -> tuple[bool, int]:
+            harness = FrontEndHarness()
+            runner = RawRunner(_send_long_answer)
+            harness.add_runner("r0", await runner.start())
+            reader, writer = await harness.connect()
+            writer.write(request_bytes("/safe/1"))
+            await reader.readline()
+            await asyncio.sleep(0.3)
+            stopping = asyncio.ensure_future(
+                harness.stop(
+                    quiet_seconds=0.0,
+                    until_seconds=harness.board.now() + 10.0,
+                )
+            )
+            await asyncio.sleep(0.3)
+            ended_early = stopping.done()
+            rest = await asyncio.wait_for(reader.read(), 5.0)
+            await asyncio.wait_for(stopping, 1.0)
+            writer.close()
+            harness.close()
+            await runner.stop()
+            return ended_early, rest.count(b"x")
+
+        self.assertEqual((False, _LONG_ANSWER_BYTES), run(scenario()))
+
     def test_unused_connection_delays_the_stop_for_a_bounded_time(
         self,
     ) -> None:
@@ -167,6 +198,17 @@
     ]
 
 
+async def _send_long_answer(
+    count: int, request: bytes, writer: asyncio.StreamWriter
+) -> None:
+    """Answers with a body that no socket buffer holds."""
+    writer.write(
+        b"HTTP/1.1 200 X\r\nX-Request-Id: q1\r\nX-Response-Seal: s\r\n"
+        b"Content-Length: %d\r\n\r\n" % _LONG_ANSWER_BYTES
+    )
+    writer.write(b"x" * _LONG_ANSWER_BYTES)
+
+
 async def _send_nothing(
     count: int, request: bytes, writer: asyncio.StreamWriter
 ) -> None:
