Answer requests whose handling ends without a response

A request whose Exchange returned without a response stayed open until its caller gave up: no answer, no refusal and no closed connection. Streams that the next runner answered with a redirect or a client error did so.

Only exceptions were answered before. Now each exchange is checked when it ends: without a response it is answered 500, an unfinished response is aborted. A response that was complete before an exception is no longer cut.

test_exchange_without_a_response_is_answered waited in vain for an answer on the code before. No other path than the one above is known to need this.

--- a/mulberrypaddle/serving/caller_connection.py
+++ b/mulberrypaddle/serving/caller_connection.py
@@ -75,6 +75,11 @@
         self.disconnected = False
         self.aborted = False
 
+    @property
+    def is_settled(self) -> bool:
+        """Returns whether no more is to be added to the response."""
+        return self._finishing or self.aborted or self.disconnected
+
     @property
     def response_ended(self) -> bool:
         """Returns whether the end of a complete response was written."""
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -282,15 +282,20 @@
     async def _run_exchange(
         self, exchange: Exchange, caller: CallerConnection
     ) -> None:
-        """Runs an exchange; an unexpected error is logged and answered 500."""
+        """Runs an exchange, and fails its request if that gives no response.
+
+        Unexpected errors are logged.
+        """
         try:
             await exchange.run()
         except Exception as error:  # noqa: BLE001 - must not stop the process
             _LOGGER.exception("exchange_failed", extra={"reason": str(error)})
-            if caller.response_started:
-                caller.abort()
-            else:
-                caller.send_error(500, detail="internal error")
+        if caller.is_settled:
+            return
+        if caller.response_started:
+            caller.abort()
+        else:
+            caller.send_error(500, detail="internal error")
 
     async def stop(self, *, quiet_seconds: float, until_seconds: float) -> None:
         """Stops listening and serves what was accepted before.
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -10,6 +10,8 @@
 import testtools
 
 from mulberrypaddle.platform.headers import PlatformHeaderCodec
+from mulberrypaddle.serving import caller_server
+from mulberrypaddle.serving.exchange import Exchange
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness, request_bytes
 from tests.support.raw_runner import AnswerWriter, RawRunner
@@ -125,6 +127,23 @@
 
         self.assertEqual(b"HTTP/1.1 500", run(scenario())[:12])
 
+    def test_exchange_without_a_response_is_answered(self) -> None:
+        async def scenario() -> bytes:
+            harness = FrontEndHarness()
+            answer = await harness.send_request("/safe/1")
+            harness.close()
+            return answer
+
+        self.patch(caller_server, "Exchange", _SilentExchange)
+        self.assertEqual(b"HTTP/1.1 500", run(scenario())[:12])
+
+
+class _SilentExchange(Exchange):
+    """Ends without a response."""
+
+    async def run(self) -> None:
+        """Does nothing."""
+
 
 class _FailingCodec(PlatformHeaderCodec):
     """Fails to parse the headers of each request."""
