Forward paths and headers with bytes outside ASCII

What callers saw: 500 for each request with such a byte in its path or in a header that is forwarded.

Cause: pycurl takes strings of ASCII only, so that the call to the runner failed before it was sent.

Evidence: test_bytes_outside_ascii_reach_the_runner got 500 on the code before. The bytes, which tornado decodes as Latin-1, are now encoded as such and reach the runner unchanged. Names of organisations beyond Latin-1 still fail.

--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -246,8 +246,11 @@
         curl.setopt(pycurl.FORBID_REUSE, 0)
         curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_SECONDS)
         curl.setopt(pycurl.PATH_AS_IS, 1)
-        curl.setopt(pycurl.REQUEST_TARGET, target)
-        curl.setopt(pycurl.HTTPHEADER, lines)
+        # pycurl rejects strings with other characters than those of ASCII.
+        curl.setopt(pycurl.REQUEST_TARGET, target.encode("latin-1"))
+        curl.setopt(
+            pycurl.HTTPHEADER, [line.encode("latin-1") for line in lines]
+        )
         curl.setopt(pycurl.BUFFERSIZE, RECEIVE_BUFFER_BYTES)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MILLISECONDS)
         curl.setopt(pycurl.SOCKOPTFUNCTION, enable_keepalive_probes)
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -111,6 +111,17 @@
             )
             self.expectThat(got[:12], Equals(b"HTTP/1.1 200"), header[:30])
 
+    def test_bytes_outside_ascii_reach_the_runner(self) -> None:
+        got, runners = self._send_request(
+            "/pay/caf\xe9",
+            _answers(_complete_response(200, b"done")),
+            headers=("X-Note: caf\xe9",),
+        )
+        self.assertTrue(got.startswith(b"HTTP/1.1 200"), got)
+        head = runners[0].request_heads[0]
+        self.assertTrue(head.startswith(b"POST /pay/caf\xe9 HTTP/1.1"), head)
+        self.assertIn(b"X-Note: caf\xe9\r\n", head)
+
     def test_invalid_header_of_a_runner_is_an_invalid_answer(self) -> None:
         for header in (b"X Note: 1\r\n", b"X-Note: a\x01b\r\n"):
             invalid = _answers(_complete_response(200, b"done", header))
