--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -3,17 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
+from typing import TYPE_CHECKING, Any
 
 import testtools
 
+from mulberrypaddle.platform.headers import PlatformHeaderCodec
+from mulberrypaddle.serving import caller_server
+from mulberrypaddle.serving.exchange import Exchange
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness, request_bytes
+from tests.support.raw_runner import AnswerWriter, RawRunner
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from tornado.httputil import HTTPHeaders
+
+    from mulberrypaddle.serving.header_codec import CallerHeaders
 
 # An unknown key is answered by the router itself, without a runner.
 _REQUEST = request_bytes("/pay/1", headers=("X-Api-Key: other",))
 
 
+_LONG_ANSWER_BYTES = 8_000_000
+
+
 class StopTest(testtools.TestCase):
     """Connections that were made just before the listener closes."""
 
@@ -54,6 +70,34 @@
 
         self.assertEqual(b"HTTP/1.1 401", run(scenario())[:12])
 
+    def test_answer_is_written_to_a_slow_caller_before_the_stop_ends(
+        self,
+    ) -> None:
+        async def scenario() -> tuple[bool, int]:
+            harness = FrontEndHarness()
+            runner = RawRunner(_send_long_answer)
+            harness.add_runner("r0", await runner.start())
+            reader, writer = await harness.connect()
+            writer.write(request_bytes("/safe/1"))
+            await reader.readline()
+            await asyncio.sleep(0.3)
+            stopping = asyncio.ensure_future(
+                harness.stop(
+                    quiet_seconds=0.0,
+                    until_seconds=harness.board.now() + 10.0,
+                )
+            )
+            await asyncio.sleep(0.3)
+            ended_early = stopping.done()
+            rest = await asyncio.wait_for(reader.read(), 5.0)
+            await asyncio.wait_for(stopping, 1.0)
+            writer.close()
+            harness.close()
+            await runner.stop()
+            return ended_early, rest.count(b"x")
+
+        self.assertEqual((False, _LONG_ANSWER_BYTES), run(scenario()))
+
     def test_unused_connection_delays_the_stop_for_a_bounded_time(
         self,
     ) -> None:
@@ -70,6 +114,135 @@
         run(scenario())
 
 
+class UnexpectedErrorTest(testtools.TestCase):
+    """Errors of this router itself."""
+
+    def test_error_before_the_exchange_is_answered(self) -> None:
+        async def scenario() -> bytes:
+            harness = FrontEndHarness()
+            harness.board.header_codec = _FailingCodec()
+            answer = await harness.send_request("/safe/1")
+            harness.close()
+            return answer
+
+        self.assertEqual(b"HTTP/1.1 500", run(scenario())[:12])
+
+    def test_exchange_without_a_response_is_answered(self) -> None:
+        async def scenario() -> bytes:
+            harness = FrontEndHarness()
+            answer = await harness.send_request("/safe/1")
+            harness.close()
+            return answer
+
+        self.patch(caller_server, "Exchange", _SilentExchange)
+        self.assertEqual(b"HTTP/1.1 500", run(scenario())[:12])
+
+
+class _SilentExchange(Exchange):
+    """Ends without a response."""
+
+    async def run(self) -> None:
+        """Does nothing."""
+
+
+class _FailingCodec(PlatformHeaderCodec):
+    """Fails to parse the headers of each request."""
+
+    def parse_caller_headers(self, headers: HTTPHeaders) -> CallerHeaders:
+        """Raises an error that no caller of this method expects."""
+        raise RuntimeError("not parsed")
+
+
+class UnansweredTest(testtools.TestCase):
+    """Log lines of complete requests that get no complete response."""
+
+    def _log_of(self, answer: AnswerWriter) -> list[str]:
+        """Returns the lines about a request whose caller leaves after 0.2 s."""
+
+        async def scenario() -> None:
+            harness = FrontEndHarness()
+            runner = RawRunner(answer)
+            harness.add_runner("r0", await runner.start())
+            reader, writer = await harness.connect()
+            writer.write(request_bytes("/safe/1"))
+            await asyncio.sleep(0.2)
+            writer.close()
+            await asyncio.sleep(0.1)
+            harness.close()
+            await runner.stop()
+
+        return _unanswered_in(scenario())
+
+    def test_request_whose_caller_leaves_is_logged(self) -> None:
+        self.assertEqual(["q1 caller_closed"], self._log_of(_send_nothing))
+
+    def test_answered_request_is_not_logged(self) -> None:
+        self.assertEqual([], self._log_of(_send_refusal))
+
+    def test_request_at_the_end_of_a_stop_is_logged(self) -> None:
+        async def scenario() -> None:
+            harness = FrontEndHarness()
+            runner = RawRunner(_send_nothing)
+            harness.add_runner("r0", await runner.start())
+            _, writer = await harness.connect()
+            writer.write(request_bytes("/safe/1"))
+            await asyncio.sleep(0.2)
+            await harness.stop(quiet_seconds=0.0, until_seconds=0.0)
+            harness.log_interrupted()
+            writer.close()
+            harness.close()
+            await runner.stop()
+
+        self.assertIn("q1 stopped", _unanswered_in(scenario()))
+
+
+def _unanswered_in(scenario: Coroutine[Any, Any, None]) -> list[str]:
+    """Runs a scenario; returns id and cause of each unanswered request."""
+    records: list[logging.LogRecord] = []
+    handler = logging.Handler()
+    handler.emit = records.append  # type: ignore[method-assign]
+    logger = logging.getLogger("mulberrypaddle.requests")
+    level = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    try:
+        run(scenario)
+    finally:
+        logger.removeHandler(handler)
+        logger.setLevel(level)
+    return [
+        f"{vars(record)['request']} {vars(record)['cause']}"
+        for record in records
+        if record.getMessage() == "unanswered"
+    ]
+
+
+async def _send_long_answer(
+    count: int, request: bytes, writer: asyncio.StreamWriter
+) -> None:
+    """Answers with a body that no socket buffer holds."""
+    writer.write(
+        b"HTTP/1.1 200 X\r\nX-Request-Id: q1\r\nX-Response-Seal: s\r\n"
+        b"Content-Length: %d\r\n\r\n" % _LONG_ANSWER_BYTES
+    )
+    writer.write(b"x" * _LONG_ANSWER_BYTES)
+
+
+async def _send_nothing(
+    count: int, request: bytes, writer: asyncio.StreamWriter
+) -> None:
+    """Leaves the request without an answer."""
+
+
+async def _send_refusal(
+    count: int, request: bytes, writer: asyncio.StreamWriter
+) -> None:
+    """Answers that the request is wrong."""
+    writer.write(
+        b"HTTP/1.1 400 X\r\nX-Request-Id: q1\r\nContent-Length: 0\r\n\r\n"
+    )
+
+
 async def _read_answer(caller: socket.socket) -> bytes:
     """Reads up to the end of a connection that was opened by hand."""
     caller.setblocking(False)
