Cut a broken stream when the next answer can't continue it

Callers saw: after a stream had broken off and the next runner answered with an error, a stream that stayed open without an end (4xx, 3xx), that ended as if complete (204, a 200 without events or with fewer than were forwarded), or that had the error in it (a JSON body or the head of an HTTP answer that ends with an empty line, an error event without an id, a text/plain body that looks like an event). Cause: StreamAttempt delivered an answer that is no stream through CallerConnection.send_response, which does nothing once the response has begun, and reported the request as answered. Each sealed 2xx counted as a stream whatever its media type, blocks without an id were forwarded unchecked, and the end of any stream ended the caller's. Change: an answer that is no stream (status 200, sealed, not encoded, media type text/event-stream or none), or a stream that ends before the last forwarded event, fails the attempt once the response has begun: the request goes to another runner if route, budget and max_runners allow, else the connection is closed without the last chunk. Blocks without an id must be fields or comments, and are not forwarded before a resumed stream has caught up. On the first attempt such answers are forwarded as they are (JSON, 204) or fail (no events). Why it works: DELIVERED is now only returned where the response was sent or finished by this attempt, and a stream is finished only by an attempt that sent the last forwarded event itself. Remains: a runner that has no more events after Last-Event-Id and says so with an empty stream doesn't complete the caller's; the caller has to resume it.

--- a/mulberrypaddle/platform/headers.py
+++ b/mulberrypaddle/platform/headers.py
@@ -139,6 +139,7 @@
             fault_runner=by_name.get(_FAULTY_RUNNER, ""),
             size_bytes=_parse_unsigned(by_name.get("content-length")),
             encoded=by_name.get("content-encoding", "identity") != "identity",
+            media_type=_parse_media_type(by_name.get("content-type", "")),
         )
 
 
@@ -149,6 +150,11 @@
     )
 
 
+def _parse_media_type(value: str) -> str:
+    """Returns a Content-Type in lower case, without its parameters."""
+    return value.partition(";")[0].strip().lower()
+
+
 def _parse_non_negative(text: str | None) -> float | None:
     """Parses a number, negative ones as 0; None if it is not a number."""
     if text is None:
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -20,6 +20,7 @@
     from mulberrypaddle.serving.blackboard import Blackboard
     from mulberrypaddle.serving.caller_connection import CallerConnection
     from mulberrypaddle.serving.caller_request import CallerRequest
+    from mulberrypaddle.serving.event_parser import StreamEvent
     from mulberrypaddle.serving.header_codec import RunnerResponseHead
 
 # Interval at which a running attempt is checked against its time limits.
@@ -37,6 +38,9 @@
 # never forwarded from a runner that may have run it.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+# Media type of a stream of events.
+EVENT_STREAM = "text/event-stream"
+
 
 class AttemptOutcome(enum.Enum):
     """How an attempt ended.
@@ -46,7 +50,8 @@
         CALLER_GONE: The caller closed its connection.
         UNSENT: The runner could not be reached; the request did not run.
         NOT_RUN: The runner refused the request; it did not run.
-        FAILED: The runner answered with an error (5xx); it may have run.
+        FAILED: The runner answered with an error (5xx), or with what doesn't
+            continue the stream that the caller is receiving; it may have run.
         BROKEN: The answer was incomplete or invalid; it may have run.
         STALE: No answer came over a kept connection; it may have run, and the
             runner need not be at fault.
@@ -379,6 +384,8 @@
         """Takes over the progress of the stream from the previous attempt."""
         self._parser = EventParser()
         self._event_count = 0
+        # Id of the last event of this attempt, whether forwarded or not.
+        self._latest_event_id: int | None = None
         # When this attempt last received an event; None before the first, and
         # after a pause for a slow caller.
         self._received_event_at: float | None = None
@@ -469,20 +476,26 @@
             return True
         keeps_up = True
         for event in events:
-            keeps_up = self._forward_event(head, event.event_id, event.data)
+            keeps_up = self._forward_event(head, event)
         self._paused = not keeps_up
         return keeps_up
 
     def _is_event_stream(self, head: RunnerResponseHead) -> bool:
         """Returns whether to forward the body as events.
 
-        Only for a success with the runner's signature header (seal) and without
-        content encoding; other bodies are buffered.
+        Only for status 200 with the runner's signature header (seal), without
+        content encoding and without another media type; other bodies are
+        buffered.
         """
-        return 200 <= head.status < 300 and head.sealed and not head.encoded
+        return (
+            head.status == 200
+            and head.sealed
+            and not head.encoded
+            and head.media_type in ("", EVENT_STREAM)
+        )
 
     def _forward_event(
-        self, head: RunnerResponseHead, event_id: int | None, data: bytes
+        self, head: RunnerResponseHead, event: StreamEvent
     ) -> bool:
         """Forwards an event unless the caller has received it already.
 
@@ -491,18 +504,13 @@
         Returns:
             Whether the caller keeps up.
         """
+        event_id = event.event_id
         if event_id is None:
-            # For example a comment. It does not count as progress and does
-            # not start the answer.
-            if (
-                self._abandoned_outcome is not None
-                or not self._caller.response_started
-            ):
-                return True
-            return self._caller.write(data)
+            return self._forward_event_without_id(event)
         progress = self._progress
         last = progress.last_event_id
         self._event_count += 1
+        self._latest_event_id = event_id
         self._record_head_progress()
         if last is not None and event_id <= last:
             return True
@@ -518,7 +526,29 @@
             )
         progress.record_event(event_id, self._board.now())
         self.first_byte_at = progress.first_event_at
-        return self._caller.write(data)
+        return self._caller.write(event.data)
+
+    def _forward_event_without_id(self, event: StreamEvent) -> bool:
+        """Forwards an event without an id, for example a comment.
+
+        It does not count as progress and does not start the answer. Where an
+        earlier attempt has begun the stream, it is dropped until this one has
+        caught up: its place in the stream isn't known.
+
+        Returns:
+            Whether the caller keeps up.
+        """
+        if (
+            self._abandoned_outcome is not None
+            or not self._caller.response_started
+            or not self._has_caught_up()
+        ):
+            return True
+        return self._caller.write(event.data)
+
+    def _has_caught_up(self) -> bool:
+        """Returns whether this attempt has sent the last forwarded event."""
+        return self._latest_event_id == self._progress.last_event_id
 
     def _record_head_progress(self) -> None:
         """Records that the head has sent an event of this attempt."""
@@ -538,12 +568,27 @@
         self._call.resume()
 
     def _deliver(self, head: RunnerResponseHead) -> AttemptOutcome:
-        """Ends the caller's response, unless the last event is incomplete."""
+        """Ends the caller's response, if the answer completes it.
+
+        Once the response has started, other answers than streams can't be
+        delivered, and a stream completes it only if it sent the last event that
+        was forwarded: a shorter one is not the rest of the same stream.
+        """
+        started = self._caller.response_started
         if not self._is_event_stream(head):
+            if started:
+                self.detail = "the answer doesn't continue the stream"
+                return AttemptOutcome.FAILED
             return super()._deliver(head)
         if self._parser.has_partial_event:
             self.detail = "the stream ended in the middle of an event"
             return AttemptOutcome.BROKEN
+        if started and not self._has_caught_up():
+            self.detail = (
+                f"the stream ended at event {self._latest_event_id}, "
+                f"{self._progress.last_event_id} was forwarded"
+            )
+            return AttemptOutcome.FAILED
         if not self._caller.response_started:
             self._caller.start(
                 head.status, _without_content_length(head.forwarded_headers)
--- a/mulberrypaddle/serving/event_parser.py
+++ b/mulberrypaddle/serving/event_parser.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import re
+
 # Longest event that is accepted; events of runners have a few hundred bytes.
 MAX_EVENT_BYTES = 262_144
 
+# A line of an event: a comment, a field with a colon, or the bare name of a
+# field that servers may send without one.
+_EVENT_LINE = re.compile(rb"(?:[A-Za-z][A-Za-z0-9_-]*)?:|(?:data|event|id)$")
+
 
 class StreamEvent:
     """One complete event.
@@ -38,7 +44,8 @@
         """Appends bytes and returns the events that they complete.
 
         Raises:
-            ValueError: If an event is longer than `MAX_EVENT_BYTES`.
+            ValueError: If an event is longer than `MAX_EVENT_BYTES`, or if
+                the bytes are no event.
         """
         self._buffer += data
         events: list[StreamEvent] = []
@@ -50,7 +57,7 @@
             self._buffer = self._buffer[end:]
             if not block.strip(b"\r\n"):
                 continue
-            events.append(StreamEvent(_parse_event_id(block), block))
+            events.append(_parse_event(block))
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(
                 f"incomplete event of {len(self._buffer)} bytes, "
@@ -69,6 +76,21 @@
     return min(ends) if ends else -1
 
 
+def _parse_event(block: bytes) -> StreamEvent:
+    """Parses one event.
+
+    Raises:
+        ValueError: If it has no id, and a line is neither comment nor field.
+    """
+    event_id = _parse_event_id(block)
+    if event_id is not None:
+        return StreamEvent(event_id, block)
+    for line in block.splitlines():
+        if line and not _EVENT_LINE.match(line):
+            raise ValueError(f"not a field of an event: {line[:80]!r}")
+    return StreamEvent(None, block)
+
+
 def _parse_event_id(block: bytes) -> int | None:
     """Returns the numeric id of an event, or None if it has none."""
     for line in block.splitlines():
--- a/mulberrypaddle/serving/header_codec.py
+++ b/mulberrypaddle/serving/header_codec.py
@@ -81,11 +81,14 @@
         size_bytes: Content-Length of the body; None if not given.
         encoded: Whether the body has a content encoding, so that it is not as
             the runner produced it.
+        media_type: Media type of the body, in lower case and without
+            parameters; empty if not given.
     """
 
     __slots__ = (
         "encoded",
         "fault_runner",
+        "media_type",
         "not_run",
         "forwarded_headers",
         "request_id",
@@ -105,6 +108,7 @@
         fault_runner: str,
         size_bytes: int | None,
         encoded: bool,
+        media_type: str,
     ) -> None:
         self.status = status
         self.forwarded_headers = forwarded_headers
@@ -114,6 +118,7 @@
         self.fault_runner = fault_runner
         self.size_bytes = size_bytes
         self.encoded = encoded
+        self.media_type = media_type
 
 
 class HeaderCodec(abc.ABC):
--- a/tests/serving/test_event_parser.py
+++ b/tests/serving/test_event_parser.py
@@ -34,3 +34,12 @@
     def test_event_over_the_size_limit_is_refused(self) -> None:
         parser = EventParser()
         self.assertRaises(ValueError, parser.feed, b"x" * (MAX_EVENT_BYTES + 1))
+
+    def test_bytes_that_are_no_event_are_refused(self) -> None:
+        for data in (b'{"error": 1}\n\n', b"HTTP/1.1 503 X\r\n\r\n", b"no\n\n"):
+            self.assertRaises(ValueError, EventParser().feed, data)
+
+    def test_comments_and_fields_need_no_id(self) -> None:
+        for data in (b": alive\n\n", b"event: end\r\ndata\r\n\r\n"):
+            events = EventParser().feed(data)
+            self.assertEqual([data], [event.data for event in events])
