Reject an answer that is cut off behind the last carriage return of its head

Cause: when a connection closes behind a carriage return, curl passes on the line without its end; RunnerCall stripped it and took the empty rest for the end of the head. curl itself reports no error for a head that is cut behind a complete line. Change: a header line without its line feed ends the call as broken, and so do bytes of a body before the end of the head. Why it works: a head counts as complete only with the line feed of its empty line, which is the last byte of it.

--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -275,12 +275,17 @@
     def _handle_header_line(self, line: bytes) -> int | None:
         """Collects header lines and reports the head after the last one.
 
-        Interim responses (status below 200) are skipped.
+        Interim responses (status below 200) are skipped. When a connection
+        closes behind a carriage return, curl passes on the line without its
+        end; even an empty one then doesn't end the head.
 
         Returns:
             None to go on, or 0 to end the transfer: curl's HEADERFUNCTION.
         """
         self._answer_begun = True
+        if not line.endswith(b"\n"):
+            self.error = "the answer was cut off within its head"
+            return 0
         text = line.decode("latin-1").rstrip("\r\n")
         if self._head_complete:
             # Trailers are ignored.
@@ -306,6 +311,9 @@
         """Passes a chunk to `on_body`, or pauses; curl's WRITEFUNCTION."""
         if self._cancelled:
             return None
+        if not self._head_complete:
+            self.error = "the answer has a body without a head"
+            return 0
         if self._paused:
             return int(pycurl.WRITEFUNC_PAUSE)
         if not self._on_body(data):
