Reject cut heads in the client of runners behind the front end

Cause: curl reports no error for a head that is cut behind a complete line, and Transfer took the end of the transfer for the end of the head: cut behind "Content-Length: 800\r" or "Transfer-Encoding: chunked\r\n" the answer counted as framed, complete and empty. Change: Transfer records the empty line that ends the head, and rejects an answer without it; lines without their line feed don't count. Why it works: the line feed of the empty line is the last byte of a head.

--- a/mulberrypaddle/backends/transfer.py
+++ b/mulberrypaddle/backends/transfer.py
@@ -66,6 +66,7 @@
         "_deadline_seconds",
         "_deadline_timer",
         "_head",
+        "_head_complete",
         "_headers",
         "_loop",
         "_may_refuse",
@@ -98,6 +99,8 @@
         self._curl: pycurl.Curl | None = None
         self._aborted = False
         self._head: AnswerHead | None = None
+        # Whether the empty line that ends the head was received.
+        self._head_complete = False
         self._headers: list[tuple[str, str]] = []
         self._paused_at_seconds: float | None = None
         self._loop = asyncio.get_running_loop()
@@ -167,9 +170,13 @@
     def check_head(self) -> bool:
         """Returns whether the answer belongs to the attempt and is framed.
 
-        If not, sets `problem`: an answer that echoes the id of another
-        attempt, or has neither a length nor chunked encoding, is rejected.
+        If not, sets `problem`: an answer whose head was cut off, that echoes
+        the id of another attempt, or that has neither a length nor chunked
+        encoding, is rejected.
         """
+        if not self._head_complete:
+            self._reject("the answer was cut off within its head")
+            return False
         echoed_attempt_id = self.header("x-attempt-id")
         if echoed_attempt_id and echoed_attempt_id != self._attempt_id:
             self._reject(f"got the answer of attempt {echoed_attempt_id!r}")
@@ -207,13 +214,22 @@
         self.problem = Problem(ErrorKind.OUTCOME_UNKNOWN, f"runner: {detail}")
 
     def _on_header(self, line: bytes) -> None:
-        """Parses a status or header line; curl callback."""
+        """Parses a status or header line; curl callback.
+
+        When a connection closes behind a carriage return, curl passes on the
+        line without its end.
+        """
+        if not line.endswith(b"\n"):
+            return
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             parts = text.split(" ", 2)
             self.status = int(parts[1])
             self._headers.clear()
             return
+        if not text:
+            self._head_complete = self.status >= 200
+            return
         name, separator, value = text.partition(":")
         if separator:
             self._headers.append((name.lower(), value.strip()))
