Soak: send requests with a crashing prompt part in every other seed

Change: in odd seeds, 8 % of the requests have a part that crashes heads, beside all other faults. Once every kind of request is served again, routers have two stable windows without faults; from then on at most three requests with the part may reach runners in 4 s, and half of the rounds of sound requests must be served completely.

--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -6,7 +6,8 @@
 signals to routers (stop, pause, kill), crashes of runners, outages of the
 store and loss of its watch history, changes of the configuration, and a proxy
 in front of the store that delays, resets or silences connections, or drops
-the answers only. Callers send requests throughout.
+the answers only. Callers send requests throughout. In every other seed, some of
+them have a part in their prompt that crashes runners.
 `tests.support.simulated_deployment` checks the invariants from what callers and
 runners observe. A run also fails if the routers don't serve every kind of
 request after the faults have ended.
@@ -26,8 +27,10 @@
 import fire
 
 from soak.upgrade import UpgradeRun
+from tests.support.crashing_parts import FIRST_PART, make_prompt
 from tests.support.fault_proxy import FaultProxy, ProxyMode
 from tests.support.simulated_deployment import (
+    STABLE_WINDOW_SECONDS,
     Caller,
     Router,
     SimulatedDeployment,
@@ -42,6 +45,16 @@
 REQUESTS_PER_SECOND = 25.0
 REQUEST_KINDS = ("safe", "pay", "write", "write")
 
+# Part that crashes runners, and the share of the requests that have it.
+CRASHING_PART = "e4402b7d"
+CRASHING_SHARE = 0.08
+# Requests with the part that may reach runners once it must be known.
+MAX_CRASHING_ARRIVALS = 3
+# After the faults, the routers can learn the part again in the first time, and
+# the requests with it are counted in the second one.
+CRASHING_SETTLE_SECONDS = 2 * STABLE_WINDOW_SECONDS
+CRASHING_CHECK_SECONDS = 4.0
+
 # Seeds that failed in the past, with the cause; CI runs them again.
 REGRESSIONS: dict[int, str] = {}
 
@@ -60,6 +73,9 @@
         self._caller = Caller(self._deployment)
         self._request_tasks: set[asyncio.Task[object]] = set()
         self._request_number = 0
+        self._crashing = seed % 2 == 1
+        if self._crashing:
+            self._deployment.crashing_parts.part_ids.add(CRASHING_PART)
         self.faults: list[str] = []
 
     async def run(self) -> list[str]:
@@ -78,6 +94,8 @@
             await self._inject_faults()
             self._clear_faults()
             recovered = await self._recovers()
+            if recovered and self._crashing:
+                await self._check_crashing_part()
             load.cancel()
             await asyncio.gather(*self._request_tasks, return_exceptions=True)
             if not recovered:
@@ -96,8 +114,13 @@
             self._request_number += 1
             router = self._rng.choice(list(self._deployment.routers.values()))
             kind = self._rng.choice(REQUEST_KINDS)
+            request_id = f"q{self._request_number}"
+            prompt = ""
+            if self._crashing and self._rng.random() < CRASHING_SHARE:
+                kind = "write"
+                prompt = make_prompt((FIRST_PART, CRASHING_PART), request_id)
             task: asyncio.Task[object] = asyncio.ensure_future(
-                self._caller.send(router, kind, f"q{self._request_number}")
+                self._caller.send(router, kind, request_id, prompt=prompt)
             )
             self._request_tasks.add(task)
             task.add_done_callback(self._request_tasks.discard)
@@ -213,20 +236,50 @@
             self._clear_faults()
             for router in deployment.routers.values():
                 router.start()
-            outcomes = []
-            for router in deployment.routers.values():
-                for kind in ("safe", "pay", "write"):
-                    self._request_number += 1
-                    outcomes.append(
-                        await self._caller.send(
-                            router, kind, f"q{self._request_number}"
-                        )
-                    )
-            if outcomes == ["served"] * len(outcomes):
+            if await self._all_served():
                 return True
             await asyncio.sleep(0.5)
         return False
 
+    async def _all_served(self) -> bool:
+        """Returns whether each router serves a request of each kind."""
+        outcomes = []
+        for router in self._deployment.routers.values():
+            for kind in ("safe", "pay", "write"):
+                self._request_number += 1
+                outcomes.append(
+                    await self._caller.send(
+                        router, kind, f"q{self._request_number}"
+                    )
+                )
+        return outcomes == ["served"] * len(outcomes)
+
+    async def _check_crashing_part(self) -> None:
+        """Checks that the crashing part is refused and other requests aren't.
+
+        The part has crashed enough runners by the end of the first wait.
+        """
+        deployment = self._deployment
+        await asyncio.sleep(CRASHING_SETTLE_SECONDS)
+        settled_at = time.monotonic()
+        served_rounds = 0
+        rounds = 0
+        while time.monotonic() < settled_at + CRASHING_CHECK_SECONDS:
+            rounds += 1
+            served_rounds += await self._all_served()
+        arrivals = deployment.crashing_parts.arrivals_after(
+            CRASHING_PART, settled_at
+        )
+        if arrivals > MAX_CRASHING_ARRIVALS:
+            deployment.breaches.append(
+                f"{arrivals} requests with a crashing part reach runners"
+            )
+        if served_rounds < rounds / 2:
+            deployment.breaches.append(
+                f"{served_rounds} of {rounds} rounds are served beside a "
+                "crashing part"
+            )
+
 
 async def run_seed(seed: int) -> list[str]:
     """Runs the faults of one seed and returns the breached invariants."""
