Refuse requests that outlast a stop also while the store is slow

What callers saw, or could have: a request that came between 2.8 s and 4.3 s after SIGTERM was taken by a router that held a duty, and was cut short at the end of the grace period.

Cause: the wait for callers to notice the stop, after which only requests that end in time are taken, began when the duties had been released. Each release is a write to the store, which waits up to 1.5 s for its answer.

Evidence: test_slow_store_does_not_delay_the_refusal_of_long_requests, with a release of 1 s, found no such refusal 0.4 s after it was due on the code before.

The release now runs beside the rest of the stop and is awaited at its end.

--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -225,8 +225,8 @@
         log_state_change(
             "stopping", node=self._settings.node, in_hand=board.in_flight_count
         )
-        if not self._duty_manager.renewal_overdue:
-            await self._duty_manager.release_all()
+        # The store may be slow, which must not delay what follows.
+        released = asyncio.ensure_future(self._release_duties())
         end_seconds = began_at_seconds + (
             self._settings.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
         )
@@ -237,6 +237,12 @@
         await self._caller_server.stop(
             quiet_seconds=STOP_QUIET_SECONDS, until_seconds=end_seconds
         )
+        await released
+
+    async def _release_duties(self) -> None:
+        """Releases the duties, unless the store can't be reached."""
+        if not self._duty_manager.renewal_overdue:
+            await self._duty_manager.release_all()
 
     def _is_busy(self) -> bool:
         """Returns whether requests are in flight, being read or expected."""
