--- a/mulberrypaddle/serving/metrics.py
+++ b/mulberrypaddle/serving/metrics.py
@@ -81,6 +81,11 @@
     "Requests that wait for a runner.",
     registry=REGISTRY,
 )
+_QUARANTINES = Gauge(
+    "mulberrypaddle_serving_quarantines",
+    "Quarantines of prompt parts that crash runners.",
+    registry=REGISTRY,
+)
 _ROUTERS = Gauge(
     "mulberrypaddle_serving_routers",
     "Routers that may be alive.",
@@ -99,6 +104,9 @@
     _WAITING.set_function(
         lambda: sum(len(queue) for queue in board.queues.values())
     )
+    _QUARANTINES.set_function(
+        lambda: len(board.crash_attribution.quarantines())
+    )
     _ROUTERS.set_function(lambda: board.live_routers)
     _CONFIG.set_function(
         lambda: board.config.version if board.config is not None else 0
