Bound the parts in one report of crashes

A heartbeat is one datagram of 64 KB at most. 24 crashes with 64 parts whose ids callers choose, 64 characters each, did not fit; a router with such reports would have gone unheard. Found by reading. A report now has 256 parts at most, and as many answered ones.

--- a/mulberrypaddle/dispatch/crash_attribution.py
+++ b/mulberrypaddle/dispatch/crash_attribution.py
@@ -57,8 +57,10 @@
 MAX_PARTS_PER_CRASH = 64
 MAX_CLEARED_PARTS = 4_096
 
-# Crashes in one report to other routers.
+# Crashes in one report to other routers, and parts in all of them: a report is
+# sent in one datagram.
 MAX_REPORTED_CRASHES = 24
+MAX_REPORTED_PARTS = 256
 
 # How long answers with the suspects of a crash are reported after some router
 # has last reported the crash.
@@ -313,8 +315,8 @@
         """Returns the crashes with suspects, to be reported to other routers.
 
         Those that explain a quarantine come first, then the latest, up to
-        `MAX_REPORTED_CRASHES`. They are reported as long as they count, since
-        routers that start know none.
+        `MAX_REPORTED_CRASHES` with `MAX_REPORTED_PARTS`. They are reported as
+        long as they count, since routers that start know none.
         """
         self._expire(now_seconds)
         self._evaluate_if_outdated()
@@ -329,11 +331,13 @@
             ),
         )
         reports: list[CrashReport] = []
+        part_count = 0
         for name in names:
             crash = self._crashes[name]
             parts = self._uncleared_parts(crash)
-            if not parts:
+            if not parts or part_count + len(parts) > MAX_REPORTED_PARTS:
                 continue
+            part_count += len(parts)
             reports.append(
                 CrashReport(
                     name,
@@ -359,8 +363,11 @@
                 continue
             for part in crash.parts:
                 cleared_at_seconds = self._cleared_at_seconds.get(part)
-                if cleared_at_seconds is not None:
-                    ages[part] = now_seconds - cleared_at_seconds
+                if cleared_at_seconds is None:
+                    continue
+                if len(ages) == MAX_REPORTED_PARTS:
+                    return ages
+                ages[part] = now_seconds - cleared_at_seconds
         return ages
 
     def apply_peer_report(
--- a/tests/serving/test_digest.py
+++ b/tests/serving/test_digest.py
@@ -140,3 +140,38 @@
         self.assertEqual({"r1": 3}, total.loads)
         self.assertEqual({"m": 1.5}, total.demand)
         self.assertEqual({"m": 100}, total.opening)
+
+    def test_latest_answers_with_suspects_are_reported(self) -> None:
+        digest = merge_heartbeats(
+            make_heartbeat("a", loads={}, cleared={"p1": 900}),
+            [make_heartbeat("b", loads={}, cleared={"p1": 200, "p2": 700})],
+            scope=SCOPE_FLEET,
+        )
+        self.assertEqual({"p1": 200, "p2": 700}, digest.cleared)
+
+    def test_crashes_are_decoded_as_encoded(self) -> None:
+        heartbeat = make_heartbeat(
+            "a",
+            loads={},
+            crashes={"r1@5": [1200, ["p1", "p2"]]},
+            cleared={"p1": 300},
+        )
+        decoded = Heartbeat.from_bytes(heartbeat.to_bytes())
+        self.assertEqual({"r1@5": [1200, ["p1", "p2"]]}, decoded.crashes)
+        self.assertEqual({"p1": 300}, decoded.cleared)
+
+    def test_earlier_versions_accept_heartbeats_without_crashes(self) -> None:
+        data = make_heartbeat("a", loads={}).to_bytes()
+        self.assertNotIn(b"crashes", data)
+        self.assertNotIn(b"cleared", data)
+        self.assertEqual({}, Heartbeat.from_bytes(data).crashes)
+
+    def test_malformed_crashes_are_rejected(self) -> None:
+        for crashes in (
+            {"r1@5": [1]},
+            {"r1@5": ["1", ["p"]]},
+            {"r1@5": [1, 2]},
+        ):
+            self.assertRaises(
+                ValueError, make_heartbeat, "a", loads={}, crashes=crashes
+            )
