Return to a head that was only silent when the next one breaks the stream

What callers saw: a stream was cut although the runner that had begun it was sound.

Cause: after a second of silence a stream moves to another head. Both then count against the two runners of the route, so that a failure of the second one, or no room at any other, ended the answer, and the first one was not asked again.

Evidence: test_stream_returns_to_a_silent_head_if_the_next_one_breaks is cut after event 5 on the code before, and gets all six now.

--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -117,6 +117,8 @@
         # Incarnations of the runners at which the request may have run, as
         # runner id and start time in milliseconds.
         self._possible_runs: list[tuple[str, int | None]] = []
+        # Runners that it left since they sent nothing, the latest last.
+        self._silent_runners: list[RunnerEntry] = []
         self._lateness = LatenessRecorder()
         self.last_event_id = fields.last_event_id
 
@@ -236,9 +238,16 @@
             )
             # A request that may have run already has priority over the queue.
             if waited or self._may_have_run or ahead == 0:
-                entry = self._reserve_runner(requirements, now)
+                entry = None
+                if self._may_send_again():
+                    entry = self._reserve_runner(requirements, now)
+                if entry is None:
+                    entry = self._return_to_silent_runner(now)
                 if entry is not None:
                     return entry
+            if not self._may_send_again():
+                self._fail_outcome_unknown()
+                return None
             if self._only_excluded_healthy(now):
                 # Every healthy runner was tried and excluded: try them again.
                 self._excluded_runners.clear()
@@ -265,6 +274,46 @@
         board.chooser.record_sent(entry, now_seconds=now)
         return entry
 
+    def _can_return(self, runner: RunnerEntry, now: float) -> bool:
+        """Returns whether a runner that was left serves again.
+
+        That is, it is the same process, its group is open, and no stream of it
+        was seen to stall lately.
+        """
+        board = self._board
+        if board.runner_health.is_suspected(runner.runner_id, now):
+            return False
+        for entry in board.chooser.serving_runners(self._runner_requirements()):
+            if entry.incarnation == runner.incarnation:
+                return True
+        return False
+
+    def _return_to_silent_runner(self, now: float) -> RunnerEntry | None:
+        """Reserves a slot at a runner that was left only for its silence.
+
+        A sound runner may pause for a second. The request already counts as
+        sent to it, so that the limit of the route does not forbid to send it
+        there again.
+
+        Returns:
+            The runner; None if there is none that serves.
+        """
+        board = self._board
+        while self._silent_runners:
+            entry = self._silent_runners.pop()
+            if not self._can_return(entry, now):
+                continue
+            board.loads.add_request(entry.runner_id)
+            board.chooser.record_sent(entry, now_seconds=now)
+            log_request(
+                "returns_to_silent_runner",
+                request_id=self._fields.request_id,
+                runner=entry.runner_id,
+                sends=self._send_count,
+            )
+            return entry
+        return None
+
     def _has_other_healthy(self, now: float) -> bool:
         """Returns whether a healthy runner has not been tried yet."""
         healthy = self._board.chooser.healthy_runners(
@@ -557,7 +606,7 @@
             running: Number of attempts in flight.
         """
         counted = running
-        for runner_id, started_at_ms in self._possible_runs:
+        for runner_id, started_at_ms in set(self._possible_runs):
             entry = self._board.view.get(runner_id)
             if entry is not None and entry.started_at_ms == started_at_ms:
                 counted += 1
@@ -638,6 +687,7 @@
         if outcome is AttemptOutcome.STALLED:
             board.runner_health.record_unreachable(runner_id, now)
             board.runner_health.mark_suspected(runner_id, now)
+            self._silent_runners.append(entry)
         elif outcome is not AttemptOutcome.STALE:
             board.runner_health.record_failure(runner_id, now)
         if outcome is AttemptOutcome.BROKEN:
@@ -661,7 +711,12 @@
                     parts=",".join(self._fields.prompt_parts),
                 )
                 return self._forward_error_response(attempt)
-        if not self._terms.route.may_retry or not self._may_send_again():
+        if not self._terms.route.may_retry or not (
+            self._may_send_again()
+            or any(
+                self._can_return(runner, now) for runner in self._silent_runners
+            )
+        ):
             return self._forward_error_response(attempt)
         if outcome is AttemptOutcome.FAILED and not self._has_other_healthy(
             now
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -7,6 +7,7 @@
 import testtools
 from testtools.matchers import Equals
 
+from mulberrypaddle.dispatch import stalls
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness, request_bytes
 from tests.support.raw_runner import AnswerWriter, RawRunner
@@ -467,6 +468,40 @@
             2, sum(len(runner.request_heads) for runner in runners)
         )
 
+    def test_stream_returns_to_a_silent_head_if_the_next_one_breaks(
+        self,
+    ) -> None:
+        self.patch(stalls, "STALL_SECONDS", 0.2)
+        requests: list[bytes] = []
+
+        async def answer(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            requests.append(request)
+            if len(requests) == 1:
+                writer.write(_STREAM_HEAD + _event(1))
+                await writer.drain()
+                await asyncio.sleep(1.0)
+                return
+            if len(requests) == 3:
+                writer.write(_STREAM_HEAD + _event(6) + _STREAM_END)
+                return
+            writer.write(_STREAM_HEAD)
+            for number in range(2, 6):
+                writer.write(_event(number))
+                await writer.drain()
+                await asyncio.sleep(0.15)
+            await asyncio.sleep(0.15)
+            writer.transport.abort()
+
+        got, runners = self._send_request(answer, answer, first_attempts=100)
+        for number in range(1, 7):
+            self.assertEqual(1, got.count(b"id: %d\n" % number), got)
+        self.assertTrue(got.endswith(b"0\r\n\r\n"))
+        self.assertIn(b"Last-Event-Id: 5", requests[2])
+        # The route allows two runners per request.
+        self.assertEqual([1, 2], sorted(len(r.request_heads) for r in runners))
+
     def test_event_after_a_gap_is_not_forwarded(self) -> None:
         got, _ = self._send_request(
             _answers(_STREAM_HEAD + _event(1) + _event(3) + _STREAM_END)
