Probe a runner again when further answers break off

A runner whose answers broke off was probed once. After a probe that it accepted, for example since it had only closed a kept connection, a crash in the next 6 s was never confirmed unless the runner came back under the same id, which mostly isn't so; the part went on crashing runners.

--- a/mulberrypaddle/dispatch/crash_attribution.py
+++ b/mulberrypaddle/dispatch/crash_attribution.py
@@ -52,6 +52,10 @@
 # Time in which the end of a runner is confirmed after its answers broke off.
 CONFIRMATION_SECONDS = 6.0
 
+# Least time between two probes of a runner whose answers go on breaking off. A
+# runner that crashed is back later than that.
+PROBE_INTERVAL_SECONDS = 0.5
+
 # Bounds of what is remembered: callers choose the ids of parts.
 MAX_CRASHES = 256
 MAX_PARTS_PER_CRASH = 64
@@ -75,11 +79,20 @@
         incarnation: Incarnation of the runner.
         address: Address of the runner, as host:port.
         at_seconds: Monotonic time at which the first answer broke off.
+        latest_at_seconds: The same of the last one.
         parts: Parts of the prompts whose answers had only just begun.
-        probed: Whether a probe of the runner has been started.
+        probed_at_seconds: Monotonic time at which the last probe of the runner
+            was started; None before the first.
     """
 
-    __slots__ = ("address", "at_seconds", "incarnation", "parts", "probed")
+    __slots__ = (
+        "address",
+        "at_seconds",
+        "incarnation",
+        "latest_at_seconds",
+        "parts",
+        "probed_at_seconds",
+    )
 
     def __init__(
         self, incarnation: Incarnation, *, address: str, at_seconds: float
@@ -87,8 +100,23 @@
         self.incarnation = incarnation
         self.address = address
         self.at_seconds = at_seconds
+        self.latest_at_seconds = at_seconds
         self.parts: set[str] = set()
-        self.probed = False
+        self.probed_at_seconds: float | None = None
+
+    def is_probe_due(self, now_seconds: float) -> bool:
+        """Returns whether to probe the runner.
+
+        Each time that an answer broke off after the last probe: the runner may
+        have gone on then and have crashed since. One that crashes mostly
+        returns under another id, so that only a probe can confirm it.
+        """
+        if self.probed_at_seconds is None:
+            return True
+        return (
+            self.latest_at_seconds >= self.probed_at_seconds
+            and now_seconds - self.probed_at_seconds >= PROBE_INTERVAL_SECONDS
+        )
 
 
 class CrashReport:
@@ -222,18 +250,26 @@
         if crash is not None:
             self._add_suspects(crash, parts)
             return
-        interruption = self._interruptions.get(incarnation)
-        if interruption is None:
+        known = self._interruptions.get(incarnation)
+        interruption = known
+        if (
+            interruption is None
+            or now_seconds - interruption.at_seconds > CONFIRMATION_SECONDS
+        ):
             interruption = Interruption(
                 incarnation, address=address, at_seconds=now_seconds
             )
+            if known is not None:
+                interruption.probed_at_seconds = known.probed_at_seconds
             self._interruptions[incarnation] = interruption
+        interruption.latest_at_seconds = now_seconds
         interruption.parts.update(parts)
 
     def interruptions(self, now_seconds: float) -> list[Interruption]:
         """Returns the runners that may have crashed; forgets older ones."""
         for interruption in list(self._interruptions.values()):
-            if now_seconds - interruption.at_seconds > CONFIRMATION_SECONDS:
+            silent_seconds = now_seconds - interruption.latest_at_seconds
+            if silent_seconds > CONFIRMATION_SECONDS:
                 del self._interruptions[interruption.incarnation]
         return list(self._interruptions.values())
 
--- a/mulberrypaddle/serving/crash_monitor.py
+++ b/mulberrypaddle/serving/crash_monitor.py
@@ -50,9 +50,9 @@
             if entry is not None and entry.incarnation != incarnation:
                 attribution.confirm_crash(incarnation, board.now())
                 continue
-            if interruption.probed:
+            if not interruption.is_probe_due(board.now()):
                 continue
-            interruption.probed = True
+            interruption.probed_at_seconds = board.now()
             task = asyncio.ensure_future(self._probe(interruption))
             self._probes.add(task)
             task.add_done_callback(self._probes.discard)
