Limit the reports of crashes to the size of a datagram

Reported crashes and answered parts were bounded in number, but callers choose the ids: after 256 crashes with 64 parts of 64 characters the heartbeat of a router had 226,287 bytes and a digest of eleven such routers 1,881,282, where a datagram has at most 65,507. Sending it fails, so that the router, or each member of a relay, counts as silent for as long as the crashes are remembered.

Suspects and answered parts now have 16,384 characters of ids each in a message; whole crashes are left out, those of no quarantine first.

--- a/mulberrypaddle/dispatch/crash_attribution.py
+++ b/mulberrypaddle/dispatch/crash_attribution.py
@@ -15,7 +15,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -64,6 +64,10 @@
 # Crashes in one report to other routers.
 MAX_REPORTED_CRASHES = 24
 
+# Most characters of ids of suspects, and of ids of answered parts, in one
+# report: a report is part of a datagram.
+MAX_REPORTED_CHARACTERS = 16_384
+
 # How long answers with the suspects of a crash are reported after some router
 # has last reported the crash.
 REPORT_CLEARED_SECONDS = 3.0
@@ -71,6 +75,9 @@
 # A runner's id and its start time in milliseconds; see `RunnerEntry`.
 Incarnation = tuple[str, int | None]
 
+# Age of an answer, in seconds or milliseconds.
+Age = TypeVar("Age", int, float)
+
 
 class Interruption:
     """A runner whose answers broke off and that may have crashed.
@@ -349,8 +356,8 @@
         """Returns the crashes with suspects, to be reported to other routers.
 
         Those that explain a quarantine come first, then the latest, up to
-        `MAX_REPORTED_CRASHES`. They are reported as long as they count, since
-        routers that start know none.
+        `MAX_REPORTED_CRASHES` and `MAX_REPORTED_CHARACTERS`. They are reported
+        as long as they count, since routers that start know none.
         """
         self._expire(now_seconds)
         self._evaluate_if_outdated()
@@ -365,11 +372,15 @@
             ),
         )
         reports: list[CrashReport] = []
+        characters = 0
         for name in names:
             crash = self._crashes[name]
             parts = self._uncleared_parts(crash)
             if not parts:
                 continue
+            characters += sum(map(len, parts))
+            if characters > MAX_REPORTED_CHARACTERS:
+                break
             reports.append(
                 CrashReport(
                     name,
@@ -397,7 +408,7 @@
                 cleared_at_seconds = self._cleared_at_seconds.get(part)
                 if cleared_at_seconds is not None:
                     ages[part] = now_seconds - cleared_at_seconds
-        return ages
+        return latest_ages(ages)
 
     def apply_peer_report(
         self,
@@ -606,6 +617,18 @@
         )
 
 
+def latest_ages(ages: dict[str, Age]) -> dict[str, Age]:
+    """Returns the lowest ages of parts that a report has room for, by part."""
+    kept: dict[str, Age] = {}
+    characters = 0
+    for part in sorted(ages, key=lambda part: ages[part]):
+        characters += len(part)
+        if characters > MAX_REPORTED_CHARACTERS:
+            break
+        kept[part] = ages[part]
+    return kept
+
+
 def _name(incarnation: Incarnation) -> str:
     """Returns the name of an incarnation in reports to other routers."""
     runner_id, started_at_ms = incarnation
--- a/mulberrypaddle/serving/digest.py
+++ b/mulberrypaddle/serving/digest.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.dispatch.crash_attribution import latest_ages
 from mulberrypaddle.dispatch.retry_budget import RetryCounts
 from mulberrypaddle.serving.heartbeat import SCOPE_DATA_CENTRE, SCOPE_FLEET
 
@@ -150,7 +151,7 @@
     relay_heartbeat.demand = demand
     relay_heartbeat.opening = opening
     relay_heartbeat.stalled = stalled
-    relay_heartbeat.cleared = cleared
+    relay_heartbeat.cleared = latest_ages(cleared)
     relay_heartbeat.claims = claims
     relay_heartbeat.resigned = resigned
     relay_heartbeat.failing = sorted(failing)
