Clear the prompt parts of answers that are no streams

Only streams cleared the parts of their prompts. An answer of a plain service, or of a stream's runner with another media type, didn't: after three crashes for other reasons while such answers were awaited, their parts were refused, and trials that were answered didn't end that.

Each 2xx that is delivered clears now. test_answer_clears_the_parts_of_its_prompt fails on the code before and passes now.

--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -352,8 +352,16 @@
         self._caller.send_response(
             head.status, head.forwarded_headers, b"".join(self._body)
         )
+        if 200 <= head.status < 300:
+            self._clear_prompt_parts()
         return AttemptOutcome.DELIVERED
 
+    def _clear_prompt_parts(self) -> None:
+        """Records that the runner answers prompts with these parts."""
+        self._board.crash_attribution.record_answer(
+            self._prompt_parts, self._board.now()
+        )
+
 
 def is_misdirected(status: int) -> bool:
     """Returns whether a status means that another runner uses the address.
@@ -613,12 +621,6 @@
         self._clear_prompt_parts()
         return AttemptOutcome.DELIVERED
 
-    def _clear_prompt_parts(self) -> None:
-        """Records that the runner answers prompts with these parts."""
-        self._board.crash_attribution.record_answer(
-            self._prompt_parts, self._board.now()
-        )
-
 
 def _without_content_length(
     headers: list[tuple[str, str]],
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -96,6 +96,28 @@
         self.assertIn(b"X-Expect-Instance: r0", head)
         self.assertNotIn(b"key-1", head)
 
+    def test_answer_clears_the_parts_of_its_prompt(self) -> None:
+        async def scenario() -> bool:
+            path_under_test = FrontEndHarness()
+            attribution = path_under_test.board.crash_attribution
+            attribution.record_interruption(
+                ("r9", 1),
+                address="127.0.0.1:1",
+                parts=("5c1e07a2",),
+                now_seconds=path_under_test.board.now(),
+            )
+            attribution.confirm_crash(("r9", 1), path_under_test.board.now())
+            runner = RawRunner(_answers(_complete_response(200, b"done")))
+            path_under_test.add_runner("r1", await runner.start())
+            await path_under_test.send_request(
+                "/pay/1", headers=("X-Prompt-Prefix: 5c1e07a2:800,e4402b7d:9",)
+            )
+            path_under_test.close()
+            await runner.stop()
+            return attribution.is_suspected(("5c1e07a2",))
+
+        self.assertFalse(run(scenario()))
+
     def test_request_with_an_unreadable_number_is_answered(self) -> None:
         for header in (
             "X-Length-Hint: inf",
