Clear no prompt parts by a stream without events

A runner that crashes before its first event may close its connection in order. Where its answer has no length, that is a complete, empty stream, which cleared the part that crashed the runner, and ended its quarantine.

test_stream_without_events_clears_no_parts fails on the code before and passes now. Remains: such a crash is not recorded, and its caller gets an empty 200.

--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -618,7 +618,10 @@
                 head.status, _without_content_length(head.forwarded_headers)
             )
         self._caller.finish()
-        self._clear_prompt_parts()
+        if self._event_count:
+            # Without a length, the end of a runner that crashed before its
+            # first event looks like that of an empty stream.
+            self._clear_prompt_parts()
         return AttemptOutcome.DELIVERED
 
 
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -424,6 +424,35 @@
 
         return run(scenario())
 
+    def test_stream_without_events_clears_no_parts(self) -> None:
+        async def ends(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(_HEAD % 200 + b"\r\n")
+            writer.close()
+
+        async def scenario() -> bool:
+            path_under_test = FrontEndHarness()
+            attribution = path_under_test.board.crash_attribution
+            attribution.record_interruption(
+                ("r9", 1),
+                address="127.0.0.1:1",
+                parts=("5c1e07a2",),
+                now_seconds=path_under_test.board.now(),
+            )
+            attribution.confirm_crash(("r9", 1), path_under_test.board.now())
+            runner = RawRunner(ends)
+            path_under_test.add_open_group("h1", await runner.start())
+            await path_under_test.send_request(
+                "/write/1",
+                headers=(*_MODEL, "X-Prompt-Prefix: 5c1e07a2:800,e4402b7d:9"),
+            )
+            path_under_test.close()
+            await runner.stop()
+            return attribution.is_suspected(("5c1e07a2",))
+
+        self.assertTrue(run(scenario()))
+
     def test_events_are_forwarded(self) -> None:
         got, _ = self._send_request(
             _answers(_STREAM_HEAD + _event(1) + _event(2) + _STREAM_END)
