--- a/mulberrypaddle/dispatch/crash_attribution.py
+++ b/mulberrypaddle/dispatch/crash_attribution.py
@@ -15,7 +15,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -52,15 +52,21 @@
 # Time in which the end of a runner is confirmed after its answers broke off.
 CONFIRMATION_SECONDS = 6.0
 
+# Least time between two probes of a runner whose answers go on breaking off. A
+# runner that crashed is back later than that.
+PROBE_INTERVAL_SECONDS = 0.5
+
 # Bounds of what is remembered: callers choose the ids of parts.
 MAX_CRASHES = 256
 MAX_PARTS_PER_CRASH = 64
 MAX_CLEARED_PARTS = 4_096
 
-# Crashes in one report to other routers, and parts in all of them: a report is
-# sent in one datagram.
+# Crashes in one report to other routers.
 MAX_REPORTED_CRASHES = 24
-MAX_REPORTED_PARTS = 256
+
+# Most characters of ids of suspects, and of ids of answered parts, in one
+# report: a report is part of a datagram.
+MAX_REPORTED_CHARACTERS = 16_384
 
 # How long answers with the suspects of a crash are reported after some router
 # has last reported the crash.
@@ -69,6 +75,9 @@
 # A runner's id and its start time in milliseconds; see `RunnerEntry`.
 Incarnation = tuple[str, int | None]
 
+# Age of an answer, in seconds or milliseconds.
+Age = TypeVar("Age", int, float)
+
 
 class Interruption:
     """A runner whose answers broke off and that may have crashed.
@@ -77,11 +86,20 @@
         incarnation: Incarnation of the runner.
         address: Address of the runner, as host:port.
         at_seconds: Monotonic time at which the first answer broke off.
+        latest_at_seconds: The same of the last one.
         parts: Parts of the prompts whose answers had only just begun.
-        probed: Whether a probe of the runner has been started.
+        probed_at_seconds: Monotonic time at which the last probe of the runner
+            was started; None before the first.
     """
 
-    __slots__ = ("address", "at_seconds", "incarnation", "parts", "probed")
+    __slots__ = (
+        "address",
+        "at_seconds",
+        "incarnation",
+        "latest_at_seconds",
+        "parts",
+        "probed_at_seconds",
+    )
 
     def __init__(
         self, incarnation: Incarnation, *, address: str, at_seconds: float
@@ -89,8 +107,23 @@
         self.incarnation = incarnation
         self.address = address
         self.at_seconds = at_seconds
+        self.latest_at_seconds = at_seconds
         self.parts: set[str] = set()
-        self.probed = False
+        self.probed_at_seconds: float | None = None
+
+    def is_probe_due(self, now_seconds: float) -> bool:
+        """Returns whether to probe the runner.
+
+        Each time that an answer broke off after the last probe: the runner may
+        have gone on then and have crashed since. One that crashes mostly
+        returns under another id, so that only a probe can confirm it.
+        """
+        if self.probed_at_seconds is None:
+            return True
+        return (
+            self.latest_at_seconds >= self.probed_at_seconds
+            and now_seconds - self.probed_at_seconds >= PROBE_INTERVAL_SECONDS
+        )
 
 
 class CrashReport:
@@ -224,18 +257,26 @@
         if crash is not None:
             self._add_suspects(crash, parts)
             return
-        interruption = self._interruptions.get(incarnation)
-        if interruption is None:
+        known = self._interruptions.get(incarnation)
+        interruption = known
+        if (
+            interruption is None
+            or now_seconds - interruption.at_seconds > CONFIRMATION_SECONDS
+        ):
             interruption = Interruption(
                 incarnation, address=address, at_seconds=now_seconds
             )
+            if known is not None:
+                interruption.probed_at_seconds = known.probed_at_seconds
             self._interruptions[incarnation] = interruption
+        interruption.latest_at_seconds = now_seconds
         interruption.parts.update(parts)
 
     def interruptions(self, now_seconds: float) -> list[Interruption]:
         """Returns the runners that may have crashed; forgets older ones."""
         for interruption in list(self._interruptions.values()):
-            if now_seconds - interruption.at_seconds > CONFIRMATION_SECONDS:
+            silent_seconds = now_seconds - interruption.latest_at_seconds
+            if silent_seconds > CONFIRMATION_SECONDS:
                 del self._interruptions[interruption.incarnation]
         return list(self._interruptions.values())
 
@@ -315,8 +356,8 @@
         """Returns the crashes with suspects, to be reported to other routers.
 
         Those that explain a quarantine come first, then the latest, up to
-        `MAX_REPORTED_CRASHES` with `MAX_REPORTED_PARTS`. They are reported as
-        long as they count, since routers that start know none.
+        `MAX_REPORTED_CRASHES` and `MAX_REPORTED_CHARACTERS`. They are reported
+        as long as they count, since routers that start know none.
         """
         self._expire(now_seconds)
         self._evaluate_if_outdated()
@@ -331,13 +372,15 @@
             ),
         )
         reports: list[CrashReport] = []
-        part_count = 0
+        characters = 0
         for name in names:
             crash = self._crashes[name]
             parts = self._uncleared_parts(crash)
-            if not parts or part_count + len(parts) > MAX_REPORTED_PARTS:
+            if not parts:
                 continue
-            part_count += len(parts)
+            characters += sum(map(len, parts))
+            if characters > MAX_REPORTED_CHARACTERS:
+                break
             reports.append(
                 CrashReport(
                     name,
@@ -363,12 +406,9 @@
                 continue
             for part in crash.parts:
                 cleared_at_seconds = self._cleared_at_seconds.get(part)
-                if cleared_at_seconds is None:
-                    continue
-                if len(ages) == MAX_REPORTED_PARTS:
-                    return ages
-                ages[part] = now_seconds - cleared_at_seconds
-        return ages
+                if cleared_at_seconds is not None:
+                    ages[part] = now_seconds - cleared_at_seconds
+        return latest_ages(ages)
 
     def apply_peer_report(
         self,
@@ -577,6 +617,18 @@
         )
 
 
+def latest_ages(ages: dict[str, Age]) -> dict[str, Age]:
+    """Returns the lowest ages of parts that a report has room for, by part."""
+    kept: dict[str, Age] = {}
+    characters = 0
+    for part in sorted(ages, key=lambda part: ages[part]):
+        characters += len(part)
+        if characters > MAX_REPORTED_CHARACTERS:
+            break
+        kept[part] = ages[part]
+    return kept
+
+
 def _name(incarnation: Incarnation) -> str:
     """Returns the name of an incarnation in reports to other routers."""
     runner_id, started_at_ms = incarnation
--- a/tests/dispatch/test_crash_attribution.py
+++ b/tests/dispatch/test_crash_attribution.py
@@ -8,8 +8,8 @@
 from mulberrypaddle.dispatch.crash_attribution import (
     FIRST_TRIAL_SECONDS,
     MAX_CRASHES,
+    MAX_REPORTED_CHARACTERS,
     MAX_REPORTED_CRASHES,
-    MAX_REPORTED_PARTS,
     MIN_CRASHES,
     MIN_CRASHES_IF_ANSWERED,
     PEER_REPORT_MARGIN_SECONDS,
@@ -229,9 +229,11 @@
             )
         reports = attribution.crash_reports(60.0)
         self.assertLessEqual(len(reports), MAX_REPORTED_CRASHES)
-        reported_parts = sum(len(report.parts) for report in reports)
-        self.assertGreater(reported_parts, 0)
-        self.assertLessEqual(reported_parts, MAX_REPORTED_PARTS)
+        characters = sum(
+            len(part) for report in reports for part in report.parts
+        )
+        self.assertGreater(characters, 0)
+        self.assertLessEqual(characters, MAX_REPORTED_CHARACTERS)
         attribution.record_answer(
             tuple(f"answered-{part}" for part in range(100_000)), 60.0
         )
