Count crashes whose request came over a kept connection

A request that crashes each runner before its first byte is STALE where it was sent over a kept connection. Only BROKEN was recorded for the fingerprint, so that each such request ended two runners (the second over its own connection) and counted one.

STALE is recorded too; as before, it counts only if the runner's entry goes within 6 s. test_runner_that_ends_without_a_byte_may_have_crashed fails on the code before and passes now.

--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -640,7 +640,7 @@
             board.runner_health.mark_suspected(runner_id, now)
         elif outcome is not AttemptOutcome.STALE:
             board.runner_health.record_failure(runner_id, now)
-        if outcome is AttemptOutcome.BROKEN:
+        if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.STALE):
             board.crashes.record_interrupted_answer(
                 self._terms.request_fingerprint, entry.incarnation, now
             )
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -330,6 +330,30 @@
         self.assertEqual([b"HTTP/1.1 200"] * 3, [head[:12] for head in got])
         self.assertEqual(3, runner.connection_count)
 
+    def test_runner_that_ends_without_a_byte_may_have_crashed(self) -> None:
+        async def answer(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            if count > 1:
+                writer.transport.abort()
+                return
+            keep = b"Keep-Alive: timeout=5\r\n"
+            writer.write(_complete_response(200, b"done", keep))
+
+        async def scenario() -> list[list[str]]:
+            path_under_test = FrontEndHarness()
+            runner = RawRunner(answer)
+            path_under_test.add_runner("r0", await runner.start())
+            for _ in range(2):
+                await path_under_test.send_request("/safe/1")
+            crashes = path_under_test.board.crashes
+            crashes.confirm_crashes(set(), 1.0)
+            path_under_test.close()
+            await runner.stop()
+            return list(crashes.losses_within(1.0, since_seconds=1.0).values())
+
+        self.assertEqual([["r0"]], run(scenario()))
+
     def test_answer_of_another_request_ends_the_connection(self) -> None:
         late_copy = _complete_response(200, b"old").replace(b"q1", b"q0")
 
