--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -690,7 +690,7 @@
             self._silent_runners.append(entry)
         elif outcome is not AttemptOutcome.STALE:
             board.runner_health.record_failure(runner_id, now)
-        if outcome is AttemptOutcome.BROKEN:
+        if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.STALE):
             board.crashes.record_interrupted_answer(
                 self._terms.request_fingerprint, entry.incarnation, now
             )
