Take a stream that ends before its first event for a broken one

What callers saw, or could have: a 200 without a single event, framed as complete, where a runner had ended before its first event. An answer may come with neither a length nor chunks and end with its connection, so that a runner's end in order looks like the end of an empty stream. Such a crash charged no part of the prompt either.

An attempt at a new stream without an event now counts as broken: the request goes to another runner, or gets 502, and the parts of its prompt are suspects if the runner has ended. A caller that resumes a stream may still get an empty rest.

Evidence: test_stream_that_ends_before_its_first_event_is_not_complete fails on the code before (one request at the runners, an empty 200) and passes now.

--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -130,6 +130,7 @@
         route: Route,
         deadline_seconds: float,
         prompt_parts: tuple[str, ...],
+        resumed: bool,
         previous: Attempt | None,
         reserve_reroute: Callable[[str], bool],
     ) -> None:
@@ -143,6 +144,7 @@
             route: Route of the request.
             deadline_seconds: Loop time at which the attempt times out.
             prompt_parts: Parts of its prompt that other requests may share.
+            resumed: Whether the caller resumes a stream of an earlier request.
             previous: The attempt at the same request before this one; None
                 for the first.
             reserve_reroute: Returns whether the request may leave the given
@@ -155,6 +157,7 @@
         self._route = route
         self._deadline = deadline_seconds
         self._prompt_parts = prompt_parts
+        self._resumed = resumed
         self._reserve_reroute = reserve_reroute
         self._head: RunnerResponseHead | None = None
         self._body: list[bytes] = []
@@ -607,6 +610,11 @@
         if self._parser.has_partial_event:
             self.detail = "the stream ended in the middle of an event"
             return AttemptOutcome.BROKEN
+        if not self._event_count and not started and not self._resumed:
+            # Without a length, the end of a runner that crashed before its
+            # first event looks like the end of an empty stream.
+            self.detail = "the stream ended before its first event"
+            return AttemptOutcome.BROKEN
         if started and not self._has_caught_up():
             self.detail = (
                 f"the stream ended at event {self._latest_event_id}, "
@@ -619,8 +627,6 @@
             )
         self._caller.finish()
         if self._event_count:
-            # Without a length, the end of a runner that crashed before its
-            # first event looks like that of an empty stream.
             self._clear_prompt_parts()
         return AttemptOutcome.DELIVERED
 
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -537,6 +537,7 @@
             route=self._terms.route,
             deadline_seconds=board.now() + self._remaining_seconds(board.now()),
             prompt_parts=self._fields.prompt_parts,
+            resumed=self._fields.last_event_id is not None,
             previous=previous,
             reserve_reroute=self._reserve_reroute,
         )
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -543,6 +543,26 @@
             2, sum(len(runner.request_heads) for runner in runners)
         )
 
+    def test_stream_that_ends_before_its_first_event_is_not_complete(
+        self,
+    ) -> None:
+        requests: list[bytes] = []
+
+        async def answer(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            requests.append(request)
+            if len(requests) == 1:
+                writer.write(_HEAD % 200 + b"\r\n")
+                writer.close()
+                return
+            writer.write(_STREAM_HEAD + _event(1) + _STREAM_END)
+
+        got, _ = self._send_request(answer, answer)
+        self.assertEqual(2, len(requests))
+        self.assertEqual(1, got.count(b"id: 1\n"), got)
+        self.assertTrue(got.endswith(b"0\r\n\r\n"))
+
     def test_stream_returns_to_a_silent_head_if_the_next_one_breaks(
         self,
     ) -> None:
