Keep silent runners until one of them is used again

A request that waited for a slot lost the runner that it had left for its silence when that runner was still suspected at the first look, and then could not return to it. A route with a limit of no runners at all was answered 502 without a send.

Both came with the return to silent runners and were found by reading the diff; no caller saw them. The list now loses only the runner that is used, and the limit is asked only once a request may have run. tests/serving/test_exchange.py, test_broken_streams.py and test_caller_server.py pass; no test covers the wait.

--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -239,13 +239,13 @@
             # A request that may have run already has priority over the queue.
             if waited or self._may_have_run or ahead == 0:
                 entry = None
-                if self._may_send_again():
+                if not self._may_have_run or self._may_send_again():
                     entry = self._reserve_runner(requirements, now)
                 if entry is None:
                     entry = self._return_to_silent_runner(now)
                 if entry is not None:
                     return entry
-            if not self._may_send_again():
+            if self._may_have_run and not self._may_send_again():
                 self._fail_outcome_unknown()
                 return None
             if self._only_excluded_healthy(now):
@@ -299,10 +299,10 @@
             The runner; None if there is none that serves.
         """
         board = self._board
-        while self._silent_runners:
-            entry = self._silent_runners.pop()
+        for entry in reversed(self._silent_runners):
             if not self._can_return(entry, now):
                 continue
+            self._silent_runners.remove(entry)
             board.loads.add_request(entry.runner_id)
             board.chooser.record_sent(entry, now_seconds=now)
             log_request(
