--- a/tests/dispatch/test_crash_attribution.py
+++ b/tests/dispatch/test_crash_attribution.py
@@ -228,7 +228,7 @@
                 now_seconds=float(number) / 10,
             )
         reports = attribution.crash_reports(60.0)
-        self.assertLessEqual(len(reports), MAX_REPORTED_CRASHES)
+        self.assertEqual(MAX_REPORTED_CRASHES, len(reports))
         characters = sum(
             len(part) for report in reports for part in report.parts
         )
