Let the simulated runners announce to leave and ask for pauses

The stand-in's runners can say in all answers that they are leaving, and refuse requests with a Retry-After. AnnouncementChecks records which router passed on such an answer or was asked for a pause, and reports requests that reach the runner in spite of it.

--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -13,12 +13,13 @@
 import json
 import os
 import random
+import signal
 import subprocess
 import sys
 import time
 import urllib.parse
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from tornado import httputil
 from tornado.httpserver import HTTPServer
@@ -32,9 +33,7 @@
     prompt_parts,
 )
 from tests.support.front_end_harness import free_port
-
-if TYPE_CHECKING:
-    import signal
+from tests.support.runner_announcements import AnnouncementChecks
 
 ROOT = Path(__file__).resolve().parents[2]
 # A runner writes its entry and checks its group four times in this time.
@@ -260,6 +259,8 @@
         data_centres: Names of the data centres of the deployment.
         folder: Folder for the settings and logs of the routers.
         breaches: Descriptions of the invariants that were breached.
+        announcements: Checks what reaches runners that announced to leave or
+            asked for a pause.
         run_counts: How often each request ran, by request id.
         refused: Ids of requests that were refused as not run.
         organisations: Organisation of each caller's request, by request id.
@@ -288,6 +289,7 @@
         self.rng = random.Random(seed)
         self.folder = folder
         self.breaches: list[str] = []
+        self.announcements = AnnouncementChecks(self.breaches)
         self.run_counts: dict[str, int] = {}
         self.refused: set[str] = set()
         self.organisations: dict[str, str] = {}
@@ -405,6 +407,10 @@
         alive: Whether it has not crashed.
         started_at_ms: Unix time of its start.
         draining: Whether it registers itself as draining.
+        leaving: Whether it announces in all its answers that it is leaving.
+        paused_until_seconds: Monotonic time until which it refuses requests
+            and asks for a pause.
+        request_ids: Ids of the callers' requests that reached it, in order.
         staged: Models whose weights are staged.
         group: Name, epoch and rank in its group, or None.
         members: Ids of the members of its group by rank.
@@ -431,6 +437,9 @@
         self.started_at_ms = int(time.time() * 1000)
         self.in_store = True
         self.draining = False
+        self.leaving = False
+        self.paused_until_seconds = 0.0
+        self.request_ids: list[str] = []
         self.staged: list[str] = []
         self.group: dict[str, Any] | None = None
         self.members: list[str] = []
@@ -451,6 +460,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @property
+    def lifetime(self) -> str:
+        """Returns a name that a restart under the same id does not have."""
+        return f"{self.runner_id}@{self.started_at_ms}"
+
     @property
     def running(self) -> int:
         """Returns the number of requests that it is running."""
@@ -536,16 +550,18 @@
 
     def _handle(self, request: httputil.HTTPServerRequest) -> None:
         wanted = request.headers.get("X-Expect-Instance", self.runner_id)
+        headers = {"Server-Leaving": "1"} if self.leaving else {}
         if wanted != self.runner_id:
-            _respond(request, 421, headers={"X-Instance-Id": self.runner_id})
+            headers["X-Instance-Id"] = self.runner_id
+            _respond(request, 421, headers=headers)
         elif request.path == "/order":
             status = self._order(json.loads(request.body))
             self.report()
-            _respond(request, status)
+            _respond(request, status, headers=headers)
         elif request.path == "/report":
-            _respond(request, 200, {"busy": False})
+            _respond(request, 200, {"busy": False}, headers)
         else:
-            self._spawn(self._serve(request))
+            self._spawn(self._serve(request, headers))
 
     def _order(self, order: dict[str, Any]) -> int:
         """Executes an order and returns the HTTP status of the answer."""
@@ -628,13 +644,43 @@
             self._deployment.ready_memberships.add((self.runner_id, group_key))
             self.report()
 
-    async def _serve(self, request: httputil.HTTPServerRequest) -> None:
+    def _refuse_while_paused(
+        self, request: httputil.HTTPServerRequest, headers: dict[str, str]
+    ) -> bool:
+        """Refuses a request in a pause; returns whether it is one."""
+        left_seconds = self.paused_until_seconds - time.monotonic()
+        if left_seconds <= 0:
+            return False
+        request_id = request.headers.get("X-Request-Id", "")
+        headers |= {"Retry-After": f"{left_seconds:.3f}", "X-Not-Executed": "1"}
+        _respond(request, 503, headers={**headers, "X-Request-Id": request_id})
+        self._deployment.announcements.record_pause(
+            request_id, self.lifetime, left_seconds
+        )
+        return True
+
+    async def _serve(
+        self, request: httputil.HTTPServerRequest, headers: dict[str, str]
+    ) -> None:
+        """Runs or refuses a caller's request.
+
+        Args:
+            request: The request.
+            headers: Headers of all answers.
+        """
         request_id = request.headers.get("X-Request-Id", "")
+        self.request_ids.append(request_id)
+        announcements = self._deployment.announcements
+        announcements.record_arrival(request_id, self.lifetime)
+        if self.leaving:
+            announcements.record_announcement(request_id, self.lifetime)
+        if self._refuse_while_paused(request, headers):
+            return
         self._deployment.crashing_parts.record_arrival(
             request.headers.get("X-Prompt-Prefix", "")
         )
         if self.domain and self.state != "open":
-            _respond(request, 503, headers={"X-Not-Executed": "1"})
+            _respond(request, 503, headers={**headers, "X-Not-Executed": "1"})
             return
         streams = request.path.startswith("/write/")
         unsafe = request.path.startswith("/pay/")
@@ -646,7 +692,7 @@
             self._deployment.breaches.append(
                 f"{request_id} has no or another organisation"
             )
-        headers = {"X-Request-Id": request_id, "X-Response-Seal": "s"}
+        headers |= {"X-Request-Id": request_id, "X-Response-Seal": "s"}
         connection = request.connection
         assert connection is not None
         self._connections.add(connection)
@@ -759,6 +805,7 @@
         """Starts the process, unless it is running."""
         if self.alive:
             return
+        self._deployment.announcements.excuse(self.ip)
         log = self.log_path.open("ab")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "mulberrypaddle.platform"],
@@ -774,6 +821,8 @@
         if self.alive:
             assert self.process is not None
             self.process.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self._deployment.announcements.excuse(self.ip)
 
     def kill(self) -> None:
         """Kills the process and waits until it has exited."""
@@ -871,6 +920,7 @@
         api_key: str,
     ) -> str:
         self._deployment.organisations[request_id] = ORGANISATIONS[api_key]
+        self._deployment.announcements.record_sent(request_id, router.ip)
         method = "GET" if kind == "safe" else "POST"
         prompt_tokens = sum(tokens for _, tokens in prompt_parts(prompt))
         # Like the text of a prompt, the body differs between requests.
@@ -910,6 +960,7 @@
             return f"refused {status}"
         if status != 200:
             return f"failed {status}"
+        self._deployment.announcements.record_received(request_id)
         if kind != "write":
             if json.loads(body) != {"for": request_id}:
                 self._deployment.breaches.append(f"{request_id} got {body!r}")
