Stop using runners that announce to leave, and honour their pauses

A runner that leaves says so in all its answers, and one that refuses a request with 503 may ask for a pause. Both were ignored: requests went on to reach a leaving runner from every router until the store said that it drains, and a paused runner got each further request.

An announcement counts for a lifetime (id and start time) and stays known when an entry goes on to say that the runner is ready, or is written again after its removal. Groups with a leaving member are replaced as if the member reported that it drains. Routers tell one another in heartbeats; the field travels within "changes", whose unknown keys the previous version skips. If no other runner serves, a leaving one is used for the drain time.

A pause holds for the router that was refused. Requests that are connecting are not sent, probes of the status wait, and one order is let through, since a group can't be closed without it. If all runners pause, requests that can't wait for the first end are refused at once, with the time until then as Retry-After. Unreadable values are a pause of 1 s, longer ones are cut to 300 s.

--- a/mulberrypaddle/dispatch/__init__.py
+++ b/mulberrypaddle/dispatch/__init__.py
@@ -2,8 +2,9 @@
 
 No module here does I/O. Start with `RunnerChooser`, which selects the runner of
 a request. It relies on `RunnerHealth` (health of the runners), `InFlightCounts`
-(requests in flight at each runner), `IdleConnections` (runners that a
-connection is kept to) and `ColdRateLimiter` (rate limit of cold runners).
+(requests in flight at each runner), `RunnerPauses` (runners
+that asked for a pause), `IdleConnections` (runners that a connection is kept
+to) and `ColdRateLimiter` (rate limit of cold runners).
 
 `decide_wait` decides whether a request may wait, `WaitQueue` in which order,
 `RetryBudget` whether it may be retried, `CrashRecords` whether it has crashed
@@ -19,6 +20,7 @@
 from mulberrypaddle.dispatch.crash_records import CrashRecords
 from mulberrypaddle.dispatch.idle_connections import IdleConnections
 from mulberrypaddle.dispatch.in_flight import InFlightCounts
+from mulberrypaddle.dispatch.pauses import RunnerPauses
 from mulberrypaddle.dispatch.retry_budget import RetryBudget
 from mulberrypaddle.dispatch.runner_choice import (
     RunnerChooser,
@@ -39,6 +41,7 @@
     "WaitDecision",
     "RetryBudget",
     "RunnerHealth",
+    "RunnerPauses",
     "WaitQueue",
     "decide_wait",
 ]
--- a/mulberrypaddle/dispatch/runner_choice.py
+++ b/mulberrypaddle/dispatch/runner_choice.py
@@ -9,11 +9,12 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from mulberrypaddle.dispatch.cold_rate import ColdRateLimiter
     from mulberrypaddle.dispatch.idle_connections import IdleConnections
     from mulberrypaddle.dispatch.in_flight import InFlightCounts
+    from mulberrypaddle.dispatch.pauses import RunnerPauses
     from mulberrypaddle.dispatch.runner_health import RunnerHealth
     from mulberrypaddle.fleet.config import ServiceSpec
     from mulberrypaddle.fleet.runners import RunnerEntry
@@ -97,7 +98,9 @@
         "_connections",
         "_serving_cache",
         "_cached_generation",
+        "_drain_seconds",
         "_in_flight",
+        "_pauses",
         "_random",
         "_runner_health",
         "_view",
@@ -109,6 +112,8 @@
         *,
         in_flight: InFlightCounts,
         runner_health: RunnerHealth,
+        pauses: RunnerPauses,
+        drain_seconds: float,
         cold_limiter: ColdRateLimiter,
         connections: IdleConnections,
         rng: random.Random,
@@ -117,6 +122,8 @@
         self._connections = connections
         self._in_flight = in_flight
         self._runner_health = runner_health
+        self._pauses = pauses
+        self._drain_seconds = drain_seconds
         self._cold_limiter = cold_limiter
         self._random = rng
         # Serving runners by service and model, and the generation of the view
@@ -143,19 +150,71 @@
         key = (requirements.service, requirements.model)
         runners = self._serving_cache.get(key)
         if runners is None:
-            runners = self._find_serving_runners(requirements)
+            runners = self._find_serving_runners(
+                requirements, self._view.accepts_new_work
+            )
             self._serving_cache[key] = runners
         return runners
 
+    def _usable_runners(
+        self, requirements: RunnerRequirements, now_seconds: float
+    ) -> list[RunnerEntry]:
+        """Returns the runners that requests may be sent to, if healthy.
+
+        If no runner serves the model, these are the ones that announced lately
+        in answers that they are leaving. Paused runners are left out.
+        """
+        runners = self.serving_runners(requirements)
+        if not runners:
+            runners = self._find_serving_runners(
+                requirements,
+                lambda entry: (
+                    now_seconds
+                    < self._view.last_resort_until_seconds(
+                        entry, drain_seconds=self._drain_seconds
+                    )
+                ),
+            )
+        if self._pauses.is_empty:
+            return runners
+        return [
+            entry
+            for entry in runners
+            if not self._pauses.is_paused(entry.incarnation, now_seconds)
+        ]
+
+    def pause_left_seconds(
+        self, requirements: RunnerRequirements, *, now_seconds: float
+    ) -> float | None:
+        """Returns the time until the first of the paused runners is usable.
+
+        None if a healthy runner serves the model, or if none is paused.
+        """
+        if self._pauses.is_empty or self.healthy_runners(
+            requirements, now_seconds=now_seconds
+        ):
+            return None
+        ends_seconds = [
+            self._pauses.ends_at_seconds(entry.incarnation)
+            for entry in self.serving_runners(requirements)
+        ]
+        paused = [end for end in ends_seconds if end > now_seconds]
+        return min(paused) - now_seconds if paused else None
+
     def _find_serving_runners(
-        self, requirements: RunnerRequirements
+        self,
+        requirements: RunnerRequirements,
+        accepts: Callable[[RunnerEntry], bool],
     ) -> list[RunnerEntry]:
-        """Computes the list that `serving_runners` returns and caches."""
+        """Computes the list that `serving_runners` returns and caches.
+
+        Args:
+            requirements: Service and model.
+            accepts: Whether a runner may get new work.
+        """
         entries = self._view.runners_of(requirements.service.name)
         if requirements.service.engine is None:
-            return [
-                entry for entry in entries if self._view.accepts_new_work(entry)
-            ]
+            return [entry for entry in entries if accepts(entry)]
         spec = requirements.service.engine.models.get(requirements.model)
         if spec is None:
             return []
@@ -169,7 +228,7 @@
                 continue
             if member_counts.get((group.name, group.epoch), 0) < spec.size:
                 continue
-            if not self._view.accepts_new_work(entry):
+            if not accepts(entry):
                 continue
             heads.append(entry)
         return heads
@@ -177,7 +236,10 @@
     def healthy_runners(
         self, requirements: RunnerRequirements, *, now_seconds: float
     ) -> list[RunnerEntry]:
-        """Returns the serving runners that are reachable and not ejected.
+        """Returns the usable runners that are reachable and not ejected.
+
+        Usable are those that serve and have not asked for a pause; see
+        `_usable_runners`.
 
         If fewer than half of the reachable runners are healthy, ejections are
         ignored: the requests are then more likely at fault than the runners,
@@ -185,7 +247,7 @@
         """
         reachable = [
             entry
-            for entry in self.serving_runners(requirements)
+            for entry in self._usable_runners(requirements, now_seconds)
             if not self._runner_health.is_unreachable(
                 entry.runner_id, now_seconds
             )
--- a/mulberrypaddle/dispatch/wait_queue.py
+++ b/mulberrypaddle/dispatch/wait_queue.py
@@ -118,6 +118,21 @@
                 ahead += 1
         return ahead
 
+    def end_waits_before(self, until_seconds: float) -> None:
+        """Ends the waits that end before any slot can be free.
+
+        Args:
+            until_seconds: Monotonic time from which slots may be free.
+        """
+        for waiter in self._waiters:
+            if waiter.wait_result.done():
+                continue
+            if waiter.until_seconds < until_seconds:
+                waiter.wait_result.set_result(False)
+        self._waiters = [
+            waiter for waiter in self._waiters if not waiter.wait_result.done()
+        ]
+
     def admit_waiting(self, free_slots: int, *, now_seconds: float) -> None:
         """Assigns free slots to requests, and ends the wait of expired ones.
 
--- a/mulberrypaddle/fleet/deployment_limits.py
+++ b/mulberrypaddle/fleet/deployment_limits.py
@@ -18,9 +18,12 @@
             counted.
         load_window_seconds: Length of the window in which loads of model
             weights are counted.
+        drain_seconds: Time for which a runner goes on serving after it decided
+            to leave.
     """
 
     __slots__ = (
+        "drain_seconds",
         "load_window_seconds",
         "retry_ratio",
         "retry_slack",
@@ -36,9 +39,11 @@
         retry_slack: float = 100.0,
         retry_window_seconds: float = 10.0,
         load_window_seconds: float = 5.0,
+        drain_seconds: float = 2.0,
     ) -> None:
         self.stop_grace_seconds = stop_grace_seconds
         self.retry_ratio = retry_ratio
         self.retry_slack = retry_slack
         self.retry_window_seconds = retry_window_seconds
         self.load_window_seconds = load_window_seconds
+        self.drain_seconds = drain_seconds
--- a/mulberrypaddle/fleet/runners.py
+++ b/mulberrypaddle/fleet/runners.py
@@ -56,7 +56,9 @@
         address: Address that it listens on, as host:port.
         data_centre: Data centre of its VM.
         slots: Number of requests that it serves at once.
-        draining: Whether it is about to leave and gets no new requests.
+        draining: Whether its entry says that it is about to leave.
+        announced_leaving: Whether an answer of it announced that it is leaving,
+            whatever its entry says.
         cold_until_seconds: Monotonic time until which it is cold and handles
             only a limited rate of requests.
         models: Names of the models that it has loaded.
@@ -67,6 +69,7 @@
 
     __slots__ = (
         "address",
+        "announced_leaving",
         "started_at_ms",
         "cold_until_seconds",
         "data_centre",
@@ -103,12 +106,18 @@
         self.data_centre = data_centre
         self.slots = slots
         self.draining = draining
+        self.announced_leaving = False
         self.cold_until_seconds = cold_until_seconds
         self.models = models
         self.domain = domain
         self.staged = staged
         self.group = group
 
+    @property
+    def is_leaving(self) -> bool:
+        """Returns whether it is about to leave and gets no new requests."""
+        return self.draining or self.announced_leaving
+
     @property
     def incarnation(self) -> tuple[str, int | None]:
         """Returns the incarnation of the runner: its id and start time.
--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.fleet.leaving import LeavingRunners
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
@@ -29,6 +31,7 @@
         "_entries",
         "_evacuated",
         "_grace_until_seconds",
+        "_leaving",
         "_removal_due_seconds",
         "evacuated_revision",
         "generation",
@@ -43,6 +46,7 @@
         # monotonic time at which they are removed unless they come back.
         self._removal_due_seconds: dict[str, float] = {}
         self._grace_until_seconds = 0.0
+        self._leaving = LeavingRunners()
         self.revision = 0
         self.generation = 0
         self._evacuated: frozenset[str] = frozenset()
@@ -86,9 +90,76 @@
     def accepts_new_work(self, entry: RunnerEntry) -> bool:
         """Returns whether a runner may get new work.
 
-        It may not while it is draining or its data centre is evacuated.
+        It may not while it is leaving or its data centre is evacuated.
         """
-        return not entry.draining and entry.data_centre not in self.evacuated
+        return not entry.is_leaving and entry.data_centre not in self.evacuated
+
+    def record_leaving(
+        self, incarnation: tuple[str, int | None], now_seconds: float
+    ) -> bool:
+        """Records that a runner announced in an answer that it is leaving.
+
+        Args:
+            incarnation: Id and start time of the runner.
+            now_seconds: Monotonic time.
+
+        Returns:
+            Whether this is the first announcement of this incarnation.
+        """
+        entry = self._entries.get(incarnation[0])
+        is_listed = entry is not None and entry.incarnation == incarnation
+        if incarnation[1] is None and not is_listed:
+            # It could not be told apart from a later runner with this id.
+            return False
+        if not self._leaving.record(incarnation, now_seconds):
+            return False
+        if entry is not None and is_listed:
+            entry.announced_leaving = True
+            self._record_change()
+        return True
+
+    def leaving_to_report(self, limit: int) -> dict[str, int | None]:
+        """Returns the runners of whose leaving only their answers tell.
+
+        Args:
+            limit: Number of runners that are returned at most.
+
+        Returns:
+            Start time of each runner in milliseconds, by its id; the latest
+            announcements if there are more than the limit.
+        """
+        by_time = []
+        for entry in self._entries.values():
+            if not entry.announced_leaving or entry.draining:
+                continue
+            since_seconds = self._leaving.since_seconds(entry) or 0.0
+            by_time.append((since_seconds, entry.runner_id, entry))
+        by_time.sort(reverse=True)
+        return {
+            runner_id: entry.started_at_ms
+            for _, runner_id, entry in by_time[:limit]
+        }
+
+    def last_resort_until_seconds(
+        self, entry: RunnerEntry, *, drain_seconds: float
+    ) -> float:
+        """Returns until when a leaving runner may serve if no other does.
+
+        A runner goes on serving for the drain time after it decided to leave.
+        Requests that come later must not be sent to it.
+
+        Args:
+            entry: The runner.
+            drain_seconds: Drain time of the deployment.
+
+        Returns:
+            Monotonic time in seconds; 0 if it must not be used, since its
+            entry says that it is draining or its data centre is evacuated.
+        """
+        if entry.draining or entry.data_centre in self.evacuated:
+            return 0.0
+        since_seconds = self._leaving.since_seconds(entry)
+        return 0.0 if since_seconds is None else since_seconds + drain_seconds
 
     def start_grace_period(self, now_seconds: float) -> None:
         """Starts the grace period after an outage of the store.
@@ -171,7 +242,7 @@
         ]
         for runner_id in expired:
             del self._removal_due_seconds[runner_id]
-            self._entries.pop(runner_id, None)
+            self._remove(runner_id)
         if expired:
             self._record_change()
         return expired
@@ -184,15 +255,30 @@
     def _put(self, entry: RunnerEntry) -> None:
         """Adds or replaces an entry and cancels its pending removal."""
         self._removal_due_seconds.pop(entry.runner_id, None)
+        if entry.started_at_ms is not None:
+            self._leaving.forget_unknown(entry.runner_id)
+        else:
+            before = self._entries.get(entry.runner_id)
+            if before is not None and before.announced_leaving:
+                # Without a start time it may still be the same runner.
+                self._leaving.record(
+                    entry.incarnation, self._leaving.since_seconds(before) or 0
+                )
+        entry.announced_leaving = self._leaving.since_seconds(entry) is not None
         self._entries[entry.runner_id] = entry
 
+    def _remove(self, runner_id: str) -> None:
+        """Removes an entry."""
+        self._entries.pop(runner_id, None)
+        self._leaving.forget_unknown(runner_id)
+
     def _remove_or_defer(self, runner_id: str, now_seconds: float) -> None:
         """Removes an entry now, or at the end of a current grace period."""
         if runner_id not in self._entries:
             return
         if now_seconds >= self._grace_until_seconds:
             self._removal_due_seconds.pop(runner_id, None)
-            del self._entries[runner_id]
+            self._remove(runner_id)
             return
         self._removal_due_seconds.setdefault(
             runner_id, self._grace_until_seconds
--- a/mulberrypaddle/platform/headers.py
+++ b/mulberrypaddle/platform/headers.py
@@ -3,8 +3,14 @@
 from __future__ import annotations
 
 import math
+import re
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.dispatch.pauses import (
+    MAX_PAUSE_SECONDS,
+    UNREADABLE_PAUSE_SECONDS,
+)
+from mulberrypaddle.fleet.announcement import RunnerAnnouncement
 from mulberrypaddle.serving.header_codec import (
     CallerHeaders,
     HeaderCodec,
@@ -12,6 +18,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from tornado.httputil import HTTPHeaders
 
 _REQUEST_ID = "x-request-id"
@@ -29,6 +37,19 @@
 _SIGNATURE = "x-response-seal"
 _NOT_EXECUTED = "x-not-executed"
 _FAULTY_RUNNER = "at-server"
+# Says in all answers of a runner that it is leaving, with the value "1".
+_LEAVING = "server-leaving"
+_LEAVING_VALUE = "1"
+# With status 503: for how many seconds a runner wants no requests.
+_PAUSE = "retry-after"
+_PAUSE_STATUS = 503
+
+# Seconds, perhaps with a fraction or an exponent. `float` accepts more, such as
+# "nan" and digits outside ASCII.
+_SECONDS_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]+)?")
+
+# Characters of an unreadable value that are logged.
+_MAX_LOGGED_LENGTH = 40
 
 # Prompt parts that are parsed at most, and the length of an id above which it
 # is ignored: callers choose both, and parts of crashed requests are remembered.
@@ -142,6 +163,7 @@
                 (name, value)
                 for name, value in headers
                 if name.lower() not in _HOP_BY_HOP
+                and name.lower() != _LEAVING
                 and name.lower() not in connection_options
             ],
             request_id=by_name.get(_REQUEST_ID, ""),
@@ -151,7 +173,56 @@
             size_bytes=_parse_unsigned(by_name.get("content-length")),
             encoded=by_name.get("content-encoding", "identity") != "identity",
             media_type=_parse_media_type(by_name.get("content-type", "")),
+            announcement=parse_announcement(status, headers),
+        )
+
+
+def parse_announcement(
+    status: int, headers: Iterable[tuple[str, str]]
+) -> RunnerAnnouncement:
+    """Parses what an answer of a runner says about the runner.
+
+    Of several pauses in one answer the longest counts.
+
+    Args:
+        status: HTTP status of the answer.
+        headers: Its headers.
+    """
+    announcement = RunnerAnnouncement(
+        other_runner=status == _MISDIRECTED_STATUS
+    )
+    for name, value in headers:
+        if name.lower() == _LEAVING:
+            announcement.leaving |= value.strip() == _LEAVING_VALUE
+        if name.lower() != _PAUSE or status != _PAUSE_STATUS:
+            continue
+        seconds, problem = _parse_pause(value)
+        if seconds > announcement.pause_seconds:
+            announcement.pause_seconds = seconds
+            announcement.pause_problem = problem
+    return announcement
+
+
+def _parse_pause(value: str) -> tuple[float, str]:
+    """Parses the length of a pause.
+
+    Returns:
+        The length in seconds, and what is wrong with the value: it is too long,
+        or no number of seconds, such as a date. Empty if nothing is.
+    """
+    text = value.strip()
+    if not _SECONDS_PATTERN.fullmatch(text):
+        return (
+            UNREADABLE_PAUSE_SECONDS,
+            f"{text[:_MAX_LOGGED_LENGTH]!r} is no number of seconds",
+        )
+    seconds = float(text)
+    if seconds > MAX_PAUSE_SECONDS:
+        return (
+            MAX_PAUSE_SECONDS,
+            f"{text[:_MAX_LOGGED_LENGTH]!r} is over {MAX_PAUSE_SECONDS:.0f} s",
         )
+    return seconds, ""
 
 
 def _parse_connection_options(value: str) -> frozenset[str]:
--- a/mulberrypaddle/platform/node_file.py
+++ b/mulberrypaddle/platform/node_file.py
@@ -98,6 +98,7 @@
         "retry_slack": ("retrySlack", 1.0),
         "retry_window_seconds": ("budgetWindowS", 1.0),
         "load_window_seconds": ("ceilingWindowS", 1.0),
+        "drain_seconds": ("drainMs", 0.001),
     }
     for attribute, (name, factor) in setting_by_attribute.items():
         if name in fields:
--- a/mulberrypaddle/platform/runner_control.py
+++ b/mulberrypaddle/platform/runner_control.py
@@ -19,6 +19,7 @@
     proves_unsent,
 )
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
+from mulberrypaddle.platform.headers import parse_announcement
 from mulberrypaddle.replicas.orders import (
     CloseGroup,
     GroupOrder,
@@ -54,6 +55,7 @@
     """Sends orders to runners and fetches their status reports over HTTP."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._client = make_client()
 
     async def send_order(
@@ -154,6 +156,10 @@
             return Failure(_unreachable_problem(entry, error))
         if response.code == 599:
             return Failure(_unreachable_problem(entry, response.error))
+        self.on_announcement(
+            entry,
+            parse_announcement(response.code, response.headers.get_all()),
+        )
         return Success(response)
 
 
--- a/mulberrypaddle/replicas/group_reconciler.py
+++ b/mulberrypaddle/replicas/group_reconciler.py
@@ -217,7 +217,7 @@
             usable=frozenset(
                 entry.incarnation
                 for entry in live_entries
-                if not entry.draining
+                if not entry.is_leaving
             ),
             now_seconds=now_seconds,
         )
@@ -302,7 +302,7 @@
                 if not self._may_still_complete(snapshot, forming, now_seconds):
                     self._disband(snapshot, "a member is lost", now_seconds)
                 continue
-            if snapshot.has_draining_member:
+            if snapshot.has_leaving_member:
                 if snapshot.head_state is MembershipState.OPEN:
                     self._close_draining_group(snapshot, now_seconds)
                 else:
@@ -577,7 +577,7 @@
             present = [
                 entry
                 for entry in members
-                if entry is not None and not entry.draining
+                if entry is not None and not entry.is_leaving
             ]
             if len(present) < len(members) or now_seconds >= (
                 pending.expires_at_seconds
--- a/mulberrypaddle/replicas/group_snapshot.py
+++ b/mulberrypaddle/replicas/group_snapshot.py
@@ -72,9 +72,9 @@
         return True
 
     @property
-    def has_draining_member(self) -> bool:
-        """Returns whether some member is draining and about to leave."""
-        return any(member.draining for member in self.members.values())
+    def has_leaving_member(self) -> bool:
+        """Returns whether some member is about to leave."""
+        return any(member.is_leaving for member in self.members.values())
 
     @property
     def releases_members(self) -> bool:
@@ -87,7 +87,7 @@
         return self.head_state is MembershipState.BROKEN
 
     def accepts_new_work(self, view: FleetView) -> bool:
-        """Returns whether no member drains or is in an evacuated data centre.
+        """Returns whether no member leaves or is in an evacuated data centre.
 
         Args:
             view: The fleet that the members are part of.
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -11,6 +11,7 @@
     is_head_stalled,
     silence_limit_seconds,
 )
+from mulberrypaddle.serving.announcements import record_announcement
 from mulberrypaddle.serving.event_parser import EventParser
 from mulberrypaddle.serving.runner_call import CallOutcome, RunnerCall
 
@@ -173,6 +174,9 @@
             uses_kept_connection=previous is None
             and route.may_retry
             and board.connections.take(entry.address, board.now()),
+            may_send=lambda: (
+                not board.pauses.is_paused(entry.incarnation, board.now())
+            ),
         )
         self.status = 0
         self.detail = ""
@@ -296,6 +300,7 @@
         ):
             self.detail = f"got the answer to request {head.request_id}"
             return False
+        record_announcement(self._board, self._entry, head.announcement)
         self._head = head
         return True
 
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -14,6 +14,7 @@
     RetryBudget,
     RunnerChooser,
     RunnerHealth,
+    RunnerPauses,
     RunnerRequirements,
     WaitQueue,
 )
@@ -43,6 +44,7 @@
         view: Current entries of all runners in the store.
         loads: Number of requests in flight at each runner, from all routers.
         runner_health: Health of each runner.
+        pauses: Pauses that runners asked this router for.
         cold_rate: Rate limit of requests to runners that have just started.
         connections: Idle connections to runners, which requests that may be
             repeated use again.
@@ -92,6 +94,7 @@
         "live_routers",
         "loads",
         "loop",
+        "pauses",
         "next_group_opens_in_seconds",
         "reading",
         "retries",
@@ -124,6 +127,7 @@
         self.view = FleetView()
         self.loads = InFlightCounts()
         self.runner_health = RunnerHealth()
+        self.pauses = RunnerPauses()
         self.cold_rate = ColdRateLimiter(rng)
         self.connections = IdleConnections()
         self.crash_attribution = CrashAttribution()
@@ -141,6 +145,8 @@
             self.view,
             in_flight=self.loads,
             runner_health=self.runner_health,
+            pauses=self.pauses,
+            drain_seconds=settings.bounds.drain_seconds,
             cold_limiter=self.cold_rate,
             connections=self.connections,
             rng=rng,
@@ -200,6 +206,11 @@
             free_capacity = 0
             if service is not None:
                 requirements = RunnerRequirements(service, model=model)
+                pause_seconds = self.chooser.pause_left_seconds(
+                    requirements, now_seconds=now
+                )
+                if pause_seconds is not None:
+                    queue.end_waits_before(now + pause_seconds)
                 free_capacity = share_of_free_slots(
                     self.chooser.free_capacity(
                         requirements,
--- a/mulberrypaddle/serving/crash_monitor.py
+++ b/mulberrypaddle/serving/crash_monitor.py
@@ -44,7 +44,7 @@
         for interruption in attribution.interruptions(board.now()):
             incarnation = interruption.incarnation
             entry = board.view.get(incarnation[0])
-            if entry is not None and entry.draining:
+            if entry is not None and entry.is_leaving:
                 attribution.dismiss(incarnation)
                 continue
             if entry is not None and entry.incarnation != incarnation:
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -283,6 +283,8 @@
         board = self._board
         if board.runner_health.is_suspected(runner.runner_id, now):
             return False
+        if board.pauses.is_paused(runner.incarnation, now):
+            return False
         for entry in board.chooser.serving_runners(self._runner_requirements()):
             if entry.incarnation == runner.incarnation:
                 return True
@@ -454,6 +456,9 @@
             ready_in_seconds=board.next_group_opens_in_seconds.get(
                 self._fields.model
             ),
+            pause_left_seconds=board.chooser.pause_left_seconds(
+                requirements, now_seconds=now
+            ),
             newer_slots=newer_slots,
         )
         return decision, len(serving)
@@ -672,7 +677,8 @@
         self._excluded_runners.add(runner_id)
         if outcome is AttemptOutcome.UNSENT:
             self._send_count -= 1
-            board.runner_health.record_unreachable(runner_id, now)
+            if not board.pauses.is_paused(entry.incarnation, now):
+                board.runner_health.record_unreachable(runner_id, now)
             return _NextStep.RETRY
         if outcome is AttemptOutcome.NOT_RUN:
             if attempt.runner_at_fault:
@@ -737,7 +743,7 @@
         if outcome not in (AttemptOutcome.BROKEN, AttemptOutcome.STALE):
             return False
         current = self._board.view.get(entry.runner_id)
-        if current is not None and current.draining:
+        if current is not None and current.is_leaving:
             return False
         return attempt.event_count <= MAX_STARTING_EVENTS
 
@@ -843,11 +849,16 @@
             self._fail_outcome_unknown()
             return
         kind = ErrorKind.OVERLOADED if healthy_count else ErrorKind.NO_RUNNER
-        self._refuse(
-            kind,
-            "no runner has room",
-            retry_after_seconds=retry_after_seconds,
+        detail = "no runner has room"
+        pause_left_seconds = self._board.chooser.pause_left_seconds(
+            self._runner_requirements(), now_seconds=self._board.now()
         )
+        if pause_left_seconds is not None:
+            detail = "all runners asked for a pause"
+            retry_after_seconds = max(
+                MIN_RETRY_AFTER_SECONDS, pause_left_seconds
+            )
+        self._refuse(kind, detail, retry_after_seconds=retry_after_seconds)
 
     def _refuse(
         self,
--- a/mulberrypaddle/serving/group_controller.py
+++ b/mulberrypaddle/serving/group_controller.py
@@ -232,11 +232,17 @@
                 for member in group.members.values():
                     to_probe[member.runner_id] = member
         if to_probe:
-            others = [e for e in entries if e.runner_id not in to_probe]
+            others = [
+                entry
+                for entry in entries
+                if entry.runner_id not in to_probe and not entry.is_leaving
+            ]
             count = min(CONTROL_PROBES, len(others))
             for entry in board.rng.sample(others, count):
                 to_probe[entry.runner_id] = entry
         for entry in to_probe.values():
+            if board.pauses.is_paused(entry.incarnation, now):
+                continue
             if losses.start_probe_if_due(entry.incarnation, now):
                 self._start_task(self._probe(losses, entry))
 
@@ -287,7 +293,10 @@
             held = self._duty_manager.fences().get(runner.data_centre)
             return fence > 0 and held == fence
 
-        if not still_holds_lease():
+        may_send = self._board.pauses.try_acquire_order(
+            runner.incarnation, self._board.now()
+        )
+        if not may_send or not still_holds_lease():
             reconciler.record_refusal(directive, self._board.now())
             return
         name = type(directive.order).__name__
--- a/mulberrypaddle/serving/header_codec.py
+++ b/mulberrypaddle/serving/header_codec.py
@@ -9,6 +9,8 @@
 import abc
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.fleet.announcement import RunnerAnnouncement
+
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
 
@@ -89,9 +91,11 @@
             the runner produced it.
         media_type: Media type of the body, in lower case and without
             parameters; empty if not given.
+        announcement: What the answer says about the runner.
     """
 
     __slots__ = (
+        "announcement",
         "encoded",
         "fault_runner",
         "media_type",
@@ -115,6 +119,7 @@
         size_bytes: int | None,
         encoded: bool,
         media_type: str,
+        announcement: RunnerAnnouncement | None = None,
     ) -> None:
         self.status = status
         self.forwarded_headers = forwarded_headers
@@ -125,6 +130,7 @@
         self.size_bytes = size_bytes
         self.encoded = encoded
         self.media_type = media_type
+        self.announcement = announcement or RunnerAnnouncement()
 
 
 class HeaderCodec(abc.ABC):
--- a/mulberrypaddle/serving/heartbeat.py
+++ b/mulberrypaddle/serving/heartbeat.py
@@ -61,6 +61,7 @@
     "successor": str,
     "changes": dict,
     "stopping": bool,
+    "leaving": dict,
 }
 
 
@@ -99,13 +100,21 @@
     return len(value) == 2 and _is_int(value[0]) and _is_str_list(value[1])
 
 
+def _is_int_or_none(value: Any) -> bool:
+    return value is None or _is_int(value)
+
+
 def _is_int_mapping(value: Any) -> bool:
     return isinstance(value, dict) and all(map(_is_int, value.values()))
 
 
 # Fields that a message leaves out if they are empty, so that routers of earlier
 # versions, which do not know them, accept it.
-_OPTIONAL_FIELDS = ("crashes", "cleared")
+_OPTIONAL_FIELDS = ("crashes", "cleared", "leaving")
+
+# Fields that travel as a key of `changes`: earlier versions reject messages
+# with unknown fields, but skip unknown collections.
+_FIELDS_IN_CHANGES = ("leaving",)
 
 # Checks for the values of mapping fields; JSON makes all keys strings.
 _VALUE_CHECKS: dict[str, Callable[[Any], bool]] = {
@@ -122,6 +131,7 @@
     "claims": _is_claim,
     "resigned": _is_int_mapping,
     "relays": _is_str,
+    "leaving": _is_int_or_none,
 }
 
 # Fields that are lists of addresses or ids.
@@ -189,6 +199,8 @@
         changes: Changes of collections since the last digest, by collection,
             for receivers that hold the revision before.
         stopping: Whether the sender is shutting down.
+        leaving: Start time in milliseconds, or None, of the runners that
+            announced in answers that they are leaving, by runner.
     """
 
     __slots__ = tuple(_FIELD_TYPES)
@@ -224,6 +236,7 @@
     successor: str
     changes: dict[str, Any]
     stopping: bool
+    leaving: dict[str, int | None]
 
     def __init__(self, **fields: Any) -> None:
         """Sets all fields from keyword arguments.
@@ -276,6 +289,12 @@
         for name in _OPTIONAL_FIELDS:
             if not fields[name]:
                 del fields[name]
+        for name in _FIELDS_IN_CHANGES:
+            if name in fields:
+                fields["changes"] = {
+                    **fields["changes"],
+                    name: fields.pop(name),
+                }
         fields["form"] = FORMAT_VERSION
         uncompressed = json.dumps(fields, separators=(",", ":")).encode()
         if len(uncompressed) <= MAX_UNCOMPRESSED_BYTES:
@@ -297,6 +316,11 @@
             raise ValueError(
                 f"datagram {data[:40]!r} is not of format {FORMAT_VERSION}"
             )
+        changes = fields.get("changes")
+        if isinstance(changes, dict):
+            for name in _FIELDS_IN_CHANGES:
+                if name in changes:
+                    fields[name] = changes.pop(name)
         return cls(**fields)
 
 
--- a/mulberrypaddle/serving/local_heartbeat.py
+++ b/mulberrypaddle/serving/local_heartbeat.py
@@ -14,6 +14,10 @@
 # Time for which heartbeats go on reporting that a runner was lost.
 REPORT_LOSSES_SECONDS = 3.0
 
+# Most leaving runners that a heartbeat reports. Their entries soon say that
+# they are draining, or are removed; then they aren't reported any more.
+MAX_REPORTED_LEAVING = 64
+
 
 def make_local_heartbeat(
     board: Blackboard,
@@ -96,4 +100,5 @@
         successor="",
         changes={},
         stopping=board.stopping,
+        leaving=board.view.leaving_to_report(MAX_REPORTED_LEAVING),
     )
--- a/mulberrypaddle/serving/metrics.py
+++ b/mulberrypaddle/serving/metrics.py
@@ -86,6 +86,16 @@
     "Quarantines of prompt parts that crash runners.",
     registry=REGISTRY,
 )
+_RUNNERS_LEAVING = Gauge(
+    "mulberrypaddle_serving_runners_leaving",
+    "Listed runners that announced that they are leaving.",
+    registry=REGISTRY,
+)
+_RUNNERS_PAUSED = Gauge(
+    "mulberrypaddle_serving_runners_paused",
+    "Runners that asked this router for a pause that has not ended.",
+    registry=REGISTRY,
+)
 _ROUTERS = Gauge(
     "mulberrypaddle_serving_routers",
     "Routers that may be alive.",
@@ -107,6 +117,10 @@
     _QUARANTINES.set_function(
         lambda: len(board.crash_attribution.quarantines())
     )
+    _RUNNERS_LEAVING.set_function(
+        lambda: sum(entry.announced_leaving for entry in board.view)
+    )
+    _RUNNERS_PAUSED.set_function(lambda: board.pauses.count(board.now()))
     _ROUTERS.set_function(lambda: board.live_routers)
     _CONFIG.set_function(
         lambda: board.config.version if board.config is not None else 0
--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -17,6 +17,7 @@
 from mulberrypaddle.dispatch.crash_attribution import CrashReport
 from mulberrypaddle.dispatch.retry_budget import RetryCounts
 from mulberrypaddle.serving.address_book import AddressBook
+from mulberrypaddle.serving.announcements import record_leaving
 from mulberrypaddle.serving.change_tracker import ChangeTracker
 from mulberrypaddle.serving.collection_sync import CollectionSync
 from mulberrypaddle.serving.decision_log import log_state_change
@@ -324,6 +325,8 @@
             {part: age_ms / 1000 for part, age_ms in heartbeat.cleared.items()},
             now,
         )
+        for runner_id, started_at_ms in heartbeat.leaving.items():
+            record_leaving(board, (runner_id, started_at_ms), source="router")
         for runner_id, age_ms in heartbeat.stalled.items():
             board.runner_health.mark_suspected(runner_id, now - age_ms / 1000)
 
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 from typing import TYPE_CHECKING
@@ -11,6 +12,7 @@
 from returns.result import Success
 
 from mulberrypaddle.backends.curl import make_client
+from mulberrypaddle.serving.announcements import record_announcement
 from mulberrypaddle.serving.blackboard import Blackboard
 from mulberrypaddle.serving.caller_server import (
     STOP_POLL_SECONDS,
@@ -131,6 +133,9 @@
             feed.on_history_gone = self._relist_all
         self._peers = PeerExchange(self.board, feeds)
         self._duty_manager = DutyManager(self.board, store, self._peers)
+        control.on_announcement = functools.partial(
+            record_announcement, self.board
+        )
         self._group_controller = GroupController(
             self.board, control=control, duty_manager=self._duty_manager
         )
@@ -283,6 +288,7 @@
             )
             self._peers.tick()
             board.dispatch_waiting()
+            board.pauses.forget_expired(now)
             if board.view.remove_expired(now):
                 board.runner_health.retain_only(
                     entry.runner_id for entry in board.view
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -92,6 +92,7 @@
         "_headers",
         "_handle_info",
         "_loop",
+        "_may_send",
         "_suspension",
         "_on_body",
         "_on_head",
@@ -111,6 +112,7 @@
         on_head: Callable[[int, list[tuple[str, str]]], bool],
         on_body: Callable[[bytes], bool],
         uses_kept_connection: bool = False,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         """Prepares a call.
 
@@ -123,10 +125,13 @@
                 go on; if not, the transfer pauses until `resume`.
             uses_kept_connection: Whether an idle connection of an earlier call
                 may be used, so that the request may have to be sent again.
+            may_send: Called once connected, just before the request is sent;
+                False prevents that.
         """
         self._client = client
         self._on_head = on_head
         self._on_body = on_body
+        self._may_send = may_send
         self._loop = asyncio.get_running_loop()
         self._suspension = SuspensionMark()
         self._curl: pycurl.Curl | None = None
@@ -271,6 +276,9 @@
             # this address.
             self.error = "this router was suspended before it could send"
             return int(pycurl.PREREQFUNC_ABORT)
+        if not self._may_send():
+            self.error = "it must not be sent to this runner any more"
+            return int(pycurl.PREREQFUNC_ABORT)
         # From here on the request may have reached the runner.
         self.sent = True
         self.last_progress_at_seconds = self._loop.time()
--- a/mulberrypaddle/serving/runner_control.py
+++ b/mulberrypaddle/serving/runner_control.py
@@ -17,6 +17,7 @@
 
     from mulberrypaddle.core.errors import Problem
     from mulberrypaddle.fleet import RunnerEntry
+    from mulberrypaddle.fleet.announcement import RunnerAnnouncement
     from mulberrypaddle.replicas.orders import GroupOrder
 
 
@@ -40,7 +41,17 @@
 
 
 class RunnerControl(abc.ABC):
-    """Sends orders (commands) to runners and fetches their status reports."""
+    """Sends orders (commands) to runners and fetches their status reports.
+
+    Attributes:
+        on_announcement: Called with the entry of the addressed runner and with
+            what each answer says about the runner.
+    """
+
+    def __init__(self) -> None:
+        self.on_announcement: Callable[
+            [RunnerEntry, RunnerAnnouncement], None
+        ] = lambda entry, announcement: None
 
     @abc.abstractmethod
     async def send_order(
--- a/tests/dispatch/test_runner_choice.py
+++ b/tests/dispatch/test_runner_choice.py
@@ -12,6 +12,7 @@
     InFlightCounts,
     RunnerChooser,
     RunnerHealth,
+    RunnerPauses,
     RunnerRequirements,
 )
 from mulberrypaddle.fleet import (
@@ -70,12 +71,15 @@
         self.view.replace_all(entries, revision=1, now_seconds=0.0)
         self.loads = InFlightCounts()
         self.runner_health = RunnerHealth()
+        self.pauses = RunnerPauses()
         rng = random.Random(seed)
         self.connections = IdleConnections()
         self.chooser = RunnerChooser(
             self.view,
             in_flight=self.loads,
             runner_health=self.runner_health,
+            pauses=self.pauses,
+            drain_seconds=2.0,
             cold_limiter=ColdRateLimiter(rng),
             connections=self.connections,
             rng=rng,
