Let runners leave and pause in the soak, and test announcements

Random runners announce to leave while their entries say that they are ready, and end some seconds later, half of them to return under the same id; others refuse requests and ask for a pause. The checks of the simulated deployment report what reaches them in spite of it.

--- a/mulberrypaddle/dispatch/runner_choice.py
+++ b/mulberrypaddle/dispatch/runner_choice.py
@@ -91,19 +91,24 @@
 
 
 class RunnerChooser:
-    """Selects the least loaded healthy runner of a service and model."""
+    """Selects the least loaded healthy runner of a service and model.
+
+    Attributes:
+        drain_seconds: Time for which a leaving runner may be used if no other
+            serves.
+    """
 
     __slots__ = (
         "_cold_limiter",
         "_connections",
         "_serving_cache",
         "_cached_generation",
-        "_drain_seconds",
         "_in_flight",
         "_pauses",
         "_random",
         "_runner_health",
         "_view",
+        "drain_seconds",
     )
 
     def __init__(
@@ -123,7 +128,7 @@
         self._in_flight = in_flight
         self._runner_health = runner_health
         self._pauses = pauses
-        self._drain_seconds = drain_seconds
+        self.drain_seconds = drain_seconds
         self._cold_limiter = cold_limiter
         self._random = rng
         # Serving runners by service and model, and the generation of the view
@@ -171,7 +176,7 @@
                 lambda entry: (
                     now_seconds
                     < self._view.last_resort_until_seconds(
-                        entry, drain_seconds=self._drain_seconds
+                        entry, drain_seconds=self.drain_seconds
                     )
                 ),
             )
--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -3,11 +3,12 @@
     python -m soak.platform_soak --seeds 50
 
 Each seed is one run with a random sequence of faults, which may overlap:
-signals to routers (stop, pause, kill), crashes of runners, outages of the
-store and loss of its watch history, changes of the configuration, and a proxy
-in front of the store that delays, resets or silences connections, or drops
-the answers only. Callers send requests throughout. In every other seed, some of
-them have a part in their prompt that crashes runners.
+signals to routers (stop, pause, kill), crashes of runners, runners that
+announce to leave or ask for pauses, outages of the store and loss of its watch
+history, changes of the configuration, and a proxy in front of the store that
+delays, resets or silences connections, or drops the answers only. Callers send
+requests throughout. In every other seed, some of them have a part in their
+prompt that crashes runners.
 `tests.support.simulated_deployment` checks the invariants from what callers and
 runners observe. A run also fails if the routers don't serve every kind of
 request after the faults have ended.
@@ -26,6 +27,7 @@
 
 import fire
 
+from soak.announcement_faults import AnnouncementFaults
 from soak.upgrade import UpgradeRun
 from tests.support.crashing_parts import FIRST_PART, make_prompt
 from tests.support.fault_proxy import FaultProxy, ProxyMode
@@ -77,6 +79,9 @@
         if self._crashing:
             self._deployment.crashing_parts.part_ids.add(CRASHING_PART)
         self.faults: list[str] = []
+        self._announcement_faults = AnnouncementFaults(
+            self._deployment, random.Random(seed), call_later=self._call_later
+        )
 
     async def run(self) -> list[str]:
         """Runs all faults and returns the breached invariants."""
@@ -91,7 +96,9 @@
                 deployment.add_router(number)
             await deployment.wait_until_ready(30.0)
             load = asyncio.ensure_future(self._generate_load())
+            announcing = asyncio.ensure_future(self._announcement_faults.run())
             await self._inject_faults()
+            announcing.cancel()
             self._clear_faults()
             recovered = await self._recovers()
             if recovered and self._crashing:
@@ -107,6 +114,14 @@
             await deployment.close()
             self._proxy.close()
 
+    def describe_announcements(self) -> str:
+        """Returns how many announcements of runners the checks covered."""
+        checks = self._deployment.announcements
+        return (
+            f"{checks.leaving_known} of runners that leave, "
+            f"{checks.pauses_asked} pauses"
+        )
+
     async def _generate_load(self) -> None:
         """Sends requests to random routers until cancelled."""
         while True:
@@ -286,6 +301,7 @@
     with tempfile.TemporaryDirectory() as folder:
         soak = SoakRun(seed, Path(folder))
         breaches = await soak.run()
+        print(f"  announcements: {soak.describe_announcements()}")
         if breaches:
             print(f"seed {seed}: faults {soak.faults}")
             _keep_logs(seed, Path(folder))
--- a/tests/dispatch/test_wait_queue.py
+++ b/tests/dispatch/test_wait_queue.py
@@ -178,3 +178,19 @@
             3, local_waiting=0, peers_waiting=2, chance=0.0
         )
         self.assertEqual(0, share)
+
+
+class EndedWaitTest(testtools.TestCase):
+    """Waits that end before any slot can be free."""
+
+    def test_only_waits_that_end_before_the_time_are_ended(self) -> None:
+        async def scenario() -> tuple[bool, int]:
+            queue = WaitQueue()
+            waiter = _waiter(1.0)
+            queue.add(waiter)
+            queue.end_waits_before(MAX_WAIT_SECONDS)
+            assert not waiter.wait_result.done()
+            queue.end_waits_before(MAX_WAIT_SECONDS + 0.1)
+            return waiter.wait_result.result(), len(queue)
+
+        self.assertEqual((False, 0), run(scenario()))
--- a/tests/serving/test_leaving_runners.py
+++ b/tests/serving/test_leaving_runners.py
@@ -358,3 +358,56 @@
         self.assertEqual(
             [b"HTTP/1.1 200"] * 16, [answer[:12] for answer in got]
         )
+
+
+class AllLeavingTest(testtools.TestCase):
+    """All runners of a service are leaving."""
+
+    def _send(self, path: str, drain_seconds: float) -> list[bytes]:
+        """Returns the answers within the drain time and after it."""
+
+        async def scenario() -> list[bytes]:
+            fleet = _Fleet()
+            fleet.harness.board.chooser.drain_seconds = drain_seconds
+            add = fleet.add_head if path.startswith("/write") else fleet.add
+            answer = _STREAM if path.startswith("/write") else _OK
+            await add("r1", _leaving_answer(answer))
+            await fleet.send(path, headers=_MODEL)
+            got = [await fleet.send(path, headers=_MODEL)]
+            await asyncio.sleep(drain_seconds)
+            seen = fleet.arrivals("r1")
+            got.append(await fleet.send(path, headers=_MODEL))
+            self.assertEqual(seen, fleet.arrivals("r1"))
+            await fleet.close()
+            return got
+
+        return run(scenario())
+
+    def test_they_serve_for_the_drain_time_only(self) -> None:
+        for path in ("/safe/1", "/pay/1", "/write/1"):
+            within, after = self._send(path, 0.5)
+            self.assertEqual(b"HTTP/1.1 200", within[:12])
+            self.assertEqual(b"HTTP/1.1 503", after[:12])
+            self.assertIn(b"Retry-After", after)
+
+    def test_waiting_request_is_served_by_a_new_runner(self) -> None:
+        async def scenario() -> tuple[bytes, int]:
+            fleet = _Fleet()
+            board = fleet.harness.board
+            board.chooser.drain_seconds = 0.0
+            await fleet.add("r1", _leaving_answer(_OK))
+            await fleet.add("r2", _answer(_OK))
+            await fleet.send_until_reached("/safe/1", "r1")
+            for _ in range(12):
+                board.loads.add_request("r2")
+            waiting = asyncio.ensure_future(fleet.send("/safe/1"))
+            await asyncio.sleep(0.1)
+            for _ in range(12):
+                board.loads.remove_request("r2")
+            got = await waiting
+            await fleet.close()
+            return got, fleet.arrivals("r1")
+
+        got, arrived = run(scenario())
+        self.assertEqual(b"HTTP/1.1 200", got[:12])
+        self.assertEqual(1, arrived)
