Wait for a group that opens before the first pause ends

When all heads asked for a pause, queued requests were refused although a new group was about to open. Both times count now. Leaving runners that may serve as a last resort are cached like the serving ones.

--- a/mulberrypaddle/dispatch/runner_choice.py
+++ b/mulberrypaddle/dispatch/runner_choice.py
@@ -104,6 +104,7 @@
         "_serving_cache",
         "_cached_generation",
         "_in_flight",
+        "_leaving_cache",
         "_pauses",
         "_random",
         "_runner_health",
@@ -131,11 +132,15 @@
         self.drain_seconds = drain_seconds
         self._cold_limiter = cold_limiter
         self._random = rng
-        # Serving runners by service and model, and the generation of the view
-        # for which this cache is valid.
+        # Serving runners, and those that would serve if they had not announced
+        # to leave, by service and model, and the generation of the view for
+        # which these caches are valid.
         self._serving_cache: dict[
             tuple[ServiceSpec, str], list[RunnerEntry]
         ] = {}
+        self._leaving_cache: dict[
+            tuple[ServiceSpec, str], list[RunnerEntry]
+        ] = {}
         self._cached_generation = -1
 
     def serving_runners(
@@ -149,16 +154,32 @@
         groups that are complete and report the state `OPEN`. The list is
         cached until the view changes.
         """
+        return self._find_cached(
+            self._serving_cache, requirements, self._view.accepts_new_work
+        )
+
+    def _find_cached(
+        self,
+        cache: dict[tuple[ServiceSpec, str], list[RunnerEntry]],
+        requirements: RunnerRequirements,
+        accepts: Callable[[RunnerEntry], bool],
+    ) -> list[RunnerEntry]:
+        """Returns the runners that serve a model and are accepted.
+
+        Args:
+            cache: Results by service and model, until the view changes.
+            requirements: Service and model.
+            accepts: Whether a runner may be used, by the view alone.
+        """
         if self._cached_generation != self._view.generation:
             self._cached_generation = self._view.generation
             self._serving_cache.clear()
+            self._leaving_cache.clear()
         key = (requirements.service, requirements.model)
-        runners = self._serving_cache.get(key)
+        runners = cache.get(key)
         if runners is None:
-            runners = self._find_serving_runners(
-                requirements, self._view.accepts_new_work
-            )
-            self._serving_cache[key] = runners
+            runners = self._find_serving_runners(requirements, accepts)
+            cache[key] = runners
         return runners
 
     def _usable_runners(
@@ -171,15 +192,18 @@
         """
         runners = self.serving_runners(requirements)
         if not runners:
-            runners = self._find_serving_runners(
-                requirements,
-                lambda entry: (
-                    now_seconds
-                    < self._view.last_resort_until_seconds(
-                        entry, drain_seconds=self.drain_seconds
-                    )
-                ),
-            )
+            runners = [
+                entry
+                for entry in self._find_cached(
+                    self._leaving_cache,
+                    requirements,
+                    lambda entry: entry.announced_leaving,
+                )
+                if now_seconds
+                < self._view.last_resort_until_seconds(
+                    entry, drain_seconds=self.drain_seconds
+                )
+            ]
         if self._pauses.is_empty:
             return runners
         return [
@@ -211,11 +235,11 @@
         requirements: RunnerRequirements,
         accepts: Callable[[RunnerEntry], bool],
     ) -> list[RunnerEntry]:
-        """Computes the list that `serving_runners` returns and caches.
+        """Computes the list that `_find_cached` returns and caches.
 
         Args:
             requirements: Service and model.
-            accepts: Whether a runner may get new work.
+            accepts: Whether a runner may be used.
         """
         entries = self._view.runners_of(requirements.service.name)
         if requirements.service.engine is None:
--- a/mulberrypaddle/dispatch/wait_decision.py
+++ b/mulberrypaddle/dispatch/wait_decision.py
@@ -132,7 +132,6 @@
     busy_seconds: float,
     ready_in_seconds: float | None,
     newer_slots: float = 0.0,
-    pause_left_seconds: float | None = None,
 ) -> WaitDecision:
     """Decides whether a request may wait for a free slot.
 
@@ -150,8 +149,6 @@
             if none serves now; None if unknown.
         newer_slots: Slots demanded by newer requests, which have priority over
             a request that misses its target; 0 for one that can meet it.
-        pause_left_seconds: Time until the first of the runners that asked for a
-            pause may be used, used if none serves now; None if none did.
     """
     min_send_seconds = (
         FIRST_EVENT_RESERVE_SECONDS if is_stream else MIN_SEND_SECONDS
@@ -164,13 +161,8 @@
         expected_wait_seconds = float("inf")
     elif serving_slots > 0:
         expected_wait_seconds = (ahead + 1) * busy_seconds / available_slots
-    elif ready_in_seconds is not None or pause_left_seconds is not None:
-        first_seconds = min(
-            seconds
-            for seconds in (ready_in_seconds, pause_left_seconds)
-            if seconds is not None
-        )
-        expected_wait_seconds = first_seconds + ahead * busy_seconds / 10
+    elif ready_in_seconds is not None:
+        expected_wait_seconds = ready_in_seconds + ahead * busy_seconds / 10
     else:
         expected_wait_seconds = float("inf")
     if now_seconds + expected_wait_seconds <= wait_until_seconds:
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -189,6 +189,36 @@
             counts.get(name, 0) for counts in self.waiting_elsewhere.values()
         )
 
+    def pause_left_seconds(
+        self, requirements: RunnerRequirements
+    ) -> float | None:
+        """Returns the time until a request can be sent, if all runners pause.
+
+        That is when the first pause ends or the next group of runners serves.
+        None if a healthy runner serves, or if none asked for a pause.
+        """
+        left_seconds = self.chooser.pause_left_seconds(
+            requirements, now_seconds=self.now()
+        )
+        opens_in_seconds = self.next_group_opens_in_seconds.get(
+            requirements.model
+        )
+        if left_seconds is None or opens_in_seconds is None:
+            return left_seconds
+        return min(left_seconds, opens_in_seconds)
+
+    def ready_in_seconds(
+        self, requirements: RunnerRequirements
+    ) -> float | None:
+        """Returns the time until the next runner is expected to serve.
+
+        For requests that no runner serves now; None if unknown.
+        """
+        left_seconds = self.pause_left_seconds(requirements)
+        if left_seconds is not None:
+            return left_seconds
+        return self.next_group_opens_in_seconds.get(requirements.model)
+
     def dispatch_waiting(self) -> None:
         """Wakes queued requests for which runners have free slots.
 
@@ -206,9 +236,7 @@
             free_capacity = 0
             if service is not None:
                 requirements = RunnerRequirements(service, model=model)
-                pause_seconds = self.chooser.pause_left_seconds(
-                    requirements, now_seconds=now
-                )
+                pause_seconds = self.pause_left_seconds(requirements)
                 if pause_seconds is not None:
                     queue.end_waits_before(now + pause_seconds)
                 free_capacity = share_of_free_slots(
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -453,12 +453,7 @@
             serving_slots=sum(max(1, entry.slots) for entry in serving),
             ahead=ahead,
             busy_seconds=self._terms.busy_seconds,
-            ready_in_seconds=board.next_group_opens_in_seconds.get(
-                self._fields.model
-            ),
-            pause_left_seconds=board.chooser.pause_left_seconds(
-                requirements, now_seconds=now
-            ),
+            ready_in_seconds=board.ready_in_seconds(requirements),
             newer_slots=newer_slots,
         )
         return decision, len(serving)
@@ -850,8 +845,8 @@
             return
         kind = ErrorKind.OVERLOADED if healthy_count else ErrorKind.NO_RUNNER
         detail = "no runner has room"
-        pause_left_seconds = self._board.chooser.pause_left_seconds(
-            self._runner_requirements(), now_seconds=self._board.now()
+        pause_left_seconds = self._board.pause_left_seconds(
+            self._runner_requirements()
         )
         if pause_left_seconds is not None:
             detail = "all runners asked for a pause"
--- a/soak/upgrade.py
+++ b/soak/upgrade.py
@@ -41,6 +41,15 @@
 METRICS_TIMEOUT_SECONDS = 5.0
 HANDOVER_TIMEOUT_SECONDS = 10.0
 
+# Metrics that the old build may not export yet, as lines of the exposition
+# format. All others must be the same.
+ADDED_METRICS = frozenset(
+    {
+        "# TYPE mulberrypaddle_serving_runners_leaving gauge",
+        "# TYPE mulberrypaddle_serving_runners_paused gauge",
+    }
+)
+
 # Log events of a router that could not decode a message or stored object.
 UNREADABLE_EVENTS = frozenset(
     {
@@ -297,10 +306,17 @@
         )
 
     async def _compare_metrics(self, old: Router, new: Router) -> None:
-        """Checks that both builds export the same metrics and labels."""
+        """Checks that both builds export the same metrics and labels.
+
+        The new build may export `ADDED_METRICS` as well.
+        """
         old_labels = await self._metric_labels(old)
         new_labels = await self._metric_labels(new)
-        differing = sorted(old_labels.keys() ^ new_labels.keys())
+        differing = sorted(
+            line
+            for line in old_labels.keys() ^ new_labels.keys()
+            if line in old_labels or line not in ADDED_METRICS
+        )
         for name in old_labels.keys() & new_labels.keys():
             # A metric without samples exports no labels.
             have_samples = old_labels[name] and new_labels[name]
--- a/tests/serving/test_paused_runners.py
+++ b/tests/serving/test_paused_runners.py
@@ -210,6 +210,28 @@
         self.assertEqual(12, arrivals)
 
 
+class OpeningGroupTest(testtools.TestCase):
+    """All heads ask for a long pause, and another group opens soon."""
+
+    def test_request_waits_for_the_group(self) -> None:
+        async def scenario() -> bytes:
+            fleet = _Fleet()
+            board = fleet.harness.board
+            await fleet.add_head("h1", _answer(_refusal(b"30")))
+            await fleet.send("/write/1", headers=_MODEL)
+            board.next_group_opens_in_seconds = {"small": 0.3}
+            waiting = asyncio.ensure_future(
+                fleet.send("/write/1", headers=_MODEL)
+            )
+            await asyncio.sleep(0.3)
+            await fleet.add_head("h2", _answer(_STREAM))
+            got = await waiting
+            await fleet.close()
+            return got
+
+        self.assertEqual(b"HTTP/1.1 200", run(scenario())[:12])
+
+
 class OddPauseTest(testtools.TestCase):
     """Values of Retry-After that are no plain number of seconds."""
 
