--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -6,7 +6,9 @@
 
 import testtools
 
+from mulberrypaddle.fleet import RunnerEntry
 from mulberrypaddle.serving import peer_exchange
+from mulberrypaddle.serving.announcements import record_leaving
 from mulberrypaddle.serving.relays import relay_interval_seconds
 from tests.serving.test_digest import make_heartbeat
 from tests.support.peer_net import PeerNet, PlayedRouter
@@ -21,6 +23,19 @@
 SETTLE_SECONDS = 5.0
 
 
+def _runner(runner_id: str) -> RunnerEntry:
+    """Returns the entry of a runner that says that it is ready."""
+    return RunnerEntry(
+        runner_id,
+        started_at_ms=1,
+        service="stock",
+        address="127.0.0.1:1",
+        data_centre="south",
+        slots=6,
+        draining=False,
+    )
+
+
 class LargeFleetTest(testtools.TestCase):
     """30 routers in three data centres."""
 
@@ -49,6 +64,23 @@
 
         self._run(scenario)
 
+    def test_all_learn_that_a_runner_is_leaving(self) -> None:
+        async def scenario(net: PeerNet) -> None:
+            for router in net.routers.values():
+                router.board.view.replace_all(
+                    [_runner("r1"), _runner("r2")], revision=1, now_seconds=0.0
+                )
+            told = net.routers["10.1.0.5"]
+            record_leaving(told.board, ("r1", 1), source="answer")
+            await net.play(1.0)
+            for router in net.routers.values():
+                leaving = [
+                    e.runner_id for e in router.board.view if e.is_leaving
+                ]
+                self.assertEqual(["r1"], leaving, router.ip)
+
+        self._run(scenario)
+
     def test_messages_of_a_member_do_not_grow_with_the_fleet(self) -> None:
         async def scenario(net: PeerNet) -> None:
             before = {ip: router.sent for ip, router in net.routers.items()}
--- a/tests/serving/test_paused_runners.py
+++ b/tests/serving/test_paused_runners.py
@@ -7,12 +7,14 @@
 
 import testtools
 
+from mulberrypaddle.dispatch import RunnerChooser
 from mulberrypaddle.serving import exchange
 from tests.serving.test_exchange import _MODEL, _complete_response
 from tests.serving.test_leaving_runners import _OK, _STREAM, _answer, _Fleet
 from tests.support.asynchronous import run
 
 if TYPE_CHECKING:
+    from mulberrypaddle.fleet import RunnerEntry
     from tests.support.raw_runner import AnswerWriter
 
 _KEEP_ALIVE = b"Keep-Alive: timeout=5\r\n"
@@ -112,6 +114,40 @@
 
         self.assertEqual(0, run(scenario()))
 
+    def test_request_that_is_connecting_is_not_sent(self) -> None:
+        record_sent = RunnerChooser.record_sent
+
+        async def scenario() -> tuple[bytes, int, bool]:
+            fleet = _Fleet()
+            board = fleet.harness.board
+
+            def pause_first(
+                chooser: RunnerChooser,
+                entry: RunnerEntry,
+                *,
+                now_seconds: float,
+            ) -> None:
+                record_sent(chooser, entry, now_seconds=now_seconds)
+                if board.pauses.is_empty:
+                    paused.append(entry.runner_id)
+                    board.pauses.record(entry.incarnation, 2.0, now_seconds)
+
+            paused: list[str] = []
+            self.patch(RunnerChooser, "record_sent", pause_first)
+            for number in range(2):
+                await fleet.add(f"r{number}", _answer(_OK))
+            got = await fleet.send("/pay/1")
+            unreachable = board.runner_health.is_unreachable(
+                paused[0], board.now()
+            )
+            await fleet.close()
+            return got, fleet.arrivals(paused[0]), unreachable
+
+        got, arrived, unreachable = run(scenario())
+        self.assertEqual(b"HTTP/1.1 200", got[:12])
+        self.assertEqual(0, arrived)
+        self.assertFalse(unreachable)
+
     def test_new_lifetime_is_used_at_once(self) -> None:
         async def scenario() -> bytes:
             fleet = _Fleet()
