--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -31,6 +31,7 @@
         "_entries",
         "_evacuated",
         "_grace_until_seconds",
+        "_last_start_ms",
         "_leaving",
         "_removal_due_seconds",
         "evacuated_revision",
@@ -47,6 +48,8 @@
         self._removal_due_seconds: dict[str, float] = {}
         self._grace_until_seconds = 0.0
         self._leaving = LeavingRunners()
+        # Start time in the last entry that had one, by listed runner.
+        self._last_start_ms: dict[str, int] = {}
         self.revision = 0
         self.generation = 0
         self._evacuated: frozenset[str] = frozenset()
@@ -113,6 +116,10 @@
             return False
         if not self._leaving.record(incarnation, now_seconds):
             return False
+        last_start_ms = self._last_start_ms.get(incarnation[0])
+        if incarnation[1] is None and last_start_ms is not None:
+            # Its entry has lost the start time and may get it back.
+            self._leaving.record((incarnation[0], last_start_ms), now_seconds)
         if entry is not None and is_listed:
             entry.announced_leaving = True
             self._record_change()
@@ -256,6 +263,7 @@
         """Adds or replaces an entry and cancels its pending removal."""
         self._removal_due_seconds.pop(entry.runner_id, None)
         if entry.started_at_ms is not None:
+            self._last_start_ms[entry.runner_id] = entry.started_at_ms
             self._leaving.forget_unknown(entry.runner_id)
         else:
             before = self._entries.get(entry.runner_id)
@@ -270,6 +278,7 @@
     def _remove(self, runner_id: str) -> None:
         """Removes an entry."""
         self._entries.pop(runner_id, None)
+        self._last_start_ms.pop(runner_id, None)
         self._leaving.forget_unknown(runner_id)
 
     def _remove_or_defer(self, runner_id: str, now_seconds: float) -> None:
--- a/tests/fleet/test_leaving.py
+++ b/tests/fleet/test_leaving.py
@@ -117,6 +117,15 @@
         under_test.put(_entry("a", started_at_ms=None))
         self.assertTrue(under_test.is_leaving("a"))
 
+    def test_start_time_that_returns_does_not_end_it(self) -> None:
+        under_test = _View()
+        under_test.put(_entry("a", started_at_ms=None))
+        under_test.view.record_leaving(("a", None), 1.0)
+        under_test.put(_entry("a", started_at_ms=1))
+        self.assertTrue(under_test.is_leaving("a"))
+        under_test.put(_entry("a", started_at_ms=2))
+        self.assertFalse(under_test.is_leaving("a"))
+
     def test_unknown_lifetime_of_an_unlisted_runner_is_ignored(self) -> None:
         under_test = _View()
         self.assertFalse(under_test.view.record_leaving(("b", None), 1.0))
