Log arrival, runner and silence of requests that a stop interrupts

The lines of a stopped router could not tell apart a request that was taken late, one at a runner that stood still, and one that was read after the drain: `event=unanswered` had neither the time of the signal nor the runner.

`event=unanswered` now has the arrival relative to the signal, the number of sends, the last runner, its events and the seconds since the last one; `event=stopping`, `event=drained` (new: the end of the drain) and `event=stop` have the time since the signal and the counts of requests and connections.

--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -261,6 +261,23 @@
 
     is_complete = False
 
+    def progress_fields(self) -> dict[str, object]:
+        """Returns for the log how far the attempt has come.
+
+        That is, the runner, the number of its events, and the seconds since
+        the last event, or since the attempt began.
+        """
+        silent_seconds = self._board.now() - self._last_received_at()
+        return {
+            "runner": self._entry.runner_id,
+            "events": self.event_count,
+            "silent": round(silent_seconds, 3),
+        }
+
+    def _last_received_at(self) -> float:
+        """Returns the loop time of the last event; of the start if none."""
+        return self._started_at
+
     @property
     def event_count(self) -> int:
         """Returns how many events the runner sent in this attempt."""
@@ -426,6 +443,10 @@
         """Returns the longest pause between two forwarded events."""
         return self._progress.longest_pause_seconds
 
+    def _last_received_at(self) -> float:
+        """Returns the loop time of the last event; of the start if none."""
+        return self._received_event_at or self._started_at
+
     @property
     def last_event_at(self) -> float:
         """Returns the loop time of the last forwarded event; 0 if none."""
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -62,6 +62,8 @@
         head_progress: When the heads of groups last sent an event of any
             stream of this router, and how long they pause.
         stopping: Whether the process is shutting down.
+        stopping_since_seconds: Loop time of the signal to shut down; None
+            before it.
         ends_at_seconds: Loop time at which the process ends, once this is so
             close that new requests could be interrupted; None before that.
         in_flight_count: Number of complete requests whose response is not yet
@@ -99,6 +101,7 @@
         "settings",
         "runner_health",
         "stopping",
+        "stopping_since_seconds",
         "view",
         "waiting_elsewhere",
     )
@@ -149,6 +152,7 @@
         self.next_group_opens_in_seconds: dict[str, float] = {}
         self.head_progress = HeadProgress()
         self.stopping = False
+        self.stopping_since_seconds: float | None = None
         self.ends_at_seconds: float | None = None
         self.in_flight_count = 0
         self.reading = 0
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -46,9 +46,16 @@
         target: Path and query of the request line.
         arrived_at_seconds: Loop time at which the request was complete.
         request_id: Id of the request; empty until its headers are parsed.
+        exchange: Handles the request; None until its headers are parsed.
     """
 
-    __slots__ = ("arrived_at_seconds", "caller", "request_id", "target")
+    __slots__ = (
+        "arrived_at_seconds",
+        "caller",
+        "exchange",
+        "request_id",
+        "target",
+    )
 
     def __init__(
         self,
@@ -61,14 +68,31 @@
         self.target = target
         self.arrived_at_seconds = arrived_at_seconds
         self.request_id = ""
+        self.exchange: Exchange | None = None
 
-    def log_unanswered(self, cause: str, *, now_seconds: float) -> None:
+    def log_unanswered(
+        self,
+        cause: str,
+        *,
+        now_seconds: float,
+        stopping_since_seconds: float | None,
+    ) -> None:
         """Logs that the request has got no complete response.
 
         Args:
             cause: What ended it.
             now_seconds: Loop time.
+            stopping_since_seconds: Loop time of the signal to stop; None if
+                none was received.
         """
+        fields: dict[str, object] = {}
+        if stopping_since_seconds is not None:
+            # Negative for a request from before the signal.
+            fields["after_signal"] = round(
+                self.arrived_at_seconds - stopping_since_seconds, 3
+            )
+        if self.exchange is not None:
+            fields |= self.exchange.progress_fields()
         log_request(
             "unanswered",
             request_id=self.request_id,
@@ -76,6 +100,7 @@
             begun=self.caller.response_started,
             target=self.target,
             age=round(now_seconds - self.arrived_at_seconds, 3),
+            **fields,
         )
 
 
@@ -157,6 +182,7 @@
             return
         complete.request_id = fields.request_id
         exchange = Exchange(board, caller, request=request, fields=fields)
+        complete.exchange = exchange
         self._caller_server.start_exchange(exchange, caller)
 
     def on_connection_close(self) -> None:
@@ -252,7 +278,7 @@
             cause = "aborted"
         elif caller.disconnected:
             cause = "caller_closed"
-        request.log_unanswered(cause, now_seconds=self.board.now())
+        self._log_unanswered(request, cause)
 
     def record_first_request(self, server_conn: object) -> None:
         """Records that a request has arrived on a connection."""
@@ -269,7 +295,21 @@
     def log_interrupted(self) -> None:
         """Logs the requests that the end of this process interrupts."""
         for request in self._requests.values():
-            request.log_unanswered("stopped", now_seconds=self.board.now())
+            self._log_unanswered(request, "stopped")
+
+    def _log_unanswered(self, request: CompleteRequest, cause: str) -> None:
+        """Logs that a request has got no complete response."""
+        board = self.board
+        request.log_unanswered(
+            cause,
+            now_seconds=board.now(),
+            stopping_since_seconds=board.stopping_since_seconds,
+        )
+
+    @property
+    def connection_count(self) -> int:
+        """Returns the number of open connections of callers."""
+        return len(self._unused_connections) + len(self._used_connections)
 
     def start_exchange(
         self, exchange: Exchange, caller: CallerConnection
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -156,6 +156,13 @@
                 self._fail_outcome_unknown()
                 return
 
+    def progress_fields(self) -> dict[str, object]:
+        """Returns for the log how often and where the request was sent."""
+        fields: dict[str, object] = {"sends": self._send_count}
+        if self._attempt is not None:
+            fields |= self._attempt.progress_fields()
+        return fields
+
     def _admit(self) -> bool:
         """Returns whether the request is admitted; refuses it if not."""
         board = self._board
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -203,9 +203,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await task
         self._caller_server.log_interrupted()
-        log_state_change(
-            "stop", node=settings.node, in_hand=self.board.in_flight_count
-        )
+        self._log_stop("stop")
 
     def _reload(self) -> None:
         """Handles SIGHUP: only logs it.
@@ -224,9 +222,8 @@
         board = self.board
         board.stopping = True
         began_at_seconds = board.now()
-        log_state_change(
-            "stopping", node=self._settings.node, in_hand=board.in_flight_count
-        )
+        board.stopping_since_seconds = began_at_seconds
+        self._log_stop("stopping")
         # The store may be slow, which must not delay what follows.
         released = asyncio.ensure_future(self._release_duties())
         end_seconds = began_at_seconds + (
@@ -239,8 +236,24 @@
         await self._caller_server.stop(
             quiet_seconds=STOP_QUIET_SECONDS, until_seconds=end_seconds
         )
+        self._log_stop("drained")
         await released
 
+    def _log_stop(self, event: str) -> None:
+        """Logs a step of the shutdown and what callers still wait for."""
+        board = self.board
+        log_state_change(
+            event,
+            node=self._settings.node,
+            grace_seconds=self._settings.bounds.stop_grace_seconds,
+            since_signal=round(
+                board.now() - (board.stopping_since_seconds or board.now()), 3
+            ),
+            in_hand=board.in_flight_count,
+            reading=board.reading,
+            connections=self._caller_server.connection_count,
+        )
+
     async def _release_duties(self) -> None:
         """Releases the duties, unless the store can't be reached."""
         if not self._duty_manager.renewal_overdue:
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -185,6 +185,8 @@
             runner = RawRunner(_send_nothing)
             harness.add_runner("r0", await runner.start())
             _, writer = await harness.connect()
+            board = harness.board
+            board.stopping_since_seconds = board.now() - 1.5
             writer.write(request_bytes("/safe/1"))
             await asyncio.sleep(0.2)
             await harness.stop(quiet_seconds=0.0, until_seconds=0.0)
@@ -193,11 +195,31 @@
             harness.close()
             await runner.stop()
 
-        self.assertIn("q1 stopped", _unanswered_in(scenario()))
+        records = _unanswered_records(scenario())
+        self.assertEqual("stopped", records[-1]["cause"])
+        fields = {
+            name: records[-1].get(name)
+            for name in ("begun", "sends", "runner", "events")
+        }
+        self.assertEqual(
+            {"begun": False, "sends": 1, "runner": "r0", "events": 0}, fields
+        )
+        self.assertGreaterEqual(records[-1]["after_signal"], 1.5)
+        self.assertGreaterEqual(records[-1]["silent"], 0.1)
 
 
 def _unanswered_in(scenario: Coroutine[Any, Any, None]) -> list[str]:
     """Runs a scenario; returns id and cause of each unanswered request."""
+    return [
+        f"{fields['request']} {fields['cause']}"
+        for fields in _unanswered_records(scenario)
+    ]
+
+
+def _unanswered_records(
+    scenario: Coroutine[Any, Any, None],
+) -> list[dict[str, Any]]:
+    """Runs a scenario; returns the fields of each unanswered request."""
     records: list[logging.LogRecord] = []
     handler = logging.Handler()
     handler.emit = records.append  # type: ignore[method-assign]
@@ -211,7 +233,7 @@
         logger.removeHandler(handler)
         logger.setLevel(level)
     return [
-        f"{vars(record)['request']} {vars(record)['cause']}"
+        vars(record)
         for record in records
         if record.getMessage() == "unanswered"
     ]
