Ask before each send whether a planned stop leaves time for it

Cause: whether a request fits was asked once, at its arrival, and the deadline that is handed to runners did not know of the stop.

The time that is left now ends with the stop for every attempt, also of requests that were admitted before the signal. A request that has not run is asked for again right before it is sent, and refused with 503 if it no longer fits. One that may have run can't be refused; its next attempt gets the time that is left. A time-out at the end of the stop does not count against the runner.

--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -191,13 +191,24 @@
         assert self._admitted is not None
         return self._admitted
 
+    @property
+    def _deadline_seconds(self) -> float:
+        """Returns the loop time by which it must be answered.
+
+        That is, at the end of a planned stop at the latest.
+        """
+        stop = self._board.stop
+        if stop is None:
+            return self._terms.deadline_seconds
+        return min(self._terms.deadline_seconds, stop.ends_at_seconds)
+
     def _remaining_seconds(self, now: float) -> float:
         """Returns the time until the deadline.
 
         The loop's clock stops while the VM is suspended, so that time is
         subtracted.
         """
-        remaining = self._terms.deadline_seconds - now
+        remaining = self._deadline_seconds - now
         return remaining - self._suspension.suspended_for_seconds()
 
     def _is_on_time(self, now: float) -> bool:
@@ -434,7 +445,7 @@
         """
         board = self._board
         serving = board.chooser.healthy_runners(requirements, now_seconds=now)
-        give_up_at = self._terms.deadline_seconds
+        give_up_at = self._deadline_seconds
         if self._terms.is_stream:
             give_up_at = self._last_output_at() + stream_gap_seconds(
                 target_seconds=self._terms.route.target_seconds,
@@ -453,7 +464,7 @@
         decision = decide_wait(
             now_seconds=now,
             give_up_at_seconds=give_up_at,
-            deadline_seconds=self._terms.deadline_seconds,
+            deadline_seconds=self._deadline_seconds,
             is_stream=self._terms.is_stream,
             serving_slots=sum(max(1, entry.slots) for entry in serving),
             ahead=ahead,
@@ -481,6 +492,10 @@
         board = self._board
         now = board.now()
         service = self._terms.service.name
+        if not self._may_still_send(now):
+            board.loads.remove_request(entry.runner_id)
+            self._refuse_shutting_down()
+            return _NextStep.DONE
         if self._is_quarantined():
             board.loads.remove_request(entry.runner_id)
             if self._may_have_run:
@@ -520,6 +535,18 @@
         )
         return self._handle_outcome(entry, attempt, outcome)
 
+    def _may_still_send(self, now: float) -> bool:
+        """Returns whether a planned stop leaves time for the next attempt.
+
+        A request that may have run can't be refused any more, so that another
+        attempt is always worth the time that is left.
+        """
+        return self._may_have_run or self._terms.may_send(
+            self._board.stop,
+            now_seconds=now,
+            arrived_at_seconds=self._arrived_at,
+        )
+
     def _acquire_retry(self, now: float) -> bool:
         """Returns whether a retry was reserved or the budget allows one now."""
         if self._retry_reserved:
@@ -689,7 +716,7 @@
         self._possible_runs.append(entry.incarnation)
         if (
             outcome is AttemptOutcome.TIMED_OUT
-            and now >= self._terms.deadline_seconds - 0.01
+            and now >= self._deadline_seconds - 0.01
         ):
             return _NextStep.OUTCOME_UNKNOWN
         if outcome is AttemptOutcome.STALLED:
@@ -811,11 +838,22 @@
         if self._may_have_run:
             self._fail_outcome_unknown()
             return
+        if self._deadline_seconds < self._terms.deadline_seconds:
+            self._refuse_shutting_down()
+            return
         self._refuse(
             ErrorKind.DEADLINE_TOO_SHORT,
             "its time is up",
         )
 
+    def _refuse_shutting_down(self) -> None:
+        """Refuses a request that has not run, as a stop leaves no time."""
+        self._refuse(
+            ErrorKind.SHUTTING_DOWN,
+            "this router is about to end",
+            retry_after_seconds=MIN_RETRY_AFTER_SECONDS,
+        )
+
     def _fail_outcome_unknown(self) -> None:
         """Fails a request of which it is unknown whether it ran.
 
@@ -831,7 +869,7 @@
             self._caller.abort()
             return
         kind = ErrorKind.OUTCOME_UNKNOWN
-        if self._board.now() >= self._terms.deadline_seconds - MIN_SEND_SECONDS:
+        if self._board.now() >= self._deadline_seconds - MIN_SEND_SECONDS:
             kind = ErrorKind.DEADLINE_PASSED
         self._refuse(kind, "it may have run")
 
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -266,6 +266,95 @@
         self.assertTrue(got.startswith(b"HTTP/1.1 200"))
         self.assertEqual(1, len(heads))
 
+    def test_runner_gets_no_more_time_than_the_process_has(self) -> None:
+        got, heads = run(self._send_request("/safe/1", left_seconds=1.0))
+        self.assertTrue(got.startswith(b"HTTP/1.1 200"))
+        self.assertLessEqual(_deadline_ms(heads[0]), 1000 + 10)
+
+    def test_second_attempt_gets_no_more_time_than_the_process_has(
+        self,
+    ) -> None:
+        async def scenario() -> list[int]:
+            path = FrontEndHarness()
+            first = RawRunner(_abort_after(0.3))
+            second = RawRunner(_abort_after(0.0))
+            path.add_runner("r0", await first.start())
+            path.add_runner("r1", await second.start())
+            _allow_retries(path)
+            sending = asyncio.ensure_future(path.send_request("/safe/1"))
+            await asyncio.sleep(0.1)
+            path.begin_stop(left_seconds=1.0)
+            await sending
+            path.close()
+            heads = [*first.request_heads, *second.request_heads]
+            for runner in (first, second):
+                await runner.stop()
+            return [_deadline_ms(head) for head in heads]
+
+        deadlines_ms = run(scenario())
+        # The first one was sent before the signal, with the caller's time.
+        self.assertEqual(2, len(deadlines_ms))
+        self.assertLessEqual(min(deadlines_ms), 1000 + 10)
+
+    def test_queued_request_that_no_longer_fits_is_not_sent(self) -> None:
+        async def scenario() -> tuple[bytes, int]:
+            path = FrontEndHarness()
+            runner = RawRunner(_answers(_complete_response(200, b"done")))
+            path.add_runner("r0", await runner.start())
+            _fill(path, "r0")
+            sending = asyncio.ensure_future(path.send_request("/pay/1"))
+            await asyncio.sleep(0.1)
+            # Less time than the target of the route is left.
+            path.begin_stop(left_seconds=0.15)
+            _empty(path, "r0")
+            got = await sending
+            path.close()
+            await runner.stop()
+            return got, len(runner.request_heads)
+
+        got, sends = run(scenario())
+        self.assertEqual((b"HTTP/1.1 503", 0), (got[:12], sends))
+
+
+def _deadline_ms(head: bytes) -> int:
+    """Returns the time that a request grants its runner, in ms."""
+    return int(head.lower().split(b"x-deadline-ms:")[1].split(b"\r\n")[0])
+
+
+def _abort_after(seconds: float) -> AnswerWriter:
+    """Returns a runner that aborts the connection after some time."""
+
+    async def answer(
+        count: int, request: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(seconds)
+        writer.transport.abort()
+
+    return answer
+
+
+# More requests than a runner of the harness has slots and places in its queue.
+_FULL_LOAD = 100
+
+
+def _fill(path: FrontEndHarness, runner_id: str) -> None:
+    """Makes a runner of the harness look full."""
+    for _ in range(_FULL_LOAD):
+        path.board.loads.add_request(runner_id)
+
+
+def _empty(path: FrontEndHarness, runner_id: str) -> None:
+    """Makes a full runner look idle again, and sends it what waits."""
+    for _ in range(_FULL_LOAD):
+        path.board.loads.remove_request(runner_id)
+    path.board.dispatch_waiting()
+
+
+def _allow_retries(path: FrontEndHarness) -> None:
+    """Fills the retry budget of the plain service."""
+    for _ in range(50):
+        path.board.retries.record_first_attempt("stock", path.board.now())
+
 
 class CallerGoneTest(testtools.TestCase):
     """Requests whose caller closes the connection."""
