Answer what is in flight at the end of a planned stop

Cause: nothing ended what was in flight. The process exited, the kernel closed the connections, and runners went on with work that nobody waited for.

At the end of the stop each request is now ended: one that has not run is refused with 503, one that may have run gets 504, a stream that has begun is closed as incomplete and logged as `event=unanswered cause=stopped`; its call to the runner is cancelled.

`test_request_at_the_end_of_a_stop_is_logged` expected a plain request to be logged as unanswered. It is answered now, so that the test plays a stream that has begun, with the same fields. The test of a slow caller is also played with an end of service before the caller reads.

--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -58,6 +58,7 @@
             runner need not be at fault.
         STALLED: No progress in time, and another runner had a free slot.
         TIMED_OUT: The deadline of the request passed.
+        ENDED: The process of this router ends.
     """
 
     DELIVERED = "delivered"
@@ -69,6 +70,7 @@
     STALE = "stale"
     STALLED = "stalled"
     TIMED_OUT = "timed_out"
+    ENDED = "ended"
 
 
 class StreamProgress:
@@ -235,6 +237,16 @@
         """Cancels the attempt because the caller closed its connection."""
         self._abandon(AttemptOutcome.CALLER_GONE)
 
+    def end(self) -> None:
+        """Cancels the attempt, unless its call is over: the process ends."""
+        if not self._call.has_ended:
+            self._abandon(AttemptOutcome.ENDED)
+
+    @property
+    def was_sent(self) -> bool:
+        """Returns whether the runner may have received the request."""
+        return self._call.sent
+
     def forward_error_response(self) -> bool:
         """Forwards the runner's error response to the caller, if possible.
 
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -211,6 +211,9 @@
     def __init__(self, board: Blackboard) -> None:
         self.board = board
         self._tasks: set[asyncio.Task[None]] = set()
+        self._exchanges: set[Exchange] = set()
+        # Whether the process ends, so that no request is sent any more.
+        self._ended = False
         self._sockets: list[socket.socket] = []
         # Open connections, by whether a request has arrived on them.
         self._unused_connections: set[object] = set()
@@ -274,7 +277,9 @@
         if caller.response_ended and not caller.disconnected:
             return
         cause = "closed"
-        if caller.aborted:
+        if self._ended:
+            cause = "stopped"
+        elif caller.aborted:
             cause = "aborted"
         elif caller.disconnected:
             cause = "caller_closed"
@@ -315,6 +320,9 @@
         self, exchange: Exchange, caller: CallerConnection
     ) -> None:
         """Starts an exchange as a task."""
+        self._exchanges.add(exchange)
+        if self._ended:
+            exchange.end()
         task = asyncio.ensure_future(self._run_exchange(exchange, caller))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -330,6 +338,8 @@
             await exchange.run()
         except Exception as error:  # noqa: BLE001 - must not stop the process
             _LOGGER.exception("exchange_failed", extra={"reason": str(error)})
+        finally:
+            self._exchanges.discard(exchange)
         if caller.is_settled:
             return
         if caller.response_started:
@@ -337,27 +347,46 @@
         else:
             caller.send_error(500, detail="internal error")
 
-    async def stop(self, *, quiet_seconds: float, until_seconds: float) -> None:
-        """Stops listening and serves what was accepted before.
+    async def stop(
+        self,
+        *,
+        quiet_seconds: float,
+        until_seconds: float,
+        exit_seconds: float,
+    ) -> None:
+        """Stops listening, and serves or ends what was accepted before.
 
         Args:
             quiet_seconds: Time in which the first request of a connection is
                 awaited.
-            until_seconds: Loop time until which requests in flight are awaited;
-                first requests are awaited beyond it.
+            until_seconds: Loop time at which requests in flight are ended, and
+                from which new ones are refused.
+            exit_seconds: Loop time until which responses are written to slow
+                callers, and first requests and bodies are awaited.
         """
         self.stop_listening()
         board = self.board
         quiet_until_seconds = board.now() + quiet_seconds
-        until_seconds = max(until_seconds, quiet_until_seconds)
-        while board.now() < until_seconds:
+        while True:
+            now = board.now()
+            if now >= until_seconds and not self._ended:
+                self._end_exchanges()
             awaits_request = (
-                self._unused_connections and board.now() < quiet_until_seconds
+                self._unused_connections and now < quiet_until_seconds
+            )
+            is_idle = not (
+                awaits_request or board.in_flight_count or board.reading
             )
-            if not (awaits_request or board.in_flight_count or board.reading):
+            if is_idle or now >= exit_seconds:
                 return
             await asyncio.sleep(STOP_POLL_SECONDS)
 
+    def _end_exchanges(self) -> None:
+        """Ends all requests in flight, as the process ends."""
+        self._ended = True
+        for exchange in self._exchanges:
+            exchange.end()
+
     def stop_listening(self) -> None:
         """Stops accepting new connections; open ones stay.
 
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -111,6 +111,8 @@
         self._first_send_counted = False
         # Whether it may be sent although parts of its prompt are quarantined.
         self._is_trial = False
+        # Whether the process ends, so that nothing more is sent.
+        self._ended = False
         # Whether the retry budget has already been charged for the next send.
         self._retry_reserved = False
         self._may_have_run = False
@@ -156,6 +158,18 @@
                 self._fail_outcome_unknown()
                 return
 
+    def end(self) -> None:
+        """Ends the request because the process ends; nothing more is sent.
+
+        A request that has not run is refused, and one that may have run gets an
+        error. A response that has started is left incomplete.
+        """
+        self._ended = True
+        if self._attempt is not None:
+            self._attempt.end()
+        if self._waiter is not None and not self._waiter.wait_result.done():
+            self._waiter.wait_result.set_result(False)
+
     def progress_fields(self) -> dict[str, object]:
         """Returns for the log how often and where the request was sent."""
         fields: dict[str, object] = {"sends": self._send_count}
@@ -245,7 +259,7 @@
         waited = False
         while not self._caller.disconnected:
             now = board.now()
-            if self._remaining_seconds(now) < MIN_SEND_SECONDS:
+            if self._ended or self._remaining_seconds(now) < MIN_SEND_SECONDS:
                 self._refuse_expired()
                 return None
             requirements = self._runner_requirements()
@@ -417,6 +431,9 @@
                 )
         if self._caller.disconnected:
             return False
+        if self._ended:
+            self._refuse_expired()
+            return False
         if not may_send:
             self._refuse_no_capacity(
                 retry_after(
@@ -703,6 +720,9 @@
             sends=self._send_count,
             age=round(now - self._arrived_at, 3),
         )
+        if outcome is AttemptOutcome.ENDED and not attempt.was_sent:
+            self._send_count -= 1
+            return _NextStep.RETRY
         self._excluded_runners.add(runner_id)
         if outcome is AttemptOutcome.UNSENT:
             self._send_count -= 1
@@ -714,7 +734,7 @@
             return _NextStep.RETRY
         self._may_have_run = True
         self._possible_runs.append(entry.incarnation)
-        if (
+        if outcome is AttemptOutcome.ENDED or (
             outcome is AttemptOutcome.TIMED_OUT
             and now >= self._deadline_seconds - 0.01
         ):
@@ -838,7 +858,9 @@
         if self._may_have_run:
             self._fail_outcome_unknown()
             return
-        if self._deadline_seconds < self._terms.deadline_seconds:
+        if self._ended or (
+            self._deadline_seconds < self._terms.deadline_seconds
+        ):
             self._refuse_shutting_down()
             return
         self._refuse(
@@ -869,7 +891,10 @@
             self._caller.abort()
             return
         kind = ErrorKind.OUTCOME_UNKNOWN
-        if self._board.now() >= self._deadline_seconds - MIN_SEND_SECONDS:
+        if (
+            self._ended
+            or self._board.now() >= self._deadline_seconds - MIN_SEND_SECONDS
+        ):
             kind = ErrorKind.DEADLINE_PASSED
         self._refuse(kind, "it may have run")
 
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -246,7 +246,9 @@
         while board.now() < end_seconds and self._is_busy():
             await asyncio.sleep(STOP_POLL_SECONDS)
         await self._caller_server.stop(
-            quiet_seconds=STOP_QUIET_SECONDS, until_seconds=end_seconds
+            quiet_seconds=STOP_QUIET_SECONDS,
+            until_seconds=end_seconds,
+            exit_seconds=board.stop.exits_at_seconds,
         )
         self._log_stop("drained")
         await released
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -197,6 +197,11 @@
             return CallOutcome.BROKEN
         return CallOutcome.COMPLETE
 
+    @property
+    def has_ended(self) -> bool:
+        """Returns whether the call has ended, in whatever way."""
+        return self._ended
+
     def cancel(self) -> None:
         """Cancels the call and closes its connection.
 
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -160,6 +160,29 @@
 
         self._play(scenario)
 
+    def test_plain_request_at_a_slow_runner_is_answered(self) -> None:
+        self._play_plain_requests(2.5)
+
+    def test_plain_request_at_a_silent_runner_is_answered(self) -> None:
+        self._play_plain_requests(20.0)
+
+    def _play_plain_requests(self, runner_seconds: float) -> None:
+        """Plays a stop while plain services take the given time."""
+        self.patch(simulated_deployment, "ROUTE_TIMEOUT_SECONDS", 10.0)
+        self.patch(
+            simulated_deployment, "PLAIN_REQUEST_SECONDS", runner_seconds
+        )
+
+        async def scenario(deployment: SimulatedDeployment) -> None:
+            router = next(iter(deployment.routers.values()))
+            callers = KeptCallers(deployment, deadline_seconds=10.0)
+            losses = await self._stop(
+                router, callers, kinds=("safe",) * 5 + ("pay",) * 5
+            )
+            self.assertEqual([], losses)
+
+        self._play(scenario)
+
 
 class SignalTest(StopCase):
     """Stops beside other signals, faults and stops."""
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -73,6 +73,13 @@
     def test_answer_is_written_to_a_slow_caller_before_the_stop_ends(
         self,
     ) -> None:
+        # Requests in flight are ended after the caller has read, or before.
+        for service_seconds in (10.0, 0.1):
+            self._stop_under_a_slow_caller(service_seconds)
+
+    def _stop_under_a_slow_caller(self, service_seconds: float) -> None:
+        """Checks that a caller that reads late gets the whole answer."""
+
         async def scenario() -> tuple[bool, int]:
             harness = FrontEndHarness()
             runner = RawRunner(_send_long_answer)
@@ -84,7 +91,8 @@
             stopping = asyncio.ensure_future(
                 harness.stop(
                     quiet_seconds=0.0,
-                    until_seconds=harness.board.now() + 10.0,
+                    until_seconds=harness.board.now() + service_seconds,
+                    exit_seconds=harness.board.now() + 10.0,
                 )
             )
             await asyncio.sleep(0.3)
@@ -182,12 +190,12 @@
     def test_request_at_the_end_of_a_stop_is_logged(self) -> None:
         async def scenario() -> None:
             harness = FrontEndHarness()
-            runner = RawRunner(_send_nothing)
-            harness.add_runner("r0", await runner.start())
+            runner = RawRunner(_send_one_event)
+            harness.add_open_group("h0", await runner.start())
             _, writer = await harness.connect()
             board = harness.board
             board.stopping_since_seconds = board.now() - 1.5
-            writer.write(request_bytes("/safe/1"))
+            writer.write(request_bytes("/write/1", headers=("X-Model: small",)))
             await asyncio.sleep(0.2)
             await harness.stop(quiet_seconds=0.0, until_seconds=0.0)
             harness.log_interrupted()
@@ -202,7 +210,7 @@
             for name in ("begun", "sends", "runner", "events")
         }
         self.assertEqual(
-            {"begun": False, "sends": 1, "runner": "r0", "events": 0}, fields
+            {"begun": True, "sends": 1, "runner": "h0", "events": 1}, fields
         )
         self.assertGreaterEqual(records[-1]["after_signal"], 1.5)
         self.assertGreaterEqual(records[-1]["silent"], 0.1)
@@ -256,6 +264,17 @@
     """Leaves the request without an answer."""
 
 
+async def _send_one_event(
+    count: int, request: bytes, writer: asyncio.StreamWriter
+) -> None:
+    """Begins a stream and falls silent after its first event."""
+    writer.write(
+        b"HTTP/1.1 200 X\r\nX-Request-Id: q1\r\nX-Response-Seal: s\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+        b"f\r\nid: 1\ndata: x\n\n\r\n"
+    )
+
+
 async def _send_refusal(
     count: int, request: bytes, writer: asyncio.StreamWriter
 ) -> None:
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -296,6 +296,30 @@
         self.assertEqual(2, len(deadlines_ms))
         self.assertLessEqual(min(deadlines_ms), 1000 + 10)
 
+    def test_queued_request_is_refused_at_the_end_of_a_stop(self) -> None:
+        async def scenario() -> tuple[bytes, float, int]:
+            path = FrontEndHarness()
+            runner = RawRunner(_answers())
+            path.add_runner("r0", await runner.start())
+            _fill(path, "r0")
+            sending = asyncio.ensure_future(path.send_request("/pay/1"))
+            await asyncio.sleep(0.1)
+            stop = path.begin_stop(left_seconds=0.5)
+            stopping = asyncio.ensure_future(
+                path.stop(quiet_seconds=0.0, until_seconds=stop.ends_at_seconds)
+            )
+            got = await sending
+            await stopping
+            late_seconds = path.board.now() - stop.ends_at_seconds
+            path.close()
+            await runner.stop()
+            return got, late_seconds, len(runner.request_heads)
+
+        got, late_seconds, sends = run(scenario())
+        self.assertEqual((b"HTTP/1.1 503", 0), (got[:12], sends))
+        self.assertIn(b"Retry-After", got)
+        self.assertLess(late_seconds, 0.5)
+
     def test_queued_request_that_no_longer_fits_is_not_sent(self) -> None:
         async def scenario() -> tuple[bytes, int]:
             path = FrontEndHarness()
@@ -315,6 +339,56 @@
         got, sends = run(scenario())
         self.assertEqual((b"HTTP/1.1 503", 0), (got[:12], sends))
 
+    def _end_in_flight(
+        self, path: str, runner_answer: AnswerWriter
+    ) -> tuple[bytes, float]:
+        """Ends a stop while a request is at a runner.
+
+        Returns:
+            What the caller received, and the time from the end of the stop to
+            the end of the connection to the runner, in seconds.
+        """
+
+        async def scenario() -> tuple[bytes, float]:
+            path_under_test = FrontEndHarness()
+            runner = RawRunner(runner_answer)
+            address = await runner.start()
+            path_under_test.add_runner("r0", address)
+            path_under_test.add_open_group("h0", address)
+            sending = asyncio.ensure_future(
+                path_under_test.send_request(path, headers=_MODEL[:2])
+            )
+            await asyncio.sleep(0.3)
+            stop = path_under_test.begin_stop(left_seconds=0.5)
+            await path_under_test.stop(
+                quiet_seconds=0.0, until_seconds=stop.ends_at_seconds
+            )
+            got = await sending
+            await asyncio.sleep(0.1)
+            path_under_test.close()
+            await runner.stop()
+            closed_at = runner.closed_at_seconds[0]
+            return got, closed_at - stop.ends_at_seconds
+
+        return run(scenario())
+
+    def test_request_in_flight_is_answered_at_the_end_of_a_stop(self) -> None:
+        for path in ("/pay/1", "/safe/1", "/write/1"):
+            got, late_seconds = self._end_in_flight(path, _answers())
+            # It may have run.
+            self.assertEqual(b"HTTP/1.1 504", got[:12], path)
+            self.assertLess(abs(late_seconds), 0.5, path)
+
+    def test_begun_stream_is_closed_as_incomplete_at_the_end_of_a_stop(
+        self,
+    ) -> None:
+        begun = _answers(_STREAM_HEAD + _event(1))
+        got, late_seconds = self._end_in_flight("/write/1", begun)
+        self.assertEqual(b"HTTP/1.1 200", got[:12])
+        self.assertIn(b"id: 1\n", got)
+        self.assertNotIn(b"0\r\n\r\n", got)
+        self.assertLess(abs(late_seconds), 0.5)
+
 
 def _deadline_ms(head: bytes) -> int:
     """Returns the time that a request grants its runner, in ms."""
--- a/tests/support/front_end_harness.py
+++ b/tests/support/front_end_harness.py
@@ -212,10 +212,20 @@
                 return stop
             grace_seconds += 0.01
 
-    async def stop(self, *, quiet_seconds: float, until_seconds: float) -> None:
+    async def stop(
+        self,
+        *,
+        quiet_seconds: float,
+        until_seconds: float,
+        exit_seconds: float | None = None,
+    ) -> None:
         """Stops the server for callers as a planned stop does."""
+        quiet_until_seconds = self.board.now() + quiet_seconds
         await self._door.stop(
-            quiet_seconds=quiet_seconds, until_seconds=until_seconds
+            quiet_seconds=quiet_seconds,
+            until_seconds=until_seconds,
+            exit_seconds=exit_seconds
+            or max(quiet_until_seconds, until_seconds) + 1.0,
         )
 
     def log_interrupted(self) -> None:
--- a/tests/support/raw_runner.py
+++ b/tests/support/raw_runner.py
@@ -16,6 +16,7 @@
     Attributes:
         request_heads: Request line and headers of each request, in order.
         connection_count: Number of accepted connections.
+        closed_at_seconds: Loop times at which routers closed connections.
     """
 
     def __init__(self, answer: AnswerWriter) -> None:
@@ -23,6 +24,7 @@
         self._server: asyncio.Server | None = None
         self.request_heads: list[bytes] = []
         self.connection_count = 0
+        self.closed_at_seconds: list[float] = []
 
     async def start(self) -> str:
         """Starts listening and returns the address as host:port."""
@@ -53,7 +55,7 @@
                 if writer.is_closing():
                     return
         except (asyncio.IncompleteReadError, ConnectionError):
-            # The caller has closed the connection.
+            self.closed_at_seconds.append(asyncio.get_running_loop().time())
             return
         finally:
             writer.close()
