Close callers' connections with the last check for requests of a stop

Cause: after the drain the connections stayed open while duties were released and tasks were cancelled. A request that came then was read, admitted and sent to a runner, and nobody waited for it. With a grace period of 3 s the drain even went on until the process was killed.

The connections are now closed in the same turn of the event loop as the last check, and a request whose bytes were read before is ended, not sent. Two checks in a row must find no request, so that a pipelined one which was received with an earlier one is answered. The release of duties is bounded by the grace period, too, when the store is silent.

Evidence: on `test_request_after_the_end_of_a_stop_is_not_sent_to_a_runner` counts a second request at the runner, `test_pipelined_request_is_refused_at_the_end_of_a_stop` gets no answers, and `test_stream_is_not_cut_before_the_last_part_of_the_grace` finds the process killed. Without the mark that ends late requests `test_request_that_crosses_the_close_is_not_sent_to_a_runner` fails after two turns. All pass with this change.

--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -37,6 +37,10 @@
 # Pause between two checks for requests in flight while stopping.
 STOP_POLL_SECONDS = 0.05
 
+# Checks in a row without a request after which connections are closed: after a
+# response, the next request of its connection may have been received already.
+STOP_IDLE_POLLS = 2
+
 
 class CompleteRequest:
     """A request that was read completely and whose response may be due.
@@ -354,7 +358,11 @@
         until_seconds: float,
         exit_seconds: float,
     ) -> None:
-        """Stops listening, and serves or ends what was accepted before.
+        """Serves or ends what was accepted, then closes all connections.
+
+        New connections aren't accepted. Between the last check for requests and
+        the close there is no turn of the event loop, so that no request is read
+        which nobody would answer.
 
         Args:
             quiet_seconds: Time in which the first request of a connection is
@@ -367,6 +375,7 @@
         self.stop_listening()
         board = self.board
         quiet_until_seconds = board.now() + quiet_seconds
+        idle_polls = 0
         while True:
             now = board.now()
             if now >= until_seconds and not self._ended:
@@ -374,12 +383,15 @@
             awaits_request = (
                 self._unused_connections and now < quiet_until_seconds
             )
-            is_idle = not (
-                awaits_request or board.in_flight_count or board.reading
-            )
-            if is_idle or now >= exit_seconds:
-                return
+            idle_polls += 1
+            if awaits_request or board.in_flight_count or board.reading:
+                idle_polls = 0
+            if idle_polls >= STOP_IDLE_POLLS or now >= exit_seconds:
+                break
             await asyncio.sleep(STOP_POLL_SECONDS)
+        self._end_exchanges()
+        for connection in [*self._unused_connections, *self._used_connections]:
+            connection.stream.close()  # type: ignore[attr-defined]
 
     def _end_exchanges(self) -> None:
         """Ends all requests in flight, as the process ends."""
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -251,7 +251,13 @@
             exit_seconds=board.stop.exits_at_seconds,
         )
         self._log_stop("drained")
-        await released
+        left_seconds = board.stop.exits_at_seconds - board.now()
+        await asyncio.wait({released}, timeout=max(0.0, left_seconds))
+        if released.done():
+            await released
+            return
+        log_state_change("duties_not_released", node=self._settings.node)
+        released.cancel()
 
     def _log_stop(self, event: str) -> None:
         """Logs a step of the shutdown and what callers still wait for."""
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -187,6 +187,40 @@
 class SignalTest(StopCase):
     """Stops beside other signals, faults and stops."""
 
+    def test_further_signals_cut_no_request(self) -> None:
+        signals = (
+            (0.0, signal.SIGTERM),
+            (0.05, signal.SIGTERM),
+            (1.0, signal.SIGHUP),
+            (4.0, signal.SIGTERM),
+            (4.5, signal.SIGINT),
+        )
+
+        async def scenario(deployment: SimulatedDeployment) -> None:
+            router = next(iter(deployment.routers.values()))
+            losses = await self._stop(
+                router,
+                KeptCallers(deployment, deadline_seconds=4.0),
+                kinds=("safe", "pay", "write") * 3,
+                signals=signals,
+            )
+            self.assertEqual([], losses)
+
+        self._play(scenario)
+
+    def test_stop_with_a_silent_store_cuts_no_request(self) -> None:
+        async def scenario(deployment: SimulatedDeployment) -> None:
+            router = next(iter(deployment.routers.values()))
+            deployment.store.state = "silent"
+            losses = await self._stop(
+                router,
+                KeptCallers(deployment, deadline_seconds=4.0),
+                kinds=("safe", "pay", "write") * 3,
+            )
+            self.assertEqual([], losses)
+
+        self._play(scenario)
+
     def test_overlapping_stops_of_two_routers_cut_no_request(self) -> None:
         # Engines are slower than their own figures say.
         self.patch(simulated_deployment, "EVENT_INTERVAL_SECONDS", 0.18)
@@ -211,3 +245,37 @@
             self.assertEqual([[], []], losses)
 
         self._play(scenario, routers=2)
+
+    def test_signal_during_the_start_ends_the_process(self) -> None:
+        async def scenario(deployment: SimulatedDeployment) -> None:
+            deployment.store.state = "silent"
+            router = deployment.add_router(9)
+            while "event=start" not in router.log_path.read_text():
+                await asyncio.sleep(0.01)
+            losses = await self._stop(
+                router,
+                KeptCallers(deployment, deadline_seconds=4.0),
+                kinds=("safe", "pay", "write"),
+            )
+            self.assertEqual([], losses)
+
+        self._play(scenario)
+
+
+class ShortGraceTest(StopCase):
+    """Stops whose grace period is shorter than callers' time limits."""
+
+    def test_stream_is_not_cut_before_the_last_part_of_the_grace(self) -> None:
+        self.patch(simulated_deployment, "STOP_GRACE_SECONDS", 3.0)
+        self.patch(simulated_deployment, "EVENT_INTERVAL_SECONDS", 0.3)
+
+        async def scenario(deployment: SimulatedDeployment) -> None:
+            router = next(iter(deployment.routers.values()))
+            losses = await self._stop(
+                router,
+                KeptCallers(deployment, deadline_seconds=4.0),
+                kinds=("safe", "pay", "write", "write"),
+            )
+            self.assertEqual([], losses)
+
+        self._play(scenario)
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -106,6 +106,92 @@
 
         self.assertEqual((False, _LONG_ANSWER_BYTES), run(scenario()))
 
+    def test_request_after_the_end_of_a_stop_is_not_sent_to_a_runner(
+        self,
+    ) -> None:
+        async def scenario() -> tuple[bytes, int]:
+            harness = FrontEndHarness()
+            runner = RawRunner(_send_refusal)
+            harness.add_runner("r0", await runner.start())
+            reader, writer = await harness.connect()
+            request = request_bytes("/safe/1").replace(
+                b"Connection: close\r\n", b""
+            )
+            writer.write(request)
+            await reader.readuntil(b"\r\n\r\n")
+            await harness.stop(
+                quiet_seconds=0.0, until_seconds=harness.board.now()
+            )
+            # The process has other work to end before it exits.
+            writer.write(request)
+            await asyncio.sleep(0.2)
+            answer = await asyncio.wait_for(reader.read(1), 5.0)
+            writer.close()
+            harness.close()
+            await runner.stop()
+            return answer, len(runner.request_heads)
+
+        self.assertEqual((b"", 1), run(scenario()))
+
+    def test_request_that_crosses_the_close_is_not_sent_to_a_runner(
+        self,
+    ) -> None:
+        self.patch(caller_server, "STOP_IDLE_POLLS", 1)
+
+        async def scenario(turns: int) -> tuple[bool, int]:
+            harness = FrontEndHarness()
+            runner = RawRunner(_send_refusal)
+            harness.add_runner("r0", await runner.start())
+            caller = socket.create_connection(harness.settings.caller_address)
+            await asyncio.sleep(0.02)
+            caller.sendall(request_bytes("/safe/1"))
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            await harness.stop(
+                quiet_seconds=0.0, until_seconds=harness.board.now()
+            )
+            await asyncio.sleep(0.1)
+            caller.setblocking(False)
+            try:
+                answered = caller.recv(12) != b""
+            except ConnectionResetError:
+                answered = False
+            caller.close()
+            harness.close()
+            await runner.stop()
+            return answered, len(runner.request_heads)
+
+        for turns in range(12):
+            answered, runs = run(scenario(turns))
+            self.assertLessEqual(runs, int(answered), f"{turns} turns")
+
+    def test_pipelined_request_is_refused_at_the_end_of_a_stop(self) -> None:
+        async def scenario() -> tuple[bytes, int]:
+            harness = FrontEndHarness()
+            runner = RawRunner(_send_nothing)
+            harness.add_runner("r0", await runner.start())
+            reader, writer = await harness.connect()
+            request = request_bytes("/pay/1").replace(
+                b"Connection: close\r\n", b""
+            )
+            writer.write(request + request)
+            await asyncio.sleep(0.2)
+            stop = harness.begin_stop(left_seconds=0.5)
+            await harness.stop(
+                quiet_seconds=0.0, until_seconds=stop.ends_at_seconds
+            )
+            answers = await asyncio.wait_for(reader.read(), 5.0)
+            writer.close()
+            harness.close()
+            await runner.stop()
+            return answers, len(runner.request_heads)
+
+        answers, runs = run(scenario())
+        self.assertEqual(2, answers.count(b"HTTP/1.1 "))
+        self.assertIn(b"HTTP/1.1 504", answers)
+        self.assertIn(b"HTTP/1.1 503", answers)
+        self.assertEqual(1, runs)
+
     def test_unused_connection_delays_the_stop_for_a_bounded_time(
         self,
     ) -> None:
