Announce the close on answers to requests from before the signal

Callers whose request was in flight at the SIGTERM of a router got an answer without `Connection: close`, and sent their next request to the router that was about to end.

Cause: whether to announce the close was decided when the request was complete. It is now decided when the response starts. A stream that had begun before the signal can't announce it any more.

Evidence: `test_answer_to_a_request_before_the_signal_announces_the_close` fails on (the head of the answer has no such header) and passes with this change.

--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -62,7 +62,6 @@
             and no runner is loading its weights.
         head_progress: When the heads of groups last sent an event of any
             stream of this router, and how long they pause.
-        stopping: Whether the process is shutting down.
         stopping_since_seconds: Loop time of the signal to shut down; None
             before it.
         stop: Schedule of the planned stop; None before the signal.
@@ -100,7 +99,6 @@
         "settings",
         "runner_health",
         "stop",
-        "stopping",
         "stopping_since_seconds",
         "view",
         "waiting_elsewhere",
@@ -151,7 +149,6 @@
         self.live_routers = 1
         self.next_group_opens_in_seconds: dict[str, float] = {}
         self.head_progress = HeadProgress()
-        self.stopping = False
         self.stopping_since_seconds: float | None = None
         self.stop: StopSchedule | None = None
         self.in_flight_count = 0
@@ -159,6 +156,11 @@
         self.last_request_at = 0.0
         self.waiting_elsewhere: dict[str, dict[str, int]] = {}
 
+    @property
+    def stopping(self) -> bool:
+        """Returns whether the process is shutting down."""
+        return self.stop is not None
+
     def now(self) -> float:
         """Returns the loop's monotonic time in seconds."""
         return self.loop.time()
--- a/mulberrypaddle/serving/caller_connection.py
+++ b/mulberrypaddle/serving/caller_connection.py
@@ -39,7 +39,7 @@
 
     __slots__ = (
         "_write_in_flight",
-        "_close_after",
+        "_closes_after",
         "_connection",
         "_finished",
         "_finishing",
@@ -53,17 +53,20 @@
     )
 
     def __init__(
-        self, connection: HTTP1Connection, *, close_after: bool
+        self,
+        connection: HTTP1Connection,
+        *,
+        closes_after: Callable[[], bool],
     ) -> None:
         """Prepares the response.
 
         Args:
             connection: Connection that the request came on.
-            close_after: Whether to announce that the connection closes after
-                this response.
+            closes_after: Returns, when the response starts, whether to announce
+                that the connection closes after it.
         """
         self._connection = connection
-        self._close_after = close_after
+        self._closes_after = closes_after
         self._pending: list[bytes] = []
         self._pending_bytes = 0
         self._write_in_flight = False
@@ -178,7 +181,7 @@
             fields.add(name, value)
         if size_bytes is not None:
             fields["Content-Length"] = str(size_bytes)
-        if self._close_after:
+        if self._closes_after():
             fields["Connection"] = "close"
         self.response_started = True
         line = httputil.ResponseStartLine(
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -152,7 +152,9 @@
         assert self._start_line is not None
         self._finish_reading()
         board = self._caller_server.board
-        caller = CallerConnection(self._connection, close_after=board.stopping)
+        caller = CallerConnection(
+            self._connection, closes_after=lambda: board.stopping
+        )
         self._caller = caller
         # Once a request is complete, only this callback reports that its
         # caller has closed the connection.
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -219,7 +219,6 @@
         if board.stop is not None:
             return
         now = board.now()
-        board.stopping = True
         board.stopping_since_seconds = now
         board.stop = StopSchedule(
             signalled_at_seconds=now,
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -192,6 +192,32 @@
         self.assertIn(b"HTTP/1.1 503", answers)
         self.assertEqual(1, runs)
 
+    def test_answer_to_a_request_before_the_signal_announces_the_close(
+        self,
+    ) -> None:
+        async def scenario() -> bytes:
+            harness = FrontEndHarness()
+
+            async def answer(
+                count: int, request: bytes, writer: asyncio.StreamWriter
+            ) -> None:
+                harness.begin_stop(left_seconds=5.0)
+                await _send_refusal(count, request, writer)
+
+            runner = RawRunner(answer)
+            harness.add_runner("r0", await runner.start())
+            reader, writer = await harness.connect()
+            writer.write(
+                request_bytes("/safe/1").replace(b"Connection: close\r\n", b"")
+            )
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
+            writer.close()
+            harness.close()
+            await runner.stop()
+            return head
+
+        self.assertIn(b"connection: close\r\n", run(scenario()).lower())
+
     def test_unused_connection_delays_the_stop_for_a_bounded_time(
         self,
     ) -> None:
--- a/tests/support/front_end_harness.py
+++ b/tests/support/front_end_harness.py
@@ -201,7 +201,7 @@
         """
         now = self.board.now()
         signalled_at = now - signalled_before_seconds
-        # The end is the later of the two that a grace period can have.
+        # The reserve before the end depends on the grace period.
         grace_seconds = left_seconds + signalled_before_seconds
         while True:
             stop = StopSchedule(
