Log a stream that times out at the end of a stop as stopped

The cut of a stream whose attempt reached the end of a planned stop before the server was told to end it was logged as `cause=aborted`, like one that broke off for another reason. The cause now follows from the time.

--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -283,7 +283,8 @@
         if caller.response_ended and not caller.disconnected:
             return
         cause = "closed"
-        if self._ended:
+        stop = self.board.stop
+        if stop is not None and self.board.now() >= stop.ends_at_seconds:
             cause = "stopped"
         elif caller.aborted:
             cause = "aborted"
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -300,6 +300,19 @@
         self.assertEqual([], self._log_of(_send_refusal))
 
     def test_request_at_the_end_of_a_stop_is_logged(self) -> None:
+        self._check_log_of_stop(sent_after_seconds=-0.2)
+
+    def test_time_out_at_the_end_of_a_stop_is_logged_as_stopped(self) -> None:
+        self._check_log_of_stop(sent_after_seconds=0.05)
+
+    def _check_log_of_stop(self, *, sent_after_seconds: float) -> None:
+        """Checks the log line of a stream that the end of a stop cuts.
+
+        Args:
+            sent_after_seconds: When the stream is requested, relative to the
+                signal.
+        """
+
         async def scenario() -> None:
             harness = FrontEndHarness()
             runner = RawRunner(_send_one_event)
@@ -307,9 +320,19 @@
             _, writer = await harness.connect()
             board = harness.board
             board.stopping_since_seconds = board.now() - 1.5
-            writer.write(request_bytes("/write/1", headers=("X-Model: small",)))
-            await asyncio.sleep(0.2)
-            await harness.stop(quiet_seconds=0.0, until_seconds=0.0)
+            request = request_bytes("/write/1", headers=("X-Model: small",))
+            if sent_after_seconds < 0:
+                writer.write(request)
+                await asyncio.sleep(-sent_after_seconds)
+            stop = harness.begin_stop(left_seconds=2.5)
+            if sent_after_seconds > 0:
+                await asyncio.sleep(sent_after_seconds)
+                writer.write(request)
+                # The attempt times out before the server is stopped.
+                await asyncio.sleep(2.8)
+            await harness.stop(
+                quiet_seconds=0.0, until_seconds=stop.ends_at_seconds
+            )
             harness.log_interrupted()
             writer.close()
             harness.close()
