--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -37,6 +37,10 @@
 # Pause between two checks for requests in flight while stopping.
 STOP_POLL_SECONDS = 0.05
 
+# Checks in a row without a request after which connections are closed: after a
+# response, the next request of its connection may have been received already.
+STOP_IDLE_POLLS = 2
+
 
 class CompleteRequest:
     """A request that was read completely and whose response may be due.
@@ -148,7 +152,9 @@
         assert self._start_line is not None
         self._finish_reading()
         board = self._caller_server.board
-        caller = CallerConnection(self._connection, close_after=board.stopping)
+        caller = CallerConnection(
+            self._connection, closes_after=lambda: board.stopping
+        )
         self._caller = caller
         # Once a request is complete, only this callback reports that its
         # caller has closed the connection.
@@ -211,6 +217,9 @@
     def __init__(self, board: Blackboard) -> None:
         self.board = board
         self._tasks: set[asyncio.Task[None]] = set()
+        self._exchanges: set[Exchange] = set()
+        # Whether the process ends, so that no request is sent any more.
+        self._ended = False
         self._sockets: list[socket.socket] = []
         # Open connections, by whether a request has arrived on them.
         self._unused_connections: set[object] = set()
@@ -274,7 +283,10 @@
         if caller.response_ended and not caller.disconnected:
             return
         cause = "closed"
-        if caller.aborted:
+        stop = self.board.stop
+        if stop is not None and self.board.now() >= stop.ends_at_seconds:
+            cause = "stopped"
+        elif caller.aborted:
             cause = "aborted"
         elif caller.disconnected:
             cause = "caller_closed"
@@ -315,6 +327,9 @@
         self, exchange: Exchange, caller: CallerConnection
     ) -> None:
         """Starts an exchange as a task."""
+        self._exchanges.add(exchange)
+        if self._ended:
+            exchange.end()
         task = asyncio.ensure_future(self._run_exchange(exchange, caller))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -330,6 +345,8 @@
             await exchange.run()
         except Exception as error:  # noqa: BLE001 - must not stop the process
             _LOGGER.exception("exchange_failed", extra={"reason": str(error)})
+        finally:
+            self._exchanges.discard(exchange)
         if caller.is_settled:
             return
         if caller.response_started:
@@ -337,26 +354,53 @@
         else:
             caller.send_error(500, detail="internal error")
 
-    async def stop(self, *, quiet_seconds: float, until_seconds: float) -> None:
-        """Stops listening and serves what was accepted before.
+    async def stop(
+        self,
+        *,
+        quiet_seconds: float,
+        until_seconds: float,
+        exit_seconds: float,
+    ) -> None:
+        """Serves or ends what was accepted, then closes all connections.
+
+        New connections aren't accepted. Between the last check for requests and
+        the close there is no turn of the event loop, so that no request is read
+        which nobody would answer.
 
         Args:
             quiet_seconds: Time in which the first request of a connection is
                 awaited.
-            until_seconds: Loop time until which requests in flight are awaited;
-                first requests are awaited beyond it.
+            until_seconds: Loop time at which requests in flight are ended, and
+                from which new ones are refused.
+            exit_seconds: Loop time until which responses are written to slow
+                callers, and first requests and bodies are awaited.
         """
         self.stop_listening()
         board = self.board
         quiet_until_seconds = board.now() + quiet_seconds
-        until_seconds = max(until_seconds, quiet_until_seconds)
-        while board.now() < until_seconds:
+        idle_polls = 0
+        while True:
+            now = board.now()
+            if now >= until_seconds and not self._ended:
+                self._end_exchanges()
             awaits_request = (
-                self._unused_connections and board.now() < quiet_until_seconds
+                self._unused_connections and now < quiet_until_seconds
             )
-            if not (awaits_request or board.in_flight_count or board.reading):
-                return
+            idle_polls += 1
+            if awaits_request or board.in_flight_count or board.reading:
+                idle_polls = 0
+            if idle_polls >= STOP_IDLE_POLLS or now >= exit_seconds:
+                break
             await asyncio.sleep(STOP_POLL_SECONDS)
+        self._end_exchanges()
+        for connection in [*self._unused_connections, *self._used_connections]:
+            connection.stream.close()  # type: ignore[attr-defined]
+
+    def _end_exchanges(self) -> None:
+        """Ends all requests in flight, as the process ends."""
+        self._ended = True
+        for exchange in self._exchanges:
+            exchange.end()
 
     def stop_listening(self) -> None:
         """Stops accepting new connections; open ones stay.
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -111,6 +111,8 @@
         self._first_send_counted = False
         # Whether it may be sent although parts of its prompt are quarantined.
         self._is_trial = False
+        # Whether the process ends, so that nothing more is sent.
+        self._ended = False
         # Whether the retry budget has already been charged for the next send.
         self._retry_reserved = False
         self._may_have_run = False
@@ -156,6 +158,18 @@
                 self._fail_outcome_unknown()
                 return
 
+    def end(self) -> None:
+        """Ends the request because the process ends; nothing more is sent.
+
+        A request that has not run is refused, and one that may have run gets an
+        error. A response that has started is left incomplete.
+        """
+        self._ended = True
+        if self._attempt is not None:
+            self._attempt.end()
+        if self._waiter is not None and not self._waiter.wait_result.done():
+            self._waiter.wait_result.set_result(False)
+
     def progress_fields(self) -> dict[str, object]:
         """Returns for the log how often and where the request was sent."""
         fields: dict[str, object] = {"sends": self._send_count}
@@ -171,7 +185,7 @@
             request=self._request,
             fields=self._fields,
             arrived_at_seconds=self._arrived_at,
-            ends_at_seconds=board.ends_at_seconds,
+            stop=board.stop,
             rng=board.rng,
         )
         if isinstance(admitted, Success):
@@ -191,13 +205,24 @@
         assert self._admitted is not None
         return self._admitted
 
+    @property
+    def _deadline_seconds(self) -> float:
+        """Returns the loop time by which it must be answered.
+
+        That is, at the end of a planned stop at the latest.
+        """
+        stop = self._board.stop
+        if stop is None:
+            return self._terms.deadline_seconds
+        return min(self._terms.deadline_seconds, stop.ends_at_seconds)
+
     def _remaining_seconds(self, now: float) -> float:
         """Returns the time until the deadline.
 
         The loop's clock stops while the VM is suspended, so that time is
         subtracted.
         """
-        remaining = self._terms.deadline_seconds - now
+        remaining = self._deadline_seconds - now
         return remaining - self._suspension.suspended_for_seconds()
 
     def _is_on_time(self, now: float) -> bool:
@@ -234,7 +259,7 @@
         waited = False
         while not self._caller.disconnected:
             now = board.now()
-            if self._remaining_seconds(now) < MIN_SEND_SECONDS:
+            if self._ended or self._remaining_seconds(now) < MIN_SEND_SECONDS:
                 self._refuse_expired()
                 return None
             requirements = self._runner_requirements()
@@ -406,6 +431,9 @@
                 )
         if self._caller.disconnected:
             return False
+        if self._ended:
+            self._refuse_expired()
+            return False
         if not may_send:
             self._refuse_no_capacity(
                 retry_after(
@@ -434,7 +462,7 @@
         """
         board = self._board
         serving = board.chooser.healthy_runners(requirements, now_seconds=now)
-        give_up_at = self._terms.deadline_seconds
+        give_up_at = self._deadline_seconds
         if self._terms.is_stream:
             give_up_at = self._last_output_at() + stream_gap_seconds(
                 target_seconds=self._terms.route.target_seconds,
@@ -453,7 +481,7 @@
         decision = decide_wait(
             now_seconds=now,
             give_up_at_seconds=give_up_at,
-            deadline_seconds=self._terms.deadline_seconds,
+            deadline_seconds=self._deadline_seconds,
             is_stream=self._terms.is_stream,
             serving_slots=sum(max(1, entry.slots) for entry in serving),
             ahead=ahead,
@@ -481,6 +509,10 @@
         board = self._board
         now = board.now()
         service = self._terms.service.name
+        if not self._may_still_send(now):
+            board.loads.remove_request(entry.runner_id)
+            self._refuse_shutting_down()
+            return _NextStep.DONE
         if self._is_quarantined():
             board.loads.remove_request(entry.runner_id)
             if self._may_have_run:
@@ -520,6 +552,18 @@
         )
         return self._handle_outcome(entry, attempt, outcome)
 
+    def _may_still_send(self, now: float) -> bool:
+        """Returns whether a planned stop leaves time for the next attempt.
+
+        A request that may have run can't be refused any more, so that another
+        attempt is always worth the time that is left.
+        """
+        return self._may_have_run or self._terms.may_send(
+            self._board.stop,
+            now_seconds=now,
+            arrived_at_seconds=self._arrived_at,
+        )
+
     def _acquire_retry(self, now: float) -> bool:
         """Returns whether a retry was reserved or the budget allows one now."""
         if self._retry_reserved:
@@ -676,6 +720,9 @@
             sends=self._send_count,
             age=round(now - self._arrived_at, 3),
         )
+        if outcome is AttemptOutcome.ENDED and not attempt.was_sent:
+            self._send_count -= 1
+            return _NextStep.RETRY
         self._excluded_runners.add(runner_id)
         if outcome is AttemptOutcome.UNSENT:
             self._send_count -= 1
@@ -687,9 +734,9 @@
             return _NextStep.RETRY
         self._may_have_run = True
         self._possible_runs.append(entry.incarnation)
-        if (
+        if outcome is AttemptOutcome.ENDED or (
             outcome is AttemptOutcome.TIMED_OUT
-            and now >= self._terms.deadline_seconds - 0.01
+            and now >= self._deadline_seconds - 0.01
         ):
             return _NextStep.OUTCOME_UNKNOWN
         if outcome is AttemptOutcome.STALLED:
@@ -811,11 +858,24 @@
         if self._may_have_run:
             self._fail_outcome_unknown()
             return
+        if self._ended or (
+            self._deadline_seconds < self._terms.deadline_seconds
+        ):
+            self._refuse_shutting_down()
+            return
         self._refuse(
             ErrorKind.DEADLINE_TOO_SHORT,
             "its time is up",
         )
 
+    def _refuse_shutting_down(self) -> None:
+        """Refuses a request that has not run, as a stop leaves no time."""
+        self._refuse(
+            ErrorKind.SHUTTING_DOWN,
+            "this router is about to end",
+            retry_after_seconds=MIN_RETRY_AFTER_SECONDS,
+        )
+
     def _fail_outcome_unknown(self) -> None:
         """Fails a request of which it is unknown whether it ran.
 
@@ -831,7 +891,10 @@
             self._caller.abort()
             return
         kind = ErrorKind.OUTCOME_UNKNOWN
-        if self._board.now() >= self._terms.deadline_seconds - MIN_SEND_SECONDS:
+        if (
+            self._ended
+            or self._board.now() >= self._deadline_seconds - MIN_SEND_SECONDS
+        ):
             kind = ErrorKind.DEADLINE_PASSED
         self._refuse(kind, "it may have run")
 
