--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -59,6 +59,7 @@
             runner need not be at fault.
         STALLED: No progress in time, and another runner had a free slot.
         TIMED_OUT: The deadline of the request passed.
+        ENDED: The process of this router ends.
     """
 
     DELIVERED = "delivered"
@@ -70,6 +71,7 @@
     STALE = "stale"
     STALLED = "stalled"
     TIMED_OUT = "timed_out"
+    ENDED = "ended"
 
 
 class StreamProgress:
@@ -239,6 +241,16 @@
         """Cancels the attempt because the caller closed its connection."""
         self._abandon(AttemptOutcome.CALLER_GONE)
 
+    def end(self) -> None:
+        """Cancels the attempt, unless its call is over: the process ends."""
+        if not self._call.has_ended:
+            self._abandon(AttemptOutcome.ENDED)
+
+    @property
+    def was_sent(self) -> bool:
+        """Returns whether the runner may have received the request."""
+        return self._call.sent
+
     def forward_error_response(self) -> bool:
         """Forwards the runner's error response to the caller, if possible.
 
@@ -265,6 +277,23 @@
 
     is_complete = False
 
+    def progress_fields(self) -> dict[str, object]:
+        """Returns for the log how far the attempt has come.
+
+        That is, the runner, the number of its events, and the seconds since
+        the last event, or since the attempt began.
+        """
+        silent_seconds = self._board.now() - self._last_received_at()
+        return {
+            "runner": self._entry.runner_id,
+            "events": self.event_count,
+            "silent": round(silent_seconds, 3),
+        }
+
+    def _last_received_at(self) -> float:
+        """Returns the loop time of the last event; of the start if none."""
+        return self._started_at
+
     @property
     def event_count(self) -> int:
         """Returns how many events the runner sent in this attempt."""
@@ -431,6 +460,10 @@
         """Returns the longest pause between two forwarded events."""
         return self._progress.longest_pause_seconds
 
+    def _last_received_at(self) -> float:
+        """Returns the loop time of the last event; of the start if none."""
+        return self._received_event_at or self._started_at
+
     @property
     def last_event_at(self) -> float:
         """Returns the loop time of the last forwarded event; 0 if none."""
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -27,6 +27,7 @@
     import random
 
     from mulberrypaddle.backends.curl import CurlClient
+    from mulberrypaddle.dispatch.stop_schedule import StopSchedule
     from mulberrypaddle.fleet import NodeSettings, ServingConfig
     from mulberrypaddle.serving.header_codec import HeaderCodec
 
@@ -63,9 +64,9 @@
             and no runner is loading its weights.
         head_progress: When the heads of groups last sent an event of any
             stream of this router, and how long they pause.
-        stopping: Whether the process is shutting down.
-        ends_at_seconds: Loop time at which the process ends, once this is so
-            close that new requests could be interrupted; None before that.
+        stopping_since_seconds: Loop time of the signal to shut down; None
+            before it.
+        stop: Schedule of the planned stop; None before the signal.
         in_flight_count: Number of complete requests whose response is not yet
             written in full.
         reading: Number of requests whose headers were received and whose body
@@ -85,7 +86,6 @@
         "crash_attribution",
         "crashes",
         "demand",
-        "ends_at_seconds",
         "header_codec",
         "head_progress",
         "in_flight_count",
@@ -101,7 +101,8 @@
         "rng",
         "settings",
         "runner_health",
-        "stopping",
+        "stop",
+        "stopping_since_seconds",
         "view",
         "waiting_elsewhere",
     )
@@ -154,13 +155,18 @@
         self.live_routers = 1
         self.next_group_opens_in_seconds: dict[str, float] = {}
         self.head_progress = HeadProgress()
-        self.stopping = False
-        self.ends_at_seconds: float | None = None
+        self.stopping_since_seconds: float | None = None
+        self.stop: StopSchedule | None = None
         self.in_flight_count = 0
         self.reading = 0
         self.last_request_at = 0.0
         self.waiting_elsewhere: dict[str, dict[str, int]] = {}
 
+    @property
+    def stopping(self) -> bool:
+        """Returns whether the process is shutting down."""
+        return self.stop is not None
+
     def now(self) -> float:
         """Returns the loop's monotonic time in seconds."""
         return self.loop.time()
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -37,6 +37,10 @@
 # Pause between two checks for requests in flight while stopping.
 STOP_POLL_SECONDS = 0.05
 
+# Checks in a row without a request after which connections are closed: after a
+# response, the next request of its connection may have been received already.
+STOP_IDLE_POLLS = 2
+
 
 class CompleteRequest:
     """A request that was read completely and whose response may be due.
@@ -46,9 +50,16 @@
         target: Path and query of the request line.
         arrived_at_seconds: Loop time at which the request was complete.
         request_id: Id of the request; empty until its headers are parsed.
+        exchange: Handles the request; None until its headers are parsed.
     """
 
-    __slots__ = ("arrived_at_seconds", "caller", "request_id", "target")
+    __slots__ = (
+        "arrived_at_seconds",
+        "caller",
+        "exchange",
+        "request_id",
+        "target",
+    )
 
     def __init__(
         self,
@@ -61,14 +72,31 @@
         self.target = target
         self.arrived_at_seconds = arrived_at_seconds
         self.request_id = ""
+        self.exchange: Exchange | None = None
 
-    def log_unanswered(self, cause: str, *, now_seconds: float) -> None:
+    def log_unanswered(
+        self,
+        cause: str,
+        *,
+        now_seconds: float,
+        stopping_since_seconds: float | None,
+    ) -> None:
         """Logs that the request has got no complete response.
 
         Args:
             cause: What ended it.
             now_seconds: Loop time.
+            stopping_since_seconds: Loop time of the signal to stop; None if
+                none was received.
         """
+        fields: dict[str, object] = {}
+        if stopping_since_seconds is not None:
+            # Negative for a request from before the signal.
+            fields["after_signal"] = round(
+                self.arrived_at_seconds - stopping_since_seconds, 3
+            )
+        if self.exchange is not None:
+            fields |= self.exchange.progress_fields()
         log_request(
             "unanswered",
             request_id=self.request_id,
@@ -76,6 +104,7 @@
             begun=self.caller.response_started,
             target=self.target,
             age=round(now_seconds - self.arrived_at_seconds, 3),
+            **fields,
         )
 
 
@@ -123,7 +152,9 @@
         assert self._start_line is not None
         self._finish_reading()
         board = self._caller_server.board
-        caller = CallerConnection(self._connection, close_after=board.stopping)
+        caller = CallerConnection(
+            self._connection, closes_after=lambda: board.stopping
+        )
         self._caller = caller
         # Once a request is complete, only this callback reports that its
         # caller has closed the connection.
@@ -157,6 +188,7 @@
             return
         complete.request_id = fields.request_id
         exchange = Exchange(board, caller, request=request, fields=fields)
+        complete.exchange = exchange
         self._caller_server.start_exchange(exchange, caller)
 
     def on_connection_close(self) -> None:
@@ -185,6 +217,9 @@
     def __init__(self, board: Blackboard) -> None:
         self.board = board
         self._tasks: set[asyncio.Task[None]] = set()
+        self._exchanges: set[Exchange] = set()
+        # Whether the process ends, so that no request is sent any more.
+        self._ended = False
         self._sockets: list[socket.socket] = []
         # Open connections, by whether a request has arrived on them.
         self._unused_connections: set[object] = set()
@@ -248,11 +283,14 @@
         if caller.response_ended and not caller.disconnected:
             return
         cause = "closed"
-        if caller.aborted:
+        stop = self.board.stop
+        if stop is not None and self.board.now() >= stop.ends_at_seconds:
+            cause = "stopped"
+        elif caller.aborted:
             cause = "aborted"
         elif caller.disconnected:
             cause = "caller_closed"
-        request.log_unanswered(cause, now_seconds=self.board.now())
+        self._log_unanswered(request, cause)
 
     def record_first_request(self, server_conn: object) -> None:
         """Records that a request has arrived on a connection."""
@@ -269,12 +307,29 @@
     def log_interrupted(self) -> None:
         """Logs the requests that the end of this process interrupts."""
         for request in self._requests.values():
-            request.log_unanswered("stopped", now_seconds=self.board.now())
+            self._log_unanswered(request, "stopped")
+
+    def _log_unanswered(self, request: CompleteRequest, cause: str) -> None:
+        """Logs that a request has got no complete response."""
+        board = self.board
+        request.log_unanswered(
+            cause,
+            now_seconds=board.now(),
+            stopping_since_seconds=board.stopping_since_seconds,
+        )
+
+    @property
+    def connection_count(self) -> int:
+        """Returns the number of open connections of callers."""
+        return len(self._unused_connections) + len(self._used_connections)
 
     def start_exchange(
         self, exchange: Exchange, caller: CallerConnection
     ) -> None:
         """Starts an exchange as a task."""
+        self._exchanges.add(exchange)
+        if self._ended:
+            exchange.end()
         task = asyncio.ensure_future(self._run_exchange(exchange, caller))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -290,6 +345,8 @@
             await exchange.run()
         except Exception as error:  # noqa: BLE001 - must not stop the process
             _LOGGER.exception("exchange_failed", extra={"reason": str(error)})
+        finally:
+            self._exchanges.discard(exchange)
         if caller.is_settled:
             return
         if caller.response_started:
@@ -297,26 +354,53 @@
         else:
             caller.send_error(500, detail="internal error")
 
-    async def stop(self, *, quiet_seconds: float, until_seconds: float) -> None:
-        """Stops listening and serves what was accepted before.
+    async def stop(
+        self,
+        *,
+        quiet_seconds: float,
+        until_seconds: float,
+        exit_seconds: float,
+    ) -> None:
+        """Serves or ends what was accepted, then closes all connections.
+
+        New connections aren't accepted. Between the last check for requests and
+        the close there is no turn of the event loop, so that no request is read
+        which nobody would answer.
 
         Args:
             quiet_seconds: Time in which the first request of a connection is
                 awaited.
-            until_seconds: Loop time until which requests in flight are awaited;
-                first requests are awaited beyond it.
+            until_seconds: Loop time at which requests in flight are ended, and
+                from which new ones are refused.
+            exit_seconds: Loop time until which responses are written to slow
+                callers, and first requests and bodies are awaited.
         """
         self.stop_listening()
         board = self.board
         quiet_until_seconds = board.now() + quiet_seconds
-        until_seconds = max(until_seconds, quiet_until_seconds)
-        while board.now() < until_seconds:
+        idle_polls = 0
+        while True:
+            now = board.now()
+            if now >= until_seconds and not self._ended:
+                self._end_exchanges()
             awaits_request = (
-                self._unused_connections and board.now() < quiet_until_seconds
+                self._unused_connections and now < quiet_until_seconds
             )
-            if not (awaits_request or board.in_flight_count or board.reading):
-                return
+            idle_polls += 1
+            if awaits_request or board.in_flight_count or board.reading:
+                idle_polls = 0
+            if idle_polls >= STOP_IDLE_POLLS or now >= exit_seconds:
+                break
             await asyncio.sleep(STOP_POLL_SECONDS)
+        self._end_exchanges()
+        for connection in [*self._unused_connections, *self._used_connections]:
+            connection.stream.close()  # type: ignore[attr-defined]
+
+    def _end_exchanges(self) -> None:
+        """Ends all requests in flight, as the process ends."""
+        self._ended = True
+        for exchange in self._exchanges:
+            exchange.end()
 
     def stop_listening(self) -> None:
         """Stops accepting new connections; open ones stay.
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -235,32 +235,199 @@
 class StopTest(testtools.TestCase):
     """A router that is shutting down."""
 
-    async def _send_request(self, left_seconds: float) -> tuple[bytes, int]:
-        """Sends a request to a router that stops after the given time.
+    async def _send_request(
+        self, path: str, *, left_seconds: float, headers: tuple[str, ...] = ()
+    ) -> tuple[bytes, list[bytes]]:
+        """Sends a request late in a stop that ends after the given time.
 
         Returns:
-            The answer, and how many requests the runner received.
+            The answer, and the heads of the requests that the runner received.
         """
-        path = FrontEndHarness()
+        path_under_test = FrontEndHarness()
         runner = RawRunner(_answers(_complete_response(200, b"done")))
-        path.add_runner("r0", await runner.start())
-        path.board.ends_at_seconds = path.board.now() + left_seconds
-        got = await path.send_request("/pay/1")
-        path.close()
+        path_under_test.add_runner("r0", await runner.start())
+        path_under_test.begin_stop(
+            left_seconds=left_seconds, signalled_before_seconds=4.0
+        )
+        got = await path_under_test.send_request(path, headers=headers)
+        path_under_test.close()
         await runner.stop()
-        return got, len(runner.request_heads)
+        return got, runner.request_heads
 
     def test_request_that_may_not_end_before_the_stop_is_refused(self) -> None:
-        got, runs = run(self._send_request(0.5))
+        got, heads = run(self._send_request("/pay/1", left_seconds=1.0))
         # The stop of the process might interrupt it.
         self.assertTrue(got.startswith(b"HTTP/1.1 503"))
         self.assertIn(b"Retry-After", got)
-        self.assertEqual(0, runs)
+        self.assertEqual([], heads)
 
     def test_request_that_ends_before_the_stop_is_served(self) -> None:
-        got, runs = run(self._send_request(60.0))
+        got, heads = run(self._send_request("/pay/1", left_seconds=60.0))
+        self.assertTrue(got.startswith(b"HTTP/1.1 200"))
+        self.assertEqual(1, len(heads))
+
+    def test_runner_gets_no_more_time_than_the_process_has(self) -> None:
+        got, heads = run(self._send_request("/safe/1", left_seconds=1.0))
         self.assertTrue(got.startswith(b"HTTP/1.1 200"))
-        self.assertEqual(1, runs)
+        self.assertLessEqual(_deadline_ms(heads[0]), 1000 + 10)
+
+    def test_second_attempt_gets_no_more_time_than_the_process_has(
+        self,
+    ) -> None:
+        async def scenario() -> list[int]:
+            path = FrontEndHarness()
+            first = RawRunner(_abort_after(0.3))
+            second = RawRunner(_abort_after(0.0))
+            path.add_runner("r0", await first.start())
+            path.add_runner("r1", await second.start())
+            _allow_retries(path)
+            sending = asyncio.ensure_future(path.send_request("/safe/1"))
+            await asyncio.sleep(0.1)
+            path.begin_stop(left_seconds=1.0)
+            await sending
+            path.close()
+            heads = [*first.request_heads, *second.request_heads]
+            for runner in (first, second):
+                await runner.stop()
+            return [_deadline_ms(head) for head in heads]
+
+        deadlines_ms = run(scenario())
+        # The first one was sent before the signal, with the caller's time.
+        self.assertEqual(2, len(deadlines_ms))
+        self.assertLessEqual(min(deadlines_ms), 1000 + 10)
+
+    def test_queued_request_is_refused_at_the_end_of_a_stop(self) -> None:
+        async def scenario() -> tuple[bytes, float, int]:
+            path = FrontEndHarness()
+            runner = RawRunner(_answers())
+            path.add_runner("r0", await runner.start())
+            _fill(path, "r0")
+            sending = asyncio.ensure_future(path.send_request("/pay/1"))
+            await asyncio.sleep(0.1)
+            stop = path.begin_stop(left_seconds=0.5)
+            stopping = asyncio.ensure_future(
+                path.stop(quiet_seconds=0.0, until_seconds=stop.ends_at_seconds)
+            )
+            got = await sending
+            await stopping
+            late_seconds = path.board.now() - stop.ends_at_seconds
+            path.close()
+            await runner.stop()
+            return got, late_seconds, len(runner.request_heads)
+
+        got, late_seconds, sends = run(scenario())
+        self.assertEqual((b"HTTP/1.1 503", 0), (got[:12], sends))
+        self.assertIn(b"Retry-After", got)
+        self.assertLess(late_seconds, 0.5)
+
+    def test_queued_request_that_no_longer_fits_is_not_sent(self) -> None:
+        async def scenario() -> tuple[bytes, int]:
+            path = FrontEndHarness()
+            runner = RawRunner(_answers(_complete_response(200, b"done")))
+            path.add_runner("r0", await runner.start())
+            _fill(path, "r0")
+            sending = asyncio.ensure_future(path.send_request("/pay/1"))
+            await asyncio.sleep(0.1)
+            # Less time than the target of the route is left.
+            path.begin_stop(left_seconds=0.15)
+            _empty(path, "r0")
+            got = await sending
+            path.close()
+            await runner.stop()
+            return got, len(runner.request_heads)
+
+        got, sends = run(scenario())
+        self.assertEqual((b"HTTP/1.1 503", 0), (got[:12], sends))
+
+    def _end_in_flight(
+        self, path: str, runner_answer: AnswerWriter
+    ) -> tuple[bytes, float]:
+        """Ends a stop while a request is at a runner.
+
+        Returns:
+            What the caller received, and the time from the end of the stop to
+            the end of the connection to the runner, in seconds.
+        """
+
+        async def scenario() -> tuple[bytes, float]:
+            path_under_test = FrontEndHarness()
+            runner = RawRunner(runner_answer)
+            address = await runner.start()
+            path_under_test.add_runner("r0", address)
+            path_under_test.add_open_group("h0", address)
+            sending = asyncio.ensure_future(
+                path_under_test.send_request(path, headers=_MODEL[:2])
+            )
+            await asyncio.sleep(0.3)
+            stop = path_under_test.begin_stop(left_seconds=0.5)
+            await path_under_test.stop(
+                quiet_seconds=0.0, until_seconds=stop.ends_at_seconds
+            )
+            got = await sending
+            await asyncio.sleep(0.1)
+            path_under_test.close()
+            await runner.stop()
+            closed_at = runner.closed_at_seconds[0]
+            return got, closed_at - stop.ends_at_seconds
+
+        return run(scenario())
+
+    def test_request_in_flight_is_answered_at_the_end_of_a_stop(self) -> None:
+        for path in ("/pay/1", "/safe/1", "/write/1"):
+            got, late_seconds = self._end_in_flight(path, _answers())
+            # It may have run.
+            self.assertEqual(b"HTTP/1.1 504", got[:12], path)
+            self.assertLess(abs(late_seconds), 0.5, path)
+
+    def test_begun_stream_is_closed_as_incomplete_at_the_end_of_a_stop(
+        self,
+    ) -> None:
+        begun = _answers(_STREAM_HEAD + _event(1))
+        got, late_seconds = self._end_in_flight("/write/1", begun)
+        self.assertEqual(b"HTTP/1.1 200", got[:12])
+        self.assertIn(b"id: 1\n", got)
+        self.assertNotIn(b"0\r\n\r\n", got)
+        self.assertLess(abs(late_seconds), 0.5)
+
+
+def _deadline_ms(head: bytes) -> int:
+    """Returns the time that a request grants its runner, in ms."""
+    return int(head.lower().split(b"x-deadline-ms:")[1].split(b"\r\n")[0])
+
+
+def _abort_after(seconds: float) -> AnswerWriter:
+    """Returns a runner that aborts the connection after some time."""
+
+    async def answer(
+        count: int, request: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(seconds)
+        writer.transport.abort()
+
+    return answer
+
+
+# More requests than a runner of the harness has slots and places in its queue.
+_FULL_LOAD = 100
+
+
+def _fill(path: FrontEndHarness, runner_id: str) -> None:
+    """Makes a runner of the harness look full."""
+    for _ in range(_FULL_LOAD):
+        path.board.loads.add_request(runner_id)
+
+
+def _empty(path: FrontEndHarness, runner_id: str) -> None:
+    """Makes a full runner look idle again, and sends it what waits."""
+    for _ in range(_FULL_LOAD):
+        path.board.loads.remove_request(runner_id)
+    path.board.dispatch_waiting()
+
+
+def _allow_retries(path: FrontEndHarness) -> None:
+    """Fills the retry budget of the plain service."""
+    for _ in range(50):
+        path.board.retries.record_first_attempt("stock", path.board.now())
 
 
 class CallerGoneTest(testtools.TestCase):
