Give each ownership of a duty a fencing token of its own

Cause: the number in a lease record started at 0 with each acquisition. A router that released its duty without the store's record changing, and acquired it again before its first renewal, wrote a record equal to the stored one. A write that changes nothing keeps the revision, so the token stayed the same, and record_acquired started its epochs again.

A process now never uses the number of a record again, whatever became of the write, so that each write of a lease changes it. Epochs of a process rise also if a token were acquired twice. The format of records and heartbeats is unchanged.

--- a/mulberrypaddle/replicas/ownership.py
+++ b/mulberrypaddle/replicas/ownership.py
@@ -100,7 +100,9 @@
         node: Name of the router that owns the duty.
         incarnation: Id of that router's process.
         address: Address at which that process serves other routers.
-        renewals: Number of renewals, so that each write changes the object.
+        renewals: Number of the record among those of the process, which differ
+            in it, also across ownerships. The store gives a record that equals
+            the stored one no new revision.
         given_up: Whether the owner has released the duty, so that another
             router may acquire it at once.
     """
@@ -157,7 +159,7 @@
     Attributes:
         revision: Revision of the store's object that was last observed.
         record: Contents of that revision; None if there is no valid record.
-        renewals: Number of renewals in the last record that this router wrote.
+        renewals: Number of the record that this router's lease is based on.
         since_seconds: Time from which the owner's lease is counted: when the
             revision was observed, or when this router's own write was sent.
         fencing_token: Revision of the store at which this router acquired the
@@ -165,8 +167,9 @@
     """
 
     __slots__ = (
-        "_epochs_issued",
         "_held_until_seconds",
+        "_last_epoch",
+        "_last_renewals",
         "fencing_token",
         "record",
         "renewals",
@@ -181,7 +184,8 @@
         self.since_seconds = 0.0
         self.fencing_token = 0
         self._held_until_seconds = 0.0
-        self._epochs_issued = 0
+        self._last_renewals = 0
+        self._last_epoch = 0
 
     def observe(
         self, record: OwnerRecord | None, *, revision: int, now_seconds: float
@@ -207,7 +211,7 @@
 
         Args:
             incarnation: Id of the owner's process.
-            renewals: Number of renewals that the report is based on.
+            renewals: Number of the record that the report is based on.
             until_seconds: End of the lease according to the report.
         """
         record = self.record
@@ -235,25 +239,41 @@
             return True
         return now_seconds - self.since_seconds >= LEASE_SECONDS
 
-    def record_acquired(self, revision: int, *, sent_at_seconds: float) -> None:
+    def next_renewals(self) -> int:
+        """Returns the number for a record that this router is about to write.
+
+        It is never returned again, whether or not the write takes effect.
+        """
+        self._last_renewals += 1
+        return self._last_renewals
+
+    def record_acquired(
+        self, revision: int, *, renewals: int, sent_at_seconds: float
+    ) -> None:
         """Records that this router's write made it the owner.
 
         Args:
             revision: Revision of the write, which becomes the fencing token.
+            renewals: Number of the written record.
             sent_at_seconds: When the write was sent; the lease starts then.
         """
         self.fencing_token = revision
-        self._epochs_issued = 0
-        self.record_renewed(revision, sent_at_seconds=sent_at_seconds)
+        self.record_renewed(
+            revision, renewals=renewals, sent_at_seconds=sent_at_seconds
+        )
 
-    def record_renewed(self, revision: int, *, sent_at_seconds: float) -> None:
+    def record_renewed(
+        self, revision: int, *, renewals: int, sent_at_seconds: float
+    ) -> None:
         """Records that this router's write renewed its lease.
 
         Args:
             revision: Revision of the write.
+            renewals: Number of the written record.
             sent_at_seconds: When the write was sent; the lease starts then.
         """
         self.revision = revision
+        self.renewals = renewals
         self.since_seconds = sent_at_seconds
         self._held_until_seconds = (
             sent_at_seconds + LEASE_SECONDS - LEASE_MARGIN_SECONDS
@@ -278,7 +298,8 @@
     def next_epoch(self) -> int:
         """Returns a group epoch higher than any that an owner issued before.
 
-        It is derived from the fencing token, which rises with each owner.
+        It is derived from the fencing token, which rises with each ownership.
         """
-        self._epochs_issued += 1
-        return self.fencing_token * EPOCHS_PER_REVISION + self._epochs_issued
+        base = self.fencing_token * EPOCHS_PER_REVISION
+        self._last_epoch = max(self._last_epoch, base) + 1
+        return self._last_epoch
--- a/mulberrypaddle/serving/duty.py
+++ b/mulberrypaddle/serving/duty.py
@@ -22,7 +22,7 @@
 
     Attributes:
         incarnation: Id of the owner's process.
-        renewals: Renewals that the owner had made when it sent the heartbeat.
+        renewals: Number of the record that the owner's lease was based on.
         lease_end_seconds: When the reported lease ends, by
             `boottime_seconds`.
     """
@@ -115,16 +115,19 @@
         self.renewal_pending_since_seconds = None
         return self.resigned_revision
 
-    def record_acquired(self, revision: int, *, sent_at_seconds: float) -> None:
+    def record_acquired(
+        self, revision: int, *, renewals: int, sent_at_seconds: float
+    ) -> None:
         """Records that this router's write acquired the lease.
 
         Args:
             revision: Revision of the write; it becomes the fencing token.
+            renewals: Number of the written record.
             sent_at_seconds: When the write was sent; the lease starts then.
         """
         self.renewal_pending_since_seconds = None
         self.ownership.record_acquired(
-            revision, sent_at_seconds=sent_at_seconds
+            revision, renewals=renewals, sent_at_seconds=sent_at_seconds
         )
 
     def record_renewed(
@@ -134,12 +137,13 @@
 
         Args:
             revision: Revision of the write.
-            renewals: Renewals of this ownership, this one included.
+            renewals: Number of the written record.
             sent_at_seconds: When the write was sent; the lease runs from then.
         """
         self.renewal_pending_since_seconds = None
-        self.ownership.renewals = renewals
-        self.ownership.record_renewed(revision, sent_at_seconds=sent_at_seconds)
+        self.ownership.record_renewed(
+            revision, renewals=renewals, sent_at_seconds=sent_at_seconds
+        )
 
     def may_acquire(self, *, owner_ended: bool) -> bool:
         """Returns whether this router may try to acquire the duty.
--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -174,8 +174,8 @@
         """Returns this router's valid leases, to be sent in heartbeats.
 
         Returns:
-            Id of this process, its renewals and the milliseconds left on the
-            lease, by duty.
+            Id of this process, the number of its record and the milliseconds
+            left on the lease, by duty.
         """
         claims: dict[str, tuple[str, int, int]] = {}
         for name, duty in self.duties.items():
@@ -368,7 +368,9 @@
 
     async def _release(self, duty: Duty) -> None:
         """Resigns from a duty, then marks its lease object as released."""
-        record = self._make_record(duty.ownership.renewals, given_up=True)
+        record = self._make_record(
+            duty.ownership.next_renewals(), given_up=True
+        )
         revision = duty.resign()
         result = await self._store.replace(
             Collection.DUTIES, duty.name, record.to_value(), revision=revision
@@ -438,7 +440,7 @@
         """Renews the lease of a duty and records the result."""
         sent_at_seconds = boottime_seconds()
         duty.last_write_at_seconds = sent_at_seconds
-        renewals = duty.ownership.renewals + 1
+        renewals = duty.ownership.next_renewals()
         if duty.renewal_pending_since_seconds is None:
             duty.renewal_pending_since_seconds = sent_at_seconds
         result = await self._write_renewal(duty, renewals)
@@ -577,8 +579,8 @@
         )
         if not duty.may_acquire(owner_ended=owner_ended):
             return True
-        duty.ownership.renewals = 0
-        value = self._make_record(0).to_value()
+        renewals = duty.ownership.next_renewals()
+        value = self._make_record(renewals).to_value()
         sent_at_seconds = boottime_seconds()
         duty.last_write_at_seconds = sent_at_seconds
         if item is None:
@@ -599,7 +601,9 @@
             )
             return False
         duty.record_acquired(
-            result.unwrap().revision, sent_at_seconds=sent_at_seconds
+            result.unwrap().revision,
+            renewals=renewals,
+            sent_at_seconds=sent_at_seconds,
         )
         log_state_change(
             "ownership_taken",
@@ -659,7 +663,7 @@
         """Returns the content that this router writes to a lease object.
 
         Args:
-            renewals: Renewals of this ownership so far.
+            renewals: Number of the record among those of this process.
             given_up: Whether this router releases the duty by the write.
         """
         settings = self._board.settings
--- a/mulberrypaddle/serving/heartbeat.py
+++ b/mulberrypaddle/serving/heartbeat.py
@@ -169,8 +169,8 @@
             sender's data centre. A digest lists the routers with the most
             capacity for duties first.
         opening: Milliseconds until the next group starts to serve, by model.
-        claims: Lease of each duty: the owner's incarnation, its number of
-            renewals and the milliseconds left.
+        claims: Lease of each duty: the owner's incarnation, the number of its
+            record and the milliseconds left.
         resigned: Revision of the lease record up to which a process has
             released a duty, by incarnation and duty.
         watches: Whether the sender watches the store, so that receivers need
--- a/mulberrypaddle/serving/peer.py
+++ b/mulberrypaddle/serving/peer.py
@@ -40,7 +40,7 @@
 
     Attributes:
         claims: Lease of each duty that this router holds: its incarnation,
-            the number of renewals and the milliseconds left.
+            the number of its record and the milliseconds left.
         resigned: Revision of the lease record up to which this process has
             released a duty, by duty.
         opening: Milliseconds until the next group can serve requests, by
--- /dev/null
+++ b/properties/test_ownership.py
@@ -0,0 +1,81 @@
+"""Property test: owners of a duty issue no epoch twice under any faults."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.support.lease_store import LinkState
+from tests.support.lease_world import LeaseWorld, run_lease_world
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_STATES = tuple(state.value for state in LinkState)
+_FAULTS = (*_STATES, "all_links", "restart", "release", "deaf", "hear")
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(_FAULTS),
+        st.sampled_from((0, *LeaseWorld.VMS)),
+        st.sampled_from((0.05, 0.3, 0.7, 1.1, 2.0, 3.5)),
+    ),
+    min_size=4,
+    max_size=20,
+)
+
+
+def _inject_fault(world: LeaseWorld, fault: str, vm: int) -> None:
+    """Injects a fault into the process of a VM; 0 stands for the owner's."""
+    process = world.owner() if vm == 0 else world.processes[vm]
+    if process is None:
+        return
+    if fault in _STATES:
+        process.store.state = LinkState(fault)
+    elif fault == "all_links":
+        for other in world.processes.values():
+            other.store.state = process.store.state
+    elif fault == "restart":
+        world.start(process.vm)
+    elif fault == "release":
+        world.spawn_release(process)
+    else:
+        process.deaf = fault == "deaf"
+
+
+def _make_scenario(
+    steps: list[tuple[str, int, float]],
+) -> Callable[[LeaseWorld], object]:
+    """Returns a scenario that injects faults, each followed by a pause."""
+
+    async def scenario(world: LeaseWorld) -> None:
+        for fault, vm, pause_seconds in steps:
+            _inject_fault(world, fault, vm)
+            await asyncio.sleep(pause_seconds)
+        for process in world.processes.values():
+            process.store.state = LinkState.UP
+            process.deaf = False
+        # An outstanding late write may still end the next ownership.
+        await asyncio.sleep(15.0)
+
+    return scenario
+
+
+class OwnershipTest(testtools.TestCase):
+    """Fencing tokens and epochs of one duty."""
+
+    @settings(max_examples=100)
+    @given(_STEPS, st.integers(0, 1000))
+    def test_no_epoch_is_issued_twice(
+        self, steps: list[tuple[str, int, float]], seed: int
+    ) -> None:
+        world = run_lease_world(_make_scenario(steps), seed=seed)
+        self.assertEqual(sorted(set(world.acquired)), world.acquired)
+        epochs = [epoch for _, epoch in world.issued]
+        self.assertEqual(len(set(epochs)), len(epochs))
+        by_fence = [epoch for _, epoch in sorted(world.issued)]
+        self.assertEqual(sorted(epochs), by_fence)
+        self.assertNotEqual([], world.issued)
--- a/tests/replicas/test_ownership.py
+++ b/tests/replicas/test_ownership.py
@@ -30,7 +30,7 @@
 
     def test_owner_stops_before_others_may_acquire(self) -> None:
         owner, other = Ownership(), Ownership()
-        owner.record_acquired(7, sent_at_seconds=10.0)
+        owner.record_acquired(7, renewals=1, sent_at_seconds=10.0)
         other.observe(_record(), revision=7, now_seconds=10.1)
         now = 10.0
         while not other.may_acquire(now, owner_ended=False):
@@ -66,11 +66,27 @@
 
     def test_epochs_increase_across_owners(self) -> None:
         first, second = Ownership(), Ownership()
-        first.record_acquired(7, sent_at_seconds=0.0)
+        first.record_acquired(7, renewals=1, sent_at_seconds=0.0)
         epochs = [first.next_epoch() for _ in range(100)]
-        second.record_acquired(8, sent_at_seconds=0.0)
+        second.record_acquired(8, renewals=1, sent_at_seconds=0.0)
         self.assertGreater(second.next_epoch(), max(epochs))
 
+    def test_epochs_increase_when_a_token_is_acquired_again(self) -> None:
+        owner = Ownership()
+        owner.record_acquired(7, renewals=1, sent_at_seconds=0.0)
+        epochs = [owner.next_epoch() for _ in range(3)]
+        owner.record_lost()
+        owner.record_acquired(7, renewals=2, sent_at_seconds=1.0)
+        self.assertGreater(owner.next_epoch(), max(epochs))
+
+    def test_record_numbers_are_not_reused_by_later_ownerships(self) -> None:
+        owner = Ownership()
+        numbers = [owner.next_renewals(), owner.next_renewals()]
+        owner.record_acquired(7, renewals=numbers[0], sent_at_seconds=0.0)
+        owner.record_lost()
+        numbers.append(owner.next_renewals())
+        self.assertEqual(sorted(set(numbers)), numbers)
+
 
 class OutageTest(testtools.TestCase):
     """Decisions of an owner that can't renew its lease."""
@@ -119,7 +135,7 @@
 
     def test_consent_extends_only_a_lease_that_holds(self) -> None:
         owner = Ownership()
-        owner.record_acquired(7, sent_at_seconds=0.0)
+        owner.record_acquired(7, renewals=1, sent_at_seconds=0.0)
         owner.extend_by_consent(1.0)
         now = LEASE_SECONDS - 1.0
         for _ in range(20):
