Show what processes of the end-to-end tests write to standard error

A router that could not start left only "the condition did not become true" behind, since its standard error was discarded. It is now printed when the process is stopped, and pytest shows it with a failure.

--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -15,6 +15,9 @@
 class Process:
     """A long-running command in a process; the test must call `stop`.
 
+    What the process writes to its standard error is printed when it is stopped;
+    pytest shows it with a failure.
+
     Attributes:
         process: The process, with its standard output as a pipe.
     """
@@ -22,11 +25,13 @@
     def __init__(
         self, *arguments: str, command: tuple[str, ...] = COMMAND
     ) -> None:
+        self._errors_fd = os.memfd_create("standard-error")
+        self._name = " ".join(arguments)
         self.process = subprocess.Popen(
             [*command, *arguments],
             cwd=ROOT,
             stdout=subprocess.PIPE,
-            stderr=subprocess.DEVNULL,
+            stderr=self._errors_fd,
             text=True,
         )
 
@@ -46,7 +51,13 @@
         if self.process.poll() is None:
             self.process.terminate()
         self.process.stdout.close()
-        return self.process.wait(STOP_TIMEOUT_SECONDS)
+        status = self.process.wait(STOP_TIMEOUT_SECONDS)
+        if self._errors_fd >= 0:
+            os.lseek(self._errors_fd, 0, os.SEEK_SET)
+            with os.fdopen(self._errors_fd) as errors:
+                print(f"{self._name}: status {status}\n{errors.read()}")
+            self._errors_fd = -1
+        return status
 
 
 def run_command(
