Keep the ports of test servers reserved until they are used

In between the system gave it to other sockets; of 256 such ports in one process, five came twice. The system gives such a port to nobody else, and listeners with SO_REUSEADDR can still bind it, also after a router was killed. It also checks that the port is free for datagrams. All callers use it: the harnesses of tests and soak, the local fleet and the benchmarks.

--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -17,7 +17,8 @@
 
 from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.standins.local_fleet import LocalFleet, key_digest
-from mulberrypaddle.standins.local_server import LOOPBACK, free_port
+from mulberrypaddle.standins.local_server import LOOPBACK
+from mulberrypaddle.standins.ports import free_port
 
 if TYPE_CHECKING:
     from mulberrypaddle.standins.engine import EngineState
--- a/benchmarks/router_cpu_cost.py
+++ b/benchmarks/router_cpu_cost.py
@@ -24,7 +24,8 @@
     Rig,
     processor_seconds,
 )
-from mulberrypaddle.standins.local_server import LOOPBACK, free_port
+from mulberrypaddle.standins.local_server import LOOPBACK
+from mulberrypaddle.standins.ports import free_port
 
 ROUNDS = 3
 REQUESTS = 1_000
--- a/mulberrypaddle/standins/local_fleet.py
+++ b/mulberrypaddle/standins/local_fleet.py
@@ -13,17 +13,14 @@
 from mulberrypaddle.router import Router
 from mulberrypaddle.settings import RouterSettings
 from mulberrypaddle.standins.engine import EngineState, serve_engine
-from mulberrypaddle.standins.local_server import (
-    LOOPBACK,
-    LocalServer,
-    free_port,
-)
+from mulberrypaddle.standins.local_server import LOOPBACK, LocalServer
 from mulberrypaddle.standins.memory_store import MemoryStore
 from mulberrypaddle.standins.object_api import serve_object_api
 from mulberrypaddle.standins.plain_service import (
     PlainServiceState,
     serve_plain_service,
 )
+from mulberrypaddle.standins.ports import free_port
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/mulberrypaddle/standins/local_server.py
+++ b/mulberrypaddle/standins/local_server.py
@@ -46,15 +46,3 @@
         """Stops listening and closes every connection."""
         self._server.stop()
         await self._server.close_all_connections()
-
-
-def free_port() -> int:
-    """Returns a TCP port that is free now on the loopback address.
-
-    Another process may take it before it is used.
-    """
-    sockets = tornado.netutil.bind_sockets(0, LOOPBACK)
-    port = sockets[0].getsockname()[1]
-    for bound in sockets:
-        bound.close()
-    return int(port)
--- a/tests/cli/test_processes.py
+++ b/tests/cli/test_processes.py
@@ -13,7 +13,7 @@
 import testtools
 from testtools import matchers
 
-from mulberrypaddle.standins.local_server import free_port
+from mulberrypaddle.standins.ports import free_port
 from tests.support.processes import Process, run_command
 
 CALLER_KEY = "caller-key"
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -22,7 +22,8 @@
 from mulberrypaddle.peers.proto.membership_pb2 import RenewLease
 from mulberrypaddle.settings import RouterSettings
 from mulberrypaddle.settings.settings import PeerTls
-from mulberrypaddle.standins.local_server import LOOPBACK, free_port
+from mulberrypaddle.standins.local_server import LOOPBACK
+from mulberrypaddle.standins.ports import free_port
 from tests.support.asynchronous import run
 
 _CERTIFICATES = pathlib.Path(__file__).parent / "certificates"
--- a/tests/support/front_end_harness.py
+++ b/tests/support/front_end_harness.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import socket
 
 from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.fleet import (
@@ -23,16 +22,10 @@
 from mulberrypaddle.platform.headers import PlatformHeaderCodec
 from mulberrypaddle.serving.blackboard import Blackboard
 from mulberrypaddle.serving.caller_server import CallerServer
+from mulberrypaddle.standins.ports import free_port
 from tests.support.group_fleet import make_traits
 
 
-def free_port() -> int:
-    """Returns a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def make_settings(*, ip: str = "127.0.0.1") -> NodeSettings:
     """Returns settings of a router on a loopback address."""
     return NodeSettings(
