Test the return to a silent runner after a wait for a slot

One test now has a stream that leaves a silent head, is refused by the other, waits until the silent one is no longer suspected, and returns to it. The other has a route with a limit of no runners, whose first send is not limited.

No code changes.

--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -8,6 +8,7 @@
 from testtools.matchers import Equals
 
 from mulberrypaddle.dispatch import stalls
+from mulberrypaddle.dispatch.runner_health import SUSPICION_TTL_SECONDS
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness, request_bytes
 from tests.support.raw_runner import AnswerWriter, RawRunner
@@ -222,6 +223,23 @@
         )
         self.assertTrue(got.startswith(b"HTTP/1.1 504"))
 
+    def test_request_of_a_route_with_no_runners_allowed_is_sent(self) -> None:
+        async def scenario() -> bytes:
+            path_under_test = FrontEndHarness()
+            config = path_under_test.board.config
+            assert config is not None
+            route = config.route_for("shop.example", "/safe/1")
+            assert route is not None
+            route.max_runners = 0
+            runner = RawRunner(_answers(_complete_response(200, b"done")))
+            path_under_test.add_runner("r0", await runner.start())
+            got = await path_under_test.send_request("/safe/1")
+            path_under_test.close()
+            await runner.stop()
+            return got
+
+        self.assertEqual(b"HTTP/1.1 200", run(scenario())[:12])
+
     def test_request_without_any_runner_is_refused_at_once(self) -> None:
         got, _ = self._send_request("/pay/1")
         self.assertTrue(got.startswith(b"HTTP/1.1 503"))
@@ -597,6 +615,72 @@
         # The route allows two runners per request.
         self.assertEqual([1, 2], sorted(len(r.request_heads) for r in runners))
 
+    def test_stream_returns_to_a_silent_head_after_a_wait_for_a_slot(
+        self,
+    ) -> None:
+        self.patch(stalls, "STALL_SECONDS", 0.2)
+        refusal = _complete_response(503, b"", b"X-Not-Executed: 1\r\n")
+        heads: list[str] = []
+
+        async def scenario() -> bytes:
+            path = FrontEndHarness()
+            board = path.board
+            for _ in range(100):
+                board.retries.record_first_attempt("cards", board.now())
+
+            def free_slots() -> None:
+                while board.loads.total(heads[1]):
+                    board.loads.remove_request(heads[1])
+                board.dispatch_waiting()
+
+            async def answer(
+                name: str, request: bytes, writer: asyncio.StreamWriter
+            ) -> None:
+                heads.append(name)
+                if len(heads) == 1:
+                    writer.write(_STREAM_HEAD + _event(1))
+                    await writer.drain()
+                    await asyncio.sleep(3.0)
+                elif len(heads) == 2:
+                    # The head is full until the other is not suspected.
+                    for _ in range(30):
+                        board.loads.add_request(name)
+                    board.loop.call_later(
+                        SUSPICION_TTL_SECONDS + 0.1, free_slots
+                    )
+                    writer.write(refusal)
+                elif len(heads) == 3:
+                    writer.write(refusal)
+                else:
+                    writer.write(_STREAM_HEAD + _event(2) + _STREAM_END)
+
+            runners = []
+            for name in ("h0", "h1"):
+
+                async def answer_as(
+                    count: int,
+                    request: bytes,
+                    writer: asyncio.StreamWriter,
+                    name: str = name,
+                ) -> None:
+                    await answer(name, request, writer)
+
+                runner = RawRunner(answer_as)
+                path.add_open_group(name, await runner.start())
+                runners.append(runner)
+            got = await path.send_request("/write/1", headers=_MODEL)
+            path.close()
+            for runner in runners:
+                await runner.stop()
+            return got
+
+        got = run(scenario())
+        self.assertEqual(4, len(heads), got)
+        self.assertEqual([heads[1], heads[0]], heads[2:])
+        for number in (1, 2):
+            self.assertEqual(1, got.count(b"id: %d\n" % number), got)
+        self.assertTrue(got.endswith(b"0\r\n\r\n"))
+
     def test_event_after_a_gap_is_not_forwarded(self) -> None:
         got, _ = self._send_request(
             _answers(_STREAM_HEAD + _event(1) + _event(3) + _STREAM_END)
