Send names of organisations and runners as UTF-8

A caller whose organisation, or whose runner, has a name beyond Latin-1 was answered 500 (UnicodeEncodeError, event=exchange_failed), and the task of an order to a runner with such an id failed with the same error. Found by reading; no caller reported it.

Header values are encoded as Latin-1 on the way to the runner, since values of callers hold one character for each byte. Names are text, so that they are now turned into their UTF-8 bytes first, as the configuration has them.

--- a/mulberrypaddle/platform/headers.py
+++ b/mulberrypaddle/platform/headers.py
@@ -120,10 +120,10 @@
         """Returns the headers to send with a request to a runner."""
         headers = list(fields.forwarded_headers)
         headers.append(("X-Deadline-Ms", str(int(remaining_seconds * 1000))))
-        headers.append(("X-Expect-Instance", runner_id))
+        headers.append(("X-Expect-Instance", encode_name(runner_id)))
         headers.append(("X-Request-Priority", str(min(9, max(0, urgency)))))
         if organisation:
-            headers.append(("X-Tenant", organisation))
+            headers.append(("X-Tenant", encode_name(organisation)))
         if last_event_id is not None:
             headers.append(("Last-Event-Id", str(last_event_id)))
         return headers
@@ -154,6 +154,14 @@
         )
 
 
+def encode_name(name: str) -> str:
+    """Returns a header value that is sent as the UTF-8 form of a name.
+
+    Header values hold one character for each byte.
+    """
+    return name.encode("utf-8", "surrogatepass").decode("latin-1")
+
+
 def _parse_connection_options(value: str) -> frozenset[str]:
     """Returns the header names that a Connection header lists."""
     return frozenset(
--- a/mulberrypaddle/platform/runner_control.py
+++ b/mulberrypaddle/platform/runner_control.py
@@ -19,6 +19,7 @@
     proves_unsent,
 )
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
+from mulberrypaddle.platform.headers import encode_name
 from mulberrypaddle.replicas.orders import (
     CloseGroup,
     GroupOrder,
@@ -130,7 +131,7 @@
         may_send: Callable[[], bool] = lambda: True,
     ) -> Result[tornado.httpclient.HTTPResponse, Problem]:
         """Sends one request: POST for an order, GET if there is no body."""
-        headers = {"X-Expect-Instance": entry.runner_id}
+        headers = {"X-Expect-Instance": encode_name(entry.runner_id)}
         if body is not None:
             headers["Content-Type"] = "application/json"
         request = tornado.httpclient.HTTPRequest(
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -9,6 +9,7 @@
 
 from mulberrypaddle.dispatch import stalls
 from mulberrypaddle.dispatch.runner_health import SUSPICION_TTL_SECONDS
+from mulberrypaddle.fleet import Organisation
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness, request_bytes
 from tests.support.raw_runner import AnswerWriter, RawRunner
@@ -146,6 +147,28 @@
         self.assertTrue(head.startswith(b"POST /pay/caf\xe9 HTTP/1.1"), head)
         self.assertIn(b"X-Note: caf\xe9\r\n", head)
 
+    def test_names_outside_latin_1_reach_the_runner(self) -> None:
+        async def scenario() -> tuple[bytes, RawRunner]:
+            path_under_test = FrontEndHarness()
+            config = path_under_test.board.config
+            assert config is not None
+            assert config.organisations is not None
+            config.organisations["key-1"] = Organisation(
+                "muzeum-łódź", urgency=None
+            )
+            runner = RawRunner(_answers(_complete_response(200, b"done")))
+            path_under_test.add_runner("bieżnik-1", await runner.start())
+            got = await path_under_test.send_request("/pay/1")
+            path_under_test.close()
+            await runner.stop()
+            return got, runner
+
+        got, runner = run(scenario())
+        self.assertEqual(b"HTTP/1.1 200", got[:12])
+        head = runner.request_heads[0]
+        for line in ("X-Tenant: muzeum-łódź", "X-Expect-Instance: bieżnik-1"):
+            self.assertIn(line.encode() + b"\r\n", head)
+
     def test_invalid_header_of_a_runner_is_an_invalid_answer(self) -> None:
         for header in (b"X Note: 1\r\n", b"X-Note: a\x01b\r\n"):
             invalid = _answers(_complete_response(200, b"done", header))
