Count a lease from the renewal that took effect

An owner whose renewal got no answer, and whose next renewals were refused, learned from a conflict later that the first one had taken effect. It counted its lease from 0.8 s before the conflict, while others count from the renewal, which may be 3 s back. For up to the interval of two renewals, two routers held a lease; only the fencing token kept their orders apart.

Records have numbers of their own now, so that the owner looks up when it sent the one that the store has. A lease that has ended since is renewed at the next check.

tests/serving/test_unanswered_renewals.py had two owners at once before, and has one now. tests/serving, tests/replicas and properties/test_ownership.py pass.

--- a/mulberrypaddle/replicas/ownership.py
+++ b/mulberrypaddle/replicas/ownership.py
@@ -170,6 +170,7 @@
         "_held_until_seconds",
         "_last_epoch",
         "_last_renewals",
+        "_sent_at_seconds",
         "fencing_token",
         "record",
         "renewals",
@@ -186,6 +187,8 @@
         self._held_until_seconds = 0.0
         self._last_renewals = 0
         self._last_epoch = 0
+        # When the records of the last `LEASE_SECONDS` were sent, by number.
+        self._sent_at_seconds: dict[int, float] = {}
 
     def observe(
         self, record: OwnerRecord | None, *, revision: int, now_seconds: float
@@ -239,14 +242,28 @@
             return True
         return now_seconds - self.since_seconds >= LEASE_SECONDS
 
-    def next_renewals(self) -> int:
+    def next_renewals(self, now_seconds: float) -> int:
         """Returns the number for a record that this router is about to write.
 
         It is never returned again, whether or not the write takes effect.
         """
         self._last_renewals += 1
+        self._sent_at_seconds = {
+            renewals: sent_at_seconds
+            for renewals, sent_at_seconds in self._sent_at_seconds.items()
+            if now_seconds - sent_at_seconds < LEASE_SECONDS
+        }
+        self._sent_at_seconds[self._last_renewals] = now_seconds
         return self._last_renewals
 
+    def sent_at_seconds(self, renewals: int) -> float:
+        """Returns when this router sent a record; 0 if a lease or more ago.
+
+        Args:
+            renewals: Number of the record.
+        """
+        return self._sent_at_seconds.get(renewals, 0.0)
+
     def record_acquired(
         self, revision: int, *, renewals: int, sent_at_seconds: float
     ) -> None:
--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -369,7 +369,7 @@
     async def _release(self, duty: Duty) -> None:
         """Resigns from a duty, then marks its lease object as released."""
         record = self._make_record(
-            duty.ownership.next_renewals(), given_up=True
+            duty.ownership.next_renewals(boottime_seconds()), given_up=True
         )
         revision = duty.resign()
         result = await self._store.replace(
@@ -440,7 +440,7 @@
         """Renews the lease of a duty and records the result."""
         sent_at_seconds = boottime_seconds()
         duty.last_write_at_seconds = sent_at_seconds
-        renewals = duty.ownership.next_renewals()
+        renewals = duty.ownership.next_renewals(sent_at_seconds)
         if duty.renewal_pending_since_seconds is None:
             duty.renewal_pending_since_seconds = sent_at_seconds
         result = await self._write_renewal(duty, renewals)
@@ -457,7 +457,7 @@
             return
         problem = result.failure()
         if problem.kind is ErrorKind.CONFLICT:
-            await self._resolve_conflict(duty, sent_at_seconds)
+            await self._resolve_conflict(duty)
             return
         self._record_store_result(reachable=False)
         log_state_change(
@@ -489,17 +489,11 @@
                 )
             )
 
-    async def _resolve_conflict(
-        self, duty: Duty, sent_at_seconds: float
-    ) -> None:
+    async def _resolve_conflict(self, duty: Duty) -> None:
         """Handles a renewal that was refused because of its revision.
 
         Either an earlier renewal of this router took effect although its
         answer was lost, or another router acquired the duty.
-
-        Args:
-            duty: The duty.
-            sent_at_seconds: When the refused renewal was sent.
         """
         read = await self._store.read(Collection.DUTIES, duty.name)
         if not isinstance(read, Success) or not duty.owned:
@@ -512,13 +506,15 @@
             and record.incarnation == self._peers.incarnation
             and not record.given_up
         ):
-            # An earlier renewal took effect. The lease runs from when that one
-            # was sent, RENEWAL_INTERVAL_SECONDS or more before the refused.
+            # The lease runs from when the earlier renewal was sent, and may
+            # have ended since.
             duty.record_renewed(
                 item.revision,
                 renewals=record.renewals,
-                sent_at_seconds=sent_at_seconds - RENEWAL_INTERVAL_SECONDS,
+                sent_at_seconds=duty.ownership.sent_at_seconds(record.renewals),
             )
+            # The next check renews it.
+            duty.last_write_at_seconds = 0.0
             return
         duty.ownership.record_lost()
         self._observe_record(duty, item, record)
@@ -579,9 +575,9 @@
         )
         if not duty.may_acquire(owner_ended=owner_ended):
             return True
-        renewals = duty.ownership.next_renewals()
-        value = self._make_record(renewals).to_value()
         sent_at_seconds = boottime_seconds()
+        renewals = duty.ownership.next_renewals(sent_at_seconds)
+        value = self._make_record(renewals).to_value()
         duty.last_write_at_seconds = sent_at_seconds
         if item is None:
             result = await self._store.create(
--- a/tests/replicas/test_ownership.py
+++ b/tests/replicas/test_ownership.py
@@ -81,12 +81,21 @@
 
     def test_record_numbers_are_not_reused_by_later_ownerships(self) -> None:
         owner = Ownership()
-        numbers = [owner.next_renewals(), owner.next_renewals()]
+        numbers = [owner.next_renewals(0.0), owner.next_renewals(0.0)]
         owner.record_acquired(7, renewals=numbers[0], sent_at_seconds=0.0)
         owner.record_lost()
-        numbers.append(owner.next_renewals())
+        numbers.append(owner.next_renewals(1.0))
         self.assertEqual(sorted(set(numbers)), numbers)
 
+    def test_times_of_records_are_kept_for_the_length_of_a_lease(self) -> None:
+        owner = Ownership()
+        first = owner.next_renewals(10.0)
+        second = owner.next_renewals(11.0)
+        self.assertEqual(10.0, owner.sent_at_seconds(first))
+        owner.next_renewals(10.0 + LEASE_SECONDS)
+        self.assertEqual(0.0, owner.sent_at_seconds(first))
+        self.assertEqual(11.0, owner.sent_at_seconds(second))
+
 
 class OutageTest(testtools.TestCase):
     """Decisions of an owner that can't renew its lease."""
