--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -174,8 +174,8 @@
         """Returns this router's valid leases, to be sent in heartbeats.
 
         Returns:
-            Id of this process, its renewals and the milliseconds left on the
-            lease, by duty.
+            Id of this process, the number of its record and the milliseconds
+            left on the lease, by duty.
         """
         claims: dict[str, tuple[str, int, int]] = {}
         for name, duty in self.duties.items():
@@ -368,7 +368,9 @@
 
     async def _release(self, duty: Duty) -> None:
         """Resigns from a duty, then marks its lease object as released."""
-        record = self._make_record(duty.ownership.renewals, given_up=True)
+        record = self._make_record(
+            duty.ownership.next_renewals(boottime_seconds()), given_up=True
+        )
         revision = duty.resign()
         result = await self._store.replace(
             Collection.DUTIES, duty.name, record.to_value(), revision=revision
@@ -438,7 +440,7 @@
         """Renews the lease of a duty and records the result."""
         sent_at_seconds = boottime_seconds()
         duty.last_write_at_seconds = sent_at_seconds
-        renewals = duty.ownership.renewals + 1
+        renewals = duty.ownership.next_renewals(sent_at_seconds)
         if duty.renewal_pending_since_seconds is None:
             duty.renewal_pending_since_seconds = sent_at_seconds
         result = await self._write_renewal(duty, renewals)
@@ -455,7 +457,7 @@
             return
         problem = result.failure()
         if problem.kind is ErrorKind.CONFLICT:
-            await self._resolve_conflict(duty, sent_at_seconds)
+            await self._resolve_conflict(duty)
             return
         self._record_store_result(reachable=False)
         log_state_change(
@@ -487,17 +489,11 @@
                 )
             )
 
-    async def _resolve_conflict(
-        self, duty: Duty, sent_at_seconds: float
-    ) -> None:
+    async def _resolve_conflict(self, duty: Duty) -> None:
         """Handles a renewal that was refused because of its revision.
 
         Either an earlier renewal of this router took effect although its
         answer was lost, or another router acquired the duty.
-
-        Args:
-            duty: The duty.
-            sent_at_seconds: When the refused renewal was sent.
         """
         read = await self._store.read(Collection.DUTIES, duty.name)
         if not isinstance(read, Success) or not duty.owned:
@@ -510,13 +506,15 @@
             and record.incarnation == self._peers.incarnation
             and not record.given_up
         ):
-            # An earlier renewal took effect. The lease runs from when that one
-            # was sent, RENEWAL_INTERVAL_SECONDS or more before the refused.
+            # The lease runs from when the earlier renewal was sent, and may
+            # have ended since.
             duty.record_renewed(
                 item.revision,
                 renewals=record.renewals,
-                sent_at_seconds=sent_at_seconds - RENEWAL_INTERVAL_SECONDS,
+                sent_at_seconds=duty.ownership.sent_at_seconds(record.renewals),
             )
+            # The next check renews it.
+            duty.last_write_at_seconds = 0.0
             return
         duty.ownership.record_lost()
         self._observe_record(duty, item, record)
@@ -577,9 +575,9 @@
         )
         if not duty.may_acquire(owner_ended=owner_ended):
             return True
-        duty.ownership.renewals = 0
-        value = self._make_record(0).to_value()
         sent_at_seconds = boottime_seconds()
+        renewals = duty.ownership.next_renewals(sent_at_seconds)
+        value = self._make_record(renewals).to_value()
         duty.last_write_at_seconds = sent_at_seconds
         if item is None:
             result = await self._store.create(
@@ -599,7 +597,9 @@
             )
             return False
         duty.record_acquired(
-            result.unwrap().revision, sent_at_seconds=sent_at_seconds
+            result.unwrap().revision,
+            renewals=renewals,
+            sent_at_seconds=sent_at_seconds,
         )
         log_state_change(
             "ownership_taken",
@@ -659,7 +659,7 @@
         """Returns the content that this router writes to a lease object.
 
         Args:
-            renewals: Renewals of this ownership so far.
+            renewals: Number of the record among those of this process.
             given_up: Whether this router releases the duty by the write.
         """
         settings = self._board.settings
