Answer requests that are left when a stop of the front end times out

A request that is left is now ended: 503 if no attempt can have run, 504 otherwise, and an answer that has begun is aborted; its attempt is cancelled. It remains a breach of `GRACEFUL_STOP`.

--- a/mulberrypaddle/frontdoor/call.py
+++ b/mulberrypaddle/frontdoor/call.py
@@ -121,6 +121,23 @@
         if self._relay is not None:
             self._relay.on_caller_disconnect()
 
+    def end(self) -> None:
+        """Ends the request because the process ends.
+
+        It is answered, unless its answer has begun: that is aborted.
+        """
+        relay = self._relay
+        if relay is None or relay.end_reason is not None:
+            return
+        kind = ErrorKind.DEADLINE_PASSED
+        if relay.history.known_not_run:
+            kind = ErrorKind.SHUTTING_DOWN
+        problem = Problem(kind, "this router ended before the answer")
+        answer_begun = relay.started
+        relay.terminate(problem)
+        if not answer_begun:
+            self._refuse(problem)
+
     def on_finish(self) -> None:
         """Releases the memory of the request body."""
         self._discard_upload()
@@ -176,7 +193,7 @@
         relay = self._make_relay(call)
         self._relay = relay
         outcome = ErrorKind.INTERNAL.value
-        self.door.begin_request()
+        self.door.begin_request(self.end)
         try:
             result = await self.door.pipeline.run(call.request, relay)
             await relay.wait_until_sent()
@@ -185,7 +202,7 @@
         finally:
             relay.close()
             self._discard_upload()
-            self.door.end_request()
+            self.door.end_request(self.end)
             metrics.DISCARDED_BYTES.inc(relay.late_bytes)
             metrics.REQUESTS.labels(call.service.name, outcome).inc()
 
@@ -235,6 +252,8 @@
         relay: Relay,
     ) -> None:
         """Finishes the response, or aborts it if the answer is incomplete."""
+        if self._finished:
+            return
         if relay.end_reason is not None:
             self._log_abort(relay.end_reason)
             self._abort_connection()
--- a/mulberrypaddle/frontdoor/shared_state.py
+++ b/mulberrypaddle/frontdoor/shared_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,8 @@
 from mulberrypaddle.observe import metrics
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mulberrypaddle.controllers.base import Context
     from mulberrypaddle.controllers.stream_memory import StreamMemory
     from mulberrypaddle.frontdoor.pipeline import Pipeline
@@ -21,6 +24,9 @@
 # the largest allowed size.
 MAX_BUFFERED_UPLOADS = 16
 
+# Time for writing the last answers after a stop has timed out.
+END_SECONDS = 1.0
+
 
 class FrontDoorState:
     """State that the HTTP handlers share.
@@ -38,6 +44,7 @@
     """
 
     __slots__ = (
+        "_end_callbacks",
         "_idle",
         "_request_numbers",
         "_upload_bytes",
@@ -63,6 +70,7 @@
         self.settings = settings
         self.in_flight = 0
         self.stopping = False
+        self._end_callbacks: set[Callable[[], None]] = set()
         self._idle = asyncio.Event()
         self._idle.set()
         self._upload_bytes = 0
@@ -88,14 +96,24 @@
             )
         return None
 
-    def begin_request(self) -> None:
-        """Counts a request as in flight."""
+    def begin_request(self, end: Callable[[], None]) -> None:
+        """Counts a request as in flight.
+
+        Args:
+            end: Called when a stop times out, to answer or abort the request.
+        """
+        self._end_callbacks.add(end)
         self.in_flight += 1
         self._idle.clear()
         metrics.IN_FLIGHT.inc()
 
-    def end_request(self) -> None:
-        """Counts a request as answered or aborted."""
+    def end_request(self, end: Callable[[], None]) -> None:
+        """Counts a request as answered or aborted.
+
+        Args:
+            end: The callback that was passed to `begin_request`.
+        """
+        self._end_callbacks.discard(end)
         self.in_flight -= 1
         metrics.IN_FLIGHT.dec()
         if self.in_flight == 0:
@@ -127,8 +145,9 @@
     async def wait_until_idle(self, *, timeout_seconds: float) -> None:
         """Waits until no request is in flight.
 
-        Requests that remain after the timeout are logged and break the
-        invariant of a graceful stop.
+        Requests that remain after the timeout are logged, break the invariant
+        of a graceful stop, and are ended: what has not begun is answered with
+        an error, an answer that has begun is aborted.
 
         Args:
             timeout_seconds: Longest wait.
@@ -143,8 +162,14 @@
                 reason=f"{self.in_flight} requests in hand after "
                 f"{timeout_seconds} s",
             )
+        remaining = self.in_flight
+        if remaining:
+            for end in list(self._end_callbacks):
+                end()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._idle.wait(), END_SECONDS)
         invariants.check(
-            self.in_flight == 0,
+            remaining == 0,
             invariants.Invariant.GRACEFUL_STOP,
-            f"{self.in_flight} requests are cut off by a stop",
+            f"{remaining} requests are cut off by a stop",
         )
--- a/mulberrypaddle/router.py
+++ b/mulberrypaddle/router.py
@@ -183,6 +183,11 @@
             await asyncio.sleep(STEP_SECONDS)
             waited_seconds += STEP_SECONDS
 
+    async def close_connections(self) -> None:
+        """Stops listening and closes all connections of callers."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
     async def stop(self) -> None:
         """Stops gracefully: refuses new requests, finishes those in flight."""
         self.door.stop_accepting()
@@ -190,8 +195,7 @@
         await self.door.wait_until_idle(
             timeout_seconds=self.door.settings.stop_seconds
         )
-        self._server.stop()
-        await self._server.close_all_connections()
+        await self.close_connections()
         await self._wait_for_confirmations()
         await self._wait_until_left()
         if self._run_task is not None:
--- a/tests/frontdoor/test_stop.py
+++ b/tests/frontdoor/test_stop.py
@@ -51,6 +51,33 @@
             ("shutting_down", "not run"), (problem["title"], problem["ran"])
         )
 
+    def test_request_in_flight_is_answered_when_the_stop_times_out(
+        self,
+    ) -> None:
+        async def scenario() -> tuple[int, dict[str, str]]:
+            async with SmallFleet(stop_seconds=0.3) as fleet:
+                # No answer begins while the router stops.
+                fleet.engine.token_seconds = 30.0
+                request = asyncio.ensure_future(
+                    fleet.call("card-writer", "/v1/completions", completion(1))
+                )
+                await until(lambda: bool(fleet.engine.running))
+                router = fleet.routers[0]
+                router.door.stop_accepting()
+                # An unfinished request is still a breach of the invariant.
+                with self.assertRaises(invariants.InvariantBreachError):
+                    await router.door.wait_until_idle(timeout_seconds=0.3)
+                await router.close_connections()
+                answer = await asyncio.wait_for(request, 5.0)
+                await until(lambda: not fleet.engine.running)
+                return answer.code, json.loads(answer.body)
+
+        status, problem = run(scenario())
+        self.assertEqual(504, status)
+        self.assertEqual(
+            ("deadline_passed", "unknown"), (problem["title"], problem["ran"])
+        )
+
     def test_stop_without_waiting_violates_the_invariant(self) -> None:
         async def scenario() -> int:
             async with SmallFleet(stop_seconds=0.0) as fleet:
