--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -160,6 +160,19 @@
 
         self._play(scenario)
 
+    def test_late_stream_with_a_pause_is_not_cut(self) -> None:
+        self.patch(simulated_deployment, "ROUTE_TIMEOUT_SECONDS", 5.0)
+        self.patch(simulated_deployment, "EVENT_INTERVAL_SECONDS", 0.08)
+        self.patch(simulated_deployment, "STREAM_PAUSE_SECONDS", 1.2)
+
+        async def scenario(deployment: SimulatedDeployment) -> None:
+            router = next(iter(deployment.routers.values()))
+            callers = KeptCallers(deployment, deadline_seconds=5.0)
+            losses = await self._stop(router, callers, kinds=("write",) * 16)
+            self.assertEqual([], losses)
+
+        self._play(scenario)
+
     def test_plain_request_at_a_slow_runner_is_answered(self) -> None:
         self._play_plain_requests(2.5)
 
--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -50,6 +50,8 @@
 # Time between two events of a stream.
 EVENT_INTERVAL_SECONDS = 0.03
 EVENTS_PER_STREAM = 12
+# Time for which an engine stands still in the middle of a stream.
+STREAM_PAUSE_SECONDS = 0.0
 # Time that a plain service takes for a request.
 PLAIN_REQUEST_SECONDS = 0.02
 # `timeoutMs` of all routes, and `graceS` in the settings of the routers.
@@ -687,6 +689,8 @@
             return
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+            if number == EVENTS_PER_STREAM // 2:
+                await asyncio.sleep(STREAM_PAUSE_SECONDS)
             while self.state == "open" and not self._is_group_complete():
                 await asyncio.sleep(EVENT_INTERVAL_SECONDS)
             if self.state != "open":
