Soak: end the loss of the store's answers

The fault that drops 40 % of the answers to the store's writes never ended before the recovery: after 2 s it set `lost_answers`, which nothing reads, to 0.

--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -45,6 +45,9 @@
 REQUESTS_PER_SECOND = 25.0
 REQUEST_KINDS = ("safe", "pay", "write", "write")
 
+# Time in which the store's answers to writes may be lost.
+ANSWER_LOSS_SECONDS = 2.0
+
 # Part that crashes runners, and the share of the requests that have it.
 CRASHING_PART = "e4402b7d"
 CRASHING_SHARE = 0.08
@@ -192,10 +195,13 @@
         )
 
     def _lose_store_answers(self) -> None:
-        """Drops the answers to 40 % of the store's writes for 2 s."""
-        store = self._deployment.store
-        store.answer_loss_probability = 0.4
-        self._call_later(2.0, lambda: setattr(store, "lost_answers", 0.0))
+        """Drops the answers to 40 % of the store's writes for a while."""
+        self._deployment.store.answer_loss_probability = 0.4
+        self._call_later(ANSWER_LOSS_SECONDS, self._answer_store_writes)
+
+    def _answer_store_writes(self) -> None:
+        """Ends the loss of answers."""
+        self._deployment.store.answer_loss_probability = 0.0
 
     def _disrupt_store_link(self) -> None:
         """Sets a random mode of the proxy in front of the store for a while."""
@@ -220,7 +226,7 @@
         """Ends the faults of the store and its link, and resumes routers."""
         deployment = self._deployment
         deployment.store.state = "up"
-        deployment.store.answer_loss_probability = 0.0
+        self._answer_store_writes()
         self._proxy.mode = ProxyMode.PASS
         for router in deployment.routers.values():
             router.signal(signal.SIGCONT)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak runs."""
