Soak: count answers that a stop costs callers on kept connections

The soak never noticed an answer that a stop cut: its callers sent one request to a connection, runners answered within 0.4 s, and an interrupted answer was no breach.

Callers now keep their connections and send until the process is gone. A request that reached a runner, or was read, and ends without a complete answer around a stop or a reload is a breach, unless its time limit was reached, the runner broke off, a disruption excuses it, or it was sent within 3 s of the signal and its runner was at work in the last sixth of the grace period. Stops overlap, some get a second signal, runners pause for a second and are up to six times slower than estimated, routes outlast the grace period. Every third seed has planned work alone, every fifth one has seven routers.

--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -2,15 +2,24 @@
 
     python -m soak.platform_soak --seeds 50
 
-Each seed is one run with a random sequence of faults, which may overlap:
-signals to routers (stop, pause, kill), crashes of runners, outages of the
-store and loss of its watch history, changes of the configuration, and a proxy
-in front of the store that delays, resets or silences connections, or drops
-the answers only. Callers send requests throughout. In every other seed, some of
-them have a part in their prompt that crashes runners.
+Each seed is one run with a random sequence of events, which may overlap.
+
+Planned work: routers are stopped, several at a time and some by more than one
+signal, and restarted; they are told to reload; the configuration changes;
+runners drain, are slow or pause for a second. Faults, except in every third
+seed: routers are paused and killed, runners crash, the store has outages and
+loses its watch history, and a proxy in front of the store delays, resets or
+silences connections, or drops the answers only. Every fifth seed has more
+routers and runners.
+
+Callers send requests throughout, some of them on connections that they keep
+until the router's process is gone. In every other seed, some requests have a
+part in their prompt that crashes runners.
+
 `tests.support.simulated_deployment` checks the invariants from what callers and
-runners observe. A run also fails if the routers don't serve every kind of
-request after the faults have ended.
+runners observe, `tests.support.kept_callers` that no stop costs an answer. A
+run also fails if the routers don't serve every kind of request after the faults
+have ended.
 """
 
 from __future__ import annotations
@@ -21,6 +30,7 @@
 import sys
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, NoReturn
 
@@ -29,10 +39,15 @@
 from soak.upgrade import UpgradeRun
 from tests.support.crashing_parts import FIRST_PART, make_prompt
 from tests.support.fault_proxy import FaultProxy, ProxyMode
+from tests.support.kept_callers import Disruptions, KeptCallers, losses
 from tests.support.simulated_deployment import (
+    ENTRY_EXPIRY_SECONDS,
+    ROUTE_TIMEOUTS_SECONDS,
     STABLE_WINDOW_SECONDS,
+    STALL_LIMIT_SECONDS,
     Caller,
     Router,
+    Runner,
     SimulatedDeployment,
 )
 
@@ -40,7 +55,26 @@
     from collections.abc import Callable, Coroutine, Sequence
 
 ROUTERS = 3
+RUNNERS = {"stock": 3, "cards": 10}
 RUN_SECONDS = 10.0
+# The same in every fifth seed.
+MANY_ROUTERS = 7
+MANY_RUNNERS = {"stock": 6, "cards": 25}
+# Callers that keep their connection, for each router, their requests, and the
+# longest pause between two of them.
+KEPT_CALLERS = 50
+KEPT_REQUEST_KINDS = ("safe", "pay", "report", "write", "write", "draft")
+KEPT_PAUSE_SECONDS = 6.0
+# Longest time between the signals of stops that overlap.
+STOP_SPREAD_SECONDS = 2.0
+# Pause between two checks whether a router has stopped.
+STOP_POLL_SECONDS = 0.05
+# Time that a router takes to serve after a start.
+START_SECONDS = 3.0
+# A sound runner may be silent for so long.
+RUNNER_PAUSE_SECONDS = 1.0
+# Range of the factors by which plain services and models are slow for a while.
+SLOWDOWNS = {"stock": (10.0, 100.0), "cards": (1.5, 6.0)}
 RECOVERY_SECONDS = 8.0
 REQUESTS_PER_SECOND = 25.0
 REQUEST_KINDS = ("safe", "pay", "write", "write")
@@ -67,6 +101,9 @@
 
     Attributes:
         faults: Names of the injected faults, in order.
+        lost_counts: Number of requests that planned work interrupted, by the
+            reason why they don't count as lost; empty for those that do.
+        outcomes: Number of the callers' requests, by outcome.
     """
 
     def __init__(self, seed: int, folder: Path) -> None:
@@ -76,31 +113,50 @@
         self._caller = Caller(self._deployment)
         self._request_tasks: set[asyncio.Task[object]] = set()
         self._request_number = 0
-        self._crashing = seed % 2 == 1
+        self._disruptions = Disruptions()
+        self._kept_callers = KeptCallers(
+            self._deployment,
+            self._caller,
+            seed=seed,
+            kinds=KEPT_REQUEST_KINDS,
+            longest_pause_seconds=KEPT_PAUSE_SECONDS,
+        )
+        self._only_planned = seed % 3 == 2
+        self._router_count = MANY_ROUTERS if seed % 5 == 0 else ROUTERS
+        self._runner_counts = MANY_RUNNERS if seed % 5 == 0 else RUNNERS
+        self._crashing = seed % 2 == 1 and not self._only_planned
         if self._crashing:
             self._deployment.crashing_parts.part_ids.add(CRASHING_PART)
+            self._disruptions.add("runners", float("inf"))
+        self._stops: list[asyncio.Task[None]] = []
         self.faults: list[str] = []
+        self.lost_counts: dict[str, int] = {}
+        self.outcomes = self._caller.outcomes
 
     async def run(self) -> list[str]:
         """Runs all faults and returns the breached invariants."""
         deployment = self._deployment
         deployment.store_address = await self._proxy.start()
         try:
-            for _ in range(3):
+            for _ in range(self._runner_counts["stock"]):
                 deployment.add_runner("stock")
-            for number in range(10):
+            for number in range(self._runner_counts["cards"]):
                 deployment.add_runner("cards", f"d{number // 5}")
-            for number in range(1, ROUTERS + 1):
+            for number in range(1, self._router_count + 1):
                 deployment.add_router(number)
             await deployment.wait_until_ready(30.0)
             load = asyncio.ensure_future(self._generate_load())
+            self._kept_callers.start(KEPT_CALLERS * self._router_count)
             await self._inject_faults()
+            await asyncio.gather(*self._stops)
             self._clear_faults()
             recovered = await self._recovers()
             if recovered and self._crashing:
                 await self._check_crashing_part()
             load.cancel()
             await asyncio.gather(*self._request_tasks, return_exceptions=True)
+            await self._kept_callers.stop()
+            self._check_losses()
             if not recovered:
                 deployment.breaches.append(
                     "not every request is served after the faults"
@@ -110,6 +166,17 @@
             await deployment.close()
             self._proxy.close()
 
+    def _check_losses(self) -> None:
+        """Checks that no stop and no reload cost an answer."""
+        for loss in losses(
+            self._deployment, self._kept_callers.requests, self._disruptions
+        ):
+            self.lost_counts[loss.excuse] = (
+                self.lost_counts.get(loss.excuse, 0) + 1
+            )
+            if not loss.excuse:
+                self._deployment.breaches.append(str(loss))
+
     async def _generate_load(self) -> None:
         """Sends requests to random routers until cancelled."""
         while True:
@@ -129,22 +196,36 @@
             task.add_done_callback(self._request_tasks.discard)
 
     async def _inject_faults(self) -> None:
-        """Injects random faults for `RUN_SECONDS`."""
-        faults = (
-            self._kill_router,
-            self._pause_router,
-            self._stop_router,
-            self._crash_runner,
-            self._disrupt_store,
-            self._disrupt_store_link,
-            self._drop_store_history,
+        """Injects random faults for `RUN_SECONDS`.
+
+        The first stop is at a time at which runners are slow.
+        """
+        faults: list[Callable[[], None]] = [
+            self._stop_routers,
+            self._stop_routers,
+            self._stop_routers,
+            self._signal_stopping_router,
+            self._reload_router,
             self._change_configuration,
             self._drain_runner,
-            self._lose_store_answers,
-        )
+            self._pause_runner,
+            self._slow_runners,
+            self._slow_runners,
+        ]
+        if not self._only_planned:
+            faults += [
+                self._kill_router,
+                self._pause_router,
+                self._crash_runner,
+                self._disrupt_store,
+                self._disrupt_store_link,
+                self._drop_store_history,
+                self._lose_store_answers,
+            ]
+        first = [self._slow_runners, self._stop_routers]
         end = time.monotonic() + RUN_SECONDS
         while time.monotonic() < end:
-            fault = self._rng.choice(faults)
+            fault = first.pop(0) if first else self._rng.choice(faults)
             self.faults.append(fault.__name__)
             fault()
             await asyncio.sleep(self._rng.uniform(0.05, 1.2))
@@ -156,47 +237,107 @@
     def _kill_router(self) -> None:
         router = self._random_router()
         router.kill()
-        self._call_later(self._rng.uniform(0.1, 2.0), router.start)
+        seconds = self._rng.uniform(0.1, 2.0)
+        self._disruptions.add(router.ip, seconds + START_SECONDS)
+        self._call_later(seconds, router.start)
 
     def _pause_router(self) -> None:
         router = self._random_router()
         router.signal(signal.SIGSTOP)
-        self._call_later(
-            self._rng.uniform(0.1, 4.0),
-            lambda: router.signal(signal.SIGCONT),
-        )
+        seconds = self._rng.uniform(0.1, 4.0)
+        self._disruptions.add(router.ip, seconds)
+        self._call_later(seconds, lambda: router.signal(signal.SIGCONT))
+
+    def _stop_routers(self) -> None:
+        """Stops some routers gracefully, one soon after the other."""
+        routers = list(self._deployment.routers.values())
+        count = self._rng.randint(1, len(routers) - 1)
+        for router in self._rng.sample(routers, count):
+            work = self._stop_and_restart(
+                router,
+                delay_seconds=self._rng.uniform(0.0, STOP_SPREAD_SECONDS),
+                pause_seconds=self._rng.uniform(0.1, 1.0),
+            )
+            self._stops.append(asyncio.ensure_future(work))
 
-    def _stop_router(self) -> None:
-        """Stops a router gracefully and restarts it after 7 s."""
-        router = self._random_router()
+    async def _stop_and_restart(
+        self, router: Router, *, delay_seconds: float, pause_seconds: float
+    ) -> None:
+        """Stops a router, kills it after the grace period and restarts it."""
+        await asyncio.sleep(delay_seconds)
         router.signal(signal.SIGTERM)
-        self._call_later(7.0, router.start)
+        if router.alive:
+            end = router.stopped_at_seconds[-1] + self._deployment.grace_seconds
+            while router.alive and time.monotonic() < end:
+                await asyncio.sleep(STOP_POLL_SECONDS)
+            router.kill()
+        await asyncio.sleep(pause_seconds)
+        router.start()
+
+    def _signal_stopping_router(self) -> None:
+        """Sends further signals to a router that is already stopping."""
+        stopping = [
+            router
+            for router in self._deployment.routers.values()
+            if router.alive and router.is_stopping
+        ]
+        if not stopping:
+            return
+        router = self._rng.choice(stopping)
+        router.signal(self._rng.choice((signal.SIGTERM, signal.SIGHUP)))
+
+    def _reload_router(self) -> None:
+        self._random_router().signal(signal.SIGHUP)
+
+    def _pause_runner(self) -> None:
+        """Makes a runner send nothing for a second."""
+        runner = self._random_runner()
+        runner.paused_until_seconds = time.monotonic() + RUNNER_PAUSE_SECONDS
+
+    def _slow_runners(self) -> None:
+        """Makes some or all runners slow for a while."""
+        share = self._rng.choice((0.4, 1.0))
+        for runner in list(self._deployment.runners.values()):
+            if self._rng.random() >= share:
+                continue
+            runner.slowdown = self._rng.uniform(*SLOWDOWNS[runner.service])
+            self._call_later(
+                self._rng.uniform(2.0, 10.0), partial(_end_slowdown, runner)
+            )
+
+    def _random_runner(self) -> Runner:
+        """Returns a random runner that has not crashed."""
+        alive = [r for r in self._deployment.runners.values() if r.alive]
+        return self._rng.choice(alive)
 
     def _crash_runner(self) -> None:
         """Crashes a runner; a new one replaces it after 1 s."""
         deployment = self._deployment
-        alive = [r for r in deployment.runners.values() if r.alive]
-        runner = self._rng.choice(alive)
+        runner = self._random_runner()
         runner.crash()
+        # A group that lacks a member stalls, and breaks after a while.
+        self._disruptions.add(
+            "runners", ENTRY_EXPIRY_SECONDS + STALL_LIMIT_SECONDS
+        )
         self._call_later(
             1.0, lambda: deployment.add_runner(runner.service, runner.domain)
         )
 
     def _drain_runner(self) -> None:
-        alive = [r for r in self._deployment.runners.values() if r.alive]
-        self._rng.choice(alive).draining = True
+        self._random_runner().draining = True
 
     def _disrupt_store(self) -> None:
         """Makes the store answer 503 or not at all for a while."""
         store = self._deployment.store
         store.state = self._rng.choice(("busy", "silent"))
-        self._call_later(
-            self._rng.uniform(0.2, 4.0), lambda: setattr(store, "state", "up")
-        )
+        seconds = self._rng.uniform(0.2, 4.0)
+        self._disruptions.add("store", seconds)
+        self._call_later(seconds, lambda: setattr(store, "state", "up"))
 
     def _lose_store_answers(self) -> None:
         """Drops the answers to 40 % of the store's writes for a while."""
         self._deployment.store.answer_loss_probability = 0.4
+        self._disruptions.add("store", ANSWER_LOSS_SECONDS)
         self._call_later(ANSWER_LOSS_SECONDS, self._answer_store_writes)
 
     def _answer_store_writes(self) -> None:
@@ -206,17 +347,25 @@
     def _disrupt_store_link(self) -> None:
         """Sets a random mode of the proxy in front of the store for a while."""
         self._proxy.mode = self._rng.choice(list(ProxyMode))
+        seconds = self._rng.uniform(0.2, 3.0)
+        self._disruptions.add("store", seconds)
         self._call_later(
-            self._rng.uniform(0.2, 3.0),
-            lambda: setattr(self._proxy, "mode", ProxyMode.PASS),
+            seconds, lambda: setattr(self._proxy, "mode", ProxyMode.PASS)
         )
 
     def _drop_store_history(self) -> None:
         """Makes the store forget old revisions, so that watches restart."""
         self._deployment.store.drop_history()
+        self._disruptions.add("store", 0.0)
 
     def _change_configuration(self) -> None:
-        self._deployment.put_config()
+        """Writes a new version, with other timeouts of some routes."""
+        deployment = self._deployment
+        for name, seconds in ROUTE_TIMEOUTS_SECONDS.items():
+            deployment.route_timeouts_seconds[name] = (
+                seconds + self._rng.uniform(0.0, 4.0)
+            )
+        deployment.put_config()
 
     def _call_later(self, seconds: float, callback: object) -> None:
         """Calls `callback` after a delay, to end or repair a fault."""
@@ -287,11 +436,17 @@
             )
 
 
+def _end_slowdown(runner: Runner) -> None:
+    """Makes a runner as fast as the others again."""
+    runner.slowdown = 1.0
+
+
 async def run_seed(seed: int) -> list[str]:
     """Runs the faults of one seed and returns the breached invariants."""
     with tempfile.TemporaryDirectory() as folder:
         soak = SoakRun(seed, Path(folder))
         breaches = await soak.run()
+        print(f"  requests: {soak.outcomes}, interrupted: {soak.lost_counts}")
         if breaches:
             print(f"seed {seed}: faults {soak.faults}")
             _keep_logs(seed, Path(folder))
--- /dev/null
+++ b/tests/soak/test_kept_callers.py
@@ -0,0 +1,113 @@
+"""Tests of the check that planned work costs no answer."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+
+import testtools
+
+from tests.support.asynchronous import run
+from tests.support.kept_callers import Disruptions, SentRequest, losses
+from tests.support.simulated_deployment import Router, SimulatedDeployment
+
+GRACE_SECONDS = 6.0
+
+
+class LossesTest(testtools.TestCase):
+    """Which requests without a complete answer count as lost in a stop."""
+
+    def _excuses(
+        self,
+        *,
+        sent_after: float = 3.5,
+        lasted: float = 1.0,
+        outcome: str = "cut",
+        limit: float = 4.0,
+        runs: bool = True,
+        broke_off: bool = False,
+        run_lasted: float | None = None,
+        was_reset: bool = False,
+        paused: bool = False,
+    ) -> list[str]:
+        """Returns the excuses of one request, sent after a signal to stop.
+
+        Args:
+            sent_after: Time from the signal to the request, in seconds.
+            lasted: Time from the request to the end of its connection.
+            outcome: Outcome of the request.
+            limit: Time limit of the request, in seconds.
+            runs: Whether it reaches a runner.
+            broke_off: Whether the runner broke off.
+            run_lasted: Time after which the runner ended the answer, in
+                seconds; None if it did not.
+            was_reset: Whether the connection was reset.
+            paused: Whether the router was paused before the request.
+        """
+
+        async def scenario() -> list[str]:
+            with tempfile.TemporaryDirectory() as folder:
+                deployment = SimulatedDeployment(
+                    Path(folder), grace_seconds=GRACE_SECONDS
+                )
+                router = Router(
+                    deployment, 1, data_centre="south", source=Path(folder)
+                )
+                stopped_at = time.monotonic()
+                router.stopped_at_seconds.append(stopped_at)
+                request = SentRequest("q1", "write", router, limit)
+                request.sent_at_seconds = stopped_at + sent_after
+                request.ended_at_seconds = stopped_at + sent_after + lasted
+                request.outcome = outcome
+                request.was_reset = was_reset
+                if runs:
+                    work = deployment.record_run("q1", "i-1", may_repeat=True)
+                    work.broke_off = broke_off
+                    if run_lasted is not None:
+                        work.ended_at_seconds = (
+                            stopped_at + sent_after + run_lasted
+                        )
+                disruptions = Disruptions()
+                if paused:
+                    disruptions.add(router.ip, 1.0)
+                found = losses(deployment, [request], disruptions)
+                excuses = [loss.excuse for loss in found]
+                deployment.store.close()
+                await asyncio.sleep(0)
+                return excuses
+
+        return run(scenario())
+
+    def test_request_that_is_cut_counts(self) -> None:
+        self.assertEqual([""], self._excuses())
+
+    def test_answered_request_is_not_lost(self) -> None:
+        self.assertEqual([], self._excuses(outcome="served"))
+
+    def test_early_request_at_a_runner_until_the_end_is_excused(self) -> None:
+        excuses = self._excuses(sent_after=2.9, lasted=2.8)
+        self.assertEqual(["runner at work at the end"], excuses)
+
+    def test_early_request_whose_runner_has_answered_counts(self) -> None:
+        excuses = self._excuses(sent_after=2.9, lasted=2.8, run_lasted=1.0)
+        self.assertEqual([""], excuses)
+
+    def test_early_request_that_is_cut_before_the_end_counts(self) -> None:
+        self.assertEqual([""], self._excuses(sent_after=0.5, lasted=2.0))
+
+    def test_time_limit_and_broken_runner_excuse(self) -> None:
+        self.assertEqual(["time limit"], self._excuses(limit=1.0))
+        self.assertEqual(["runner broke off"], self._excuses(broke_off=True))
+
+    def test_unread_request_is_not_lost(self) -> None:
+        unread = self._excuses(outcome="no answer", runs=False, was_reset=True)
+        crossing = self._excuses(outcome="no answer", runs=False, lasted=0.1)
+        read = self._excuses(outcome="no answer", runs=False, lasted=0.3)
+        self.assertEqual(([], [], [""]), (unread, crossing, read))
+
+    def test_pause_of_the_router_excuses(self) -> None:
+        self.assertEqual(["disruption"], self._excuses(paused=True))
+        late = self._excuses(sent_after=4.5, lasted=1.0, paused=True)
+        self.assertEqual([""], late)
--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -13,12 +13,13 @@
 import json
 import os
 import random
+import signal
 import subprocess
 import sys
 import time
 import urllib.parse
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from tornado import httputil
 from tornado.httpserver import HTTPServer
@@ -33,9 +34,6 @@
 )
 from tests.support.front_end_harness import free_port
 
-if TYPE_CHECKING:
-    import signal
-
 ROOT = Path(__file__).resolve().parents[2]
 # A runner writes its entry and checks its group four times in this time.
 HEARTBEAT_SECONDS = 0.4
@@ -45,19 +43,41 @@
 RESTART_SECONDS = (2.0, 4.0)
 # `stableWindowMs` in the settings of the routers.
 STABLE_WINDOW_SECONDS = 3.0
+# Time after the signal to stop until no new callers are sent to a router: two
+# readiness checks, a second apart.
+READINESS_LAG_SECONDS = 2.0
 # A group that lacks a member breaks after this time.
 STALL_LIMIT_SECONDS = 1.5
 # Time between two events of a stream.
 EVENT_INTERVAL_SECONDS = 0.03
-EVENTS_PER_STREAM = 12
+TOKENS_PER_EVENT = 5
 # Time that a plain service takes for a request.
 PLAIN_REQUEST_SECONDS = 0.02
+# Timeouts of the routes, by name, and how they may retry.
+ROUTE_TIMEOUTS_SECONDS = {
+    "safe": 4.0,
+    "pay": 4.0,
+    "write": 4.0,
+    "draft": 8.0,
+    "report": 8.0,
+}
+ROUTE_KINDS = {
+    "safe": "safe",
+    "pay": "unsafe",
+    "write": "streaming",
+    "draft": "streaming",
+    "report": "safe",
+}
+# Grace period of a stop in the settings of the routers, by default.
+GRACE_SECONDS = 6.0
 GROUP_SIZE = 2
 API_KEY = "key-1"
 ORGANISATION = "museum"
 OTHER_API_KEY = "key-2"
 ORGANISATIONS = {API_KEY: ORGANISATION, OTHER_API_KEY: "library"}
+# Tokens of the answers to requests of a route; others have `ANSWER_TOKENS`.
 ANSWER_TOKENS = 60
+LONG_ANSWER_TOKENS = {"draft": 300}
 
 
 def _respond(
@@ -246,11 +266,28 @@
         )
 
 
-class Run:
-    """How often the runners ran one request."""
+class RunnerWork:
+    """Work of one runner on one request. Times are monotonic, in seconds.
+
+    Attributes:
+        runner_id: Id of the runner.
+        began_at_seconds: When it received the request.
+        ended_at_seconds: When it ended the answer; None before that.
+        broke_off: Whether the runner ended the work early by itself.
+    """
+
+    __slots__ = (
+        "began_at_seconds",
+        "broke_off",
+        "ended_at_seconds",
+        "runner_id",
+    )
 
-    def __init__(self) -> None:
-        self.run_count = 0
+    def __init__(self, runner_id: str) -> None:
+        self.runner_id = runner_id
+        self.began_at_seconds = time.monotonic()
+        self.ended_at_seconds: float | None = None
+        self.broke_off = False
 
 
 class SimulatedDeployment:
@@ -261,6 +298,10 @@
         folder: Folder for the settings and logs of the routers.
         breaches: Descriptions of the invariants that were breached.
         run_counts: How often each request ran, by request id.
+        work: Work of the runners on each request, by request id.
+        route_timeouts_seconds: Timeout of each route, by name; in force with
+            the next version of the configuration.
+        grace_seconds: Grace period of a stop in the settings of the routers.
         refused: Ids of requests that were refused as not run.
         organisations: Organisation of each caller's request, by request id.
         crashing_parts: Parts of prompts that crash runners.
@@ -283,12 +324,16 @@
         seed: int = 1,
         data_centres: tuple[str, ...] = ("south",),
         entry_expiry_seconds: float = ENTRY_EXPIRY_SECONDS,
+        grace_seconds: float = GRACE_SECONDS,
     ) -> None:
         self.data_centres = data_centres
         self.rng = random.Random(seed)
         self.folder = folder
         self.breaches: list[str] = []
         self.run_counts: dict[str, int] = {}
+        self.work: dict[str, list[RunnerWork]] = {}
+        self.route_timeouts_seconds = dict(ROUTE_TIMEOUTS_SECONDS)
+        self.grace_seconds = grace_seconds
         self.refused: set[str] = set()
         self.organisations: dict[str, str] = {}
         self.crashing_parts = CrashingParts()
@@ -308,7 +353,11 @@
     def put_config(self, keys: tuple[str, ...] = (API_KEY,)) -> None:
         """Writes a new version of the configuration."""
         self._version += 1
-        self.store.put("config", "main", _config(self._version, keys))
+        self.store.put(
+            "config",
+            "main",
+            _config(self._version, keys, self.route_timeouts_seconds),
+        )
 
     def add_runner(self, service: str, domain: str = "") -> Runner:
         """Starts a runner; one with a domain is an engine that joins groups."""
@@ -355,13 +404,18 @@
         router.start()
         return router
 
-    def record_run(self, request_id: str, *, may_repeat: bool) -> None:
+    def record_run(
+        self, request_id: str, runner_id: str, *, may_repeat: bool
+    ) -> RunnerWork:
         """Records that a runner started a request, and checks that it may."""
         self.run_counts[request_id] = self.run_counts.get(request_id, 0) + 1
         if self.run_counts[request_id] > 1 and not may_repeat:
             self.breaches.append(f"{request_id} ran twice")
         if request_id in self.refused:
             self.breaches.append(f"{request_id} ran after it was refused")
+        work = RunnerWork(runner_id)
+        self.work.setdefault(request_id, []).append(work)
+        return work
 
     def record_refusal(self, request_id: str) -> None:
         """Records a refusal, and checks that the request indeed did not run."""
@@ -369,6 +423,10 @@
         if self.run_counts.get(request_id):
             self.breaches.append(f"{request_id} was refused and had run")
 
+    def record_caller(self, request_id: str, api_key: str = API_KEY) -> None:
+        """Records the key that a request is sent with."""
+        self.organisations[request_id] = ORGANISATIONS[api_key]
+
     async def wait_until_ready(
         self, seconds: float = 20.0, *, groups: int = 1
     ) -> None:
@@ -414,6 +472,8 @@
         state: State in its group: `joining`, `ready`, `open`, `broken` or,
             without a group, empty.
         port: Port at which it listens.
+        slowdown: Factor on the time that it takes for requests.
+        paused_until_seconds: Monotonic time until which it sends nothing.
     """
 
     def __init__(
@@ -438,6 +498,8 @@
         self.stalled_since: float | None = None
         self.state = ""
         self.busy = 0
+        self.slowdown = 1.0
+        self.paused_until_seconds = 0.0
         self._connections: set[httputil.HTTPConnection] = set()
         self._sockets = bind_sockets(0, "127.0.0.1")
         self.port = self._sockets[0].getsockname()[1]
@@ -636,9 +698,10 @@
         if self.domain and self.state != "open":
             _respond(request, 503, headers={"X-Not-Executed": "1"})
             return
-        streams = request.path.startswith("/write/")
-        unsafe = request.path.startswith("/pay/")
-        self._deployment.record_run(request_id, may_repeat=not unsafe)
+        kind = ROUTE_KINDS[request.path.split("/")[1]]
+        work = self._deployment.record_run(
+            request_id, self.runner_id, may_repeat=kind != "unsafe"
+        )
         organisation = self._deployment.organisations.get(
             request_id, ORGANISATION
         )
@@ -651,19 +714,44 @@
         assert connection is not None
         self._connections.add(connection)
         try:
-            if streams:
-                await self._stream(request, connection, headers)
+            if kind == "streaming":
+                await self._stream(request, connection, headers, work)
             else:
-                await asyncio.sleep(PLAIN_REQUEST_SECONDS)
-                _respond(request, 200, {"for": request_id}, headers)
+                await self._answer_plain(request, headers)
+        except asyncio.CancelledError:
+            work.broke_off = True
+            raise
         finally:
             self._connections.discard(connection)
+            work.ended_at_seconds = time.monotonic()
+
+    async def _answer_plain(
+        self, request: httputil.HTTPServerRequest, headers: dict[str, str]
+    ) -> None:
+        """Answers after the time that a request takes; 504 at its deadline."""
+        deadline_seconds = int(request.headers["X-Deadline-Ms"]) / 1000
+        began_at_seconds = time.monotonic()
+        await asyncio.sleep(
+            min(deadline_seconds, PLAIN_REQUEST_SECONDS * self.slowdown)
+        )
+        await self._end_of_pause()
+        if time.monotonic() - began_at_seconds >= deadline_seconds:
+            _respond(request, 504, headers=headers)
+            return
+        value = {"for": headers["X-Request-Id"]}
+        _respond(request, 200, value, headers)
+
+    async def _end_of_pause(self) -> None:
+        """Waits while the runner sends nothing."""
+        while time.monotonic() < self.paused_until_seconds:
+            await asyncio.sleep(EVENT_INTERVAL_SECONDS)
 
     async def _stream(
         self,
         request: httputil.HTTPServerRequest,
         connection: httputil.HTTPConnection,
         headers: dict[str, str],
+        work: RunnerWork,
     ) -> None:
         """Streams events; pauses while a member is missing.
 
@@ -682,11 +770,14 @@
                 await headers_sent
             self._deployment.crash_on_prompt(self, part)
             return
-        for number in range(first, EVENTS_PER_STREAM + 1):
-            await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+        answer_tokens = int(request.headers["X-Token-Counts"].split(",")[1])
+        for number in range(first, answer_tokens // TOKENS_PER_EVENT + 1):
+            await asyncio.sleep(EVENT_INTERVAL_SECONDS * self.slowdown)
+            await self._end_of_pause()
             while self.state == "open" and not self._is_group_complete():
                 await asyncio.sleep(EVENT_INTERVAL_SECONDS)
             if self.state != "open":
+                work.broke_off = True
                 connection.stream.close()  # type: ignore[attr-defined]
                 return
             try:
@@ -705,6 +796,10 @@
         ip: Its IP address, a loopback one.
         process: The process; None before the first start.
         log_path: File that its output is appended to.
+        stopped_at_seconds: Monotonic times of the signals to stop, one for
+            each life of the process.
+        is_stopping: Whether the process was told to stop since its start.
+        reloaded_at_seconds: Monotonic times of the signals to reload.
     """
 
     def __init__(
@@ -720,6 +815,9 @@
         self.source = source
         self.ip = f"127.0.0.{number + 10}"
         self.process: subprocess.Popen[bytes] | None = None
+        self.stopped_at_seconds: list[float] = []
+        self.reloaded_at_seconds: list[float] = []
+        self.is_stopping = False
         self._path = deployment.folder / f"node-{number}.toml"
         self.log_path = deployment.folder / f"log-{number}.txt"
         self._path.write_text(self._settings(number))
@@ -741,7 +839,7 @@
                 f'frontend = "{self.ip}:{deployment.caller_port}"',
                 f'readiness = "{self.ip}:{deployment.ready_port}"',
                 "[bounds]",
-                "graceS = 6",
+                f"graceS = {deployment.grace_seconds}",
                 f"stableWindowMs = {int(STABLE_WINDOW_SECONDS * 1000)}",
                 "[zones]",
                 *(f'{name} = "region"' for name in deployment.data_centres),
@@ -759,6 +857,7 @@
         """Starts the process, unless it is running."""
         if self.alive:
             return
+        self.is_stopping = False
         log = self.log_path.open("ab")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "mulberrypaddle.platform"],
@@ -771,9 +870,23 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process, if it is running."""
-        if self.alive:
-            assert self.process is not None
-            self.process.send_signal(number)
+        if not self.alive:
+            return
+        assert self.process is not None
+        if number == signal.SIGTERM and not self.is_stopping:
+            self.is_stopping = True
+            self.stopped_at_seconds.append(time.monotonic())
+        if number == signal.SIGHUP:
+            self.reloaded_at_seconds.append(time.monotonic())
+        self.process.send_signal(number)
+
+    @property
+    def takes_new_connections(self) -> bool:
+        """Returns whether callers are sent to it, as the platform sees it."""
+        if not self.is_stopping:
+            return self.alive
+        since_seconds = time.monotonic() - self.stopped_at_seconds[-1]
+        return self.alive and since_seconds < READINESS_LAG_SECONDS
 
     def kill(self) -> None:
         """Kills the process and waits until it has exited."""
@@ -858,9 +971,13 @@
             outcome = "not taken"
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             outcome = "no answer"
-        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+        self.count(outcome)
         return outcome
 
+    def count(self, outcome: str) -> None:
+        """Counts a request by its outcome."""
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
     async def _send(
         self,
         router: Router,
@@ -870,37 +987,34 @@
         prompt: str,
         api_key: str,
     ) -> str:
-        self._deployment.organisations[request_id] = ORGANISATIONS[api_key]
-        method = "GET" if kind == "safe" else "POST"
-        prompt_tokens = sum(tokens for _, tokens in prompt_parts(prompt))
-        # Like the text of a prompt, the body differs between requests.
-        body = prompt if kind == "write" else ""
-        lines = [
-            f"{method} /{kind}/1 HTTP/1.1",
-            "Host: shop.example",
-            f"X-Request-Id: {request_id}",
-            f"X-Api-Key: {api_key}",
-            "X-Deadline-Ms: 4000",
-            "X-Model: small",
-            f"X-Token-Counts: {prompt_tokens},{ANSWER_TOKENS}",
-            "Connection: close",
-            f"Content-Length: {len(body)}",
-        ]
-        if kind == "write":
-            lines.append(f"X-Prompt-Prefix: {prompt}")
+        self._deployment.record_caller(request_id, api_key)
+        data = request_bytes(
+            kind,
+            request_id,
+            prompt=prompt,
+            api_key=api_key,
+            headers=("Connection: close",),
+        )
         reader, writer = await asyncio.wait_for(
             asyncio.open_connection(router.ip, self._deployment.caller_port),
             1.0,
         )
         try:
-            writer.write("\r\n".join([*lines, "", body]).encode())
+            writer.write(data)
             answer = await asyncio.wait_for(reader.read(), 8.0)
         finally:
             writer.close()
-        return self._check_answer(kind, request_id, answer)
+        return self.check_answer(kind, request_id, answer)
 
-    def _check_answer(self, kind: str, request_id: str, answer: bytes) -> str:
-        """Returns the outcome of an answer and records any breach."""
+    def check_answer(self, kind: str, request_id: str, answer: bytes) -> str:
+        """Returns the outcome of an answer and records any breach.
+
+        Args:
+            kind: Kind of the request.
+            request_id: Id of the request.
+            answer: All bytes that came, until the end of the answer or of the
+                connection.
+        """
         head, _, body = answer.partition(b"\r\n\r\n")
         if not head.startswith(b"HTTP/1.1 "):
             return "no answer"
@@ -910,7 +1024,12 @@
             return f"refused {status}"
         if status != 200:
             return f"failed {status}"
-        if kind != "write":
+        if ROUTE_KINDS[kind] != "streaming":
+            length = httputil.HTTPHeaders.parse(
+                head.decode("latin-1").partition("\r\n")[2]
+            )["Content-Length"]
+            if len(body) < int(length):
+                return "cut"
             if json.loads(body) != {"for": request_id}:
                 self._deployment.breaches.append(f"{request_id} got {body!r}")
             return "served"
@@ -922,26 +1041,74 @@
         ]
         if ids != list(range(1, len(ids) + 1)):
             self._deployment.breaches.append(f"{request_id} got events {ids}")
-        if complete and len(ids) != EVENTS_PER_STREAM:
+        if complete and len(ids) != _answer_tokens(kind) // TOKENS_PER_EVENT:
             self._deployment.breaches.append(
                 f"{request_id} looks complete: {ids}"
             )
         return "served" if complete else "cut"
 
 
-def _config(version: int, keys: tuple[str, ...]) -> dict[str, Any]:
+def _answer_tokens(kind: str) -> int:
+    """Returns the number of tokens of an answer."""
+    return LONG_ANSWER_TOKENS.get(kind, ANSWER_TOKENS)
+
+
+def request_bytes(
+    kind: str,
+    request_id: str,
+    *,
+    prompt: str,
+    api_key: str = API_KEY,
+    deadline_seconds: float = ROUTE_TIMEOUTS_SECONDS["write"],
+    headers: tuple[str, ...] = (),
+) -> bytes:
+    """Returns the bytes of a request.
+
+    Args:
+        kind: Name of its route.
+        request_id: Id of the request.
+        prompt: Parts of the prompt, for a route of streams.
+        api_key: Key of the caller.
+        deadline_seconds: How long the caller waits.
+        headers: Further lines of the head.
+    """
+    streams = ROUTE_KINDS[kind] == "streaming"
+    prompt_tokens = sum(tokens for _, tokens in prompt_parts(prompt))
+    # Like the text of a prompt, the body differs between requests.
+    body = prompt if streams else ""
+    method = "GET" if ROUTE_KINDS[kind] == "safe" else "POST"
+    lines = [
+        f"{method} /{kind}/1 HTTP/1.1",
+        "Host: shop.example",
+        f"X-Request-Id: {request_id}",
+        f"X-Api-Key: {api_key}",
+        f"X-Deadline-Ms: {int(deadline_seconds * 1000)}",
+        "X-Model: small",
+        f"X-Token-Counts: {prompt_tokens},{_answer_tokens(kind)}",
+        f"Content-Length: {len(body)}",
+        *headers,
+    ]
+    if streams:
+        lines.append(f"X-Prompt-Prefix: {prompt}")
+    return "\r\n".join([*lines, "", body]).encode()
+
+
+def _config(
+    version: int, keys: tuple[str, ...], timeouts_seconds: dict[str, float]
+) -> dict[str, Any]:
     """Returns the configuration document."""
 
-    def route(name: str, kind: str, service: str) -> dict[str, Any]:
+    def route(name: str) -> dict[str, Any]:
+        kind = ROUTE_KINDS[name]
         return {
             "name": name,
             "host": "shop.example",
             "pathPrefix": f"/{name}/",
             "kind": kind,
-            "timeoutMs": 4000,
+            "timeoutMs": int(timeouts_seconds[name] * 1000),
             "targetLatencyMs": 300,
             "priority": 1,
-            "service": service,
+            "service": "cards" if kind == "streaming" else "stock",
             "maxAttempts": 2,
             "public": False,
             "sticky": kind == "streaming",
@@ -971,11 +1138,7 @@
     }
     return {
         "version": version,
-        "routes": [
-            route("safe", "safe", "stock"),
-            route("pay", "unsafe", "stock"),
-            route("write", "streaming", "cards"),
-        ],
+        "routes": [route(name) for name in ROUTE_KINDS],
         "services": [
             {"name": "stock", "healthPath": "/health"},
             {"name": "cards", "healthPath": "/health", "engine": engine},
