--- a/soak/announcement_faults.py
+++ b/soak/announcement_faults.py
@@ -23,6 +23,9 @@
 READY_SECONDS = (0.2, 6.0)
 LEAVE_SECONDS = (3.0, 7.0)
 
+# Pause before a runner that still has work is asked again whether it can end.
+IDLE_POLL_SECONDS = 0.2
+
 # Shortest and longest time for which a runner refuses requests.
 PAUSE_SECONDS = (0.6, 3.0)
 
@@ -76,7 +79,7 @@
         """Lets a runner refuse requests and ask for a pause."""
         runner = self._random_runner()
         if runner is not None:
-            runner.paused_until_seconds = time.monotonic() + self._rng.uniform(
+            runner.refuses_until_seconds = time.monotonic() + self._rng.uniform(
                 *PAUSE_SECONDS
             )
 
@@ -96,8 +99,15 @@
         return self._rng.choice(runners) if runners else None
 
     def _replace(self, runner: Runner) -> None:
-        """Ends a runner and starts another one, half of them with its id."""
+        """Ends an idle runner and starts another, half of them with its id.
+
+        Like on the platform, a runner goes on serving while it has requests or
+        belongs to a group.
+        """
         if not runner.alive:
             return
+        if runner.running or runner.group is not None:
+            self._call_later(IDLE_POLL_SECONDS, lambda: self._replace(runner))
+            return
         runner.crash()
         self._deployment.restart_runner(runner)
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -11,24 +11,21 @@
 
 import testtools
 
-from tests.support import simulated_deployment
 from tests.support.asynchronous import run
-from tests.support.kept_connections import KeptCallers, SentRequest
-from tests.support.simulated_deployment import SimulatedDeployment
+from tests.support.kept_callers import Disruptions, losses
+from tests.support.persistent_callers import PersistentCallers
+from tests.support.simulated_deployment import (
+    ROUTE_KINDS,
+    Caller,
+    SimulatedDeployment,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from tests.support.simulated_deployment import Router
 
-# A request sent up to this time after the signal may be interrupted while its
-# runner is at work in the last sixth of the grace period.
-EXCUSED_SECONDS = 3.0
-LAST_PART_OF_GRACE = 1 / 6
-
-# Time after its last byte until which a request that is not passed on may be
-# left without an answer.
-LOSS_SLACK_SECONDS = 0.2
+GRACE_SECONDS = 6.0
 
 
 class StopCase(testtools.TestCase):
@@ -39,12 +36,26 @@
         scenario: Callable[[SimulatedDeployment], Awaitable[None]],
         *,
         routers: int = 1,
+        grace_seconds: float = GRACE_SECONDS,
+        timeout_seconds: float = 4.0,
     ) -> None:
-        """Runs a scenario in a deployment, which must break no invariant."""
+        """Runs a scenario in a deployment, which must break no invariant.
+
+        Args:
+            scenario: The scenario.
+            routers: Number of routers.
+            grace_seconds: Grace period of a stop.
+            timeout_seconds: Timeout of all routes.
+        """
 
         async def run_deployment() -> SimulatedDeployment:
             with tempfile.TemporaryDirectory() as folder:
-                deployment = SimulatedDeployment(Path(folder))
+                deployment = SimulatedDeployment(
+                    Path(folder), grace_seconds=grace_seconds
+                )
+                for name in deployment.route_timeouts_seconds:
+                    deployment.route_timeouts_seconds[name] = timeout_seconds
+                deployment.put_config()
                 try:
                     for _ in range(2):
                         deployment.add_runner("stock")
@@ -65,10 +76,11 @@
 
     async def _stop(
         self,
+        deployment: SimulatedDeployment,
         router: Router,
-        callers: KeptCallers,
         *,
         kinds: tuple[str, ...],
+        limit_seconds: float = 4.0,
         signals: tuple[tuple[float, signal.Signals], ...] = (
             (0.0, signal.SIGTERM),
         ),
@@ -76,15 +88,22 @@
         """Stops a router under callers of each kind.
 
         Args:
+            deployment: Deployment of the router.
             router: Router that is stopped.
-            callers: Sends the requests.
             kinds: Kind of the requests of each caller.
+            limit_seconds: Time limit of the requests.
             signals: Signals and their times in seconds; the first one stops
                 the router.
 
         Returns:
             A description of each request that was lost.
         """
+        callers = PersistentCallers(
+            deployment,
+            Caller(deployment),
+            limit_seconds=limit_seconds,
+            name=router.ip,
+        )
         sending = [
             asyncio.ensure_future(
                 callers.send_until_gone(router, kind, pause_seconds=0.02)
@@ -97,9 +116,7 @@
             await asyncio.sleep(signalled_at + after_seconds - time.monotonic())
             router.signal(number)
         killing = asyncio.get_running_loop().call_later(
-            signalled_at
-            + simulated_deployment.STOP_GRACE_SECONDS
-            - time.monotonic(),
+            signalled_at + deployment.grace_seconds - time.monotonic(),
             router.kill,
         )
         await asyncio.gather(*sending)
@@ -108,33 +125,17 @@
         killing.cancel()
         assert router.process is not None
         self.assertEqual(0, router.process.returncode)
-        return _losses(callers, signalled_at)
-
-
-def _losses(callers: KeptCallers, signalled_at: float) -> list[str]:
-    """Returns a description of each request that a stop lost."""
-    grace_seconds = simulated_deployment.STOP_GRACE_SECONDS
-    last_part_at = signalled_at + grace_seconds * (1 - LAST_PART_OF_GRACE)
-    losses = []
-    for request in callers.cut_requests():
-        may_be_cut = (
-            request.kind == "write"
-            and request.sent_at <= signalled_at + EXCUSED_SECONDS
-            and request.ended_at >= last_part_at
-        )
-        if not may_be_cut:
-            losses.append(_describe(request, "cut", signalled_at))
-    for request in callers.dropped_requests(LOSS_SLACK_SECONDS):
-        losses.append(_describe(request, "dropped", signalled_at))
-    return losses
+        return [
+            str(loss)
+            for loss in losses(deployment, callers.requests, Disruptions())
+            # Plain requests get an answer even where none is due.
+            if not loss.excuse or ROUTE_KINDS[loss.request.kind] != "streaming"
+        ]
 
 
-def _describe(request: SentRequest, end: str, signalled_at: float) -> str:
-    """Returns what happened to a request, with times after the signal."""
-    return (
-        f"{request.request_id} sent at {request.sent_at - signalled_at:.2f} s, "
-        f"{end} at {request.ended_at - signalled_at:.2f} s"
-    )
+def _first_router(deployment: SimulatedDeployment) -> Router:
+    """Returns the first router of a deployment."""
+    return next(iter(deployment.routers.values()))
 
 
 def _print_logs(deployment: SimulatedDeployment) -> None:
@@ -148,40 +149,59 @@
     """Stops while runners are slower than the estimates of the engine."""
 
     def test_late_stream_is_not_cut_at_the_end_of_the_grace(self) -> None:
-        self.patch(simulated_deployment, "ROUTE_TIMEOUT_SECONDS", 5.0)
-        # An engine takes 0.4 s for these streams by its own figures.
-        self.patch(simulated_deployment, "EVENT_INTERVAL_SECONDS", 0.18)
+        async def scenario(deployment: SimulatedDeployment) -> None:
+            for runner in deployment.runners.values():
+                runner.slowdown = 6.0
+            lost = await self._stop(
+                deployment,
+                _first_router(deployment),
+                kinds=("write",) * 16,
+                limit_seconds=5.0,
+            )
+            self.assertEqual([], lost)
 
+        self._play(scenario, timeout_seconds=5.0)
+
+    def test_late_stream_at_a_silent_runner_is_not_cut(self) -> None:
         async def scenario(deployment: SimulatedDeployment) -> None:
-            router = next(iter(deployment.routers.values()))
-            callers = KeptCallers(deployment, deadline_seconds=5.0)
-            losses = await self._stop(router, callers, kinds=("write",) * 16)
-            self.assertEqual([], losses)
+            async def pause() -> None:
+                await asyncio.sleep(0.2 + 0.7 * GRACE_SECONDS)
+                for runner in deployment.runners.values():
+                    runner.paused_until_seconds = time.monotonic() + 1.2
+
+            pausing = asyncio.ensure_future(pause())
+            lost = await self._stop(
+                deployment,
+                _first_router(deployment),
+                kinds=("write",) * 16,
+                limit_seconds=5.0,
+            )
+            await pausing
+            self.assertEqual([], lost)
 
-        self._play(scenario)
+        self._play(scenario, timeout_seconds=5.0)
 
     def test_plain_request_at_a_slow_runner_is_answered(self) -> None:
-        self._play_plain_requests(2.5)
+        self._play_plain_requests(slowdown=125.0)
 
     def test_plain_request_at_a_silent_runner_is_answered(self) -> None:
-        self._play_plain_requests(20.0)
+        self._play_plain_requests(slowdown=1000.0)
 
-    def _play_plain_requests(self, runner_seconds: float) -> None:
-        """Plays a stop while plain services take the given time."""
-        self.patch(simulated_deployment, "ROUTE_TIMEOUT_SECONDS", 10.0)
-        self.patch(
-            simulated_deployment, "PLAIN_REQUEST_SECONDS", runner_seconds
-        )
+    def _play_plain_requests(self, slowdown: float) -> None:
+        """Plays a stop while plain services are slower than usual."""
 
         async def scenario(deployment: SimulatedDeployment) -> None:
-            router = next(iter(deployment.routers.values()))
-            callers = KeptCallers(deployment, deadline_seconds=10.0)
-            losses = await self._stop(
-                router, callers, kinds=("safe",) * 5 + ("pay",) * 5
+            for runner in deployment.runners.values():
+                runner.slowdown = slowdown
+            lost = await self._stop(
+                deployment,
+                _first_router(deployment),
+                kinds=("safe",) * 5 + ("pay",) * 5,
+                limit_seconds=10.0,
             )
-            self.assertEqual([], losses)
+            self.assertEqual([], lost)
 
-        self._play(scenario)
+        self._play(scenario, timeout_seconds=10.0)
 
 
 class SignalTest(StopCase):
@@ -197,52 +217,47 @@
         )
 
         async def scenario(deployment: SimulatedDeployment) -> None:
-            router = next(iter(deployment.routers.values()))
-            losses = await self._stop(
-                router,
-                KeptCallers(deployment, deadline_seconds=4.0),
+            lost = await self._stop(
+                deployment,
+                _first_router(deployment),
                 kinds=("safe", "pay", "write") * 3,
                 signals=signals,
             )
-            self.assertEqual([], losses)
+            self.assertEqual([], lost)
 
         self._play(scenario)
 
     def test_stop_with_a_silent_store_cuts_no_request(self) -> None:
         async def scenario(deployment: SimulatedDeployment) -> None:
-            router = next(iter(deployment.routers.values()))
             deployment.store.state = "silent"
-            losses = await self._stop(
-                router,
-                KeptCallers(deployment, deadline_seconds=4.0),
+            lost = await self._stop(
+                deployment,
+                _first_router(deployment),
                 kinds=("safe", "pay", "write") * 3,
             )
-            self.assertEqual([], losses)
+            self.assertEqual([], lost)
 
         self._play(scenario)
 
     def test_overlapping_stops_of_two_routers_cut_no_request(self) -> None:
-        # Engines are slower than their own figures say.
-        self.patch(simulated_deployment, "EVENT_INTERVAL_SECONDS", 0.18)
-
         async def stop(
             deployment: SimulatedDeployment, router: Router, after: float
         ) -> list[str]:
             await asyncio.sleep(after)
             return await self._stop(
-                router,
-                KeptCallers(deployment, deadline_seconds=4.0, name=router.ip),
-                kinds=("safe", "pay", "write", "write"),
+                deployment, router, kinds=("safe", "pay", "write", "write")
             )
 
         async def scenario(deployment: SimulatedDeployment) -> None:
-            losses = await asyncio.gather(
+            for runner in deployment.runners.values():
+                runner.slowdown = 6.0
+            lost = await asyncio.gather(
                 *(
                     stop(deployment, router, 1.5 * number)
                     for number, router in enumerate(deployment.routers.values())
                 )
             )
-            self.assertEqual([[], []], losses)
+            self.assertEqual([[], []], lost)
 
         self._play(scenario, routers=2)
 
@@ -252,12 +267,10 @@
             router = deployment.add_router(9)
             while "event=start" not in router.log_path.read_text():
                 await asyncio.sleep(0.01)
-            losses = await self._stop(
-                router,
-                KeptCallers(deployment, deadline_seconds=4.0),
-                kinds=("safe", "pay", "write"),
+            lost = await self._stop(
+                deployment, router, kinds=("safe", "pay", "write")
             )
-            self.assertEqual([], losses)
+            self.assertEqual([], lost)
 
         self._play(scenario)
 
@@ -266,16 +279,14 @@
     """Stops whose grace period is shorter than callers' time limits."""
 
     def test_stream_is_not_cut_before_the_last_part_of_the_grace(self) -> None:
-        self.patch(simulated_deployment, "STOP_GRACE_SECONDS", 3.0)
-        self.patch(simulated_deployment, "EVENT_INTERVAL_SECONDS", 0.3)
-
         async def scenario(deployment: SimulatedDeployment) -> None:
-            router = next(iter(deployment.routers.values()))
-            losses = await self._stop(
-                router,
-                KeptCallers(deployment, deadline_seconds=4.0),
+            for runner in deployment.runners.values():
+                runner.slowdown = 10.0
+            lost = await self._stop(
+                deployment,
+                _first_router(deployment),
                 kinds=("safe", "pay", "write", "write"),
             )
-            self.assertEqual([], losses)
+            self.assertEqual([], lost)
 
-        self._play(scenario)
+        self._play(scenario, grace_seconds=3.0)
--- a/tests/platform/test_runner_announcements.py
+++ b/tests/platform/test_runner_announcements.py
@@ -132,7 +132,7 @@
                 # Allows second attempts, by the retry budget.
                 await _send(caller, router, "safe", 12, f"before-{router.ip}")
             ends_at = time.monotonic() + 4.0
-            runner.paused_until_seconds = ends_at
+            runner.refuses_until_seconds = ends_at
             outcomes = []
             while time.monotonic() < ends_at - 0.3:
                 for router in deployment.routers.values():
