End a planned stop while callers still send what it refuses

A stop now ends once nothing is in flight. The next process serves these callers sooner, and fewer routers stop at the same time.

Evidence: test_router_that_only_refuses_requests_ends fails before with a drain that lasts 5.46 s, beyond the end of the stop at 5.4 s.

--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -69,8 +69,6 @@
             written in full.
         reading: Number of requests whose headers were received and whose body
             is not yet complete.
-        last_request_at: Loop time in seconds at which reading a request last
-            ended; 0 before the first.
         waiting_elsewhere: Number of requests in the queues of other routers,
             by router and by name of the queue.
     """
@@ -87,7 +85,6 @@
         "header_codec",
         "head_progress",
         "in_flight_count",
-        "last_request_at",
         "queues",
         "live_routers",
         "loads",
@@ -153,7 +150,6 @@
         self.stop: StopSchedule | None = None
         self.in_flight_count = 0
         self.reading = 0
-        self.last_request_at = 0.0
         self.waiting_elsewhere: dict[str, dict[str, int]] = {}
 
     @property
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -202,9 +202,7 @@
         """Removes this request from the count of those being read."""
         if self._reading:
             self._reading = False
-            board = self._caller_server.board
-            board.reading -= 1
-            board.last_request_at = board.now()
+            self._caller_server.board.reading -= 1
 
 
 class CallerServer(httputil.HTTPServerConnectionDelegate):
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -71,8 +71,8 @@
 # router: two readiness checks, a second apart, and one in flight.
 READINESS_LAG_SECONDS = 2.5
 
-# Time without a new request after which no more are expected while stopping:
-# connections that were not read yet may hold some.
+# Time after the listener was closed in which the first request of a connection
+# is awaited.
 STOP_QUIET_SECONDS = 0.3
 
 
@@ -231,7 +231,8 @@
         """Releases the duties, drains requests and closes the listener.
 
         The listener stays open until callers have had time to notice that this
-        router is not ready. The drain ends with the grace period at the latest.
+        router is not ready, and then until nothing is in flight, or until the
+        grace period is about to end.
         """
         board = self.board
         self._begin_stop()
@@ -279,11 +280,13 @@
             await self._duty_manager.release_all()
 
     def _is_busy(self) -> bool:
-        """Returns whether requests are in flight, being read or expected."""
-        board = self.board
-        if board.in_flight_count or board.reading:
-            return True
-        return board.now() - board.last_request_at < STOP_QUIET_SECONDS
+        """Returns whether requests are in flight or being read.
+
+        Callers that still come are of no account: most of their requests are
+        refused, and they are served by the next process sooner if this one
+        ends.
+        """
+        return bool(self.board.in_flight_count or self.board.reading)
 
     async def _run_periodic_work(self) -> None:
         """Runs the periodic work of the process until it is cancelled.
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 import tempfile
 import time
@@ -11,6 +12,7 @@
 
 import testtools
 
+from mulberrypaddle.dispatch.stop_schedule import StopSchedule
 from tests.support.asynchronous import run
 from tests.support.kept_callers import Disruptions, losses
 from tests.support.persistent_callers import PersistentCallers
@@ -275,6 +277,28 @@
         self._play(scenario)
 
 
+class RefusalTest(StopCase):
+    """Stops of a router whose callers go on sending what it refuses."""
+
+    def test_router_that_only_refuses_requests_ends(self) -> None:
+        async def scenario(deployment: SimulatedDeployment) -> None:
+            router = _first_router(deployment)
+            lost = await self._stop(
+                deployment, router, kinds=("write",) * 8, limit_seconds=8.0
+            )
+            self.assertEqual([], lost)
+            log = router.log_path.read_text()
+            self.assertIn("kind=shutting_down", log)
+            drained = re.search(r"event=drained .*since_signal=([0-9.]+)", log)
+            assert drained is not None
+            stop = StopSchedule(
+                signalled_at_seconds=0.0, grace_seconds=GRACE_SECONDS
+            )
+            self.assertLess(float(drained[1]), stop.ends_at_seconds)
+
+        self._play(scenario, timeout_seconds=8.0)
+
+
 class ShortGraceTest(StopCase):
     """Stops whose grace period is shorter than callers' time limits."""
 
