Check the ranges of a runner's entry before it is used

What callers saw: one entry with `coldRemainingMs` of 400 digits, left by another writer, and all routers answered 503 from then on. The conversion to a float raised OverflowError, which no one listed, and ended the task that follows the runners; the process lived on. Ports beyond 65535, of 400 digits or `²`, a host with a line break, slots below 1, a cold time that is NaN or infinite, and lone surrogates were accepted.

Ids are sent in headers, so that only printable ASCII is accepted. Long values are shortened in the message.

--- a/mulberrypaddle/platform/decoder.py
+++ b/mulberrypaddle/platform/decoder.py
@@ -5,6 +5,14 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from mulberrypaddle.core.value_checks import (
+    require_address,
+    require_int,
+    require_name,
+    require_number,
+    require_str,
+    shorten,
+)
 from mulberrypaddle.fleet import (
     CallerLimits,
     EngineTraits,
@@ -19,6 +27,7 @@
     ServingConfig,
 )
 from mulberrypaddle.serving.decoder import Decoder
+from mulberrypaddle.serving.report_limiter import ReportLimiter
 
 if TYPE_CHECKING:
     from mulberrypaddle.serving.store import StoredItem
@@ -37,7 +46,18 @@
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 # Exceptions raised when a document does not have the expected form.
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+# Most slots of a runner, and longest rest of a cold start: a day.
+_MAX_SLOTS = 65_536
+_MAX_COLD_MS = 86_400_000
 
 # Used if the configuration has no limits; copied from the platform's example.
 _DEFAULT_LIMITS = CallerLimits(
@@ -51,6 +71,9 @@
 class PlatformDecoder(Decoder):
     """Decodes the configuration and the entries of runners."""
 
+    def __init__(self) -> None:
+        self._reported_runners = ReportLimiter()
+
     def decode_config(self, items: list[StoredItem]) -> ServingConfig | None:
         """Decodes the configuration; returns None if missing or invalid."""
         for item in items:
@@ -74,30 +97,18 @@
                 item.name, item.content["spec"], now_seconds=now_seconds
             )
         except _DECODE_ERRORS as error:
-            _LOGGER.warning(
-                "unreadable_runner",
-                extra={
-                    "subject": item.name,
-                    "reason": f"{type(error).__name__}: {error}",
-                },
-            )
+            if self._reported_runners.is_new(item.name, item.revision):
+                _LOGGER.warning(
+                    "unreadable_runner",
+                    extra={
+                        "subject": item.name,
+                        "revision": item.revision,
+                        "reason": f"{type(error).__name__}: {error}",
+                    },
+                )
             return None
 
 
-def _require_str(value: Any) -> str:
-    """Returns the value; raises ValueError if it is not a string."""
-    if not isinstance(value, str):
-        raise ValueError(f"got {value!r}, expected a string")
-    return value
-
-
-def _require_int(value: Any) -> int:
-    """Returns the value; raises ValueError if it is not an integer."""
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"got {value!r}, expected an integer")
-    return value
-
-
 def _read_runner_entry(
     runner_id: str, fields: dict[str, Any], *, now_seconds: float
 ) -> RunnerEntry:
@@ -110,49 +121,66 @@
             which the rest of the runner's cold start counts.
 
     Raises:
-        ValueError: If a field has another type or an unknown value.
+        AttributeError: If an object is of another type.
         KeyError: If a field is missing.
+        TypeError: If a list or an object is of another type.
+        ValueError: If a field has another type, an unknown value, or one out of
+            range.
     """
+    if not runner_id.isascii() or not runner_id.isprintable():
+        raise ValueError("the id can't be sent in a header")
     # Unix start time in milliseconds; it distinguishes the incarnations of a
     # runner that keeps its id across restarts.
     started_at_ms = fields.get("born")
-    cold_ms = fields.get("coldRemainingMs", 0)
-    state = _require_str(fields["state"])
+    cold_ms = fields.get("coldRemainingMs")
+    if cold_ms is None:
+        cold_ms = 0
+    domain = fields.get("domain")
+    state = require_str(fields["state"])
     if state not in _DRAINING_BY_STATE:
         raise ValueError(
             f"got state {state!r}, expected one of {list(_DRAINING_BY_STATE)}"
         )
-    address = _require_str(fields["address"])
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"got address {address!r}, expected HOST:PORT")
     return RunnerEntry(
         runner_id,
         started_at_ms=None
         if started_at_ms is None
-        else _require_int(started_at_ms),
-        service=_require_str(fields["service"]),
-        address=address,
-        data_centre=_require_str(fields["zone"]),
-        slots=_require_int(fields["slots"]),
+        else require_int(started_at_ms),
+        service=require_name(fields["service"]),
+        address=require_address(fields["address"]),
+        data_centre=require_name(fields["zone"]),
+        slots=require_int(fields["slots"], minimum=1, maximum=_MAX_SLOTS),
         draining=_DRAINING_BY_STATE[state],
-        cold_until_seconds=now_seconds + float(cold_ms or 0) / 1000,
+        cold_until_seconds=now_seconds
+        + require_number(cold_ms, maximum=_MAX_COLD_MS) / 1000,
         models=_read_loaded_models(fields),
-        domain=str(fields.get("domain") or ""),
+        domain="" if domain is None else require_str(domain),
         staged=_read_staged_models(fields),
         group=_read_membership(fields.get("group")),
     )
 
 
+def _require_list(value: Any) -> list[Any]:
+    """Returns a list, empty if it is missing; raises ValueError if none."""
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise ValueError(f"got {shorten(value)}, expected a list")
+    return value
+
+
 def _read_staged_models(fields: dict[str, Any]) -> tuple[str, ...]:
     """Returns the models whose weights are already on the runner's host."""
-    return tuple(_require_str(name) for name in fields.get("staged") or ())
+    return tuple(
+        require_name(name) for name in _require_list(fields.get("staged"))
+    )
 
 
 def _read_loaded_models(fields: dict[str, Any]) -> tuple[str, ...]:
     """Returns the names of the models that the runner has loaded."""
     return tuple(
-        _require_str(model["name"]) for model in fields.get("models") or ()
+        require_name(model["name"])
+        for model in _require_list(fields.get("models"))
     )
 
 
@@ -161,10 +189,10 @@
     if not fields:
         return None
     return GroupMembership(
-        _require_str(fields["name"]),
-        epoch=_require_int(fields["epoch"]),
-        rank=_require_int(fields["rank"]),
-        state=MembershipState(_require_str(fields["state"])),
+        require_name(fields["name"]),
+        epoch=require_int(fields["epoch"]),
+        rank=require_int(fields["rank"]),
+        state=MembershipState(require_str(fields["state"])),
     )
 
 
@@ -174,7 +202,7 @@
     if fields.get("limits"):
         limits = _read_limits(fields["limits"])
     return ServingConfig(
-        version=_require_int(fields["version"]),
+        version=require_int(fields["version"]),
         revision=revision,
         routes=tuple(_read_route(route) for route in fields["routes"]),
         services={
@@ -201,16 +229,16 @@
     shares: tuple[tuple[str, float], ...]
     if fields.get("backends"):
         shares = tuple(
-            (_require_str(share["service"]), float(share["weight"]))
+            (require_str(share["service"]), float(share["weight"]))
             for share in fields["backends"]
         )
     else:
-        shares = ((_require_str(fields["service"]), 1.0),)
+        shares = ((require_str(fields["service"]), 1.0),)
     timeout_ms = fields.get("timeoutMs") or 30_000
     return Route(
-        name=_require_str(fields["name"]),
-        host=_require_str(fields["host"]).lower(),
-        path_prefix=_require_str(fields["pathPrefix"]),
+        name=require_str(fields["name"]),
+        host=require_str(fields["host"]).lower(),
+        path_prefix=require_str(fields["pathPrefix"]),
         retry_policy=_RETRY_POLICY_BY_KIND[fields["kind"]],
         timeout_seconds=timeout_ms / 1000,
         target_seconds=fields.get("targetLatencyMs", timeout_ms) / 1000,
@@ -228,7 +256,7 @@
     """Decodes a service; only services of model engines have an engine."""
     engine = fields.get("engine")
     return ServiceSpec(
-        name=_require_str(fields["name"]),
+        name=require_str(fields["name"]),
         health_path=str(fields.get("healthPath", "/")),
         cold_requests_per_second=float(fields.get("coldPerS") or 0),
         engine=None if engine is None else _read_engine(engine),
@@ -240,7 +268,7 @@
     mean_tokens = fields.get("usual") or {}
     models = {
         model["name"]: ModelSpec(
-            name=_require_str(model["name"]),
+            name=require_str(model["name"]),
             size=int(model["size"]),
             demand_share=float(model["share"]),
             time_factor=float(model["pace"]),
@@ -275,9 +303,9 @@
     for tenant in fields["tenants"]:
         urgency = tenant.get("priority")
         organisation = Organisation(
-            _require_str(tenant["name"]),
+            require_str(tenant["name"]),
             urgency=None if urgency is None else int(urgency),
         )
         for key in tenant["apiKeys"]:
-            organisation_by_key[_require_str(key)] = organisation
+            organisation_by_key[require_str(key)] = organisation
     return organisation_by_key
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import tempfile
 from pathlib import Path
 from typing import Any
@@ -12,6 +13,7 @@
 from mulberrypaddle.platform.decoder import PlatformDecoder
 from mulberrypaddle.platform.node_file import load_node_file
 from mulberrypaddle.serving.store import StoredItem
+from tests.support.odd_entries import odd_entries
 
 DECODER = PlatformDecoder()
 
@@ -101,6 +103,35 @@
                 DECODER.decode_runner(_item(spec), now_seconds=0.0)
             )
 
+    def test_entries_out_of_range_are_rejected(self) -> None:
+        for reason, data in odd_entries().items():
+            try:
+                spec = json.loads(data)
+            except (ValueError, RecursionError):
+                continue
+            self.assertIsNone(
+                DECODER.decode_runner(_item(spec), now_seconds=0.0), reason
+            )
+
+    def test_runner_ids_that_break_a_header_are_rejected(self) -> None:
+        for name in ("i-1\r\nX-Tenant: other", "\ud800", "i-\u00fc", "a\0"):
+            self.assertIsNone(
+                DECODER.decode_runner(
+                    _item(_RUNNER_FIELDS, name=name), now_seconds=0.0
+                ),
+                name,
+            )
+
+    def test_unreadable_entry_is_logged_once_per_revision(self) -> None:
+        decoder = PlatformDecoder()
+        with self.assertLogs("mulberrypaddle.documents") as logs:
+            for revision in (5, 5, 6, 6):
+                decoder.decode_runner(
+                    StoredItem("i-1", revision=revision, content=None),
+                    now_seconds=0.0,
+                )
+        self.assertEqual([5, 6], [line.revision for line in logs.records])
+
     def test_engine_fields_are_optional(self) -> None:
         fields = ("domain", "staged", "models", "group", "born")
         spec = {k: v for k, v in _RUNNER_FIELDS.items() if k not in fields}
