Read a page of the store object by object if it can't be read whole

What callers saw: while one entry of another writer was among those of the runners, with a number of 5,000 digits or nested 50,000 deep, no router could list or watch the runners. The first made every page fail; the second raised RecursionError, which no one listed, and ended the task that follows them. Requests to runners that had come since got 503. An entry that could not be read also left the one before it in use.

A page is still decoded by one json.loads. Only if that fails, its objects are read one by one: what can't be read (numbers of too many digits, deep nesting, bytes that are no UTF-8, no JSON) is None, so that the object keeps its name and revision, names no runner, and its removal is followed. Names and revisions of objects are checked, and objects nested deeper than 32 levels count as unreadable, since they might not be encoded for another router. A listing whose next page can't be asked for fails instead of asking for ever.

--- a/mulberrypaddle/platform/store.py
+++ b/mulberrypaddle/platform/store.py
@@ -17,6 +17,14 @@
     proves_unsent,
 )
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
+from mulberrypaddle.core.value_checks import (
+    MAX_OBJECT_LEVELS,
+    is_nested_deeper,
+    require_int,
+    require_name,
+)
+from mulberrypaddle.platform import lenient_json
+from mulberrypaddle.serving.report_limiter import ReportLimiter
 from mulberrypaddle.serving.socket_options import enable_keepalive_probes
 from mulberrypaddle.serving.store import (
     Changes,
@@ -32,6 +40,16 @@
 
 _LOGGER = logging.getLogger("mulberrypaddle.store")
 
+# Exceptions raised when an answer does not have the expected form.
+_PARSE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+
+# Levels of an answer of which the values are read one by one if the answer
+# can't be decoded as a whole: those of one object, of the objects of a listing
+# and of the objects in the events of a watch.
+_OBJECT_LEVELS = 1
+_LISTING_LEVELS = 3
+_WATCH_LEVELS = 4
+
 # Object kind of each collection in the store. The platform defines all but the
 # last two, which are this system's own.
 _KIND_BY_COLLECTION = {
@@ -55,6 +73,8 @@
 # Maximum number of pages in a listing; a longer one fails.
 MAX_LISTING_PAGES = 200
 
+_REPORTED_OBJECTS = ReportLimiter()
+
 
 class PlatformStore(ObjectStore):
     """Object store that is reached over HTTP at one address."""
@@ -74,7 +94,9 @@
             query = {"after": after} if after else {}
             if may_be_stale:
                 query["serializable"] = "1"
-            result = await self._request("GET", _path(collection, query=query))
+            result = await self._request(
+                "GET", _path(collection, query=query), levels=_LISTING_LEVELS
+            )
             if not isinstance(result, Success):
                 return Failure(result.failure())
             page = result.unwrap()
@@ -82,13 +104,20 @@
                 items.extend(_parse_readable_items(page["items"]))
                 # Later pages may be newer. A watch from the first page's
                 # revision reports all changes made in between.
-                revision = revision or int(page["storeRevision"])
+                revision = revision or require_int(page["storeRevision"])
                 has_more = bool(page.get("hasMore", False))
-                after = items[-1].name if items else ""
-            except (KeyError, TypeError, ValueError) as error:
+            except _PARSE_ERRORS as error:
                 return Failure(_unreadable_problem("listing", error))
             if not has_more:
                 return Success(Listing(items, revision=revision))
+            if not items or items[-1].name == after:
+                return Failure(
+                    Problem(
+                        ErrorKind.STORE_UNAVAILABLE,
+                        f"no readable object after {after!r}",
+                    )
+                )
+            after = items[-1].name
         return Failure(
             Problem(
                 ErrorKind.STORE_UNAVAILABLE,
@@ -111,13 +140,14 @@
             "GET",
             _path(collection, query=query),
             timeout_seconds=wait_seconds + WATCH_SLACK_SECONDS,
+            levels=_WATCH_LEVELS,
         )
         if not isinstance(result, Success):
             return Failure(result.failure())
         page = result.unwrap()
         try:
             return Success(_parse_changes(page))
-        except (KeyError, TypeError, ValueError) as error:
+        except _PARSE_ERRORS as error:
             return Failure(_unreadable_problem("watch", error))
 
     async def read(
@@ -176,8 +206,18 @@
         *,
         body: dict[str, Any] | None = None,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        levels: int = _OBJECT_LEVELS,
     ) -> Result[Any, Problem]:
-        """Sends one HTTP request and returns the JSON of the answer."""
+        """Sends one HTTP request and returns the JSON of the answer.
+
+        Args:
+            method: HTTP method.
+            path: Path below the base, with the query.
+            body: JSON of the request; None if it has none.
+            timeout_seconds: Time within which the answer must be complete.
+            levels: Levels of the answer of which the values are read one by
+                one if the answer can't be decoded as a whole.
+        """
         request = tornado.httpclient.HTTPRequest(
             self._base + path,
             method=method,
@@ -200,7 +240,7 @@
                     ran=ran,
                 )
             )
-        return _parse_response(method, path, response)
+        return _parse_response(method, path, response, levels=levels)
 
 
 def _configure_read(curl: pycurl.Curl) -> None:
@@ -232,10 +272,12 @@
 
 
 def _parse_response(
-    method: str, path: str, response: HTTPResponse
+    method: str, path: str, response: HTTPResponse, *, levels: int
 ) -> Result[Any, Problem]:
     """Returns the JSON of an answer, or the problem for its status.
 
+    Values that can't be read are None, if they are below `levels`.
+
     Raises:
         HistoryGoneError: If the store no longer keeps the watched changes.
     """
@@ -263,7 +305,9 @@
             )
         )
     try:
-        return Success(json.loads(response.body or b"null"))
+        return Success(
+            lenient_json.decode(response.body or b"null", levels=levels)
+        )
     except ValueError as error:
         return Failure(_unreadable_problem(path, error))
 
@@ -281,46 +325,63 @@
     """Returns the object, or a problem if its JSON has another form."""
     try:
         return Success(_parse_item(content))
-    except (KeyError, TypeError, ValueError) as error:
+    except _PARSE_ERRORS as error:
         return Failure(_unreadable_problem("object", error))
 
 
 def _parse_item(content: Any) -> StoredItem:
-    """Returns the object; raises KeyError, TypeError or ValueError."""
+    """Returns an object.
+
+    Its "spec" and "status" are None if they are nested too deeply.
+
+    Raises:
+        KeyError: If the metadata or a field of it is missing.
+        TypeError: If the object is no mapping.
+        ValueError: If a field of the metadata has another type or range.
+    """
     metadata = content["metadata"]
-    return StoredItem(
-        str(metadata["name"]),
-        revision=int(metadata["revision"]),
-        content=content,
-    )
+    name = require_name(metadata["name"])
+    revision = require_int(metadata["revision"])
+    if is_nested_deeper(content, MAX_OBJECT_LEVELS):
+        content = {"metadata": {"name": name, "revision": revision}}
+    return StoredItem(name, revision=revision, content=content)
 
 
 def _parse_readable_items(contents: Any) -> list[StoredItem]:
     """Returns the objects of a page, without those it can't decode."""
     items: list[StoredItem] = []
     for content in contents:
-        try:
-            items.append(_parse_item(content))
-        except (KeyError, TypeError, ValueError) as error:
-            # Other writers may store objects of any form; the rest of the
-            # page is still valid.
-            _LOGGER.warning("unreadable_object", extra={"reason": str(error)})
+        item = _parse_if_readable(content)
+        if item is not None:
+            items.append(item)
     return items
 
 
+def _parse_if_readable(content: Any) -> StoredItem | None:
+    """Returns an object of a page; None if its name can't be decoded.
+
+    Other writers may store objects of any form; the rest of the page is still
+    valid.
+    """
+    try:
+        return _parse_item(content)
+    except _PARSE_ERRORS as error:
+        reason = f"{type(error).__name__}: {error}"
+        if _REPORTED_OBJECTS.is_new(reason, 0):
+            _LOGGER.warning("unreadable_object", extra={"reason": reason})
+        return None
+
+
 def _parse_changes(page: Any) -> Changes:
     """Reduces the events of a watch to the latest state of each object."""
     newest_by_name: dict[str, StoredItem | None] = {}
     for event in page["events"]:
-        content = event.get("object")
-        try:
-            item = _parse_item(content)
-        except (KeyError, TypeError, ValueError) as error:
-            _LOGGER.warning("unreadable_event", extra={"reason": str(error)})
-            continue
-        newest_by_name[item.name] = None if event.get("removed") else item
+        fields = event if isinstance(event, dict) else {}
+        item = _parse_if_readable(fields.get("object"))
+        if item is not None:
+            newest_by_name[item.name] = None if fields.get("removed") else item
     changed = [item for item in newest_by_name.values() if item is not None]
     removed = [name for name, item in newest_by_name.items() if item is None]
     return Changes(
-        changed, removed=removed, revision=int(page["storeRevision"])
+        changed, removed=removed, revision=require_int(page["storeRevision"])
     )
--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -17,6 +17,7 @@
 import sys
 import time
 import urllib.parse
+import uuid
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -35,6 +36,7 @@
 
 if TYPE_CHECKING:
     import signal
+    from collections.abc import Iterable
 
 ROOT = Path(__file__).resolve().parents[2]
 # A runner writes its entry and checks its group four times in this time.
@@ -60,14 +62,35 @@
 ANSWER_TOKENS = 60
 
 
+class RawSpec(str):
+    """Bytes that take the place of an object's spec in answers of the store.
+
+    As a string it is the marker that stands for them in JSON.
+
+    Attributes:
+        data: The bytes.
+    """
+
+    data: bytes
+
+    def __new__(cls, data: bytes) -> RawSpec:
+        marker = super().__new__(cls, f"raw-{uuid.uuid4().hex}")
+        marker.data = data
+        return marker
+
+
 def _respond(
     request: httputil.HTTPServerRequest,
     status: int,
     value: Any = None,
     headers: dict[str, str] | None = None,
+    *,
+    raw_specs: Iterable[RawSpec] = (),
 ) -> None:
     """Answers a request with a status and, unless it is None, a JSON value."""
     body = b"" if value is None else json.dumps(value).encode()
+    for raw in raw_specs:
+        body = body.replace(b'"%s"' % raw.encode(), raw.data)
     connection = request.connection
     assert connection is not None
     fields = {"Content-Length": str(len(body)), **(headers or {})}
@@ -101,6 +124,13 @@
         self._server = HTTPServer(self._handle)
         self._server.listen(address[1], address=address[0])
         self._tasks: set[asyncio.Task[None]] = set()
+        self._raw_specs: list[RawSpec] = []
+
+    def put_raw(self, kind: str, name: str, data: bytes) -> None:
+        """Writes an object whose spec is sent as the given bytes."""
+        raw = RawSpec(data)
+        self._raw_specs.append(raw)
+        self.put(kind, name, raw)
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Writes an object directly, as the operator and the runners do."""
@@ -186,9 +216,9 @@
         objects = self._objects.get(kind, {})
         if name:
             content = objects.get(name)
-            _respond(request, 404 if content is None else 200, content)
+            self._send(request, 404 if content is None else 200, content)
             return
-        _respond(
+        self._send(
             request,
             200,
             {
@@ -198,6 +228,12 @@
             },
         )
 
+    def _send(
+        self, request: httputil.HTTPServerRequest, status: int, value: Any
+    ) -> None:
+        """Answers a request; raw specs are sent as their bytes."""
+        _respond(request, status, value, raw_specs=self._raw_specs)
+
     def _write(
         self, request: httputil.HTTPServerRequest, kind: str, name: str
     ) -> tuple[int, Any]:
@@ -241,7 +277,7 @@
                 await asyncio.wait_for(changed.wait(), left)
             except TimeoutError:
                 continue
-        _respond(
+        self._send(
             request, 200, {"events": events, "storeRevision": self.revision}
         )
 
