Start work again that an unexpected error has ended

What callers saw: after one unexpected error, such as the OverflowError of an odd entry, a router that lived on and stood still: its copy of the runners, its heartbeats or its duties. The tasks of the feeds, the registration, the duties, the groups and the periodic work were awaited by nobody before the process stopped, so that their errors were not even logged. An error in one step of the periodic work ended all of it.

A Supervisor runs these tasks: it logs an unexpected error with its traceback (event=work_failed, once a second for each kind of work, with the number left out), and starts the work again after a pause of 0.1 s that doubles up to 5 s. A feed then lists its collection, since the update that failed may be missing from the view. The steps of the periodic work, the reconcilers of the services and the group log fail by themselves, and short tasks (probes, orders, releases) are logged when they fail. Cancellation passes through.

--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -21,6 +21,7 @@
 from mulberrypaddle.dispatch.wait_queue import share_of_free_slots
 from mulberrypaddle.fleet import FleetView
 from mulberrypaddle.serving.demand import DemandMeter
+from mulberrypaddle.serving.supervision import Supervisor
 
 if TYPE_CHECKING:
     import random
@@ -70,6 +71,7 @@
             is not yet complete.
         last_request_at: Loop time in seconds at which reading a request last
             ended; 0 before the first.
+        supervisor: Runs the work of the process and logs its errors.
         waiting_elsewhere: Number of requests in the queues of other routers,
             by router and by name of the queue.
     """
@@ -99,6 +101,7 @@
         "settings",
         "runner_health",
         "stopping",
+        "supervisor",
         "view",
         "waiting_elsewhere",
     )
@@ -116,6 +119,7 @@
         Must be called in the event loop of the process.
         """
         self.loop = asyncio.get_running_loop()
+        self.supervisor = Supervisor()
         self.settings = settings
         self.header_codec = header_codec
         self.client = client
--- a/mulberrypaddle/serving/crash_monitor.py
+++ b/mulberrypaddle/serving/crash_monitor.py
@@ -24,11 +24,10 @@
 class CrashMonitor:
     """Confirms crashes and logs which parts of prompts are quarantined."""
 
-    __slots__ = ("_board", "_probes", "_quarantined")
+    __slots__ = ("_board", "_quarantined")
 
     def __init__(self, board: Blackboard) -> None:
         self._board = board
-        self._probes: set[asyncio.Task[None]] = set()
         self._quarantined: set[frozenset[str]] = set()
 
     def tick(self, *, may_try: bool) -> None:
@@ -53,9 +52,7 @@
             if not interruption.is_probe_due(board.now()):
                 continue
             interruption.probed_at_seconds = board.now()
-            task = asyncio.ensure_future(self._probe(interruption))
-            self._probes.add(task)
-            task.add_done_callback(self._probes.discard)
+            board.supervisor.start("crash probe", self._probe(interruption))
         self._log_changes()
 
     async def _probe(self, interruption: Interruption) -> None:
--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -127,7 +127,6 @@
         self._store_reached_at_seconds = 0.0
         self._store_failed_at_seconds = 0.0
         self._probed_at_seconds = 0.0
-        self._probe_task: asyncio.Task[None] | None = None
         # Last report about the store of each other router, by its name.
         self._peer_observations: dict[str, _PeerObservation] = {}
         # Revision of the lease object up to which a process has resigned from
@@ -215,7 +214,7 @@
             and now - self._probed_at_seconds >= PROBE_INTERVAL_SECONDS
         ):
             self._probed_at_seconds = now
-            self._probe_task = asyncio.ensure_future(self._probe_store())
+            self._board.supervisor.start("store probe", self._probe_store())
         self._peer_observations[heartbeat.node] = _PeerObservation(
             StoreReachability(heartbeat.store_sight),
             observed_at_seconds=now - heartbeat.store_sight_age_ms / 1000,
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -190,7 +190,7 @@
         """Keeps the copy up to date until the task is cancelled."""
         while not self.revision and self._may_await_handover():
             await asyncio.sleep(START_POLL_SECONDS)
-        if self.revision:
+        if self.revision and not self._list_requested.is_set():
             # Another router sent the collection; watch from its revision on.
             self._must_list = False
         while True:
--- a/mulberrypaddle/serving/group_controller.py
+++ b/mulberrypaddle/serving/group_controller.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING
 
 from returns.result import Success
@@ -23,8 +24,6 @@
 from mulberrypaddle.serving.runner_control import OrderOutcome
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-
     from mulberrypaddle.fleet import RunnerEntry, ServiceSpec
     from mulberrypaddle.replicas.loss_detector import LossDetector
     from mulberrypaddle.replicas.order_tracker import Directive
@@ -82,7 +81,6 @@
         # by data centre.
         self._fences: dict[str, int] = {}
         self._logged_at_seconds = 0.0
-        self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Runs all reconcilers at intervals until the task is cancelled.
@@ -97,14 +95,17 @@
             config = self._board.config
             if config is None or self._board.view.revision == 0:
                 continue
-            self._log_groups()
+            self._board.supervisor.run_step("group log", self._log_groups)
             fences = self._duty_manager.fences()
             if self._fences != fences:
                 self._fences = fences
                 self._reconcilers.clear()
             for service in config.services.values():
                 if service.engine is not None and service.engine.models:
-                    self._reconcile_service(service)
+                    self._board.supervisor.run_step(
+                        f"groups of {service.name}",
+                        functools.partial(self._reconcile_service, service),
+                    )
 
     def _log_groups(self) -> None:
         """Logs the groups and sets their gauges, at most once a second."""
@@ -196,7 +197,9 @@
             data_centres=frozenset(self._fences),
         )
         for directive in directives:
-            self._start_task(self._send_order(reconciler, directive))
+            board.supervisor.start(
+                "order to a runner", self._send_order(reconciler, directive)
+            )
 
     def _probe_suspects(
         self, service: ServiceSpec, reconciler: GroupReconciler, now: float
@@ -238,13 +241,9 @@
                 to_probe[entry.runner_id] = entry
         for entry in to_probe.values():
             if losses.start_probe_if_due(entry.incarnation, now):
-                self._start_task(self._probe(losses, entry))
-
-    def _start_task(self, work: Coroutine[None, None, None]) -> None:
-        """Runs a coroutine as a task that is referenced until it ends."""
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+                board.supervisor.start(
+                    "probe of a runner", self._probe(losses, entry)
+                )
 
     async def _probe(self, losses: LossDetector, entry: RunnerEntry) -> None:
         """Fetches a runner's status report; records an answer or a timeout."""
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -147,7 +147,6 @@
         self._readiness = ReadinessServer(self.is_ready)
         bind_gauges(self.board)
         self._started_at_seconds = self.board.now()
-        self._release_task: asyncio.Future[None] | None = None
 
     def _make_feed(
         self,
@@ -191,11 +190,7 @@
             log_state_change("metrics_not_served", reason=str(error))
         self._caller_server.listen()
         await self._peers.start()
-        tasks = [asyncio.ensure_future(feed.run()) for feed in self._feeds]
-        tasks.append(asyncio.ensure_future(self._register()))
-        tasks.append(asyncio.ensure_future(self._duty_manager.run()))
-        tasks.append(asyncio.ensure_future(self._group_controller.run()))
-        tasks.append(asyncio.ensure_future(self._run_periodic_work()))
+        tasks = self._start_work()
         await self._stop_requested.wait()
         await self._stop()
         for task in tasks:
@@ -207,6 +202,28 @@
             "stop", node=settings.node, in_hand=self.board.in_flight_count
         )
 
+    def _start_work(self) -> list[asyncio.Future[None]]:
+        """Starts the work that goes on until the process stops."""
+        supervisor = self.board.supervisor
+        tasks = []
+        for feed in self._feeds:
+            # The update that failed may be missing from what follows the feed.
+            tasks.append(
+                supervisor.keep_running(
+                    f"feed of {feed.collection.value}",
+                    feed.run,
+                    on_failure=feed.request_list,
+                )
+            )
+        for name, work in (
+            ("registration", self._register),
+            ("duties", self._duty_manager.run),
+            ("groups", self._group_controller.run),
+            ("periodic work", self._run_periodic_work),
+        ):
+            tasks.append(supervisor.keep_running(name, work))
+        return [asyncio.ensure_future(task) for task in tasks]
+
     def _reload(self) -> None:
         """Handles SIGHUP: only logs it.
 
@@ -242,9 +259,15 @@
         await released
 
     async def _release_duties(self) -> None:
-        """Releases the duties, unless the store can't be reached."""
-        if not self._duty_manager.renewal_overdue:
-            await self._duty_manager.release_all()
+        """Releases the duties, unless the store can't be reached.
+
+        An error is logged, since the process has to stop in any case.
+        """
+        try:
+            if not self._duty_manager.renewal_overdue:
+                await self._duty_manager.release_all()
+        except Exception as error:  # noqa: BLE001 - the process must stop
+            self.board.supervisor.log_failure("release of duties", error)
 
     def _is_busy(self) -> bool:
         """Returns whether requests are in flight, being read or expected."""
@@ -264,7 +287,6 @@
         board = self.board
         mark = SuspensionMark()
         while True:
-            now = board.now()
             if not mark.is_valid():
                 # The VM was suspended: changes may have been missed, and the
                 # connection of a watch may be dead.
@@ -273,22 +295,36 @@
                 )
                 mark = SuspensionMark()
                 self._relist_unless_passive()
-            if self._tick_monitor.record_tick(
-                now, pause_seconds=HEARTBEAT_INTERVAL_SECONDS
+            for name, step in (
+                ("slowness check", self._check_promptness),
+                ("overdue renewals", self._duty_manager.tick),
+                ("crash probes", self._probe_crashes),
+                ("heartbeats", self._peers.tick),
+                ("dispatch", board.dispatch_waiting),
+                ("expired runners", self._remove_expired_runners),
             ):
-                self._handle_slowness()
-            self._duty_manager.tick()
-            self._crash_monitor.tick(
-                may_try=self._duty_manager.holds_first_duty()
-            )
-            self._peers.tick()
-            board.dispatch_waiting()
-            if board.view.remove_expired(now):
-                board.runner_health.retain_only(
-                    entry.runner_id for entry in board.view
-                )
+                board.supervisor.run_step(name, step)
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
+    def _check_promptness(self) -> None:
+        """Records the start of a round; handles the slowness of the process."""
+        if self._tick_monitor.record_tick(
+            self.board.now(), pause_seconds=HEARTBEAT_INTERVAL_SECONDS
+        ):
+            self._handle_slowness()
+
+    def _probe_crashes(self) -> None:
+        """Starts due probes of runners that may have crashed."""
+        self._crash_monitor.tick(may_try=self._duty_manager.holds_first_duty())
+
+    def _remove_expired_runners(self) -> None:
+        """Removes runners that did not write their entries again in time."""
+        board = self.board
+        if board.view.remove_expired(board.now()):
+            board.runner_health.retain_only(
+                entry.runner_id for entry in board.view
+            )
+
     def _handle_slowness(self) -> None:
         """Releases the duties after this process was found to be slow.
 
@@ -297,8 +333,8 @@
         held = sorted(self._duty_manager.fences())
         log_state_change("unfit", node=self._settings.node, duties=held)
         if held and self._peers.should_yield_duties():
-            self._release_task = asyncio.ensure_future(
-                self._duty_manager.release_all()
+            self.board.supervisor.start(
+                "release of duties", self._duty_manager.release_all()
             )
 
     async def _register(self) -> None:
--- a/tests/serving/test_crash_monitor.py
+++ b/tests/serving/test_crash_monitor.py
@@ -72,7 +72,7 @@
     )
     monitor = CrashMonitor(board)
     monitor.tick(may_try=False)
-    await asyncio.gather(*monitor._probes)
+    await asyncio.gather(*board.supervisor.tasks)
     board.client.close()
     return board.crash_attribution.is_suspected(("part",))
 
