Refuse odd values in heartbeats, and open their socket again

What callers could have seen, found by looking for the same class: a router that knows no others any more, or uses counts that no router has. An address of another router that is no IP address (in the store's list of routers, or named in a heartbeat) made the send raise TypeError, upon which asyncio closes the datagram socket for good. A heartbeat nested deeply raised RecursionError in the handler; ages of 400 digits raised OverflowError after a part of the heartbeat had been applied; a demand of NaN and a fleet of 10^9 routers were accepted.

Integers of heartbeats now have ranges, a demand must be finite, names and the sender's address must be valid; other addresses that are none are left out. The socket is opened again when it was closed. Errors while a heartbeat is handled are logged with their traceback, also those of fetches, and unreadable datagrams once for each sender and reason. The revision in a request for a collection has 18 ASCII digits at most.

--- a/mulberrypaddle/serving/collection_sync.py
+++ b/mulberrypaddle/serving/collection_sync.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import gzip
 import json
+import re
 from typing import TYPE_CHECKING
 
 import tornado.httpclient
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from mulberrypaddle.serving.feed import Feed
     from mulberrypaddle.serving.heartbeat import Heartbeat
+    from mulberrypaddle.serving.supervision import Supervisor
 
 # Time for which a collection must lag behind that of another router before it
 # is fetched from there, if this router watches the store too: a change reaches
@@ -36,6 +37,9 @@
 # Timeout of the whole fetch of a collection.
 FETCH_TIMEOUT_SECONDS = 1.0
 
+# A revision in a request of another router.
+_REVISION = re.compile(rb"[0-9]{1,18}")
+
 # Longest collection accepted from another router: some thousand runners.
 MAX_COLLECTION_BYTES = 67_108_864
 
@@ -49,7 +53,11 @@
     """
 
     def __init__(
-        self, feeds: dict[str, Feed], *, address: tuple[str, int]
+        self,
+        feeds: dict[str, Feed],
+        *,
+        address: tuple[str, int],
+        supervisor: Supervisor,
     ) -> None:
         """Prepares the HTTP server and client.
 
@@ -57,6 +65,7 @@
             feeds: Feeds by the name of their collection.
             address: Host and port on which this router serves; the others
                 serve on the same port.
+            supervisor: Runs the fetches.
         """
         self._feeds = feeds
         self._address = address
@@ -65,7 +74,7 @@
         self._behind_since_seconds: dict[str, float] = {}
         # Names of the collections that are being fetched.
         self._fetching: set[str] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = supervisor
         self._client = make_client()
         self._server = HTTPServer(self._serve)
         self.cached_responses: dict[tuple[str, int, int], bytes] = {}
@@ -102,9 +111,9 @@
             if name in self._fetching:
                 continue
             self._fetching.add(name)
-            task = asyncio.ensure_future(self._fetch(name, heartbeat.ip))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._supervisor.start(
+                f"fetch of {name}", self._fetch(name, heartbeat.ip)
+            )
 
     async def _fetch(self, name: str, ip: str) -> None:
         """Fetches a collection's changes from a router and applies them."""
@@ -121,6 +130,7 @@
             tornado.httpclient.HTTPError,
             OSError,
             KeyError,
+            RecursionError,
             TypeError,
             ValueError,
         ) as error:
@@ -143,7 +153,7 @@
             since = request.arguments.get("since", [b"0"])[0]
             status = 200
             body = self.compressed_collection(
-                name, int(since) if since.isdigit() else 0
+                name, int(since) if _REVISION.fullmatch(since) else 0
             )
         connection = request.connection
         assert connection is not None
--- a/mulberrypaddle/serving/heartbeat.py
+++ b/mulberrypaddle/serving/heartbeat.py
@@ -9,6 +9,17 @@
 import zlib
 from typing import TYPE_CHECKING, Any
 
+from mulberrypaddle.core.value_checks import (
+    MAX_INTEGER,
+    is_int,
+    is_ip,
+    is_number,
+    require_int,
+    require_ip,
+    require_name,
+    shorten,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -64,12 +75,22 @@
 }
 
 
-def _is_int(value: Any) -> bool:
-    return isinstance(value, int)
+# Most routers that a message may cover, and highest counts that it may have.
+MAX_ROUTERS = 100_000
+MAX_COUNT = 1_000_000_000
+
+
+def _is_count(value: Any) -> bool:
+    return is_int(value, maximum=MAX_COUNT)
 
 
-def _is_number(value: Any) -> bool:
-    return isinstance(value, int | float)
+def _is_milliseconds(value: Any) -> bool:
+    """Returns whether a value is a time, which may lie in the past."""
+    return is_int(value, minimum=-MAX_INTEGER)
+
+
+def _is_slots(value: Any) -> bool:
+    return is_number(value, maximum=MAX_COUNT)
 
 
 def _is_str(value: Any) -> bool:
@@ -80,27 +101,36 @@
     return isinstance(value, list) and all(map(_is_str, value))
 
 
-def _is_int_pair(value: Any) -> bool:
-    return len(value) == 2 and all(map(_is_int, value))
+def _has_length(value: Any, length: int) -> bool:
+    """Returns whether a value is a list or a tuple of some length."""
+    return isinstance(value, list | tuple) and len(value) == length
+
+
+def _is_count_pair(value: Any) -> bool:
+    return _has_length(value, 2) and all(map(_is_count, value))
 
 
 def _is_claim(value: Any) -> bool:
     """Returns whether a value is a claim, as described at `Heartbeat`."""
     return (
-        len(value) == 3
+        _has_length(value, 3)
         and _is_str(value[0])
-        and _is_int(value[1])
-        and _is_int(value[2])
+        and is_int(value[1])
+        and _is_milliseconds(value[2])
     )
 
 
 def _is_crash(value: Any) -> bool:
     """Returns whether a value is a crash, as described at `Heartbeat`."""
-    return len(value) == 2 and _is_int(value[0]) and _is_str_list(value[1])
+    return (
+        _has_length(value, 2)
+        and _is_milliseconds(value[0])
+        and _is_str_list(value[1])
+    )
 
 
 def _is_int_mapping(value: Any) -> bool:
-    return isinstance(value, dict) and all(map(_is_int, value.values()))
+    return isinstance(value, dict) and all(map(is_int, value.values()))
 
 
 # Fields that a message leaves out if they are empty, so that routers of earlier
@@ -109,16 +139,16 @@
 
 # Checks for the values of mapping fields; JSON makes all keys strings.
 _VALUE_CHECKS: dict[str, Callable[[Any], bool]] = {
-    "revisions": _is_int,
-    "loads": _is_int,
-    "stalled": _is_int,
+    "revisions": is_int,
+    "loads": _is_count,
+    "stalled": _is_milliseconds,
     "losses": _is_str_list,
     "crashes": _is_crash,
-    "cleared": _is_int,
-    "waiting": _is_int,
-    "retries": _is_int_pair,
-    "demand": _is_number,
-    "opening": _is_int,
+    "cleared": _is_milliseconds,
+    "waiting": _is_count,
+    "retries": _is_count_pair,
+    "demand": _is_slots,
+    "opening": _is_milliseconds,
     "claims": _is_claim,
     "resigned": _is_int_mapping,
     "relays": _is_str,
@@ -127,6 +157,18 @@
 # Fields that are lists of addresses or ids.
 _STR_LIST_FIELDS = ("failing", "silent", "known")
 
+# Names, and the address, that a message must have.
+_NAME_FIELDS = ("node", "incarnation", "data_centre")
+
+# Ranges of the integer fields.
+_RANGES = {
+    "capacity": (0, MAX_COUNT),
+    "store_sight": (-1, 1),
+    "store_sight_age_ms": (-MAX_INTEGER, MAX_INTEGER),
+    "routers": (0, MAX_ROUTERS),
+    "fleet": (0, MAX_ROUTERS),
+}
+
 # Which routers a message covers: its sender, the routers of the sender's data
 # centre, or the whole fleet.
 SCOPE_ROUTER = "router"
@@ -228,10 +270,12 @@
     def __init__(self, **fields: Any) -> None:
         """Sets all fields from keyword arguments.
 
-        Optional fields are empty by default.
+        Optional fields are empty by default. Addresses of other routers that
+        are no IP addresses are left out.
 
         Raises:
-            ValueError: If a field is missing, unknown or of another type.
+            ValueError: If a field is missing, unknown, of another type or out
+                of range.
         """
         fields = {**{name: {} for name in _OPTIONAL_FIELDS}, **fields}
         if fields.keys() != _FIELD_TYPES.keys():
@@ -241,7 +285,7 @@
             value = fields[name]
             if not isinstance(value, expected_type):
                 raise ValueError(
-                    f"got {value!r} for {name}, expected {expected_type}"
+                    f"got {shorten(value)} for {name}, expected {expected_type}"
                 )
             setattr(self, name, value)
         self._check_values()
@@ -254,21 +298,29 @@
         """
         if self.scope not in _SCOPES:
             raise ValueError(
-                f"unknown scope {self.scope!r}, must be in {_SCOPES}"
+                f"unknown scope {shorten(self.scope)}, must be in {_SCOPES}"
             )
+        for name in _NAME_FIELDS:
+            require_name(getattr(self, name))
+        require_ip(self.ip)
+        for name, (minimum, maximum) in _RANGES.items():
+            require_int(getattr(self, name), minimum=minimum, maximum=maximum)
         for name in _STR_LIST_FIELDS:
             if not _is_str_list(getattr(self, name)):
                 raise ValueError(f"field must be a list of strings: {name}")
         for name, is_valid in _VALUE_CHECKS.items():
             for value in getattr(self, name).values():
-                try:
-                    valid = is_valid(value)
-                except TypeError:
-                    valid = False
-                if not valid:
+                if not is_valid(value):
                     raise ValueError(
-                        f"invalid value {value!r} within the field {name}"
+                        f"invalid value {shorten(value)} within the field "
+                        f"{name}"
                     )
+        self.known = [ip for ip in self.known if is_ip(ip)]
+        self.relays = {
+            name: ip for name, ip in self.relays.items() if is_ip(ip)
+        }
+        if not is_ip(self.successor):
+            self.successor = ""
 
     def to_bytes(self) -> bytes:
         """Encodes the message as a datagram."""
@@ -289,7 +341,10 @@
         Raises:
             ValueError: If it is no valid heartbeat of this format version.
         """
-        fields: Any = json.loads(_decompress(data))
+        try:
+            fields: Any = json.loads(_decompress(data))
+        except RecursionError as error:
+            raise ValueError("the message is nested too deeply") from error
         if (
             not isinstance(fields, dict)
             or fields.pop("form", None) != FORMAT_VERSION
--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -10,10 +10,12 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import uuid
 from typing import TYPE_CHECKING, Any
 
+from mulberrypaddle.core.value_checks import is_ip, shorten
 from mulberrypaddle.dispatch.crash_attribution import CrashReport
 from mulberrypaddle.dispatch.retry_budget import RetryCounts
 from mulberrypaddle.serving.address_book import AddressBook
@@ -43,6 +45,7 @@
     Relays,
     relay_interval_seconds,
 )
+from mulberrypaddle.serving.report_limiter import ReportLimiter
 from mulberrypaddle.serving.store_watchers import StoreWatchers
 
 if TYPE_CHECKING:
@@ -111,7 +114,9 @@
             started_at_seconds=board.now(),
         )
         self.collection_sync = CollectionSync(
-            self._feeds, address=(settings.ip, settings.peer_port)
+            self._feeds,
+            address=(settings.ip, settings.peer_port),
+            supervisor=board.supervisor,
         )
         self.duty_status: Callable[[], DutyStatus] = DutyStatus
         self.is_fit: Callable[[], bool] = lambda: True
@@ -140,20 +145,34 @@
         self._change_tracker = ChangeTracker(self._feeds)
         self._sent_at_seconds = -MAX_RELAY_INTERVAL_SECONDS
         self._searched_at_seconds = -RELAY_SEARCH_SECONDS
+        self._reported_addresses = ReportLimiter()
 
     async def start(self) -> None:
         """Opens the ports for datagrams and collections."""
+        await self._open_datagrams()
+        self.collection_sync.listen()
+
+    async def _open_datagrams(self) -> None:
+        """Opens the port for datagrams."""
         settings = self._board.settings
-        address = (settings.ip, settings.peer_port)
         await self._board.loop.create_datagram_endpoint(
-            lambda: self, local_addr=address
+            lambda: self, local_addr=(settings.ip, settings.peer_port)
         )
-        self.collection_sync.listen()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the datagram socket."""
         self._transport = transport  # type: ignore[assignment]
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Opens the datagram socket again, which an error has closed."""
+        log_state_change("datagram_socket_closed", reason=str(exc))
+        self._transport = None
+        supervisor = self._board.supervisor
+        supervisor.start(
+            "datagram socket",
+            supervisor.keep_running("datagram socket", self._open_datagrams),
+        )
+
     def error_received(self, exc: Exception) -> None:
         """Logs that a datagram was not delivered.
 
@@ -163,8 +182,15 @@
         _LOGGER.debug("datagram_refused", extra={"reason": str(exc)})
 
     def record_address(self, ip: str, data_centre: str) -> None:
-        """Records the address of a router that the store or a digest listed."""
-        self._address_book.data_centre_by_ip[ip] = data_centre
+        """Records the address of a router that the store or a digest listed.
+
+        Nothing is recorded if it is no IP address: sending to it would close
+        the socket.
+        """
+        if is_ip(ip):
+            self._address_book.data_centre_by_ip[ip] = data_centre
+        elif self._reported_addresses.is_new(shorten(ip), 0):
+            _LOGGER.warning("unusable_address", extra={"peer": shorten(ip)})
 
     @property
     def uses_relays(self) -> bool:
@@ -179,11 +205,15 @@
         """Handles a heartbeat; an invalid datagram is logged and ignored."""
         try:
             heartbeat = Heartbeat.from_bytes(data)
-            if heartbeat.incarnation != self.incarnation:
-                self._handle(heartbeat)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
-            # Not a heartbeat, or one with an invalid value in a field.
-            _LOGGER.warning("unreadable_beat", extra={"reason": str(error)})
+        except ValueError as error:
+            if self._reported_addresses.is_new(f"{addr[0]}: {error}", 0):
+                _LOGGER.warning("unreadable_beat", extra={"reason": str(error)})
+            return
+        if heartbeat.incarnation == self.incarnation:
+            return
+        self._board.supervisor.run_step(
+            "received heartbeat", functools.partial(self._handle, heartbeat)
+        )
 
     def _handle(self, heartbeat: Heartbeat) -> None:
         """Applies a valid heartbeat of another router."""
--- a/tests/serving/test_collection_sync.py
+++ b/tests/serving/test_collection_sync.py
@@ -6,6 +6,7 @@
 
 from mulberrypaddle.serving.collection_sync import CollectionSync
 from mulberrypaddle.serving.store import Collection
+from mulberrypaddle.serving.supervision import Supervisor
 from tests.serving.test_digest import make_heartbeat
 from tests.serving.test_feed import _FeedHarness, _Store
 from tests.support.asynchronous import run
@@ -23,7 +24,9 @@
             if store_fails:
                 feed._failures = 1
             collection_sync = CollectionSync(
-                {NAME: feed}, address=("127.0.0.1", free_port())
+                {NAME: feed},
+                address=("127.0.0.1", free_port()),
+                supervisor=Supervisor(),
             )
             fetched: list[str] = []
 
@@ -35,7 +38,7 @@
                 "old", revisions={NAME: 7}, watches=watches
             )
             collection_sync.fetch_if_behind(heartbeat, 100.0)
-            for task in list(collection_sync._tasks):
+            for task in list(collection_sync._supervisor.tasks):
                 await task
             return bool(fetched)
 
