Check the changes of a collection that another router sends

An update that raised in the receiver was lost: the copy had its revision, the view did not have the change.

Revisions and names are now checked as those that the store sends, objects nested too deeply have no content, and after an update that failed the collection is listed from the store.

--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -15,6 +15,12 @@
 
 from returns.result import Result, Success
 
+from mulberrypaddle.core.value_checks import (
+    MAX_OBJECT_LEVELS,
+    is_nested_deeper,
+    require_int,
+    require_name,
+)
 from mulberrypaddle.fleet.view import RETURN_GRACE_SECONDS
 from mulberrypaddle.serving.decision_log import log_state_change
 from mulberrypaddle.serving.store import (
@@ -448,34 +454,42 @@
 
         Raises:
             KeyError: If a field is missing.
-            TypeError: If a value has the wrong type.
-            ValueError: If a text that should be a number is not one.
+            TypeError: If a list or an object has another type.
+            ValueError: If another value has another type or is out of range.
         """
-        revision = int(message["revision"])
+        revision = require_int(message["revision"])
         items = [
             StoredItem(
-                str(item["name"]),
-                revision=int(item["revision"]),
-                content=item["content"],
+                require_name(item["name"]),
+                revision=require_int(item["revision"]),
+                content=None
+                if is_nested_deeper(item["content"], MAX_OBJECT_LEVELS)
+                else item["content"],
             )
             for item in message["items"]
         ]
         complete = bool(message["whole"])
         if revision <= self.revision:
             return False
-        if not complete and int(message["since"]) > self.revision:
+        if not complete and require_int(message["since"]) > self.revision:
             return False
         names = {item.name for item in items}
         removed = [
-            str(name)
+            require_name(name)
             for name in message["removed"]
             if name not in names and not complete
         ]
-        self._apply(
-            items,
-            removed=removed,
-            revision=revision,
-            complete=complete,
-            after_outage=bool(message["after_outage"]),
-        )
+        after_outage = bool(message["after_outage"])
+        try:
+            self._apply(
+                items,
+                removed=removed,
+                revision=revision,
+                complete=complete,
+                after_outage=after_outage,
+            )
+        except Exception:
+            # The update may be missing from what follows this copy.
+            self.request_list()
+            raise
         return True
