--- a/mulberrypaddle/core/value_checks.py
+++ b/mulberrypaddle/core/value_checks.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import ipaddress
 import re
 import reprlib
@@ -31,6 +32,11 @@
 
 MAX_PORT = 65_535
 
+_MAX_IP_LENGTH = 64
+
+# Addresses whose check is remembered: messages name the same ones repeatedly.
+_MAX_CACHED_ADDRESSES = 4_096
+
 
 def shorten(value: Any) -> str:
     """Returns a value as a short text for messages and logs."""
@@ -77,7 +83,8 @@
 
 def is_int(value: Any, *, minimum: int = 0, maximum: int = MAX_INTEGER) -> bool:
     """Returns whether a value is an integer in a range."""
-    if isinstance(value, bool) or not isinstance(value, int):
+    # A truth value is an instance of `int` too.
+    if not isinstance(value, int) or isinstance(value, bool):
         return False
     return minimum <= value <= maximum
 
@@ -95,10 +102,9 @@
 
 
 def is_number(value: Any, *, maximum: float) -> bool:
-    """Returns whether a value is a number from 0 to a maximum."""
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    """Returns whether a value is a number from 0 to a maximum, not NaN."""
+    if not isinstance(value, int | float) or isinstance(value, bool):
         return False
-    # False for NaN, which is in no range.
     return 0 <= value <= maximum
 
 
@@ -118,23 +124,31 @@
     return value
 
 
-def require_ip(value: Any) -> str:
-    """Returns the value if it is the text of an IPv4 or IPv6 address."""
-    text = require_str(value)
+@functools.lru_cache(maxsize=_MAX_CACHED_ADDRESSES)
+def _is_ip_text(text: str) -> bool:
+    """Returns whether a text is an IP address."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
     # The scope of an IPv6 address may have any characters.
-    if "%" in text:
-        raise ValueError(f"got a scope in the address {shorten(text)}")
-    ipaddress.ip_address(text)
-    return text
+    return "%" not in text
 
 
 def is_ip(value: Any) -> bool:
     """Returns whether a value is the text of an IPv4 or IPv6 address."""
-    try:
-        require_ip(value)
-    except ValueError:
-        return False
-    return True
+    return (
+        isinstance(value, str)
+        and len(value) <= _MAX_IP_LENGTH
+        and _is_ip_text(value)
+    )
+
+
+def require_ip(value: Any) -> str:
+    """Returns the value if it is the text of an IPv4 or IPv6 address."""
+    if not is_ip(value):
+        raise ValueError(f"got {shorten(value)}, expected an IP address")
+    return str(value)
 
 
 def require_address(value: Any) -> str:
