Take a lease record with odd values for an unreadable one

Found by looking for the same class as an odd entry of a runner: a record whose number of renewals is infinite raised OverflowError, which ended the task of the duties, so that no router formed or repaired groups any more. An address that is none was accepted and told to the other routers as that of a relay.

Renewals must be an integer from 0, the address one of an IP address and a port, and the release of the duty a truth value. A record that fails names no owner, as one of another form did before, and is logged.

--- a/mulberrypaddle/replicas/ownership.py
+++ b/mulberrypaddle/replicas/ownership.py
@@ -15,8 +15,18 @@
 from __future__ import annotations
 
 import enum
+import logging
 from typing import Any
 
+from mulberrypaddle.core.value_checks import (
+    require_address,
+    require_bool,
+    require_int,
+    require_name,
+)
+
+_LOGGER = logging.getLogger("mulberrypaddle.duties")
+
 # Length of the lease, counted from the owner's last write. It delays the repair
 # of groups after the owner dies, and spans three renewals so that one of them
 # may be lost.
@@ -139,13 +149,17 @@
             return None
         try:
             return cls(
-                str(value["node"]),
-                incarnation=str(value["incarnation"]),
-                address=str(value["address"]),
-                renewals=int(value["renewals"]),
-                given_up=bool(value["given_up"]),
+                require_name(value["node"]),
+                incarnation=require_name(value["incarnation"]),
+                address=require_address(value["address"]),
+                renewals=require_int(value["renewals"]),
+                given_up=require_bool(value["given_up"]),
+            )
+        except (KeyError, ValueError) as error:
+            _LOGGER.warning(
+                "unreadable_lease",
+                extra={"reason": f"{type(error).__name__}: {error}"},
             )
-        except (KeyError, TypeError, ValueError):
             return None
 
 
--- a/tests/replicas/test_ownership.py
+++ b/tests/replicas/test_ownership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import testtools
 
 from mulberrypaddle.replicas.ownership import (
@@ -130,3 +132,38 @@
         now += 2 * CONSENT_SECONDS
         owner.extend_by_consent(now)
         self.assertFalse(owner.has_valid_lease(now))
+
+
+class RecordTest(testtools.TestCase):
+    """Parsing of lease records."""
+
+    def test_odd_records_name_no_owner(self) -> None:
+        sound = OwnerRecord(
+            "router-1",
+            incarnation="a1",
+            address="10.0.0.1:7000",
+            renewals=3,
+        ).to_value()
+        odd_fields: list[dict[str, Any]] = [
+            {"renewals": float("inf")},
+            {"renewals": float("nan")},
+            {"renewals": 10**400},
+            {"renewals": -1},
+            {"renewals": True},
+            {"renewals": "3"},
+            {"address": "10.0.0.1"},
+            {"address": "nowhere:80"},
+            {"address": "\ud800:80"},
+            {"address": None},
+            {"node": None},
+            {"node": "\ud800"},
+            {"incarnation": ["a1"]},
+            {"given_up": "false"},
+        ]
+        self.assertIsNotNone(OwnerRecord.from_value(sound))
+        for fields in odd_fields:
+            self.assertIsNone(
+                OwnerRecord.from_value({**sound, **fields}), fields
+            )
+        for value in (None, [], "text", {}):
+            self.assertIsNone(OwnerRecord.from_value(value), value)
