Read odd numbers in runners' answers without an error

What callers could have seen, found by looking for the same class: a complete answer of a runner that was taken for a broken one, since `Keep-Alive: timeout=²` raised ValueError within curl's callback: `²` is a digit for str.isdigit, and none for float. A timeout of 400 digits was infinite, a status line of `²²²` raised too, and an event id of up to 4,300 digits was forwarded. A report nested deeply raised RecursionError in the task of a probe, which left no entry in the log.

A status has three ASCII digits, an announced idle timeout six at most, and an event id 18 at most; a stream with a longer id is broken. A report that can't be decoded is one.

--- a/mulberrypaddle/platform/runner_control.py
+++ b/mulberrypaddle/platform/runner_control.py
@@ -112,7 +112,7 @@
             )
         try:
             return Success(json.loads(response.body))
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             return Failure(
                 Problem(
                     ErrorKind.RUNNER_REFUSED,
--- a/mulberrypaddle/serving/event_parser.py
+++ b/mulberrypaddle/serving/event_parser.py
@@ -11,6 +11,9 @@
 # field that servers may send without one.
 _EVENT_LINE = re.compile(rb"(?:[A-Za-z][A-Za-z0-9_-]*)?:|(?:data|event|id)$")
 
+# Most digits of an event id.
+MAX_ID_DIGITS = 18
+
 
 class StreamEvent:
     """One complete event.
@@ -80,7 +83,8 @@
     """Parses one event.
 
     Raises:
-        ValueError: If it has no id, and a line is neither comment nor field.
+        ValueError: If it has no id, and a line is neither comment nor field,
+            or if the id has too many digits.
     """
     event_id = _parse_event_id(block)
     if event_id is not None:
@@ -92,10 +96,18 @@
 
 
 def _parse_event_id(block: bytes) -> int | None:
-    """Returns the numeric id of an event, or None if it has none."""
+    """Returns the numeric id of an event, or None if it has none.
+
+    Raises:
+        ValueError: If it has too many digits.
+    """
     for line in block.splitlines():
         if not line.startswith(b"id:"):
             continue
         text = line[3:].strip()
-        return int(text) if text.isdigit() else None
+        if not text.isdigit():
+            return None
+        if len(text) > MAX_ID_DIGITS:
+            raise ValueError(f"got an event id of {len(text)} digits")
+        return int(text)
     return None
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import enum
+import re
 from typing import TYPE_CHECKING
 
 import pycurl
@@ -38,6 +39,10 @@
 # Size of curl's receive buffer for one answer.
 RECEIVE_BUFFER_BYTES = 16_384
 
+# A status code, and the idle timeout that a runner may announce in seconds.
+_STATUS = re.compile("[0-9]{3}")
+_IDLE_SECONDS = re.compile("[0-9]{1,6}")
+
 # Headers that curl adds by default, and that must be suppressed.
 _CURL_DEFAULT_HEADERS = (
     "Accept",
@@ -343,7 +348,9 @@
 def _parse_status(line: str) -> int:
     """Returns the status code of a status line, or 0 if there is none."""
     parts = line.split(" ", 2)
-    return int(parts[1]) if len(parts) > 1 and parts[1].isdigit() else 0
+    if len(parts) > 1 and _STATUS.fullmatch(parts[1]) is not None:
+        return int(parts[1])
+    return 0
 
 
 def _parse_keep_alive(headers: list[tuple[str, str]]) -> float | None:
@@ -359,8 +366,11 @@
             continue
         for parameter in value.split(","):
             key, _, number = parameter.partition("=")
-            if key.strip().lower() == "timeout" and number.strip().isdigit():
-                timeout_seconds = float(number)
+            seconds = number.strip()
+            if key.strip().lower() == "timeout" and (
+                _IDLE_SECONDS.fullmatch(seconds) is not None
+            ):
+                timeout_seconds = float(seconds)
     return timeout_seconds
 
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -81,6 +81,30 @@
     def test_chunked_report(self) -> None:
         self._assert_limited(self._report, _CHUNKED, _CHUNK)
 
+    def test_report_that_is_nested_deeply_or_has_too_many_digits(self) -> None:
+        async def scenario(body: bytes) -> Any:
+            async def answer(
+                count: int, request: bytes, writer: asyncio.StreamWriter
+            ) -> None:
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                    + body
+                )
+
+            runner = RawRunner(answer)
+            try:
+                return await self._report(await runner.start())
+            finally:
+                await runner.stop()
+
+        for body in (
+            b"[" * 50_000 + b"]" * 50_000,
+            b'{"pace": ' + b"9" * 5_000 + b"}",
+            b'{"pace": "\xff"}',
+            b"{",
+        ):
+            self.assertIsInstance(run(scenario(body)), Failure)
+
     def test_header_section_of_a_report(self) -> None:
         start = b"HTTP/1.1 200 OK\r\n"
         self._assert_limited(self._report, start, b"X-Some: value\r\n")
--- a/tests/serving/test_event_parser.py
+++ b/tests/serving/test_event_parser.py
@@ -35,6 +35,11 @@
         parser = EventParser()
         self.assertRaises(ValueError, parser.feed, b"x" * (MAX_EVENT_BYTES + 1))
 
+    def test_id_of_too_many_digits_is_refused(self) -> None:
+        for digits in (19, 400, 5_000):
+            data = b"id: " + b"9" * digits + b"\ndata: a\n\n"
+            self.assertRaises(ValueError, EventParser().feed, data)
+
     def test_bytes_that_are_no_event_are_refused(self) -> None:
         for data in (b'{"error": 1}\n\n', b"HTTP/1.1 503 X\r\n\r\n", b"no\n\n"):
             self.assertRaises(ValueError, EventParser().feed, data)
--- a/tests/serving/test_runner_call.py
+++ b/tests/serving/test_runner_call.py
@@ -126,6 +126,53 @@
             sorted(line for line in lines[1:] if line),
         )
 
+    def test_answer_holds_beside_an_odd_idle_timeout(self) -> None:
+        timeouts = ("\u00b2", "9" * 400, "9" * 5_000, "-5", "1e9", "nan", "")
+
+        async def scenario(timeout: str) -> tuple[CallOutcome, float | None]:
+            async def answer(
+                count: int, request: bytes, writer: asyncio.StreamWriter
+            ) -> None:
+                line = f"Keep-Alive: timeout={timeout}\r\n\r\n"
+                writer.write(
+                    _RESPONSE.replace(
+                        b"\r\n\r\n", b"\r\n" + line.encode("latin-1"), 1
+                    )
+                )
+
+            runner = RawRunner(answer)
+            client = make_client()
+            end, _, call = await _call(client, await runner.start())
+            await runner.stop()
+            client.close()
+            return end, call.keep_alive_seconds
+
+        for timeout in timeouts:
+            self.assertEqual(
+                (CallOutcome.COMPLETE, None), run(scenario(timeout)), timeout
+            )
+
+    def test_odd_status_line_breaks_only_its_answer(self) -> None:
+        async def scenario(status: str) -> tuple[CallOutcome, list[int]]:
+            async def answer(
+                count: int, request: bytes, writer: asyncio.StreamWriter
+            ) -> None:
+                line = f"HTTP/1.1 {status} OK\r\nContent-Length: 0\r\n\r\n"
+                writer.write(line.encode("latin-1"))
+                writer.close()
+
+            runner = RawRunner(answer)
+            client = make_client()
+            end, received, _ = await _call(client, await runner.start())
+            await runner.stop()
+            client.close()
+            return end, received.statuses
+
+        for status in ("\u00b2\u00b2\u00b2", "9" * 400, "-20", "", "2e2"):
+            self.assertEqual(
+                (CallOutcome.BROKEN, []), run(scenario(status)), status
+            )
+
     def test_truncated_answer_is_broken(self) -> None:
         async def answer(
             count: int, request: bytes, writer: asyncio.StreamWriter
