Check the ranges of the configuration's numbers

The store accepts only valid configurations, but their numbers may be odd.

Numbers must be between 0 and 10^12, sizes and slots at least 1, the rate at which prompts are read above 0; only ranks may be negative. A configuration that fails is logged, and the one in force stays, as before.

--- a/mulberrypaddle/platform/decoder.py
+++ b/mulberrypaddle/platform/decoder.py
@@ -59,6 +59,9 @@
 _MAX_SLOTS = 65_536
 _MAX_COLD_MS = 86_400_000
 
+# Highest number of the configuration that is accepted.
+_MAX_NUMBER = 1e12
+
 # Used if the configuration has no limits; copied from the platform's example.
 _DEFAULT_LIMITS = CallerLimits(
     header_bytes=16_384,
@@ -196,6 +199,53 @@
     )
 
 
+def _read_number(value: Any) -> float:
+    """Returns a number of the configuration, from 0 to `_MAX_NUMBER`.
+
+    Raises:
+        ValueError: If the value is no such number.
+    """
+    return require_number(value, maximum=_MAX_NUMBER)
+
+
+def _read_rate(value: Any) -> float:
+    """Returns a rate of the configuration, above 0 and up to `_MAX_NUMBER`.
+
+    Raises:
+        ValueError: If the value is no such number.
+    """
+    rate = _read_number(value)
+    if rate <= 0:
+        raise ValueError("got a rate of 0")
+    return rate
+
+
+def _read_int(value: Any, *, minimum: int = 0) -> int:
+    """Returns a number of the configuration without its fraction.
+
+    Args:
+        value: The number, up to `_MAX_NUMBER`.
+        minimum: Lowest number that is accepted.
+
+    Raises:
+        ValueError: If the value is no such number.
+    """
+    number = int(_read_number(value))
+    if number < minimum:
+        raise ValueError(f"got {number}, expected {minimum} or more")
+    return number
+
+
+def _read_rank(value: Any) -> int:
+    """Returns the rank of a route or an organisation; it may be negative.
+
+    Raises:
+        ValueError: If the value is no number up to `_MAX_NUMBER`.
+    """
+    is_negative = type(value) in (int, float) and value < 0
+    return -_read_int(-value) if is_negative else _read_int(value)
+
+
 def _read_config(fields: dict[str, Any], revision: int) -> ServingConfig:
     """Decodes the configuration: routes, services and organisations."""
     limits = _DEFAULT_LIMITS
@@ -217,10 +267,10 @@
 def _read_limits(fields: dict[str, Any]) -> CallerLimits:
     """Decodes the size and time limits of callers' requests."""
     return CallerLimits(
-        header_bytes=int(fields["maxHeaderBytes"]),
-        body_bytes=int(fields["maxBodyBytes"]),
-        header_seconds=fields["headerTimeoutMs"] / 1000,
-        idle_seconds=fields["idleTimeoutMs"] / 1000,
+        header_bytes=_read_int(fields["maxHeaderBytes"]),
+        body_bytes=_read_int(fields["maxBodyBytes"]),
+        header_seconds=_read_number(fields["headerTimeoutMs"]) / 1000,
+        idle_seconds=_read_number(fields["idleTimeoutMs"]) / 1000,
     )
 
 
@@ -229,24 +279,25 @@
     shares: tuple[tuple[str, float], ...]
     if fields.get("backends"):
         shares = tuple(
-            (require_str(share["service"]), float(share["weight"]))
+            (require_str(share["service"]), _read_number(share["weight"]))
             for share in fields["backends"]
         )
     else:
         shares = ((require_str(fields["service"]), 1.0),)
-    timeout_ms = fields.get("timeoutMs") or 30_000
+    timeout_ms = _read_number(fields.get("timeoutMs") or 30_000)
     return Route(
         name=require_str(fields["name"]),
         host=require_str(fields["host"]).lower(),
         path_prefix=require_str(fields["pathPrefix"]),
         retry_policy=_RETRY_POLICY_BY_KIND[fields["kind"]],
         timeout_seconds=timeout_ms / 1000,
-        target_seconds=fields.get("targetLatencyMs", timeout_ms) / 1000,
+        target_seconds=_read_number(fields.get("targetLatencyMs", timeout_ms))
+        / 1000,
         # Longest gap between two events of a stream that is still on time.
-        pause_seconds=fields.get("gapAimMs", 0) / 1000,
-        urgency=int(fields.get("priority", 5)),
+        pause_seconds=_read_number(fields.get("gapAimMs", 0)) / 1000,
+        urgency=_read_rank(fields.get("priority", 5)),
         shares=shares,
-        max_runners=int(fields.get("maxAttempts", 1)),
+        max_runners=_read_int(fields.get("maxAttempts", 1)),
         public=bool(fields.get("public", False)),
         resumable=bool(fields.get("resumable", False)),
     )
@@ -257,8 +308,8 @@
     engine = fields.get("engine")
     return ServiceSpec(
         name=require_str(fields["name"]),
-        health_path=str(fields.get("healthPath", "/")),
-        cold_requests_per_second=float(fields.get("coldPerS") or 0),
+        health_path=require_str(fields.get("healthPath", "/")),
+        cold_requests_per_second=_read_number(fields.get("coldPerS") or 0),
         engine=None if engine is None else _read_engine(engine),
     )
 
@@ -269,27 +320,27 @@
     models = {
         model["name"]: ModelSpec(
             name=require_str(model["name"]),
-            size=int(model["size"]),
-            demand_share=float(model["share"]),
-            time_factor=float(model["pace"]),
-            load_seconds=float(model["loadS"]),
-            warm_join_seconds=float(model["warmS"]),
+            size=_read_int(model["size"], minimum=1),
+            demand_share=_read_number(model["share"]),
+            time_factor=_read_number(model["pace"]),
+            load_seconds=_read_number(model["loadS"]),
+            warm_join_seconds=_read_number(model["warmS"]),
         )
         for model in fields.get("models", ())
     }
     return EngineTraits(
-        slots=int(fields["slots"]),
+        slots=_read_int(fields["slots"], minimum=1),
         models=models,
-        step_seconds=fields["step_ms"] / 1000,
-        step_seconds_per_request=fields["per_seq_ms"] / 1000,
-        prompt_tokens_per_second=float(fields["read_per_s"]),
-        steps_per_event=int(fields.get("stride", 1)),
+        step_seconds=_read_number(fields["step_ms"]) / 1000,
+        step_seconds_per_request=_read_number(fields["per_seq_ms"]) / 1000,
+        prompt_tokens_per_second=_read_rate(fields["read_per_s"]),
+        steps_per_event=_read_int(fields.get("stride", 1)),
         # Mean tokens of a request, over all models of the service.
-        mean_prompt_tokens=float(mean_tokens.get("prompt", 1000)),
-        mean_answer_tokens=float(mean_tokens.get("answer", 150)),
-        loads_per_second=float(fields.get("loadsPerS", 1)),
-        max_parallel_loads=int(fields.get("loads_at_once", 1)),
-        open_seconds=fields.get("formMs", 0) / 1000,
+        mean_prompt_tokens=_read_number(mean_tokens.get("prompt", 1000)),
+        mean_answer_tokens=_read_number(mean_tokens.get("answer", 150)),
+        loads_per_second=_read_number(fields.get("loadsPerS", 1)),
+        max_parallel_loads=_read_int(fields.get("loads_at_once", 1)),
+        open_seconds=_read_number(fields.get("formMs", 0)) / 1000,
     )
 
 
@@ -304,7 +355,7 @@
         urgency = tenant.get("priority")
         organisation = Organisation(
             require_str(tenant["name"]),
-            urgency=None if urgency is None else int(urgency),
+            urgency=None if urgency is None else _read_rank(urgency),
         )
         for key in tenant["apiKeys"]:
             organisation_by_key[require_str(key)] = organisation
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -143,6 +143,39 @@
 class ConfigTest(testtools.TestCase):
     """Decoding of the configuration, and route lookup."""
 
+    def test_configuration_with_an_odd_number_is_rejected(self) -> None:
+        for odd in (float("nan"), float("inf"), 10**400, -1, True, "5", [1]):
+            configs = [
+                _config(version=odd),
+                _config(routes=[_route("a", "/a/", timeoutMs=odd)]),
+                _config(routes=[_route("a", "/a/", targetLatencyMs=odd)]),
+                _config(routes=[_route("a", "/a/", maxAttempts=odd)]),
+                _config(routes=[_route("a", "/a/", gapAimMs=odd)]),
+                _config(
+                    routes=[
+                        _route(
+                            "a",
+                            "/a/",
+                            backends=[{"service": "stock", "weight": odd}],
+                        )
+                    ]
+                ),
+                _config(services=[{"name": "stock", "coldPerS": odd}]),
+            ]
+            for number, config in enumerate(configs):
+                self.assertIsNone(
+                    DECODER.decode_config([config]), (odd, number)
+                )
+
+    def test_ranks_may_be_negative(self) -> None:
+        config = DECODER.decode_config(
+            [_config(routes=[_route("a", "/a/", priority=-2)])]
+        )
+        assert config is not None
+        route = config.route_for("shop.example", "/a/x")
+        assert route is not None
+        self.assertEqual(-2, route.urgency)
+
     def test_longest_prefix_wins(self) -> None:
         config = DECODER.decode_config([_config()])
         assert config is not None
