Ignore impossible numbers of tokens in callers' headers

Found by looking for the same class: a caller's X-Length-Hint of 1e308 counted as so many tokens, so that the expected time of its request, and with it the demand for the model that all routers add up, was astronomical for the length of the window. Counts of 18 digits were accepted too.

Numbers above 10^8 tokens, several times what any model accepts, count as missing.

--- a/mulberrypaddle/platform/headers.py
+++ b/mulberrypaddle/platform/headers.py
@@ -68,6 +68,10 @@
 # Most digits of an integer; a number with more is not a length or an id.
 _MAX_DIGITS = 18
 
+# Most tokens of a prompt or an answer: several times what any model accepts.
+# Estimates of the demand would follow higher ones.
+_MAX_TOKENS = 100_000_000
+
 # HTTP 421: the runner that answers is not the one addressed, so that it did
 # not run the request.
 _MISDIRECTED_STATUS = 421
@@ -99,9 +103,7 @@
             model=headers.get(_MODEL, ""),
             prompt_tokens=prompt_tokens,
             answer_tokens=answer_tokens,
-            expected_tokens=int(
-                _parse_non_negative(headers.get(_LENGTH_HINT)) or 0
-            ),
+            expected_tokens=_parse_length_hint(headers.get(_LENGTH_HINT)),
             last_event_id=_parse_unsigned(headers.get(_LAST_EVENT_ID)),
             prompt_parts=_parse_prompt_parts(headers.get(_PROMPT_PARTS, "")),
             forwarded_headers=forwarded_headers,
@@ -190,7 +192,19 @@
 def _parse_token_counts(text: str) -> tuple[int, int]:
     """Parses "PROMPT,ANSWER"; a missing or invalid count is 0."""
     prompt, _, answer = text.partition(",")
-    return _parse_unsigned(prompt) or 0, _parse_unsigned(answer) or 0
+    return _parse_tokens(prompt), _parse_tokens(answer)
+
+
+def _parse_tokens(text: str) -> int:
+    """Parses a number of tokens; an invalid or impossible one is 0."""
+    tokens = _parse_unsigned(text) or 0
+    return tokens if tokens <= _MAX_TOKENS else 0
+
+
+def _parse_length_hint(text: str | None) -> int:
+    """Parses an estimate of tokens; an invalid or impossible one is 0."""
+    tokens = _parse_non_negative(text) or 0.0
+    return int(tokens) if tokens <= _MAX_TOKENS else 0
 
 
 def _parse_prompt_parts(text: str) -> tuple[str, ...]:
