Write log lines of values that have no text

A value that json can't encode, such as an integer of thousands of digits or a list nested deeply, raised within the formatter: the line was lost, and a traceback of the logging itself was written instead. Such a value is now shown by its type.

--- a/mulberrypaddle/observe/logs.py
+++ b/mulberrypaddle/observe/logs.py
@@ -27,12 +27,21 @@
     """
     if isinstance(value, datetime.datetime):
         value = value.isoformat(timespec="milliseconds")
-    text = value if isinstance(value, str) else json.dumps(value, default=str)
+    text = value if isinstance(value, str) else _to_json(value)
     if text and set(text) <= _UNQUOTED_CHARACTERS:
         return text
     return json.dumps(text, ensure_ascii=True)
 
 
+def _to_json(value: Any) -> str:
+    """Returns a value as JSON, or its type if it can't be encoded."""
+    try:
+        return json.dumps(value, default=str)
+    except (TypeError, ValueError, RecursionError):
+        # Python doesn't convert integers of thousands of digits, for example.
+        return f"<{type(value).__name__}>"
+
+
 class KeyValueFormatter(JsonFormatter):
     """Formats a record as one line of key=value pairs."""
 
--- a/tests/observe/test_logs.py
+++ b/tests/observe/test_logs.py
@@ -43,3 +43,13 @@
         self.assertIn("event=refuse router=router-1 subject=r-1", line)
         self.assertIn(r'reason="x\nlevel=INFO event=route outcome=', line)
         self.assertNotIn(' outcome="forged"', line)
+
+    def test_value_that_has_no_text_does_not_lose_its_line(self) -> None:
+        nested: list[object] = []
+        for _ in range(50_000):
+            nested = [nested]
+        for value in (10**6_000, [10**6_000], nested, "\ud800", float("nan")):
+            self.stream.truncate(0)
+            self.stream.seek(0)
+            logging.getLogger("test").info("odd", extra={"value": value})
+            self.assertIn("event=odd value=", self.stream.getvalue())
