Refuse a settings file that is no text instead of failing on it

A settings file with bytes that are no UTF-8, or nested deeply, ended the start of a router with a traceback instead of the message for invalid settings, since only TOML errors were listed.

--- a/mulberrypaddle/platform/node_file.py
+++ b/mulberrypaddle/platform/node_file.py
@@ -40,11 +40,18 @@
     try:
         with open(path, "rb") as file:
             fields = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, RecursionError, ValueError) as error:
+        # Text that is no UTF-8 is a ValueError, as invalid TOML is.
         return _invalid_config(f"{path}: {error}")
     try:
         return Success(_parse_settings(fields))
-    except (KeyError, ValueError, TypeError, IndexError) as error:
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as error:
         return _invalid_config(f"{path}: {type(error).__name__}: {error}")
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -226,6 +226,14 @@
         problem = self._load('node = "a"\nzone = "z"\nip = "i"\n' + text)
         self.assertIn("HOST:PORT", problem.failure().detail)
 
+    def test_file_that_is_no_text_is_refused(self) -> None:
+        for data in (b"\x80", b"a = " + b"[" * 50_000, b"node = 1979-13-45"):
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "node.toml"
+                path.write_bytes(data)
+                problem = load_node_file(str(path)).failure()
+            self.assertIn("node.toml", problem.detail)
+
     def test_error_names_the_missing_file(self) -> None:
         problem = load_node_file("/nonexistent/node.toml").failure()
         self.assertIn("/nonexistent/node.toml", problem.detail)
