Return a problem for answers of another form from the own backends

Found by looking for the same class: an answer of the object API, the list of VMs, an agent, the weight store or a runner that was no JSON, nested deeply or of another form raised in the task of the call. The error was logged, but the reply was never called, so that the controller waited for it for good.

The clients decode and convert answers in one place, which returns a problem: for reads that the service is unavailable, for other calls that the outcome is unknown. Numbers of reports must be finite and in range.

--- a/mulberrypaddle/backends/http_object_store.py
+++ b/mulberrypaddle/backends/http_object_store.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 import base64
-import json
 import urllib.parse
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import tornado.httpclient
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from mulberrypaddle.backends.base import ObjectStore
 from mulberrypaddle.backends.curl import make_client, proves_unsent
+from mulberrypaddle.backends.parsing import convert, decode_json
 from mulberrypaddle.blackboard import StoredObject
 from mulberrypaddle.core.errors import ErrorKind, Problem
+from mulberrypaddle.core.value_checks import require_int, require_name, shorten
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from tornado.httpclient import HTTPResponse
 
+T = TypeVar("T")
+
 _READ_METHODS = frozenset({"GET"})
 
 
@@ -32,7 +37,7 @@
     async def read(self, key: str) -> Result[StoredObject, Problem]:
         """Returns one object; an absent object has version zero."""
         result = await self._call("GET", _object_path(key))
-        return result.map(_parse_object)
+        return _convert("GET", result, _parse_object)
 
     async def list(
         self, prefix: str, *, after_version: int = 0
@@ -42,8 +47,10 @@
             {"prefix": prefix, "after_version": after_version}
         )
         result = await self._call("GET", f"/objects?{query}")
-        return result.map(
-            lambda value: [_parse_object(item) for item in value["objects"]]
+        return _convert(
+            "GET",
+            result,
+            lambda value: [_parse_object(item) for item in value["objects"]],
         )
 
     async def write(
@@ -56,7 +63,7 @@
             body=value,
             expected_version=expected_version,
         )
-        return result.map(_parse_object)
+        return _convert("PUT", result, _parse_object)
 
     async def delete(
         self, key: str, *, expected_version: int
@@ -65,7 +72,7 @@
         result = await self._call(
             "DELETE", _object_path(key), expected_version=expected_version
         )
-        return result.map(_parse_object)
+        return _convert("DELETE", result, _parse_object)
 
     def close(self) -> None:
         """Closes the HTTP client."""
@@ -105,10 +112,28 @@
 def _parse_object(value: dict[str, Any]) -> StoredObject:
     """Parses an object, whose content is base64 on the wire."""
     return StoredObject(
-        value["key"], base64.b64decode(value["value"]), value["version"]
+        require_name(value["key"]),
+        base64.b64decode(value["value"]),
+        require_int(value["version"]),
+    )
+
+
+def _convert(
+    method: str, result: Result[Any, Problem], parse: Callable[[Any], T]
+) -> Result[T, Problem]:
+    """Converts the JSON of a response; a failure stays as it is."""
+    return convert(
+        result, parse, kind=_unreadable_kind(method), subject="object API"
     )
 
 
+def _unreadable_kind(method: str) -> ErrorKind:
+    """Returns the kind of problem of a response that can't be read."""
+    if method in _READ_METHODS:
+        return ErrorKind.STORE_UNAVAILABLE
+    return ErrorKind.OUTCOME_UNKNOWN
+
+
 def _problem_of_error(method: str, error: BaseException) -> Problem:
     """Returns the problem of a call without a response.
 
@@ -124,10 +149,15 @@
     method: str, response: HTTPResponse
 ) -> Result[Any, Problem]:
     """Returns the JSON of a response, or the problem of its status."""
-    value = json.loads(response.body or b"{}")
+    decoded = decode_json(
+        response.body, kind=_unreadable_kind(method), subject="object API"
+    )
     if response.code == 200:
-        return Success(value)
-    detail = f"object API: {value.get('detail', response.code)}"
+        return decoded
+    value = decoded.value_or(None)
+    detail = f"object API: {response.code}"
+    if isinstance(value, dict) and "detail" in value:
+        detail = f"object API: {shorten(value['detail'])}"
     if response.code == 409:
         return Failure(Problem(ErrorKind.CONFLICT, detail))
     if response.code == 413:
--- a/mulberrypaddle/backends/http_runner.py
+++ b/mulberrypaddle/backends/http_runner.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import time
 import zlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import tornado.httpclient
 from returns.result import Failure, Result, Success
@@ -17,10 +18,17 @@
     RunnerClient,
 )
 from mulberrypaddle.backends.curl import make_client, proves_unsent
+from mulberrypaddle.backends.parsing import convert, decode_json
 from mulberrypaddle.backends.transfer import Transfer
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
 from mulberrypaddle.core.fleet import Runner, RunnerReport, ServiceKind
 from mulberrypaddle.core.request import AttemptState
+from mulberrypaddle.core.value_checks import (
+    require_bool,
+    require_int,
+    require_name,
+    require_number,
+)
 
 if TYPE_CHECKING:
     from mulberrypaddle.backends.base import ResumePoint
@@ -28,6 +36,10 @@
 
 REPORT_TIMEOUT_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 1.0
+
+# Longest time that a report may state: some decades.
+MAX_REPORTED_SECONDS = 1e9
+
 # Methods whose requests always have a body, even if it is empty.
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 _BODILESS_METHODS = frozenset({"GET", "HEAD"})
@@ -82,20 +94,16 @@
                     f"{runner.runner_id} gave no report",
                 )
             )
-        value = json.loads(response.body)
-        return Success(
-            RunnerReport(
-                runner.runner_id,
-                incarnation=value["incarnation"],
-                generation=value.get("generation", 0),
-                member_vm_ids=tuple(value.get("member_vm_ids", ())),
-                reported_at_seconds=time.monotonic()
-                - value.get("age_seconds", 0.0),
-                uptime_seconds=value["uptime_seconds"],
-                running_requests=value["running_requests"],
-                held_tokens=value["held_tokens"],
-                ready=value.get("ready", True),
-            )
+        subject = f"report of {runner.runner_id}"
+        return convert(
+            decode_json(
+                response.body,
+                kind=ErrorKind.RUNNER_UNREACHABLE,
+                subject=subject,
+            ),
+            functools.partial(_parse_report, runner.runner_id),
+            kind=ErrorKind.RUNNER_UNREACHABLE,
+            subject=subject,
         )
 
     async def cancel(self, ticket: Ticket) -> Result[bool, Problem]:
@@ -118,7 +126,17 @@
                     f"{ticket.runner.runner_id} did not take the cancel",
                 )
             )
-        return Success(bool(json.loads(response.body)["cancelled"]))
+        subject = f"cancel at {ticket.runner.runner_id}"
+        return convert(
+            decode_json(
+                response.body,
+                kind=ErrorKind.RUNNER_UNREACHABLE,
+                subject=subject,
+            ),
+            lambda value: bool(value["cancelled"]),
+            kind=ErrorKind.RUNNER_UNREACHABLE,
+            subject=subject,
+        )
 
     def close(self) -> None:
         """Closes the HTTP client."""
@@ -174,6 +192,28 @@
     )
 
 
+def _parse_report(runner_id: str, value: dict[str, Any]) -> RunnerReport:
+    """Parses a report; raises one of `parsing.PARSE_ERRORS`."""
+    age_seconds = require_number(
+        value.get("age_seconds", 0.0), maximum=MAX_REPORTED_SECONDS
+    )
+    return RunnerReport(
+        runner_id,
+        incarnation=require_name(value["incarnation"]),
+        generation=require_int(value.get("generation", 0)),
+        member_vm_ids=tuple(
+            require_name(vm_id) for vm_id in value.get("member_vm_ids", ())
+        ),
+        reported_at_seconds=time.monotonic() - age_seconds,
+        uptime_seconds=require_number(
+            value["uptime_seconds"], maximum=MAX_REPORTED_SECONDS
+        ),
+        running_requests=require_int(value["running_requests"]),
+        held_tokens=require_int(value["held_tokens"]),
+        ready=require_bool(value.get("ready", True)),
+    )
+
+
 def _sampling_seed(request_id: str) -> int:
     """Returns the sampling seed that all attempts of a request share."""
     return zlib.crc32(request_id.encode())
@@ -209,7 +249,7 @@
     """
     try:
         ran = json.loads(body).get("ran")
-    except (ValueError, AttributeError):
+    except (ValueError, RecursionError, AttributeError):
         ran = None
     if ran == Ran.NOT_RUN.value:
         return AttemptFailure(
--- a/mulberrypaddle/backends/json_http_client.py
+++ b/mulberrypaddle/backends/json_http_client.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import tornado.httpclient
 from returns.result import Failure, Result, Success
 
 from mulberrypaddle.backends.curl import CurlClient, make_client, proves_unsent
+from mulberrypaddle.backends.parsing import convert, decode_json
 from mulberrypaddle.core.errors import ErrorKind, Problem
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
+
+T = TypeVar("T")
 
 # Kind of problem by HTTP status; other statuses leave the outcome unknown.
 _KIND_BY_STATUS = {
@@ -61,17 +64,43 @@
             if proves_unsent(error):
                 kind = ErrorKind.RUNNER_UNREACHABLE
             return Failure(Problem(kind, f"{method} {url}: {error}"))
-        try:
-            value = json.loads(response.body or b"{}")
-        except ValueError as error:
-            return Failure(
-                Problem(ErrorKind.OUTCOME_UNKNOWN, f"{method} {url}: {error}")
-            )
-        if response.code == 200:
-            return Success(value)
+        decoded = decode_json(
+            response.body,
+            kind=ErrorKind.OUTCOME_UNKNOWN,
+            subject=f"{method} {url}",
+        )
+        if response.code == 200 or not isinstance(decoded, Success):
+            return decoded
         kind = _KIND_BY_STATUS.get(response.code, ErrorKind.OUTCOME_UNKNOWN)
         return Failure(Problem(kind, f"{method} {url}: {response.code}"))
 
+    async def call_and_convert(
+        self,
+        method: str,
+        url: str,
+        body: Mapping[str, Any] | None = None,
+        *,
+        parse: Callable[[Any], T],
+    ) -> Result[T, Problem]:
+        """Sends one request and converts the value of the answer.
+
+        Args:
+            method: HTTP method.
+            url: Complete URL, with an IP address.
+            body: Value that is sent as JSON, or None for no body.
+            parse: Returns the converted value; may raise `PARSE_ERRORS`.
+
+        Returns:
+            The converted value, or OUTCOME_UNKNOWN if it has another form;
+            otherwise the failures of `call`.
+        """
+        return convert(
+            await self.call(method, url, body),
+            parse,
+            kind=ErrorKind.OUTCOME_UNKNOWN,
+            subject=f"{method} {url}",
+        )
+
     def close(self) -> None:
         """Closes the HTTP client."""
         self._client.close()
--- a/mulberrypaddle/backends/vm_agents.py
+++ b/mulberrypaddle/backends/vm_agents.py
@@ -6,6 +6,7 @@
 
 from mulberrypaddle.backends.json_http_client import JsonHttpClient
 from mulberrypaddle.core.groups import VmPhase, VmReport
+from mulberrypaddle.core.value_checks import require_int, require_name
 
 if TYPE_CHECKING:
     from returns.result import Result
@@ -24,7 +25,7 @@
 
     async def order(self, intent: SendVmOrder) -> Result[int, Problem]:
         """Sends an order and returns the generation that the VM confirms."""
-        result = await self._http_client.call(
+        return await self._http_client.call_and_convert(
             "POST",
             f"http://{intent.address}/v1/orders",
             {
@@ -35,15 +36,14 @@
                 "argument": intent.argument,
                 "vm_ids": list(intent.vm_ids),
             },
+            parse=lambda value: require_int(value["generation"]),
         )
-        return result.map(lambda value: int(value["generation"]))
 
     async def report(self, address: str) -> Result[VmReport, Problem]:
         """Requests the report of the VM at an address."""
-        result = await self._http_client.call(
-            "GET", f"http://{address}/v1/vm-report"
+        return await self._http_client.call_and_convert(
+            "GET", f"http://{address}/v1/vm-report", parse=_parse_report
         )
-        return result.map(_parse_report)
 
     def close(self) -> None:
         """Closes the HTTP client."""
@@ -64,10 +64,12 @@
 
 def _parse_report(value: dict[str, Any]) -> VmReport:
     return VmReport(
-        value["vm_id"],
+        require_name(value["vm_id"]),
         incarnation=value["incarnation"],
-        generation=value["generation"],
+        generation=require_int(value["generation"]),
         phase=VmPhase(value["phase"]),
-        member_vm_ids=tuple(value["member_vm_ids"]),
-        running_requests=value["running_requests"],
+        member_vm_ids=tuple(
+            require_name(vm_id) for vm_id in value["member_vm_ids"]
+        ),
+        running_requests=require_int(value["running_requests"]),
     )
--- a/mulberrypaddle/backends/vm_list.py
+++ b/mulberrypaddle/backends/vm_list.py
@@ -7,6 +7,12 @@
 from mulberrypaddle.backends.json_http_client import JsonHttpClient
 from mulberrypaddle.blackboard.intents import VmList
 from mulberrypaddle.core.fleet import Vm, VmState
+from mulberrypaddle.core.value_checks import (
+    require_address,
+    require_int,
+    require_name,
+    require_str,
+)
 
 if TYPE_CHECKING:
     from returns.result import Result
@@ -25,10 +31,11 @@
 
     async def read(self, known_version: int) -> Result[VmList, Problem]:
         """Returns the list, without VMs if `known_version` is current."""
-        result = await self._http_client.call(
-            "GET", f"http://{self._address}/vms?known_version={known_version}"
+        return await self._http_client.call_and_convert(
+            "GET",
+            f"http://{self._address}/vms?known_version={known_version}",
+            parse=_parse_list,
         )
-        return result.map(_parse_list)
 
     def close(self) -> None:
         """Closes the HTTP client."""
@@ -50,18 +57,19 @@
 def _parse_list(value: dict[str, Any]) -> VmList:
     """Parses a list, whose VMs are null if the version was known."""
     rows = value["vms"]
+    version = require_int(value["version"])
     if rows is None:
-        return VmList(value["version"], None)
+        return VmList(version, None)
     vms = []
     for row in rows:
         vms.append(
             Vm(
-                row["vm_id"],
-                address=row["address"],
-                data_centre=row["data_centre"],
-                fabric_domain=row["fabric_domain"],
-                accelerators=row["accelerators"],
+                require_name(row["vm_id"]),
+                address=require_address(row["address"]),
+                data_centre=require_name(row["data_centre"]),
+                fabric_domain=require_str(row["fabric_domain"]),
+                accelerators=require_int(row["accelerators"]),
                 state=VmState(row["state"]),
             )
         )
-    return VmList(value["version"], tuple(vms))
+    return VmList(version, tuple(vms))
--- a/mulberrypaddle/backends/weight_store.py
+++ b/mulberrypaddle/backends/weight_store.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.backends.json_http_client import JsonHttpClient
+from mulberrypaddle.core.value_checks import require_number
 
 if TYPE_CHECKING:
     from returns.result import Result
@@ -14,6 +15,9 @@
 
 TIMEOUT_SECONDS = 2.0
 
+# Longest time that a reservation may have left: a day.
+MAX_EXPIRY_SECONDS = 86_400.0
+
 
 class HttpWeightStore:
     """Reserves and releases loads of model weights."""
@@ -34,10 +38,14 @@
         Returns:
             The seconds until the reservation expires, or LIMIT_REACHED.
         """
-        result = await self._http_client.call(
-            "POST", self._url(load_id), {"model": model}
+        return await self._http_client.call_and_convert(
+            "POST",
+            self._url(load_id),
+            {"model": model},
+            parse=lambda value: require_number(
+                value["expires_seconds"], maximum=MAX_EXPIRY_SECONDS
+            ),
         )
-        return result.map(lambda value: float(value["expires_seconds"]))
 
     async def release(self, load_id: str) -> None:
         """Releases a reservation; if the call is lost, it expires later."""
