Parse numbers of the own interfaces as ASCII digits of limited length

str.isdigit is true for `²`, and int raises for it, as for more than 4,300 digits.

No test covers If-Match.

--- a/mulberrypaddle/backends/transfer.py
+++ b/mulberrypaddle/backends/transfer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import TYPE_CHECKING
 
 import pycurl
@@ -39,6 +40,10 @@
     }
 )
 
+# A status code, and the length of a body.
+_STATUS = re.compile("[0-9]{3}")
+_LENGTH = re.compile("[0-9]{1,18}")
+
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -229,8 +234,9 @@
             return
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
-            parts = text.split(" ", 2)
-            self.status = int(parts[1])
+            status = text.split(" ", 2)[1:2]
+            is_valid = status and _STATUS.fullmatch(status[0]) is not None
+            self.status = int(status[0]) if is_valid else 0
             self._headers.clear()
             return
         if not text:
@@ -278,7 +284,7 @@
             self.status,
             content_type=self.header("content-type") or DEFAULT_CONTENT_TYPE,
             headers=tuple(headers),
-            size_bytes=int(length) if length.isdecimal() else None,
+            size_bytes=int(length) if _LENGTH.fullmatch(length) else None,
             adapter_version=self.header("x-adapter-version"),
         )
 
--- a/mulberrypaddle/operators/handlers.py
+++ b/mulberrypaddle/operators/handlers.py
@@ -5,6 +5,7 @@
 import hashlib
 import hmac
 import json
+import re
 from typing import TYPE_CHECKING, Any
 
 import tornado.web
@@ -39,6 +40,9 @@
 
 MAX_DOCUMENT_BYTES = 262_144
 
+# A version in an If-Match header.
+_VERSION = re.compile("[0-9]{1,18}")
+
 
 class OperatorState:
     """State that the operators' handlers share.
@@ -209,7 +213,7 @@
             )
             return
         header = self.request.headers.get("If-Match", "").strip('"')
-        if not header.isdigit():
+        if _VERSION.fullmatch(header) is None:
             self.refuse(
                 Problem(
                     ErrorKind.BAD_REQUEST,
--- a/tests/backends/test_cut_heads.py
+++ b/tests/backends/test_cut_heads.py
@@ -119,3 +119,10 @@
             result, statuses = self._call(head)
             self.assertIsInstance(result, Success, head)
             self.assertEqual(1, len(statuses))
+
+    def test_odd_status_or_length_does_not_raise(self) -> None:
+        for status in ("\u00b2\u00b2\u00b2", "9" * 5_000, "-20", "", "2e2"):
+            head = f"HTTP/1.1 {status} OK\r\nContent-Length: 0\r\n\r\n"
+            result, statuses = self._call(head.encode("latin-1"))
+            self.assertIsInstance(result, Failure, status)
+            self.assertEqual([], statuses, status)
