Test routers beside odd objects of the other kinds

Odd evacuations, configurations, addresses of routers and leases, also in the place of the lease of the data centre itself, are put in; a router starts, all groups lose a member, the configuration turns odd and comes back. Streams and other requests must be served by all routers.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -10,7 +10,7 @@
 import testtools
 
 from tests.support.asynchronous import run
-from tests.support.odd_entries import odd_entries, raw_entry
+from tests.support.odd_entries import odd_entries, odd_objects, raw_entry
 from tests.support.simulated_deployment import Caller, SimulatedDeployment
 
 ROUTERS = 3
@@ -76,6 +76,8 @@
         await self._replace_runners(deployment, caller)
         for router in deployment.routers.values():
             self.assertTrue(router.alive, router.ip)
+            # Nothing but the decoders meets an odd value.
+            self.assertNotIn("work_failed", router.log_path.read_text())
         self.assertEqual([], deployment.breaches)
 
     async def _replace_runners(
@@ -96,7 +98,12 @@
         await self._send(deployment, caller, count=2 * ROUTERS + 2)
 
     async def _send(
-        self, deployment: SimulatedDeployment, caller: Caller, *, count: int
+        self,
+        deployment: SimulatedDeployment,
+        caller: Caller,
+        *,
+        count: int,
+        kind: str = "safe",
     ) -> None:
         """Sends requests to all routers until they serve all of them."""
         routers = list(deployment.routers.values())
@@ -109,7 +116,7 @@
                 outcomes.append(
                     await caller.send(
                         routers[number % len(routers)],
-                        "safe",
+                        kind,
                         f"q{self._sent}",
                     )
                 )
@@ -148,6 +155,58 @@
             }
         )
 
+    def test_groups_are_repaired_beside_odd_objects_of_other_kinds(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            with tempfile.TemporaryDirectory() as folder:
+                deployment = SimulatedDeployment(Path(folder))
+                try:
+                    await self._check_other_kinds(deployment)
+                except BaseException:
+                    _print_logs(deployment)
+                    raise
+                finally:
+                    await deployment.close()
+
+        run(scenario())
+
+    async def _check_other_kinds(self, deployment: SimulatedDeployment) -> None:
+        """Puts odd objects of all other kinds, then breaks all groups."""
+        for _ in range(PLAIN_RUNNERS):
+            deployment.add_runner("stock")
+        for _ in range(4):
+            deployment.add_runner("cards", "d0")
+        for number in range(1, ROUTERS + 1):
+            deployment.add_router(number)
+        await deployment.wait_until_ready()
+        caller = Caller(deployment)
+        store = deployment.store
+        for number, data in enumerate(odd_objects()):
+            store.put_raw("evacuations", f"elsewhere-{number}", data)
+            store.put_raw("config", f"odd-{number}", data)
+            store.put_raw("mulberrypaddle-routers", f"odd-{number}", data)
+            store.put_raw("mulberrypaddle-duties", f"odd-{number}", data)
+            # The lease of the duty itself: its owner loses it.
+            store.put_raw("mulberrypaddle-duties", "south", data)
+            await self._send(deployment, caller, count=ROUTERS)
+            await asyncio.sleep(0.3)
+        deployment.add_router(ROUTERS + 1)
+        for head in deployment.open_heads():
+            deployment.runners[head.members[1]].crash()
+        await self._send(
+            deployment, caller, count=2 * ROUTERS + 2, kind="write"
+        )
+        store.put_raw("config", "main", b'{"version": 1e999}')
+        await self._send(deployment, caller, count=2 * ROUTERS + 2)
+        deployment.put_config()
+        await self._send(deployment, caller, count=2 * ROUTERS + 2)
+        for router in deployment.routers.values():
+            self.assertTrue(router.alive, router.ip)
+            # Nothing but the decoders meets an odd value.
+            self.assertNotIn("work_failed", router.log_path.read_text())
+        self.assertEqual([], deployment.breaches)
+
     def test_runner_whose_entry_turns_unreadable_is_not_used(self) -> None:
         async def scenario() -> list[str]:
             with tempfile.TemporaryDirectory() as folder:
--- a/tests/support/odd_entries.py
+++ b/tests/support/odd_entries.py
@@ -114,3 +114,26 @@
     entries["number of too many digits"] = TOO_MANY_DIGITS.encode()
     entries["only nested"] = _nested("[", "]", 50_000).encode()
     return entries
+
+
+def odd_objects() -> list[bytes]:
+    """Returns contents of routers' own objects, with odd values."""
+    record = (
+        b'{"node":"r","incarnation":"a","address":"127.0.0.99:1",'
+        b'"renewals":%s,"given_up":false}'
+    )
+    return [
+        b"null",
+        b"[]",
+        b'"text"',
+        _nested("[", "]", 50_000).encode(),
+        TOO_MANY_DIGITS.encode(),
+        record % b"1e999",
+        record % b"NaN",
+        record % MANY_DIGITS.encode(),
+        record % b"[]",
+        b'{"ip":"127.0.0.1\\u0000","incarnation":"a","data_centre":"south"}',
+        b'{"ip":"\\ud800","incarnation":"a","data_centre":"south"}',
+        b'{"ip":"nowhere","incarnation":"a","data_centre":7}',
+        b'{"ip":7,"incarnation":"a","data_centre":"\xff"}',
+    ]
