Open a link to a router again after an unexpected error

Found by looking for the same class: the task that keeps the link to another router of the own interfaces went on only after errors of gRPC and the system. Any other error ended it without a line in the log, so that no message reached that router any more.

Unexpected errors are logged with their traceback, and the stream is opened again after the usual pause.

--- a/mulberrypaddle/peers/client.py
+++ b/mulberrypaddle/peers/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 from typing import TYPE_CHECKING
 
 import grpc
@@ -20,6 +21,8 @@
     from mulberrypaddle.peers.counters import LinkCounters
     from mulberrypaddle.settings.settings import PeerTls
 
+_LOGGER = logging.getLogger("mulberrypaddle.peers")
+
 # Time for which messages are collected into one envelope.
 FLUSH_SECONDS = 0.025
 MIN_BACKOFF_SECONDS = 0.1
@@ -89,10 +92,16 @@
         """Opens streams one after another, with a jittered backoff."""
         while True:
             await self._outbox.wait()
-            with contextlib.suppress(
-                grpc.RpcError, asyncio.InvalidStateError, OSError
-            ):
+            try:
                 await self._send_on_one_stream()
+            except (grpc.RpcError, asyncio.InvalidStateError, OSError) as error:
+                _LOGGER.debug(
+                    "link_broken",
+                    extra={"peer": self._peer_id, "reason": str(error)},
+                )
+            except Exception:
+                # Nobody awaits this task before the link is closed.
+                _LOGGER.exception("link_failed", extra={"peer": self._peer_id})
             await asyncio.sleep(
                 self._rng.uniform(0.5, 1) * self._next_backoff_seconds()
             )
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -16,6 +16,7 @@
 from mulberrypaddle.core.clock import SystemClock
 from mulberrypaddle.node import Node
 from mulberrypaddle.peers import PeerLinks
+from mulberrypaddle.peers.client import PeerClient, PeerIdentity
 from mulberrypaddle.peers.counters import LinkCounters
 from mulberrypaddle.peers.outbox import Outbox
 from mulberrypaddle.peers.proto import envelope_pb2, envelope_pb2_grpc
@@ -252,3 +253,33 @@
             )
 
         self.assertEqual((1, [b"b", b"c"]), run(scenario()))
+
+
+class FailingLinkTest(testtools.TestCase):
+    """A link goes on after an unexpected error."""
+
+    def test_stream_is_opened_again_after_an_unexpected_error(self) -> None:
+        attempts: list[int] = []
+
+        async def fail(client: PeerClient) -> None:
+            attempts.append(1)
+            raise ValueError("unexpected")
+
+        self.patch(PeerClient, "_send_on_one_stream", fail)
+
+        async def scenario() -> None:
+            client = PeerClient(
+                PeerIdentity("router-1", 1),
+                peer_id="router-2",
+                address="127.0.0.1:1",
+                tls=None,
+                rng=random.Random(1),
+                counters=LinkCounters(),
+            )
+            client.send(PackedMessage())
+            while len(attempts) < 3:
+                await asyncio.sleep(0.02)
+            await client.close()
+
+        run(scenario())
+        self.assertGreaterEqual(len(attempts), 3)
