--- a/mulberrypaddle/platform/decoder.py
+++ b/mulberrypaddle/platform/decoder.py
@@ -5,6 +5,14 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from mulberrypaddle.core.value_checks import (
+    require_address,
+    require_int,
+    require_name,
+    require_number,
+    require_str,
+    shorten,
+)
 from mulberrypaddle.fleet import (
     CallerLimits,
     EngineTraits,
@@ -19,6 +27,7 @@
     ServingConfig,
 )
 from mulberrypaddle.serving.decoder import Decoder
+from mulberrypaddle.serving.report_limiter import ReportLimiter
 
 if TYPE_CHECKING:
     from mulberrypaddle.serving.store import StoredItem
@@ -37,7 +46,21 @@
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 # Exceptions raised when a document does not have the expected form.
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+# Most slots of a runner, and longest rest of a cold start: a day.
+_MAX_SLOTS = 65_536
+_MAX_COLD_MS = 86_400_000
+
+# Highest number of the configuration that is accepted.
+_MAX_NUMBER = 1e12
 
 # Used if the configuration has no limits; copied from the platform's example.
 _DEFAULT_LIMITS = CallerLimits(
@@ -51,6 +74,9 @@
 class PlatformDecoder(Decoder):
     """Decodes the configuration and the entries of runners."""
 
+    def __init__(self) -> None:
+        self._reported_runners = ReportLimiter()
+
     def decode_config(self, items: list[StoredItem]) -> ServingConfig | None:
         """Decodes the configuration; returns None if missing or invalid."""
         for item in items:
@@ -74,30 +100,18 @@
                 item.name, item.content["spec"], now_seconds=now_seconds
             )
         except _DECODE_ERRORS as error:
-            _LOGGER.warning(
-                "unreadable_runner",
-                extra={
-                    "subject": item.name,
-                    "reason": f"{type(error).__name__}: {error}",
-                },
-            )
+            if self._reported_runners.is_new(item.name, item.revision):
+                _LOGGER.warning(
+                    "unreadable_runner",
+                    extra={
+                        "subject": item.name,
+                        "revision": item.revision,
+                        "reason": f"{type(error).__name__}: {error}",
+                    },
+                )
             return None
 
 
-def _require_str(value: Any) -> str:
-    """Returns the value; raises ValueError if it is not a string."""
-    if not isinstance(value, str):
-        raise ValueError(f"got {value!r}, expected a string")
-    return value
-
-
-def _require_int(value: Any) -> int:
-    """Returns the value; raises ValueError if it is not an integer."""
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"got {value!r}, expected an integer")
-    return value
-
-
 def _read_runner_entry(
     runner_id: str, fields: dict[str, Any], *, now_seconds: float
 ) -> RunnerEntry:
@@ -110,49 +124,66 @@
             which the rest of the runner's cold start counts.
 
     Raises:
-        ValueError: If a field has another type or an unknown value.
+        AttributeError: If an object is of another type.
         KeyError: If a field is missing.
+        TypeError: If a list or an object is of another type.
+        ValueError: If a field has another type, an unknown value, or one out of
+            range.
     """
+    if not runner_id.isascii() or not runner_id.isprintable():
+        raise ValueError("the id can't be sent in a header")
     # Unix start time in milliseconds; it distinguishes the incarnations of a
     # runner that keeps its id across restarts.
     started_at_ms = fields.get("born")
-    cold_ms = fields.get("coldRemainingMs", 0)
-    state = _require_str(fields["state"])
+    cold_ms = fields.get("coldRemainingMs")
+    if cold_ms is None:
+        cold_ms = 0
+    domain = fields.get("domain")
+    state = require_str(fields["state"])
     if state not in _DRAINING_BY_STATE:
         raise ValueError(
             f"got state {state!r}, expected one of {list(_DRAINING_BY_STATE)}"
         )
-    address = _require_str(fields["address"])
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"got address {address!r}, expected HOST:PORT")
     return RunnerEntry(
         runner_id,
         started_at_ms=None
         if started_at_ms is None
-        else _require_int(started_at_ms),
-        service=_require_str(fields["service"]),
-        address=address,
-        data_centre=_require_str(fields["zone"]),
-        slots=_require_int(fields["slots"]),
+        else require_int(started_at_ms),
+        service=require_name(fields["service"]),
+        address=require_address(fields["address"]),
+        data_centre=require_name(fields["zone"]),
+        slots=require_int(fields["slots"], minimum=1, maximum=_MAX_SLOTS),
         draining=_DRAINING_BY_STATE[state],
-        cold_until_seconds=now_seconds + float(cold_ms or 0) / 1000,
+        cold_until_seconds=now_seconds
+        + require_number(cold_ms, maximum=_MAX_COLD_MS) / 1000,
         models=_read_loaded_models(fields),
-        domain=str(fields.get("domain") or ""),
+        domain="" if domain is None else require_str(domain),
         staged=_read_staged_models(fields),
         group=_read_membership(fields.get("group")),
     )
 
 
+def _require_list(value: Any) -> list[Any]:
+    """Returns a list, empty if it is missing; raises ValueError if none."""
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise ValueError(f"got {shorten(value)}, expected a list")
+    return value
+
+
 def _read_staged_models(fields: dict[str, Any]) -> tuple[str, ...]:
     """Returns the models whose weights are already on the runner's host."""
-    return tuple(_require_str(name) for name in fields.get("staged") or ())
+    return tuple(
+        require_name(name) for name in _require_list(fields.get("staged"))
+    )
 
 
 def _read_loaded_models(fields: dict[str, Any]) -> tuple[str, ...]:
     """Returns the names of the models that the runner has loaded."""
     return tuple(
-        _require_str(model["name"]) for model in fields.get("models") or ()
+        require_name(model["name"])
+        for model in _require_list(fields.get("models"))
     )
 
 
@@ -161,20 +192,67 @@
     if not fields:
         return None
     return GroupMembership(
-        _require_str(fields["name"]),
-        epoch=_require_int(fields["epoch"]),
-        rank=_require_int(fields["rank"]),
-        state=MembershipState(_require_str(fields["state"])),
+        require_name(fields["name"]),
+        epoch=require_int(fields["epoch"]),
+        rank=require_int(fields["rank"]),
+        state=MembershipState(require_str(fields["state"])),
     )
 
 
+def _read_number(value: Any) -> float:
+    """Returns a number of the configuration, from 0 to `_MAX_NUMBER`.
+
+    Raises:
+        ValueError: If the value is no such number.
+    """
+    return require_number(value, maximum=_MAX_NUMBER)
+
+
+def _read_rate(value: Any) -> float:
+    """Returns a rate of the configuration, above 0 and up to `_MAX_NUMBER`.
+
+    Raises:
+        ValueError: If the value is no such number.
+    """
+    rate = _read_number(value)
+    if rate <= 0:
+        raise ValueError("got a rate of 0")
+    return rate
+
+
+def _read_int(value: Any, *, minimum: int = 0) -> int:
+    """Returns a number of the configuration without its fraction.
+
+    Args:
+        value: The number, up to `_MAX_NUMBER`.
+        minimum: Lowest number that is accepted.
+
+    Raises:
+        ValueError: If the value is no such number.
+    """
+    number = int(_read_number(value))
+    if number < minimum:
+        raise ValueError(f"got {number}, expected {minimum} or more")
+    return number
+
+
+def _read_rank(value: Any) -> int:
+    """Returns the rank of a route or an organisation; it may be negative.
+
+    Raises:
+        ValueError: If the value is no number up to `_MAX_NUMBER`.
+    """
+    is_negative = type(value) in (int, float) and value < 0
+    return -_read_int(-value) if is_negative else _read_int(value)
+
+
 def _read_config(fields: dict[str, Any], revision: int) -> ServingConfig:
     """Decodes the configuration: routes, services and organisations."""
     limits = _DEFAULT_LIMITS
     if fields.get("limits"):
         limits = _read_limits(fields["limits"])
     return ServingConfig(
-        version=_require_int(fields["version"]),
+        version=require_int(fields["version"]),
         revision=revision,
         routes=tuple(_read_route(route) for route in fields["routes"]),
         services={
@@ -189,10 +267,10 @@
 def _read_limits(fields: dict[str, Any]) -> CallerLimits:
     """Decodes the size and time limits of callers' requests."""
     return CallerLimits(
-        header_bytes=int(fields["maxHeaderBytes"]),
-        body_bytes=int(fields["maxBodyBytes"]),
-        header_seconds=fields["headerTimeoutMs"] / 1000,
-        idle_seconds=fields["idleTimeoutMs"] / 1000,
+        header_bytes=_read_int(fields["maxHeaderBytes"]),
+        body_bytes=_read_int(fields["maxBodyBytes"]),
+        header_seconds=_read_number(fields["headerTimeoutMs"]) / 1000,
+        idle_seconds=_read_number(fields["idleTimeoutMs"]) / 1000,
     )
 
 
@@ -201,24 +279,25 @@
     shares: tuple[tuple[str, float], ...]
     if fields.get("backends"):
         shares = tuple(
-            (_require_str(share["service"]), float(share["weight"]))
+            (require_str(share["service"]), _read_number(share["weight"]))
             for share in fields["backends"]
         )
     else:
-        shares = ((_require_str(fields["service"]), 1.0),)
-    timeout_ms = fields.get("timeoutMs") or 30_000
+        shares = ((require_str(fields["service"]), 1.0),)
+    timeout_ms = _read_number(fields.get("timeoutMs") or 30_000)
     return Route(
-        name=_require_str(fields["name"]),
-        host=_require_str(fields["host"]).lower(),
-        path_prefix=_require_str(fields["pathPrefix"]),
+        name=require_str(fields["name"]),
+        host=require_str(fields["host"]).lower(),
+        path_prefix=require_str(fields["pathPrefix"]),
         retry_policy=_RETRY_POLICY_BY_KIND[fields["kind"]],
         timeout_seconds=timeout_ms / 1000,
-        target_seconds=fields.get("targetLatencyMs", timeout_ms) / 1000,
+        target_seconds=_read_number(fields.get("targetLatencyMs", timeout_ms))
+        / 1000,
         # Longest gap between two events of a stream that is still on time.
-        pause_seconds=fields.get("gapAimMs", 0) / 1000,
-        urgency=int(fields.get("priority", 5)),
+        pause_seconds=_read_number(fields.get("gapAimMs", 0)) / 1000,
+        urgency=_read_rank(fields.get("priority", 5)),
         shares=shares,
-        max_runners=int(fields.get("maxAttempts", 1)),
+        max_runners=_read_int(fields.get("maxAttempts", 1)),
         public=bool(fields.get("public", False)),
         resumable=bool(fields.get("resumable", False)),
     )
@@ -228,9 +307,9 @@
     """Decodes a service; only services of model engines have an engine."""
     engine = fields.get("engine")
     return ServiceSpec(
-        name=_require_str(fields["name"]),
-        health_path=str(fields.get("healthPath", "/")),
-        cold_requests_per_second=float(fields.get("coldPerS") or 0),
+        name=require_str(fields["name"]),
+        health_path=require_str(fields.get("healthPath", "/")),
+        cold_requests_per_second=_read_number(fields.get("coldPerS") or 0),
         engine=None if engine is None else _read_engine(engine),
     )
 
@@ -240,28 +319,28 @@
     mean_tokens = fields.get("usual") or {}
     models = {
         model["name"]: ModelSpec(
-            name=_require_str(model["name"]),
-            size=int(model["size"]),
-            demand_share=float(model["share"]),
-            time_factor=float(model["pace"]),
-            load_seconds=float(model["loadS"]),
-            warm_join_seconds=float(model["warmS"]),
+            name=require_str(model["name"]),
+            size=_read_int(model["size"], minimum=1),
+            demand_share=_read_number(model["share"]),
+            time_factor=_read_number(model["pace"]),
+            load_seconds=_read_number(model["loadS"]),
+            warm_join_seconds=_read_number(model["warmS"]),
         )
         for model in fields.get("models", ())
     }
     return EngineTraits(
-        slots=int(fields["slots"]),
+        slots=_read_int(fields["slots"], minimum=1),
         models=models,
-        step_seconds=fields["step_ms"] / 1000,
-        step_seconds_per_request=fields["per_seq_ms"] / 1000,
-        prompt_tokens_per_second=float(fields["read_per_s"]),
-        steps_per_event=int(fields.get("stride", 1)),
+        step_seconds=_read_number(fields["step_ms"]) / 1000,
+        step_seconds_per_request=_read_number(fields["per_seq_ms"]) / 1000,
+        prompt_tokens_per_second=_read_rate(fields["read_per_s"]),
+        steps_per_event=_read_int(fields.get("stride", 1)),
         # Mean tokens of a request, over all models of the service.
-        mean_prompt_tokens=float(mean_tokens.get("prompt", 1000)),
-        mean_answer_tokens=float(mean_tokens.get("answer", 150)),
-        loads_per_second=float(fields.get("loadsPerS", 1)),
-        max_parallel_loads=int(fields.get("loads_at_once", 1)),
-        open_seconds=fields.get("formMs", 0) / 1000,
+        mean_prompt_tokens=_read_number(mean_tokens.get("prompt", 1000)),
+        mean_answer_tokens=_read_number(mean_tokens.get("answer", 150)),
+        loads_per_second=_read_number(fields.get("loadsPerS", 1)),
+        max_parallel_loads=_read_int(fields.get("loads_at_once", 1)),
+        open_seconds=_read_number(fields.get("formMs", 0)) / 1000,
     )
 
 
@@ -275,9 +354,9 @@
     for tenant in fields["tenants"]:
         urgency = tenant.get("priority")
         organisation = Organisation(
-            _require_str(tenant["name"]),
-            urgency=None if urgency is None else int(urgency),
+            require_str(tenant["name"]),
+            urgency=None if urgency is None else _read_rank(urgency),
         )
         for key in tenant["apiKeys"]:
-            organisation_by_key[_require_str(key)] = organisation
+            organisation_by_key[require_str(key)] = organisation
     return organisation_by_key
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -21,6 +21,7 @@
 from mulberrypaddle.dispatch.wait_queue import share_of_free_slots
 from mulberrypaddle.fleet import FleetView
 from mulberrypaddle.serving.demand import DemandMeter
+from mulberrypaddle.serving.supervision import Supervisor
 
 if TYPE_CHECKING:
     import random
@@ -69,6 +70,7 @@
             written in full.
         reading: Number of requests whose headers were received and whose body
             is not yet complete.
+        supervisor: Runs the work of the process and logs its errors.
         waiting_elsewhere: Number of requests in the queues of other routers,
             by router and by name of the queue.
     """
@@ -97,6 +99,7 @@
         "runner_health",
         "stop",
         "stopping_since_seconds",
+        "supervisor",
         "view",
         "waiting_elsewhere",
     )
@@ -114,6 +117,7 @@
         Must be called in the event loop of the process.
         """
         self.loop = asyncio.get_running_loop()
+        self.supervisor = Supervisor()
         self.settings = settings
         self.header_codec = header_codec
         self.client = client
