Soak: kill only the process that was told to stop

A stop that overlapped another one of the same router killed the process that the other one had started in between, if that was within one poll.

--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -266,11 +266,14 @@
         """Stops a router, kills it after the grace period and restarts it."""
         await asyncio.sleep(delay_seconds)
         router.signal(signal.SIGTERM)
-        if router.alive:
+        process = router.process
+        if router.alive and process is not None:
             end = router.stopped_at_seconds[-1] + self._deployment.grace_seconds
-            while router.alive and time.monotonic() < end:
+            while process.poll() is None and time.monotonic() < end:
                 await asyncio.sleep(STOP_POLL_SECONDS)
-            router.kill()
+            # Another stop may have restarted the router meanwhile.
+            if process is router.process:
+                router.kill()
         await asyncio.sleep(pause_seconds)
         router.start()
 
