--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -22,6 +22,7 @@
 from mulberrypaddle.dispatch.wait_queue import share_of_free_slots
 from mulberrypaddle.fleet import FleetView
 from mulberrypaddle.serving.demand import DemandMeter
+from mulberrypaddle.serving.supervision import Supervisor
 
 if TYPE_CHECKING:
     import random
@@ -71,8 +72,7 @@
             written in full.
         reading: Number of requests whose headers were received and whose body
             is not yet complete.
-        last_request_at: Loop time in seconds at which reading a request last
-            ended; 0 before the first.
+        supervisor: Runs the work of the process and logs its errors.
         waiting_elsewhere: Number of requests in the queues of other routers,
             by router and by name of the queue.
     """
@@ -89,7 +89,6 @@
         "header_codec",
         "head_progress",
         "in_flight_count",
-        "last_request_at",
         "queues",
         "live_routers",
         "loads",
@@ -103,6 +102,7 @@
         "runner_health",
         "stop",
         "stopping_since_seconds",
+        "supervisor",
         "view",
         "waiting_elsewhere",
     )
@@ -120,6 +120,7 @@
         Must be called in the event loop of the process.
         """
         self.loop = asyncio.get_running_loop()
+        self.supervisor = Supervisor()
         self.settings = settings
         self.header_codec = header_codec
         self.client = client
@@ -159,7 +160,6 @@
         self.stop: StopSchedule | None = None
         self.in_flight_count = 0
         self.reading = 0
-        self.last_request_at = 0.0
         self.waiting_elsewhere: dict[str, dict[str, int]] = {}
 
     @property
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import tempfile
 from pathlib import Path
 from typing import Any
@@ -12,6 +13,7 @@
 from mulberrypaddle.platform.decoder import PlatformDecoder
 from mulberrypaddle.platform.node_file import load_node_file
 from mulberrypaddle.serving.store import StoredItem
+from tests.support.odd_entries import odd_entries
 
 DECODER = PlatformDecoder()
 
@@ -101,6 +103,35 @@
                 DECODER.decode_runner(_item(spec), now_seconds=0.0)
             )
 
+    def test_entries_out_of_range_are_rejected(self) -> None:
+        for reason, data in odd_entries().items():
+            try:
+                spec = json.loads(data)
+            except (ValueError, RecursionError):
+                continue
+            self.assertIsNone(
+                DECODER.decode_runner(_item(spec), now_seconds=0.0), reason
+            )
+
+    def test_runner_ids_that_break_a_header_are_rejected(self) -> None:
+        for name in ("i-1\r\nX-Tenant: other", "\ud800", "i-\u00fc", "a\0"):
+            self.assertIsNone(
+                DECODER.decode_runner(
+                    _item(_RUNNER_FIELDS, name=name), now_seconds=0.0
+                ),
+                name,
+            )
+
+    def test_unreadable_entry_is_logged_once_per_revision(self) -> None:
+        decoder = PlatformDecoder()
+        with self.assertLogs("mulberrypaddle.documents") as logs:
+            for revision in (5, 5, 6, 6):
+                decoder.decode_runner(
+                    StoredItem("i-1", revision=revision, content=None),
+                    now_seconds=0.0,
+                )
+        self.assertEqual([5, 6], [line.revision for line in logs.records])
+
     def test_engine_fields_are_optional(self) -> None:
         fields = ("domain", "staged", "models", "group", "born")
         spec = {k: v for k, v in _RUNNER_FIELDS.items() if k not in fields}
@@ -112,6 +143,39 @@
 class ConfigTest(testtools.TestCase):
     """Decoding of the configuration, and route lookup."""
 
+    def test_configuration_with_an_odd_number_is_rejected(self) -> None:
+        for odd in (float("nan"), float("inf"), 10**400, -1, True, "5", [1]):
+            configs = [
+                _config(version=odd),
+                _config(routes=[_route("a", "/a/", timeoutMs=odd)]),
+                _config(routes=[_route("a", "/a/", targetLatencyMs=odd)]),
+                _config(routes=[_route("a", "/a/", maxAttempts=odd)]),
+                _config(routes=[_route("a", "/a/", gapAimMs=odd)]),
+                _config(
+                    routes=[
+                        _route(
+                            "a",
+                            "/a/",
+                            backends=[{"service": "stock", "weight": odd}],
+                        )
+                    ]
+                ),
+                _config(services=[{"name": "stock", "coldPerS": odd}]),
+            ]
+            for number, config in enumerate(configs):
+                self.assertIsNone(
+                    DECODER.decode_config([config]), (odd, number)
+                )
+
+    def test_ranks_may_be_negative(self) -> None:
+        config = DECODER.decode_config(
+            [_config(routes=[_route("a", "/a/", priority=-2)])]
+        )
+        assert config is not None
+        route = config.route_for("shop.example", "/a/x")
+        assert route is not None
+        self.assertEqual(-2, route.urgency)
+
     def test_longest_prefix_wins(self) -> None:
         config = DECODER.decode_config([_config()])
         assert config is not None
@@ -162,6 +226,14 @@
         problem = self._load('node = "a"\nzone = "z"\nip = "i"\n' + text)
         self.assertIn("HOST:PORT", problem.failure().detail)
 
+    def test_file_that_is_no_text_is_refused(self) -> None:
+        for data in (b"\x80", b"a = " + b"[" * 50_000, b"node = 1979-13-45"):
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "node.toml"
+                path.write_bytes(data)
+                problem = load_node_file(str(path)).failure()
+            self.assertIn("node.toml", problem.detail)
+
     def test_error_names_the_missing_file(self) -> None:
         problem = load_node_file("/nonexistent/node.toml").failure()
         self.assertIn("/nonexistent/node.toml", problem.detail)
