--- a/mulberrypaddle/platform/runner_control.py
+++ b/mulberrypaddle/platform/runner_control.py
@@ -19,7 +19,7 @@
     proves_unsent,
 )
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
-from mulberrypaddle.platform.headers import encode_name
+from mulberrypaddle.platform.headers import encode_name, parse_announcement
 from mulberrypaddle.replicas.orders import (
     CloseGroup,
     GroupOrder,
@@ -55,6 +55,7 @@
     """Sends orders to runners and fetches their status reports over HTTP."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._client = make_client()
 
     async def send_order(
@@ -155,6 +156,10 @@
             return Failure(_unreachable_problem(entry, error))
         if response.code == 599:
             return Failure(_unreachable_problem(entry, response.error))
+        self.on_announcement(
+            entry,
+            parse_announcement(response.code, response.headers.get_all()),
+        )
         return Success(response)
 
 
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -14,6 +14,7 @@
     RetryBudget,
     RunnerChooser,
     RunnerHealth,
+    RunnerPauses,
     RunnerRequirements,
     WaitQueue,
 )
@@ -45,6 +46,7 @@
         view: Current entries of all runners in the store.
         loads: Number of requests in flight at each runner, from all routers.
         runner_health: Health of each runner.
+        pauses: Pauses that runners asked this router for.
         cold_rate: Rate limit of requests to runners that have just started.
         connections: Idle connections to runners, which requests that may be
             repeated use again.
@@ -91,6 +93,7 @@
         "live_routers",
         "loads",
         "loop",
+        "pauses",
         "next_group_opens_in_seconds",
         "reading",
         "retries",
@@ -126,6 +129,7 @@
         self.view = FleetView()
         self.loads = InFlightCounts()
         self.runner_health = RunnerHealth()
+        self.pauses = RunnerPauses()
         self.cold_rate = ColdRateLimiter(rng)
         self.connections = IdleConnections()
         self.crash_attribution = CrashAttribution()
@@ -143,6 +147,8 @@
             self.view,
             in_flight=self.loads,
             runner_health=self.runner_health,
+            pauses=self.pauses,
+            drain_seconds=settings.bounds.drain_seconds,
             cold_limiter=self.cold_rate,
             connections=self.connections,
             rng=rng,
@@ -189,6 +195,36 @@
             counts.get(name, 0) for counts in self.waiting_elsewhere.values()
         )
 
+    def pause_left_seconds(
+        self, requirements: RunnerRequirements
+    ) -> float | None:
+        """Returns the time until a request can be sent, if all runners pause.
+
+        That is when the first pause ends or the next group of runners serves.
+        None if a healthy runner serves, or if none asked for a pause.
+        """
+        left_seconds = self.chooser.pause_left_seconds(
+            requirements, now_seconds=self.now()
+        )
+        opens_in_seconds = self.next_group_opens_in_seconds.get(
+            requirements.model
+        )
+        if left_seconds is None or opens_in_seconds is None:
+            return left_seconds
+        return min(left_seconds, opens_in_seconds)
+
+    def ready_in_seconds(
+        self, requirements: RunnerRequirements
+    ) -> float | None:
+        """Returns the time until the next runner is expected to serve.
+
+        For requests that no runner serves now; None if unknown.
+        """
+        left_seconds = self.pause_left_seconds(requirements)
+        if left_seconds is not None:
+            return left_seconds
+        return self.next_group_opens_in_seconds.get(requirements.model)
+
     def dispatch_waiting(self) -> None:
         """Wakes queued requests for which runners have free slots.
 
@@ -206,6 +242,9 @@
             free_capacity = 0
             if service is not None:
                 requirements = RunnerRequirements(service, model=model)
+                pause_seconds = self.pause_left_seconds(requirements)
+                if pause_seconds is not None:
+                    queue.end_waits_before(now + pause_seconds)
                 free_capacity = share_of_free_slots(
                     self.chooser.free_capacity(
                         requirements,
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -315,6 +315,8 @@
         board = self._board
         if board.runner_health.is_suspected(runner.runner_id, now):
             return False
+        if board.pauses.is_paused(runner.incarnation, now):
+            return False
         for entry in board.chooser.serving_runners(self._runner_requirements()):
             if entry.incarnation == runner.incarnation:
                 return True
@@ -486,9 +488,7 @@
             serving_slots=sum(max(1, entry.slots) for entry in serving),
             ahead=ahead,
             busy_seconds=self._terms.busy_seconds,
-            ready_in_seconds=board.next_group_opens_in_seconds.get(
-                self._fields.model
-            ),
+            ready_in_seconds=board.ready_in_seconds(requirements),
             newer_slots=newer_slots,
         )
         return decision, len(serving)
@@ -726,7 +726,8 @@
         self._excluded_runners.add(runner_id)
         if outcome is AttemptOutcome.UNSENT:
             self._send_count -= 1
-            board.runner_health.record_unreachable(runner_id, now)
+            if not board.pauses.is_paused(entry.incarnation, now):
+                board.runner_health.record_unreachable(runner_id, now)
             return _NextStep.RETRY
         if outcome is AttemptOutcome.NOT_RUN:
             if attempt.runner_at_fault:
@@ -791,7 +792,7 @@
         if outcome not in (AttemptOutcome.BROKEN, AttemptOutcome.STALE):
             return False
         current = self._board.view.get(entry.runner_id)
-        if current is not None and current.draining:
+        if current is not None and current.is_leaving:
             return False
         return attempt.event_count <= MAX_STARTING_EVENTS
 
@@ -913,11 +914,16 @@
             self._fail_outcome_unknown()
             return
         kind = ErrorKind.OVERLOADED if healthy_count else ErrorKind.NO_RUNNER
-        self._refuse(
-            kind,
-            "no runner has room",
-            retry_after_seconds=retry_after_seconds,
+        detail = "no runner has room"
+        pause_left_seconds = self._board.pause_left_seconds(
+            self._runner_requirements()
         )
+        if pause_left_seconds is not None:
+            detail = "all runners asked for a pause"
+            retry_after_seconds = max(
+                MIN_RETRY_AFTER_SECONDS, pause_left_seconds
+            )
+        self._refuse(kind, detail, retry_after_seconds=retry_after_seconds)
 
     def _refuse(
         self,
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 from typing import TYPE_CHECKING
@@ -12,6 +13,7 @@
 
 from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.dispatch.stop_schedule import StopSchedule
+from mulberrypaddle.serving.announcements import record_announcement
 from mulberrypaddle.serving.blackboard import Blackboard
 from mulberrypaddle.serving.caller_server import (
     STOP_POLL_SECONDS,
@@ -128,6 +130,9 @@
             feed.on_history_gone = self._relist_all
         self._peers = PeerExchange(self.board, feeds)
         self._duty_manager = DutyManager(self.board, store, self._peers)
+        control.on_announcement = functools.partial(
+            record_announcement, self.board
+        )
         self._group_controller = GroupController(
             self.board, control=control, duty_manager=self._duty_manager
         )
@@ -337,6 +342,7 @@
                 ("heartbeats", self._peers.tick),
                 ("dispatch", board.dispatch_waiting),
                 ("expired runners", self._remove_expired_runners),
+                ("expired pauses", self._forget_expired_pauses),
             ):
                 board.supervisor.run_step(name, step)
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
@@ -360,6 +366,10 @@
                 entry.runner_id for entry in board.view
             )
 
+    def _forget_expired_pauses(self) -> None:
+        """Forgets pauses of runners that ended some time ago."""
+        self.board.pauses.forget_expired(self.board.now())
+
     def _handle_slowness(self) -> None:
         """Releases the duties after this process was found to be slow.
 
--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -6,11 +6,11 @@
 
 Planned work: routers are stopped, several at a time and some by more than one
 signal, and restarted; they are told to reload; the configuration changes;
-runners drain, are slow or pause for a second. Faults, except in every third
-seed: routers are paused and killed, runners crash, the store has outages and
-loses its watch history, and a proxy in front of the store delays, resets or
-silences connections, or drops the answers only. Every fifth seed has more
-routers and runners.
+runners drain, are slow, stand still for a second, announce to leave or ask for
+pauses. Faults, except in every third seed: routers are paused and killed,
+runners crash, the store has outages and loses its watch history, and a proxy in
+front of the store delays, resets or silences connections, or drops the answers
+only. Every fifth seed has more routers and runners.
 
 Callers send requests throughout, some of them on connections that they keep
 until the router's process is gone. In every other seed, some requests have a
@@ -36,6 +36,7 @@
 
 import fire
 
+from soak.announcement_faults import AnnouncementFaults
 from soak.upgrade import UpgradeRun
 from tests.support.crashing_parts import FIRST_PART, make_prompt
 from tests.support.fault_proxy import FaultProxy, ProxyMode
@@ -130,6 +131,9 @@
             self._disruptions.add("runners", float("inf"))
         self._stops: list[asyncio.Task[None]] = []
         self.faults: list[str] = []
+        self._announcement_faults = AnnouncementFaults(
+            self._deployment, random.Random(seed), call_later=self._call_later
+        )
         self.lost_counts: dict[str, int] = {}
         self.outcomes = self._caller.outcomes
 
@@ -146,8 +150,10 @@
                 deployment.add_router(number)
             await deployment.wait_until_ready(30.0)
             load = asyncio.ensure_future(self._generate_load())
+            announcing = asyncio.ensure_future(self._announcement_faults.run())
             self._kept_callers.start(KEPT_CALLERS * self._router_count)
             await self._inject_faults()
+            announcing.cancel()
             await asyncio.gather(*self._stops)
             self._clear_faults()
             recovered = await self._recovers()
@@ -166,6 +172,14 @@
             await deployment.close()
             self._proxy.close()
 
+    def describe_announcements(self) -> str:
+        """Returns how many announcements of runners the checks covered."""
+        checks = self._deployment.announcements
+        return (
+            f"{checks.leaving_known} of runners that leave, "
+            f"{checks.pauses_asked} pauses"
+        )
+
     def _check_losses(self) -> None:
         """Checks that no stop and no reload cost an answer."""
         for loss in losses(
@@ -450,6 +464,7 @@
         soak = SoakRun(seed, Path(folder))
         breaches = await soak.run()
         print(f"  requests: {soak.outcomes}, interrupted: {soak.lost_counts}")
+        print(f"  announcements: {soak.describe_announcements()}")
         if breaches:
             print(f"seed {seed}: faults {soak.faults}")
             _keep_logs(seed, Path(folder))
--- a/tests/support/kept_callers.py
+++ b/tests/support/kept_callers.py
@@ -195,7 +195,7 @@
         request_id = f"k{self._number}"
         kind = self._rng.choice(self._kinds)
         limit_seconds = ROUTE_TIMEOUTS_SECONDS[kind]
-        self._deployment.record_caller(request_id)
+        self._deployment.record_caller(request_id, router)
         request = SentRequest(request_id, kind, router, limit_seconds)
         answer = bytearray()
         is_complete = False
--- a/tests/support/persistent_callers.py
+++ b/tests/support/persistent_callers.py
@@ -79,7 +79,7 @@
     ) -> bool:
         """Sends a request; returns whether a complete answer was received."""
         request_id = f"{self._name}-{kind}-{next(self._numbers)}"
-        self._deployment.record_caller(request_id)
+        self._deployment.record_caller(request_id, router)
         request = SentRequest(request_id, kind, router, self._limit_seconds)
         answer = bytearray()
         is_complete = False
--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -34,6 +34,7 @@
     prompt_parts,
 )
 from tests.support.front_end_harness import free_port
+from tests.support.runner_announcements import AnnouncementChecks
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -335,6 +336,8 @@
         data_centres: Names of the data centres of the deployment.
         folder: Folder for the settings and logs of the routers.
         breaches: Descriptions of the invariants that were breached.
+        announcements: Checks what reaches runners that announced to leave or
+            asked for a pause.
         run_counts: How often each request ran, by request id.
         work: Work of the runners on each request, by request id.
         route_timeouts_seconds: Timeout of each route, by name; in force with
@@ -368,6 +371,7 @@
         self.rng = random.Random(seed)
         self.folder = folder
         self.breaches: list[str] = []
+        self.announcements = AnnouncementChecks(self.breaches)
         self.run_counts: dict[str, int] = {}
         self.work: dict[str, list[RunnerWork]] = {}
         self.route_timeouts_seconds = dict(ROUTE_TIMEOUTS_SECONDS)
@@ -461,9 +465,12 @@
         if self.run_counts.get(request_id):
             self.breaches.append(f"{request_id} was refused and had run")
 
-    def record_caller(self, request_id: str, api_key: str = API_KEY) -> None:
-        """Records the key that a request is sent with."""
+    def record_caller(
+        self, request_id: str, router: Router, api_key: str = API_KEY
+    ) -> None:
+        """Records the router and the key that a request is sent with."""
         self.organisations[request_id] = ORGANISATIONS[api_key]
+        self.announcements.record_sent(request_id, router.ip)
 
     async def wait_until_ready(
         self, seconds: float = 20.0, *, groups: int = 1
@@ -501,6 +508,10 @@
         alive: Whether it has not crashed.
         started_at_ms: Unix time of its start.
         draining: Whether it registers itself as draining.
+        leaving: Whether it announces in all its answers that it is leaving.
+        refuses_until_seconds: Monotonic time until which it refuses requests
+            and asks for a pause.
+        request_ids: Ids of the callers' requests that reached it, in order.
         staged: Models whose weights are staged.
         group: Name, epoch and rank in its group, or None.
         members: Ids of the members of its group by rank.
@@ -529,6 +540,9 @@
         self.started_at_ms = int(time.time() * 1000)
         self.in_store = True
         self.draining = False
+        self.leaving = False
+        self.refuses_until_seconds = 0.0
+        self.request_ids: list[str] = []
         self.staged: list[str] = []
         self.group: dict[str, Any] | None = None
         self.members: list[str] = []
@@ -551,6 +565,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @property
+    def lifetime(self) -> str:
+        """Returns a name that a restart under the same id does not have."""
+        return f"{self.runner_id}@{self.started_at_ms}"
+
     @property
     def running(self) -> int:
         """Returns the number of requests that it is running."""
@@ -636,16 +655,18 @@
 
     def _handle(self, request: httputil.HTTPServerRequest) -> None:
         wanted = request.headers.get("X-Expect-Instance", self.runner_id)
+        headers = {"Server-Leaving": "1"} if self.leaving else {}
         if wanted != self.runner_id:
-            _respond(request, 421, headers={"X-Instance-Id": self.runner_id})
+            headers["X-Instance-Id"] = self.runner_id
+            _respond(request, 421, headers=headers)
         elif request.path == "/order":
             status = self._order(json.loads(request.body))
             self.report()
-            _respond(request, status)
+            _respond(request, status, headers=headers)
         elif request.path == "/report":
-            _respond(request, 200, {"busy": False})
+            _respond(request, 200, {"busy": False}, headers)
         else:
-            self._spawn(self._serve(request))
+            self._spawn(self._serve(request, headers))
 
     def _order(self, order: dict[str, Any]) -> int:
         """Executes an order and returns the HTTP status of the answer."""
@@ -728,13 +749,43 @@
             self._deployment.ready_memberships.add((self.runner_id, group_key))
             self.report()
 
-    async def _serve(self, request: httputil.HTTPServerRequest) -> None:
+    def _refuse_while_paused(
+        self, request: httputil.HTTPServerRequest, headers: dict[str, str]
+    ) -> bool:
+        """Refuses a request in a pause; returns whether it is one."""
+        left_seconds = self.refuses_until_seconds - time.monotonic()
+        if left_seconds <= 0:
+            return False
+        request_id = request.headers.get("X-Request-Id", "")
+        headers |= {"Retry-After": f"{left_seconds:.3f}", "X-Not-Executed": "1"}
+        _respond(request, 503, headers={**headers, "X-Request-Id": request_id})
+        self._deployment.announcements.record_pause(
+            request_id, self.lifetime, left_seconds
+        )
+        return True
+
+    async def _serve(
+        self, request: httputil.HTTPServerRequest, headers: dict[str, str]
+    ) -> None:
+        """Runs or refuses a caller's request.
+
+        Args:
+            request: The request.
+            headers: Headers of all answers.
+        """
         request_id = request.headers.get("X-Request-Id", "")
+        self.request_ids.append(request_id)
+        announcements = self._deployment.announcements
+        announcements.record_arrival(request_id, self.lifetime)
+        if self.leaving:
+            announcements.record_announcement(request_id, self.lifetime)
+        if self._refuse_while_paused(request, headers):
+            return
         self._deployment.crashing_parts.record_arrival(
             request.headers.get("X-Prompt-Prefix", "")
         )
         if self.domain and self.state != "open":
-            _respond(request, 503, headers={"X-Not-Executed": "1"})
+            _respond(request, 503, headers={**headers, "X-Not-Executed": "1"})
             return
         kind = ROUTE_KINDS[request.path.split("/")[1]]
         work = self._deployment.record_run(
@@ -747,7 +798,7 @@
             self._deployment.breaches.append(
                 f"{request_id} has no or another organisation"
             )
-        headers = {"X-Request-Id": request_id, "X-Response-Seal": "s"}
+        headers |= {"X-Request-Id": request_id, "X-Response-Seal": "s"}
         connection = request.connection
         assert connection is not None
         self._connections.add(connection)
@@ -895,6 +946,7 @@
         """Starts the process, unless it is running."""
         if self.alive:
             return
+        self._deployment.announcements.excuse(self.ip)
         self.is_stopping = False
         log = self.log_path.open("ab")
         self.process = subprocess.Popen(
@@ -917,6 +969,8 @@
         if number == signal.SIGHUP:
             self.reloaded_at_seconds.append(time.monotonic())
         self.process.send_signal(number)
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self._deployment.announcements.excuse(self.ip)
 
     @property
     def takes_new_connections(self) -> bool:
@@ -1025,7 +1079,7 @@
         prompt: str,
         api_key: str,
     ) -> str:
-        self._deployment.record_caller(request_id, api_key)
+        self._deployment.record_caller(request_id, router, api_key)
         data = request_bytes(
             kind,
             request_id,
@@ -1062,6 +1116,7 @@
             return f"refused {status}"
         if status != 200:
             return f"failed {status}"
+        self._deployment.announcements.record_received(request_id)
         if ROUTE_KINDS[kind] != "streaming":
             length = httputil.HTTPHeaders.parse(
                 head.decode("latin-1").partition("\r\n")[2]
