Don't send a request that was cancelled before it had a connection

Callers would see: with more requests in flight than the client has handles for runners (2048), one that waits for a handle when a planned stop ends is sent to a runner afterwards, and its connection closes without an answer. A request whose caller has left while it waits is sent as well.

Cause: RunnerCall.cancel() aborts the transfer of a handle. A call without one was only marked as cancelled, and nothing asked for that mark before the request was sent. The same holds for a connection that is made between the cancellation and the abort in the next turn of the event loop.

Evidence: with one handle, a call that is cancelled while it waits was sent: the new test got (cancelled, sent, 2 requests at the runner) before. Now it gets (cancelled, not sent, 1), so that the request is refused as not run.

--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -281,6 +281,10 @@
         if self.sent:
             self.error = "the kept connection was closed"
             return int(pycurl.PREREQFUNC_ABORT)
+        if self._cancelled:
+            # It waited for a free handle, or `_abort` has yet to run.
+            self.error = "it was cancelled before it was sent"
+            return int(pycurl.PREREQFUNC_ABORT)
         if not self._suspension.is_valid():
             # By now the deadline may have passed, or another runner may have
             # this address.
--- a/tests/serving/test_runner_call.py
+++ b/tests/serving/test_runner_call.py
@@ -7,6 +7,7 @@
 
 import testtools
 
+from mulberrypaddle.backends import curl
 from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.serving.runner_call import CallOutcome, RunnerCall
 from tests.support.asynchronous import run
@@ -254,6 +255,43 @@
 
         self.assertEqual(CallOutcome.CANCELLED, run(scenario()))
 
+    def test_call_cancelled_while_it_waits_for_a_handle_is_not_sent(
+        self,
+    ) -> None:
+        self.patch(curl, "MAX_CLIENTS", 1)
+        release = asyncio.Event()
+
+        async def answer(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            await release.wait()
+            writer.write(_RESPONSE)
+
+        async def scenario() -> tuple[CallOutcome, bool, int]:
+            runner = RawRunner(answer)
+            address = await runner.start()
+            client = make_client()
+            first = asyncio.ensure_future(_call(client, address))
+            await asyncio.sleep(0.1)
+            call = RunnerCall(
+                client, on_head=lambda *_: True, on_body=lambda _: True
+            )
+            second = asyncio.ensure_future(
+                call.run(
+                    address, method="POST", target="/", headers=[], body=b"b"
+                )
+            )
+            await asyncio.sleep(0.1)
+            call.cancel()
+            release.set()
+            await asyncio.wait_for(first, 2.0)
+            end = await asyncio.wait_for(second, 2.0)
+            client.close()
+            await runner.stop()
+            return end, call.sent, len(runner.request_heads)
+
+        self.assertEqual((CallOutcome.CANCELLED, False, 1), run(scenario()))
+
 
 def _answer_to(request_id: str, *, extra: bytes = b"") -> bytes:
     """Returns a complete answer that announces an idle timeout."""
