Answer HEAD requests that are refused, without a body

Callers would see: a HEAD request that this router refuses, as in a planned stop, without a route or with an unknown key, ends with a closed connection instead of an answer, and the next request of the connection is lost.

Cause: the error has a body; tornado accepts none after the head of a response to HEAD, closes the connection and raises an error that nothing expects.

Evidence: of two HEAD requests with an unknown key on one connection, the first raised HTTPOutputError ("Tried to write more data than Content-Length") in the new test. Now both get 401.

--- a/mulberrypaddle/serving/caller_connection.py
+++ b/mulberrypaddle/serving/caller_connection.py
@@ -43,6 +43,7 @@
         "_connection",
         "_finished",
         "_finishing",
+        "_has_body",
         "_on_drained",
         "_on_disconnect",
         "_pending",
@@ -56,16 +57,19 @@
         self,
         connection: HTTP1Connection,
         *,
+        method: str,
         closes_after: Callable[[], bool],
     ) -> None:
         """Prepares the response.
 
         Args:
             connection: Connection that the request came on.
+            method: HTTP method of the request.
             closes_after: Returns, when the response starts, whether to announce
                 that the connection closes after it.
         """
         self._connection = connection
+        self._has_body = method != "HEAD"
         self._closes_after = closes_after
         self._pending: list[bytes] = []
         self._pending_bytes = 0
@@ -143,13 +147,13 @@
         self._write_head(status, headers, size_bytes=None)
 
     def write(self, data: bytes) -> bool:
-        """Writes bytes of the body.
+        """Writes bytes of the body; the response to HEAD has none.
 
         Returns:
             Whether the caller keeps up; if not, the callback set by
             `set_drained_callback` is called once it has caught up.
         """
-        if self.disconnected or not data:
+        if self.disconnected or not data or not self._has_body:
             return True
         self._pending.append(data)
         self._pending_bytes += len(data)
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -153,7 +153,9 @@
         self._finish_reading()
         board = self._caller_server.board
         caller = CallerConnection(
-            self._connection, closes_after=lambda: board.stopping
+            self._connection,
+            method=self._start_line.method,
+            closes_after=lambda: board.stopping,
         )
         self._caller = caller
         # Once a request is complete, only this callback reports that its
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -247,6 +247,21 @@
 
         self.assertEqual(b"HTTP/1.1 500", run(scenario())[:12])
 
+    def test_refused_head_request_leaves_the_connection_usable(self) -> None:
+        async def scenario() -> list[bytes]:
+            harness = FrontEndHarness()
+            reader, writer = await harness.connect()
+            request = _REQUEST.replace(b"Connection: close\r\n", b"")
+            heads = []
+            for method in (b"HEAD ", b"HEAD "):
+                writer.write(method + request.partition(b" ")[2])
+                heads.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.close()
+            harness.close()
+            return [head[:12] for head in heads]
+
+        self.assertEqual([b"HTTP/1.1 401"] * 2, run(scenario()))
+
     def test_exchange_without_a_response_is_answered(self) -> None:
         async def scenario() -> bytes:
             harness = FrontEndHarness()
