Keep no duty that a stopping router acquires late

Callers would see: groups of a data centre that nobody opens or repairs for up to a lease after a router has stopped.

Cause: the duties are released at the signal, but an acquisition that awaits the store at that moment went on: it wrote a lease after the release, and the process ended without giving it up.

Evidence: with a store that answers after the signal, the router held the lease and the record was not given up, both when it was reading the leases and when it was writing one (the two new tests). Now it writes none in the first case and releases it in the second.

--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -536,6 +536,8 @@
         items = {item.name: item for item in listed.unwrap().items}
         self._record_relays(items)
         for duty in candidates:
+            if self._board.stopping:
+                return
             if duty.owned:
                 continue
             if not await self._try_acquire_one(duty, items.get(duty.name)):
@@ -607,6 +609,10 @@
             before=record.node if record else "nobody",
             ended=owner_ended,
         )
+        if self._board.stopping:
+            # `release_all` was called while this router wrote the lease.
+            await self._release(duty)
+            return False
         self.on_acquired()
         return True
 
--- a/tests/serving/test_duty_manager.py
+++ b/tests/serving/test_duty_manager.py
@@ -41,11 +41,14 @@
 
     Attributes:
         silent: Whether calls get no answer.
+        silent_from_call: Number of the call at which `silent` is set; 0 for
+            none.
         calls: Number of calls so far, answered or not.
     """
 
     def __init__(self) -> None:
         self.silent = False
+        self.silent_from_call = 0
         self.calls = 0
         self._values: dict[str, Any] = {}
         self._revisions: dict[str, int] = {}
@@ -104,6 +107,8 @@
 
     async def _answer(self) -> None:
         self.calls += 1
+        if self.calls == self.silent_from_call:
+            self.silent = True
         while self.silent:
             await asyncio.sleep(0.05)
 
@@ -290,6 +295,49 @@
 
         self.assertEqual([True], run(scenario()))
 
+    def _stop_during_call(self, number: int) -> tuple[bool, list[bool]]:
+        """Stops a router during one of its calls to acquire a duty.
+
+        Args:
+            number: Number of the call during which the signal comes.
+
+        Returns:
+            Whether the router holds a lease afterwards, and whether each
+            stored lease is released.
+        """
+
+        async def scenario() -> tuple[bool, list[bool]]:
+            harness = FrontEndHarness()
+            owner = _RouterHarness(harness.board)
+            owner.store.silent_from_call = number
+            task = asyncio.ensure_future(owner.manager.run())
+            while owner.store.calls < number:
+                await asyncio.sleep(0.01)
+            harness.begin_stop(left_seconds=8.0)
+            await owner.manager.release_all()
+            owner.store.silent = False
+            await asyncio.sleep(0.3)
+            held = owner.manager.holds_any_lease()
+            listed = (await owner.store.list(Collection.DUTIES)).unwrap()
+            task.cancel()
+            harness.close()
+            released = []
+            for item in listed.items:
+                record = OwnerRecord.from_value(owner.store.value_of(item))
+                assert record is not None
+                released.append(record.given_up)
+            return held, released
+
+        return run(scenario())
+
+    def test_router_that_stops_while_it_reads_leases_acquires_none(
+        self,
+    ) -> None:
+        self.assertEqual((False, []), self._stop_during_call(1))
+
+    def test_lease_that_is_written_during_a_stop_is_released(self) -> None:
+        self.assertEqual((False, [True]), self._stop_during_call(2))
+
 
 class StoreProbeTest(testtools.TestCase):
     """A router that an owner asks whether it reaches the store."""
