Refuse a request that was still connecting when a stop timed it out

Callers would see: 504, which says that the request may have run, for one that was sent to no runner: at the end of a planned stop it was still connecting. One that may not be repeated is then given up instead of sent to another router.

Cause: during a stop its end is the deadline of an attempt, which is checked every 0.1 s, beside the stop that ends what is in flight. If the deadline is found first, the attempt counted as one that may have run.

Evidence: with a runner that accepts no connection and a stop that ends in 0.25 s, the answer was 504 in 3 of 3 runs of the new test, and is 503 in 3 of 3 now.

--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -720,7 +720,10 @@
             sends=self._send_count,
             age=round(now - self._arrived_at, 3),
         )
-        if outcome is AttemptOutcome.ENDED and not attempt.was_sent:
+        if not attempt.was_sent and outcome in (
+            AttemptOutcome.ENDED,
+            AttemptOutcome.TIMED_OUT,
+        ):
             self._send_count -= 1
             return _NextStep.RETRY
         self._excluded_runners.add(runner_id)
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 
 import testtools
 from testtools.matchers import Equals
@@ -337,6 +339,18 @@
         self.assertEqual(2, len(deadlines_ms))
         self.assertLessEqual(min(deadlines_ms), 1000 + 10)
 
+    def test_connecting_request_is_refused_at_the_end_of_a_stop(self) -> None:
+        async def scenario() -> bytes:
+            harness = FrontEndHarness()
+            with contextlib.ExitStack() as sockets:
+                harness.add_runner("r0", _silent_address(sockets))
+                harness.begin_stop(left_seconds=0.25)
+                answer = await harness.send_request("/pay/1")
+            harness.close()
+            return answer
+
+        self.assertEqual(b"HTTP/1.1 503", run(scenario())[:12])
+
     def test_queued_request_is_refused_at_the_end_of_a_stop(self) -> None:
         async def scenario() -> tuple[bytes, float, int]:
             path = FrontEndHarness()
@@ -889,3 +903,21 @@
             )
         )
         self.assertFalse(got.endswith(b"0\r\n\r\n"))
+
+
+def _silent_address(sockets: contextlib.ExitStack) -> str:
+    """Returns the address of a listener that accepts no connection.
+
+    Args:
+        sockets: Closes the sockets.
+    """
+    listener = sockets.enter_context(socket.socket())
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    host, port = listener.getsockname()
+    # The kernel drops attempts to connect once its accept queue is full.
+    for _ in range(4):
+        waiting = sockets.enter_context(socket.socket())
+        waiting.setblocking(False)
+        waiting.connect_ex((host, port))
+    return f"{host}:{port}"
