Refuse HEAD requests that have a body

Callers would see: a HEAD request with a body was run as a PUT request.

Cause: for a body, tornado's client sets curl's upload mode, which replaces the method HEAD by PUT. curl sends no body with HEAD, so that the request can't be sent as it came.

Evidence: the runner of the new test received "PUT /safe/1" before; now it receives nothing, and the caller gets 400.

--- a/mulberrypaddle/serving/admission.py
+++ b/mulberrypaddle/serving/admission.py
@@ -181,6 +181,9 @@
             return _refuse(ErrorKind.UNAUTHENTICATED, "unknown key")
     if not fields.request_id:
         return _refuse(ErrorKind.BAD_REQUEST, "got no request id")
+    if request.method == "HEAD" and request.body:
+        # curl would send it with another method.
+        return _refuse(ErrorKind.BAD_REQUEST, "got a HEAD request with a body")
     service = config.services.get(_choose_service(route, rng))
     if service is None:
         return _refuse(
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -275,6 +275,27 @@
         self.assertTrue(got.startswith(b"HTTP/1.1 413"))
 
 
+class MethodTest(testtools.TestCase):
+    """Requests whose method and body curl does not send together."""
+
+    def test_head_request_with_a_body_is_not_sent_with_another_method(
+        self,
+    ) -> None:
+        async def scenario() -> tuple[bytes, list[bytes]]:
+            harness = FrontEndHarness()
+            runner = RawRunner(_answers(_complete_response(200, b"")))
+            harness.add_runner("r0", await runner.start())
+            got = await harness.send_request(
+                "/safe/1", method="HEAD", body=b"card"
+            )
+            harness.close()
+            await runner.stop()
+            return got, runner.request_heads
+
+        got, heads = run(scenario())
+        self.assertEqual((b"HTTP/1.1 400", []), (got[:12], heads))
+
+
 class StopTest(testtools.TestCase):
     """A router that is shutting down."""
 
