--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -177,10 +177,13 @@
 
         def prepare(curl: pycurl.Curl) -> None:
             self._configure_curl(curl, target, lines)
+            if method == "GET" and body:
+                curl.setopt(pycurl.CUSTOMREQUEST, method)
 
         request = tornado.httpclient.HTTPRequest(
             f"http://{address}/",
-            method=method,
+            # tornado refuses to send a body with GET.
+            method="POST" if method == "GET" and body else method,
             body=body if body or method in ("POST", "PUT", "PATCH") else None,
             allow_nonstandard_methods=True,
             follow_redirects=False,
@@ -281,6 +284,10 @@
         if self.sent:
             self.error = "the kept connection was closed"
             return int(pycurl.PREREQFUNC_ABORT)
+        if self._cancelled:
+            # It waited for a free handle, or `_abort` has yet to run.
+            self.error = "it was cancelled before it was sent"
+            return int(pycurl.PREREQFUNC_ABORT)
         if not self._suspension.is_valid():
             # By now the deadline may have passed, or another runner may have
             # this address.
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 
 import testtools
 from testtools.matchers import Equals
@@ -273,6 +275,27 @@
         self.assertTrue(got.startswith(b"HTTP/1.1 413"))
 
 
+class MethodTest(testtools.TestCase):
+    """Requests whose method and body curl does not send together."""
+
+    def test_head_request_with_a_body_is_not_sent_with_another_method(
+        self,
+    ) -> None:
+        async def scenario() -> tuple[bytes, list[bytes]]:
+            harness = FrontEndHarness()
+            runner = RawRunner(_answers(_complete_response(200, b"")))
+            harness.add_runner("r0", await runner.start())
+            got = await harness.send_request(
+                "/safe/1", method="HEAD", body=b"card"
+            )
+            harness.close()
+            await runner.stop()
+            return got, runner.request_heads
+
+        got, heads = run(scenario())
+        self.assertEqual((b"HTTP/1.1 400", []), (got[:12], heads))
+
+
 class StopTest(testtools.TestCase):
     """A router that is shutting down."""
 
@@ -337,6 +360,18 @@
         self.assertEqual(2, len(deadlines_ms))
         self.assertLessEqual(min(deadlines_ms), 1000 + 10)
 
+    def test_connecting_request_is_refused_at_the_end_of_a_stop(self) -> None:
+        async def scenario() -> bytes:
+            harness = FrontEndHarness()
+            with contextlib.ExitStack() as sockets:
+                harness.add_runner("r0", _silent_address(sockets))
+                harness.begin_stop(left_seconds=0.25)
+                answer = await harness.send_request("/pay/1")
+            harness.close()
+            return answer
+
+        self.assertEqual(b"HTTP/1.1 503", run(scenario())[:12])
+
     def test_queued_request_is_refused_at_the_end_of_a_stop(self) -> None:
         async def scenario() -> tuple[bytes, float, int]:
             path = FrontEndHarness()
@@ -889,3 +924,21 @@
             )
         )
         self.assertFalse(got.endswith(b"0\r\n\r\n"))
+
+
+def _silent_address(sockets: contextlib.ExitStack) -> str:
+    """Returns the address of a listener that accepts no connection.
+
+    Args:
+        sockets: Closes the sockets.
+    """
+    listener = sockets.enter_context(socket.socket())
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    host, port = listener.getsockname()
+    # The kernel drops attempts to connect once its accept queue is full.
+    for _ in range(4):
+        waiting = sockets.enter_context(socket.socket())
+        waiting.setblocking(False)
+        waiting.connect_ex((host, port))
+    return f"{host}:{port}"
