Write an error and its body at once, so that a close can't part them

Callers would see: some that still send at the end of a planned stop get the head of a refusal, and the connection closes before its body.

Cause: head and body were two writes, the second one in a later turn of the event loop. Between the last check of a stop and the close there is no turn, so that all connections are closed in between for requests read just before.

--- a/mulberrypaddle/serving/caller_connection.py
+++ b/mulberrypaddle/serving/caller_connection.py
@@ -111,11 +111,18 @@
     def send_response(
         self, status: int, headers: list[tuple[str, str]], body: bytes
     ) -> None:
-        """Writes a complete response."""
+        """Writes a complete response.
+
+        Head and body are one write, so that a close does not come in between.
+        """
         if self.disconnected or self.response_started:
             return
-        self._write_head(status, headers, size_bytes=len(body))
-        self.write(body)
+        self._write_head(
+            status,
+            headers,
+            body=body if self._has_body else b"",
+            size_bytes=len(body),
+        )
         self.finish()
 
     def send_error(
@@ -178,8 +185,16 @@
         headers: list[tuple[str, str]],
         *,
         size_bytes: int | None,
+        body: bytes = b"",
     ) -> None:
-        """Writes status and headers; a size of None leaves out the length."""
+        """Writes status and headers, and what is known of the body.
+
+        Args:
+            status: HTTP status.
+            headers: Headers of the response.
+            size_bytes: Length of the body; None leaves it out.
+            body: First bytes of the body.
+        """
         fields = httputil.HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
@@ -191,7 +206,9 @@
         line = httputil.ResponseStartLine(
             "HTTP/1.1", status, _REASON_PHRASES.get(status, "Unknown")
         )
-        self._start_write(lambda: self._connection.write_headers(line, fields))
+        self._start_write(
+            lambda: self._connection.write_headers(line, fields, body)
+        )
 
     def _write_next(self) -> None:
         """Writes all buffered bytes unless a write is still in flight."""
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -165,6 +165,32 @@
             answered, runs = run(scenario(turns))
             self.assertLessEqual(runs, int(answered), f"{turns} turns")
 
+    def test_refusal_that_crosses_the_close_is_not_truncated(self) -> None:
+        async def scenario(turns: int) -> bytes:
+            harness = FrontEndHarness()
+            caller = socket.create_connection(harness.settings.caller_address)
+            await asyncio.sleep(0.02)
+            caller.sendall(_REQUEST)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            now = harness.board.now()
+            await harness.stop(
+                quiet_seconds=0.0, until_seconds=now, exit_seconds=now
+            )
+            try:
+                answer = await _read_answer(caller)
+            except ConnectionResetError:
+                answer = b""
+            harness.close()
+            return answer
+
+        for turns in range(12):
+            answer = run(scenario(turns))
+            self.assertTrue(
+                not answer or answer.endswith(b"}"),
+                f"{turns} turns: {answer!r}",
+            )
+
     def test_pipelined_request_is_refused_at_the_end_of_a_stop(self) -> None:
         async def scenario() -> tuple[bytes, int]:
             harness = FrontEndHarness()
