Exit at once after a planned stop

Routers that had answered everything and closed all connections were still there at the end of their grace period, and were killed, on a busy VM: the log ends with event=stop at 5.16 s of 6 s, and the process was killed at 6 s.

Cause: the teardown of the interpreter follows, without a bound. The process now exits behind the last line of its log. Nothing is left to be done: connections are closed, and log lines are not buffered.

--- a/mulberrypaddle/platform/program.py
+++ b/mulberrypaddle/platform/program.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import logging
+import os
 import sys
 from typing import TYPE_CHECKING
 
@@ -31,7 +32,12 @@
 
 
 async def _run_router(settings: NodeSettings) -> None:
-    """Runs a router with the platform's adapters until it stops."""
+    """Runs a router with the platform's adapters until it stops.
+
+    The process then exits at once: all connections are closed, log lines
+    aren't buffered, and the teardown of the interpreter could outlast the
+    grace period.
+    """
     router = ServingRouter(
         settings,
         store=PlatformStore(settings.store_address),
@@ -40,6 +46,8 @@
         control=PlatformRunnerControl(),
     )
     await router.run()
+    sys.stderr.flush()
+    os._exit(0)
 
 
 def run(path: str = "") -> None:
