Keep the time of the signal to stop in the schedule of the stop

The blackboard had it beside the schedule that is made from it, so that each of them could be set without the other. Lines of the log are unchanged.

Lint, types, docs and names pass, and the tests of the caller server, router, stop schedule and exchange.

--- a/mulberrypaddle/dispatch/stop_schedule.py
+++ b/mulberrypaddle/dispatch/stop_schedule.py
@@ -29,6 +29,7 @@
     """When the steps of a planned stop are due.
 
     Attributes:
+        signalled_at_seconds: Loop time of the signal to stop.
         excused_until_seconds: Loop time up to which arriving requests may be
             accepted on an estimate.
         ends_at_seconds: Loop time at which requests in flight are ended.
@@ -39,6 +40,7 @@
     __slots__ = (
         "ends_at_seconds",
         "excused_until_seconds",
+        "signalled_at_seconds",
         "exits_at_seconds",
     )
 
@@ -54,6 +56,7 @@
         margin_seconds = min(
             STOP_MARGIN_SECONDS, STOP_MARGIN_FRACTION * grace_seconds
         )
+        self.signalled_at_seconds = signalled_at_seconds
         killed_at_seconds = signalled_at_seconds + grace_seconds
         self.ends_at_seconds = killed_at_seconds - margin_seconds
         self.exits_at_seconds = killed_at_seconds - (
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -65,8 +65,6 @@
             and no runner is loading its weights.
         head_progress: When the heads of groups last sent an event of any
             stream of this router, and how long they pause.
-        stopping_since_seconds: Loop time of the signal to shut down; None
-            before it.
         stop: Schedule of the planned stop; None before the signal.
         in_flight_count: Number of complete requests whose response is not yet
             written in full.
@@ -101,7 +99,6 @@
         "settings",
         "runner_health",
         "stop",
-        "stopping_since_seconds",
         "supervisor",
         "view",
         "waiting_elsewhere",
@@ -156,7 +153,6 @@
         self.live_routers = 1
         self.next_group_opens_in_seconds: dict[str, float] = {}
         self.head_progress = HeadProgress()
-        self.stopping_since_seconds: float | None = None
         self.stop: StopSchedule | None = None
         self.in_flight_count = 0
         self.reading = 0
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -21,6 +21,7 @@
 
     from tornado.http1connection import HTTP1Connection
 
+    from mulberrypaddle.dispatch.stop_schedule import StopSchedule
     from mulberrypaddle.serving.blackboard import Blackboard
 
 _LOGGER = logging.getLogger("mulberrypaddle.door")
@@ -79,21 +80,20 @@
         cause: str,
         *,
         now_seconds: float,
-        stopping_since_seconds: float | None,
+        stop: StopSchedule | None,
     ) -> None:
         """Logs that the request has got no complete response.
 
         Args:
             cause: What ended it.
             now_seconds: Loop time.
-            stopping_since_seconds: Loop time of the signal to stop; None if
-                none was received.
+            stop: Schedule of the planned stop of this router; None before one.
         """
         fields: dict[str, object] = {}
-        if stopping_since_seconds is not None:
+        if stop is not None:
             # Negative for a request from before the signal.
             fields["after_signal"] = round(
-                self.arrived_at_seconds - stopping_since_seconds, 3
+                self.arrived_at_seconds - stop.signalled_at_seconds, 3
             )
         if self.exchange is not None:
             fields |= self.exchange.progress_fields()
@@ -312,11 +312,7 @@
     def _log_unanswered(self, request: CompleteRequest, cause: str) -> None:
         """Logs that a request has got no complete response."""
         board = self.board
-        request.log_unanswered(
-            cause,
-            now_seconds=board.now(),
-            stopping_since_seconds=board.stopping_since_seconds,
-        )
+        request.log_unanswered(cause, now_seconds=board.now(), stop=board.stop)
 
     @property
     def connection_count(self) -> int:
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -240,10 +240,8 @@
         board = self.board
         if board.stop is not None:
             return
-        now = board.now()
-        board.stopping_since_seconds = now
         board.stop = StopSchedule(
-            signalled_at_seconds=now,
+            signalled_at_seconds=board.now(),
             grace_seconds=self._settings.bounds.stop_grace_seconds,
         )
         self._log_stop("stopping")
@@ -284,12 +282,13 @@
     def _log_stop(self, event: str) -> None:
         """Logs a step of the shutdown and what callers still wait for."""
         board = self.board
+        assert board.stop is not None
         log_state_change(
             event,
             node=self._settings.node,
             grace_seconds=self._settings.bounds.stop_grace_seconds,
             since_signal=round(
-                board.now() - (board.stopping_since_seconds or board.now()), 3
+                board.now() - board.stop.signalled_at_seconds, 3
             ),
             in_hand=board.in_flight_count,
             reading=board.reading,
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -360,12 +360,15 @@
             harness.add_open_group("h0", await runner.start())
             _, writer = await harness.connect()
             board = harness.board
-            board.stopping_since_seconds = board.now() - 1.5
+            signalled_at = board.now() - 1.5
             request = request_bytes("/write/1", headers=("X-Model: small",))
             if sent_after_seconds < 0:
                 writer.write(request)
                 await asyncio.sleep(-sent_after_seconds)
-            stop = harness.begin_stop(left_seconds=2.5)
+            stop = harness.begin_stop(
+                left_seconds=2.5,
+                signalled_before_seconds=board.now() - signalled_at,
+            )
             if sent_after_seconds > 0:
                 await asyncio.sleep(sent_after_seconds)
                 writer.write(request)
