Parse unsigned integers of texts in one place

The same limit of eighteen ASCII digits stood as a pattern in four modules and as a function in a fifth; all five call parse_unsigned now and accept the same texts.

Lint, types, docs and names pass, and the tests of headers, fuzzed documents, collections, event splitter, backends and operators.

--- a/mulberrypaddle/backends/transfer.py
+++ b/mulberrypaddle/backends/transfer.py
@@ -12,6 +12,7 @@
 from mulberrypaddle.backends.curl import limit_receive_buffer
 from mulberrypaddle.controllers.stream_memory import RECEIVE_BUFFER_BYTES
 from mulberrypaddle.core.errors import ErrorKind, Problem
+from mulberrypaddle.core.value_checks import parse_unsigned
 
 if TYPE_CHECKING:
     from mulberrypaddle.backends.base import AnswerSink
@@ -40,9 +41,7 @@
     }
 )
 
-# A status code, and the length of a body.
 _STATUS = re.compile("[0-9]{3}")
-_LENGTH = re.compile("[0-9]{1,18}")
 
 _BODILESS_STATUSES = frozenset({204, 304})
 
@@ -284,7 +283,7 @@
             self.status,
             content_type=self.header("content-type") or DEFAULT_CONTENT_TYPE,
             headers=tuple(headers),
-            size_bytes=int(length) if _LENGTH.fullmatch(length) else None,
+            size_bytes=parse_unsigned(length),
             adapter_version=self.header("x-adapter-version"),
         )
 
--- a/mulberrypaddle/core/value_checks.py
+++ b/mulberrypaddle/core/value_checks.py
@@ -28,6 +28,9 @@
 # Control characters, and surrogates, which can't be encoded.
 _INVALID_CHARACTERS = re.compile("[\x00-\x1f\x7f\ud800-\udfff]")
 
+# Most digits of an integer in a text.
+MAX_DIGITS = 18
+
 _PORT = re.compile("[0-9]{1,5}")
 
 MAX_PORT = 65_535
@@ -101,6 +104,16 @@
     return int(value)
 
 
+def parse_unsigned(text: str | bytes) -> int | None:
+    """Returns the integer that a text of ASCII digits stands for.
+
+    None if the text is not one, or has more than `MAX_DIGITS` digits.
+    """
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
+        return None
+    return int(text)
+
+
 def is_number(value: Any, *, maximum: float) -> bool:
     """Returns whether a value is a number from 0 to a maximum, not NaN."""
     if not isinstance(value, int | float) or isinstance(value, bool):
--- a/mulberrypaddle/frontdoor/event_splitter.py
+++ b/mulberrypaddle/frontdoor/event_splitter.py
@@ -7,16 +7,13 @@
 
 from __future__ import annotations
 
-import re
+from mulberrypaddle.core.value_checks import parse_unsigned
 
 # Data of the event that ends a stream of completions.
 END_MARK = b"[DONE]"
 
 _SEPARATOR = b"\n\n"
 
-# A token offset, as the id of an event.
-_OFFSET = re.compile(rb"[0-9]{1,18}")
-
 
 class StreamEvent:
     """One complete event, unchanged but for its line endings.
@@ -74,8 +71,9 @@
         if name == b"data":
             has_data = True
             is_end = is_end or value.strip() == END_MARK
-        elif name == b"id" and _OFFSET.fullmatch(value.strip()) is not None:
-            offset = int(value)
+        elif name == b"id":
+            number = parse_unsigned(value.strip())
+            offset = offset if number is None else number
     return StreamEvent(
         part + _SEPARATOR, offset=offset, is_end=is_end, has_data=has_data
     )
--- a/mulberrypaddle/operators/handlers.py
+++ b/mulberrypaddle/operators/handlers.py
@@ -5,7 +5,6 @@
 import hashlib
 import hmac
 import json
-import re
 from typing import TYPE_CHECKING, Any
 
 import tornado.web
@@ -22,6 +21,7 @@
 from mulberrypaddle.controllers.data_centres import check_move, reported_load
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.core.fleet import DataCentreState
+from mulberrypaddle.core.value_checks import parse_unsigned
 from mulberrypaddle.frontdoor.problems import problem_to_json
 from mulberrypaddle.frontdoor.replies import wait_for_reply
 from mulberrypaddle.operators.documents import DocumentKind
@@ -40,9 +40,6 @@
 
 MAX_DOCUMENT_BYTES = 262_144
 
-# A version in an If-Match header.
-_VERSION = re.compile("[0-9]{1,18}")
-
 
 class OperatorState:
     """State that the operators' handlers share.
@@ -213,7 +210,8 @@
             )
             return
         header = self.request.headers.get("If-Match", "").strip('"')
-        if _VERSION.fullmatch(header) is None:
+        version = parse_unsigned(header)
+        if version is None:
             self.refuse(
                 Problem(
                     ErrorKind.BAD_REQUEST,
@@ -237,7 +235,7 @@
 
         def ask(reply: ChangeReply) -> None:
             self.state.apply.submit(
-                key, text, expected_version=int(header), reply=reply
+                key, text, expected_version=version, reply=reply
             )
 
         applied = await wait_for_reply(ask)
--- a/mulberrypaddle/platform/headers.py
+++ b/mulberrypaddle/platform/headers.py
@@ -6,6 +6,7 @@
 import re
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.core.value_checks import parse_unsigned
 from mulberrypaddle.dispatch.pauses import (
     MAX_PAUSE_SECONDS,
     UNREADABLE_PAUSE_SECONDS,
@@ -86,9 +87,6 @@
     }
 )
 
-# Most digits of an integer; a number with more is not a length or an id.
-_MAX_DIGITS = 18
-
 # Most tokens of a prompt or an answer: several times what any model accepts.
 # Estimates of the demand would follow higher ones.
 _MAX_TOKENS = 100_000_000
@@ -260,12 +258,7 @@
 
 def _parse_unsigned(text: str | None) -> int | None:
     """Parses an integer of ASCII digits; None if the text is not one."""
-    if text is None:
-        return None
-    digits = text.strip()
-    if not digits.isascii() or not digits.isdigit():
-        return None
-    return int(digits) if len(digits) <= _MAX_DIGITS else None
+    return None if text is None else parse_unsigned(text.strip())
 
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
--- a/mulberrypaddle/serving/collection_sync.py
+++ b/mulberrypaddle/serving/collection_sync.py
@@ -8,7 +8,6 @@
 
 import gzip
 import json
-import re
 from typing import TYPE_CHECKING
 
 import tornado.httpclient
@@ -16,6 +15,7 @@
 from tornado.httpserver import HTTPServer
 
 from mulberrypaddle.backends.curl import limit_answer_size, make_client
+from mulberrypaddle.core.value_checks import parse_unsigned
 from mulberrypaddle.serving.decision_log import log_state_change
 
 if TYPE_CHECKING:
@@ -37,9 +37,6 @@
 # Timeout of the whole fetch of a collection.
 FETCH_TIMEOUT_SECONDS = 1.0
 
-# A revision in a request of another router.
-_REVISION = re.compile(rb"[0-9]{1,18}")
-
 # Longest collection accepted from another router: some thousand runners.
 MAX_COLLECTION_BYTES = 67_108_864
 
@@ -152,9 +149,7 @@
         if name in self._feeds:
             since = request.arguments.get("since", [b"0"])[0]
             status = 200
-            body = self.compressed_collection(
-                name, int(since) if _REVISION.fullmatch(since) else 0
-            )
+            body = self.compressed_collection(name, parse_unsigned(since) or 0)
         connection = request.connection
         assert connection is not None
         headers = httputil.HTTPHeaders(
