Sort the leaving runners once for each change of the fleet view

Each heartbeat, ten a second, walked all runners to report those that announced to leave. The list is cached until the view changes, as the runners by service are.

--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -33,6 +33,7 @@
         "_grace_until_seconds",
         "_last_start_ms",
         "_leaving",
+        "_leaving_by_time",
         "_removal_due_seconds",
         "evacuated_revision",
         "generation",
@@ -48,6 +49,8 @@
         self._removal_due_seconds: dict[str, float] = {}
         self._grace_until_seconds = 0.0
         self._leaving = LeavingRunners()
+        # Cache for `leaving_to_report`; None after a change.
+        self._leaving_by_time: list[RunnerEntry] | None = None
         # Start time in the last entry that had one, by listed runner.
         self._last_start_ms: dict[str, int] = {}
         self.revision = 0
@@ -135,6 +138,15 @@
             Start time of each runner in milliseconds, by its id; the latest
             announcements if there are more than the limit.
         """
+        if self._leaving_by_time is None:
+            self._leaving_by_time = self._sort_leaving()
+        return {
+            entry.runner_id: entry.started_at_ms
+            for entry in self._leaving_by_time[:limit]
+        }
+
+    def _sort_leaving(self) -> list[RunnerEntry]:
+        """Returns the runners for `leaving_to_report`, the latest first."""
         by_time = []
         for entry in self._entries.values():
             if not entry.announced_leaving or entry.draining:
@@ -142,10 +154,7 @@
             since_seconds = self._leaving.since_seconds(entry) or 0.0
             by_time.append((since_seconds, entry.runner_id, entry))
         by_time.sort(reverse=True)
-        return {
-            runner_id: entry.started_at_ms
-            for _, runner_id, entry in by_time[:limit]
-        }
+        return [entry for _, _, entry in by_time]
 
     def last_resort_until_seconds(
         self, entry: RunnerEntry, *, drain_seconds: float
@@ -258,6 +267,7 @@
         """Raises `generation` and clears the caches, since entries changed."""
         self.generation += 1
         self._by_service.clear()
+        self._leaving_by_time = None
 
     def _put(self, entry: RunnerEntry) -> None:
         """Adds or replaces an entry and cancels its pending removal."""
