Order the store's revisions by its era first

Cause: revisions are given out again after a restore, and everything here orders copies, leases and fencing tokens by them.

The client of the store reads the era in the header Store-Era and combines it with the store's revision to one number, so that all comparisons inside the system hold across restores, also between routers. Answers of an earlier era are refused, a watch or a condition from an earlier era is not sent with a revision that now stands for another change. Revisions of a store that was never restored stay as they were, for routers of the release before.

Evidence: the stand-in of the store can go back to a copy.

--- a/mulberrypaddle/platform/store.py
+++ b/mulberrypaddle/platform/store.py
@@ -20,10 +20,13 @@
 from mulberrypaddle.core.value_checks import (
     MAX_OBJECT_LEVELS,
     is_nested_deeper,
+    parse_unsigned,
     require_int,
     require_name,
+    shorten,
 )
 from mulberrypaddle.platform import lenient_json
+from mulberrypaddle.serving.decision_log import log_state_change
 from mulberrypaddle.serving.report_limiter import ReportLimiter
 from mulberrypaddle.serving.socket_options import enable_keepalive_probes
 from mulberrypaddle.serving.store import (
@@ -34,6 +37,13 @@
     ObjectStore,
     StoredItem,
 )
+from mulberrypaddle.serving.store_era import (
+    FIRST_ERA,
+    MAX_ERA,
+    era_of,
+    make_revision,
+    store_revision_of,
+)
 
 if TYPE_CHECKING:
     from tornado.httpclient import HTTPResponse
@@ -70,6 +80,10 @@
 # Maximum size of an answer; a page of a listing has about a megabyte.
 MAX_ANSWER_BYTES = 8_388_608
 
+# Header with the era of the store in all its answers. It rises by one each time
+# the store is restored from a copy.
+_ERA_HEADER = "Store-Era"
+
 # Maximum number of pages in a listing; a longer one fails.
 MAX_LISTING_PAGES = 200
 
@@ -77,11 +91,17 @@
 
 
 class PlatformStore(ObjectStore):
-    """Object store that is reached over HTTP at one address."""
+    """Object store that is reached over HTTP at one address.
+
+    Answers of an era before the latest one that was seen count as failures:
+    what they say was undone by a restore.
+    """
 
     def __init__(self, address: str) -> None:
         self._base = f"http://{address}/objects/"
         self._client = make_client()
+        # Era of the last answer that was used.
+        self._era = FIRST_ERA
 
     async def list(
         self, collection: Collection, *, may_be_stale: bool = False
@@ -89,6 +109,7 @@
         """Returns a complete collection, which is fetched page by page."""
         items: list[StoredItem] = []
         revision = 0
+        era = 0
         after = ""
         for _ in range(MAX_LISTING_PAGES):
             query = {"after": after} if after else {}
@@ -100,11 +121,16 @@
             if not isinstance(result, Success):
                 return Failure(result.failure())
             page = result.unwrap()
+            era = era or self._era
+            if self._era != era:
+                return Failure(_restored_problem("listing", era, self._era))
             try:
-                items.extend(_parse_readable_items(page["items"]))
+                items.extend(_parse_readable_items(page["items"], era))
                 # Later pages may be newer. A watch from the first page's
                 # revision reports all changes made in between.
-                revision = revision or require_int(page["storeRevision"])
+                revision = revision or _parse_revision(
+                    page["storeRevision"], era
+                )
                 has_more = bool(page.get("hasMore", False))
             except _PARSE_ERRORS as error:
                 return Failure(_unreadable_problem("listing", error))
@@ -131,9 +157,18 @@
         """Returns the changes after a revision, waiting for the first one.
 
         If nothing changes within `wait_seconds`, the changes are empty.
+
+        Raises:
+            HistoryGoneError: If the store no longer keeps the changes, or was
+                restored since the revision.
         """
+        era = era_of(revision)
+        if self._era > era:
+            raise HistoryGoneError(
+                f"{collection.value}: revision of era {era}, now {self._era}"
+            )
         query = {
-            "watch": str(revision),
+            "watch": str(store_revision_of(revision)),
             "waitMs": str(int(wait_seconds * 1000)),
         }
         result = await self._request(
@@ -144,9 +179,13 @@
         )
         if not isinstance(result, Success):
             return Failure(result.failure())
-        page = result.unwrap()
+        if self._era != era:
+            # The revision may have been given out again, to another change.
+            raise HistoryGoneError(
+                f"{collection.value}: revision of era {era}, now {self._era}"
+            )
         try:
-            return Success(_parse_changes(page))
+            return Success(_parse_changes(result.unwrap(), era))
         except _PARSE_ERRORS as error:
             return Failure(_unreadable_problem("watch", error))
 
@@ -156,7 +195,7 @@
         """Returns one object, or None if it does not exist."""
         result = await self._request("GET", _path(collection, name))
         if isinstance(result, Success):
-            return _parse_item_result(result.unwrap())
+            return _parse_item_result(result.unwrap(), self._era)
         problem = result.failure()
         if problem.kind is ErrorKind.NOT_FOUND:
             return Success(None)
@@ -168,7 +207,9 @@
         """Creates an object; fails with CONFLICT if it exists."""
         body = {"metadata": {"name": name}, "spec": value}
         result = await self._request("POST", _path(collection), body=body)
-        return result.bind(_parse_item_result)
+        if not isinstance(result, Success):
+            return Failure(result.failure())
+        return _parse_item_result(result.unwrap(), self._era)
 
     async def replace(
         self,
@@ -181,17 +222,23 @@
         """Replaces an object.
 
         If `revision` is given and the object has another revision, the call
-        fails with CONFLICT.
+        fails with CONFLICT. That holds also if the store was restored since the
+        revision: it may have given the revision to another write.
         """
+        path = _path(collection, name)
         metadata: dict[str, Any] = {"name": name}
         if revision is not None:
-            metadata["revision"] = revision
+            if era_of(revision) < self._era:
+                return Failure(_outdated_problem(path, revision, self._era))
+            metadata["revision"] = store_revision_of(revision)
         result = await self._request(
-            "PUT",
-            _path(collection, name),
-            body={"metadata": metadata, "spec": value},
+            "PUT", path, body={"metadata": metadata, "spec": value}
         )
-        return result.bind(_parse_item_result)
+        if not isinstance(result, Success):
+            return Failure(result.failure())
+        if revision is not None and era_of(revision) != self._era:
+            return Failure(_outdated_problem(path, revision, self._era))
+        return _parse_item_result(result.unwrap(), self._era)
 
     def value_of(self, item: StoredItem) -> Any:
         """Returns the "spec" of an object; None if the object is no mapping."""
@@ -210,6 +257,8 @@
     ) -> Result[Any, Problem]:
         """Sends one HTTP request and returns the JSON of the answer.
 
+        Until the caller awaits something else, `_era` is that of the answer.
+
         Args:
             method: HTTP method.
             path: Path below the base, with the query.
@@ -240,8 +289,33 @@
                     ran=ran,
                 )
             )
+        problem = self._record_era(path, response)
+        if problem is not None:
+            return Failure(problem)
         return _parse_response(method, path, response, levels=levels)
 
+    def _record_era(self, path: str, response: HTTPResponse) -> Problem | None:
+        """Records the era of an answer; an answer without one changes nothing.
+
+        Returns:
+            Why the answer can't be used; None if it can.
+        """
+        text = response.headers.get(_ERA_HEADER)
+        era = self._era if text is None else parse_unsigned(text)
+        if era is None or era > MAX_ERA:
+            return Problem(
+                ErrorKind.STORE_UNAVAILABLE,
+                f"{path}: unreadable era {shorten(text)}",
+                ran=Ran.UNKNOWN,
+            )
+        era = max(era, FIRST_ERA)
+        if era < self._era:
+            return _restored_problem(path, era, self._era)
+        if era > self._era:
+            log_state_change("store_era", era=era, before=self._era)
+            self._era = era
+        return None
+
 
 def _configure_read(curl: pycurl.Curl) -> None:
     """Sets the curl options of a call that reads."""
@@ -312,6 +386,24 @@
         return Failure(_unreadable_problem(path, error))
 
 
+def _restored_problem(subject: str, era: int, latest_era: int) -> Problem:
+    """Returns the problem of an answer of an era that a restore has ended."""
+    return Problem(
+        ErrorKind.STORE_UNAVAILABLE,
+        f"{subject}: answer of era {era}, the store is in era {latest_era}",
+        ran=Ran.UNKNOWN,
+    )
+
+
+def _outdated_problem(path: str, revision: int, era: int) -> Problem:
+    """Returns the problem of a condition that an earlier era has set."""
+    return Problem(
+        ErrorKind.CONFLICT,
+        f"{path}: revision of era {era_of(revision)}, the store is in era "
+        f"{era}",
+    )
+
+
 def _unreadable_problem(subject: str, error: Exception) -> Problem:
     """Returns the problem of an answer that can't be parsed."""
     return Problem(
@@ -321,16 +413,25 @@
     )
 
 
-def _parse_item_result(content: Any) -> Result[StoredItem, Problem]:
+def _parse_item_result(content: Any, era: int) -> Result[StoredItem, Problem]:
     """Returns the object, or a problem if its JSON has another form."""
     try:
-        return Success(_parse_item(content))
+        return Success(_parse_item(content, era))
     except _PARSE_ERRORS as error:
         return Failure(_unreadable_problem("object", error))
 
 
-def _parse_item(content: Any) -> StoredItem:
-    """Returns an object.
+def _parse_revision(value: Any, era: int) -> int:
+    """Returns the revision for one in an answer of an era.
+
+    Raises:
+        ValueError: If it is no integer or out of range.
+    """
+    return make_revision(require_int(value), era)
+
+
+def _parse_item(content: Any, era: int) -> StoredItem:
+    """Returns an object of an answer of an era.
 
     Its "spec" and "status" are None if they are nested too deeply.
 
@@ -341,30 +442,30 @@
     """
     metadata = content["metadata"]
     name = require_name(metadata["name"])
-    revision = require_int(metadata["revision"])
+    revision = _parse_revision(metadata["revision"], era)
     if is_nested_deeper(content, MAX_OBJECT_LEVELS):
         content = {"metadata": {"name": name, "revision": revision}}
     return StoredItem(name, revision=revision, content=content)
 
 
-def _parse_readable_items(contents: Any) -> list[StoredItem]:
+def _parse_readable_items(contents: Any, era: int) -> list[StoredItem]:
     """Returns the objects of a page, without those it can't decode."""
     items: list[StoredItem] = []
     for content in contents:
-        item = _parse_if_readable(content)
+        item = _parse_if_readable(content, era)
         if item is not None:
             items.append(item)
     return items
 
 
-def _parse_if_readable(content: Any) -> StoredItem | None:
+def _parse_if_readable(content: Any, era: int) -> StoredItem | None:
     """Returns an object of a page; None if its name can't be decoded.
 
     Other writers may store objects of any form; the rest of the page is still
     valid.
     """
     try:
-        return _parse_item(content)
+        return _parse_item(content, era)
     except _PARSE_ERRORS as error:
         reason = f"{type(error).__name__}: {error}"
         if _REPORTED_OBJECTS.is_new(reason, 0):
@@ -372,16 +473,18 @@
         return None
 
 
-def _parse_changes(page: Any) -> Changes:
+def _parse_changes(page: Any, era: int) -> Changes:
     """Reduces the events of a watch to the latest state of each object."""
     newest_by_name: dict[str, StoredItem | None] = {}
     for event in page["events"]:
         fields = event if isinstance(event, dict) else {}
-        item = _parse_if_readable(fields.get("object"))
+        item = _parse_if_readable(fields.get("object"), era)
         if item is not None:
             newest_by_name[item.name] = None if fields.get("removed") else item
     changed = [item for item in newest_by_name.values() if item is not None]
     removed = [name for name, item in newest_by_name.items() if item is None]
     return Changes(
-        changed, removed=removed, revision=require_int(page["storeRevision"])
+        changed,
+        removed=removed,
+        revision=_parse_revision(page["storeRevision"], era),
     )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -13,6 +13,7 @@
 from mulberrypaddle.platform.decoder import PlatformDecoder
 from mulberrypaddle.platform.store import PlatformStore
 from mulberrypaddle.serving.store import Changes, Collection, Listing
+from mulberrypaddle.serving.store_era import FIRST_ERA
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import free_port
 from tests.support.odd_entries import RUNNER_FIELDS, odd_entries
@@ -171,7 +172,7 @@
             ],
             "storeRevision": 9,
         }
-        changes = platform_store._parse_changes(page)
+        changes = platform_store._parse_changes(page, FIRST_ERA)
         self.assertEqual([], changes.changed)
         self.assertEqual(9, changes.revision)
 
--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 import os
 import random
@@ -125,11 +126,30 @@
     connection.finish()
 
 
+class StoreCopy:
+    """A copy of the store's objects.
+
+    Attributes:
+        objects: Objects by kind and name.
+        revision: Revision of the last change that it holds.
+    """
+
+    __slots__ = ("objects", "revision")
+
+    def __init__(
+        self, objects: dict[str, dict[str, dict[str, Any]]], revision: int
+    ) -> None:
+        self.objects = copy.deepcopy(objects)
+        self.revision = revision
+
+
 class Store:
     """The platform's object store, over HTTP.
 
     Attributes:
         revision: Revision of the last change.
+        era: Number of times that it was restored from a copy, plus 1; None
+            sends no era.
         state: `up`, `busy` (answers 503) or `silent` (never answers).
         answer_loss_probability: Share of writes that are done but not
             answered.
@@ -141,6 +161,7 @@
         self._oldest_watchable = 0
         self._changed = asyncio.Event()
         self.revision = 10
+        self.era: int | None = 1
         self.state = "up"
         self.answer_loss_probability = 0.0
         self._rng = random.Random(1)
@@ -192,6 +213,23 @@
         self._history.clear()
         self._oldest_watchable = self.revision
 
+    def make_copy(self) -> StoreCopy:
+        """Returns a copy of the current objects."""
+        return StoreCopy(self._objects, self.revision)
+
+    def restore(self, from_copy: StoreCopy) -> None:
+        """Goes back to a copy, which loses all later writes.
+
+        Later revisions are given out again, and the history is gone.
+        """
+        self._objects = copy.deepcopy(from_copy.objects)
+        self.revision = from_copy.revision
+        self.era = (self.era or 0) + 1
+        self.drop_history()
+        # Wakes the waiting watches.
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def close(self) -> None:
         """Stops listening."""
         self._server.stop()
@@ -209,7 +247,7 @@
         if self.state == "silent":
             return
         if self.state == "busy":
-            _respond(request, 503)
+            self._send(request, 503)
             return
         task = asyncio.ensure_future(self._serve(request))
         self._tasks.add(task)
@@ -231,7 +269,7 @@
         status, value = self._write(request, kind, name)
         if self._rng.random() < self.answer_loss_probability:
             return
-        _respond(request, status, value)
+        self._send(request, status, value)
 
     def _read(
         self, request: httputil.HTTPServerRequest, kind: str, name: str
@@ -252,10 +290,14 @@
         )
 
     def _send(
-        self, request: httputil.HTTPServerRequest, status: int, value: Any
+        self,
+        request: httputil.HTTPServerRequest,
+        status: int,
+        value: Any = None,
     ) -> None:
         """Answers a request; raw specs are sent as their bytes."""
-        _respond(request, status, value, raw_specs=self._raw_specs)
+        headers = {} if self.era is None else {"Store-Era": str(self.era)}
+        _respond(request, status, value, headers, raw_specs=self._raw_specs)
 
     def _write(
         self, request: httputil.HTTPServerRequest, kind: str, name: str
@@ -284,8 +326,8 @@
         since = int(query["watch"])
         end = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
-            if since < self._oldest_watchable:
-                _respond(request, 410)
+            if not self._oldest_watchable <= since <= self.revision:
+                self._send(request, 410)
                 return
             events = [
                 {"object": content, "removed": removed}
