--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -342,6 +342,9 @@
         work: Work of the runners on each request, by request id.
         route_timeouts_seconds: Timeout of each route, by name; in force with
             the next version of the configuration.
+        idle_seconds: Time for which callers may leave a connection idle; in
+            force with the next version of the configuration.
+        header_seconds: Time that callers may take to send a head; the same.
         grace_seconds: Grace period of a stop in the settings of the routers.
         refused: Ids of requests that were refused as not run.
         organisations: Organisation of each caller's request, by request id.
@@ -375,6 +378,8 @@
         self.run_counts: dict[str, int] = {}
         self.work: dict[str, list[RunnerWork]] = {}
         self.route_timeouts_seconds = dict(ROUTE_TIMEOUTS_SECONDS)
+        self.idle_seconds = 15.0
+        self.header_seconds = 3.0
         self.grace_seconds = grace_seconds
         self.refused: set[str] = set()
         self.organisations: dict[str, str] = {}
@@ -395,11 +400,10 @@
     def put_config(self, keys: tuple[str, ...] = (API_KEY,)) -> None:
         """Writes a new version of the configuration."""
         self._version += 1
-        self.store.put(
-            "config",
-            "main",
-            _config(self._version, keys, self.route_timeouts_seconds),
-        )
+        config = _config(self._version, keys, self.route_timeouts_seconds)
+        config["limits"]["idleTimeoutMs"] = int(self.idle_seconds * 1000)
+        config["limits"]["headerTimeoutMs"] = int(self.header_seconds * 1000)
+        self.store.put("config", "main", config)
 
     def add_runner(self, service: str, domain: str = "") -> Runner:
         """Starts a runner; one with a domain is an engine that joins groups."""
