Forget connections of callers that have been closed

What callers saw: nothing directly. Each connection that was ever accepted stayed in memory with its stream, the connections in the log of a stop were too many, and a stop awaited the first request of connections that had been closed unused.

Cause: tornado's HTTPServer tells its delegate when a request starts, but keeps the close of a connection to itself, so CallerServer.on_close was never called.

--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -207,6 +207,20 @@
             self._caller_server.board.reading -= 1
 
 
+class _ConnectionServer(HTTPServer):
+    """HTTP server that also reports the close of connections.
+
+    tornado reports only the start of each request to its delegate.
+    """
+
+    def on_close(self, server_conn: object) -> None:
+        """Forgets a connection that has been closed."""
+        super().on_close(server_conn)
+        delegate = self.request_callback
+        assert isinstance(delegate, httputil.HTTPServerConnectionDelegate)
+        delegate.on_close(server_conn)
+
+
 class CallerServer(httputil.HTTPServerConnectionDelegate):
     """Accepts callers' connections and runs an `Exchange` for each request.
 
@@ -227,7 +241,7 @@
         # The last complete request of a connection, until its response is
         # written and the next request is awaited.
         self._requests: dict[object, CompleteRequest] = {}
-        self._server = HTTPServer(
+        self._server = _ConnectionServer(
             self,
             idle_connection_timeout=DEFAULT_IDLE_SECONDS,
             max_header_size=DEFAULT_MAX_HEADER_BYTES,
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -30,6 +30,26 @@
 _LONG_ANSWER_BYTES = 8_000_000
 
 
+class ConnectionTest(testtools.TestCase):
+    """The connections that are open."""
+
+    def test_closed_connections_are_forgotten(self) -> None:
+        async def scenario() -> tuple[int, int]:
+            harness = FrontEndHarness()
+            writers = [(await harness.connect())[1] for _ in range(3)]
+            await harness.send_request("/pay/1", headers=("X-Api-Key: other",))
+            before = harness.connection_count
+            for writer in writers:
+                writer.close()
+            await asyncio.sleep(0.1)
+            after = harness.connection_count
+            harness.close()
+            return before, after
+
+        before, after = run(scenario())
+        self.assertEqual((3, 0), (before, after))
+
+
 class StopTest(testtools.TestCase):
     """Connections that were made just before the listener closes."""
 
--- a/tests/support/front_end_harness.py
+++ b/tests/support/front_end_harness.py
@@ -161,6 +161,11 @@
             self._entries, revision=self._revision, now_seconds=0.0
         )
 
+    @property
+    def connection_count(self) -> int:
+        """Returns the number of open connections of callers."""
+        return self._door.connection_count
+
     async def connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
