Log requests that are dropped with their connection

What callers saw: a connection ends with a whole request on it, and no log line names it.

A line event=request_dropped now tells what had been received, or lay in the socket, when a connection was closed that waited for a request.

--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -4,20 +4,22 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from tornado import httputil
 from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
-from tornado.netutil import bind_sockets
+from tornado.netutil import add_accept_handler, bind_sockets
 
 from mulberrypaddle.serving.caller_connection import CallerConnection
 from mulberrypaddle.serving.caller_request import CallerRequest
+from mulberrypaddle.serving.caller_stream import CallerStream
+from mulberrypaddle.serving.connection_limits import ConnectionLimits
 from mulberrypaddle.serving.decision_log import log_request
 from mulberrypaddle.serving.exchange import Exchange
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable
 
     from tornado.http1connection import HTTP1Connection
 
@@ -140,7 +142,7 @@
         self._headers = headers
         self._reading = True
         self._caller_server.board.reading += 1
-        self._caller_server.record_first_request(self._server_connection)
+        self._caller_server.record_head(self._server_connection)
 
     def data_received(self, chunk: bytes) -> None:
         """Appends a chunk of the body."""
@@ -235,6 +237,9 @@
         # Whether the process ends, so that no request is sent any more.
         self._ended = False
         self._sockets: list[socket.socket] = []
+        # Each stops accepting connections on one of the sockets.
+        self._stop_accepting: list[Callable[[], None]] = []
+        self._limits = ConnectionLimits()
         # Open connections, by whether a request has arrived on them.
         self._unused_connections: set[object] = set()
         self._used_connections: set[object] = set()
@@ -243,8 +248,8 @@
         self._requests: dict[object, CompleteRequest] = {}
         self._server = _ConnectionServer(
             self,
-            idle_connection_timeout=DEFAULT_IDLE_SECONDS,
             max_header_size=DEFAULT_MAX_HEADER_BYTES,
+            idle_connection_timeout=DEFAULT_IDLE_SECONDS,
             max_body_size=DEFAULT_MAX_BODY_BYTES,
         )
 
@@ -252,7 +257,16 @@
         """Starts to accept connections on the address of the settings."""
         host, port = self.board.settings.caller_address
         self._sockets = bind_sockets(port, host, backlog=LISTEN_BACKLOG)
-        self._server.add_sockets(self._sockets)
+        for listener in self._sockets:
+            self._stop_accepting.append(
+                add_accept_handler(listener, self._handle_connection)
+            )
+
+    def _handle_connection(
+        self, connection: socket.socket, address: tuple[Any, ...]
+    ) -> None:
+        """Serves an accepted connection."""
+        self._server.handle_stream(CallerStream(connection), address)
 
     def start_request(
         self,
@@ -261,6 +275,11 @@
     ) -> httputil.HTTPMessageDelegate:
         """Returns the delegate that reads the next request of a connection."""
         self._end_request(server_conn)
+        self._limits.start_waiting(
+            server_conn,
+            request_conn.stream,  # type: ignore[attr-defined]
+            self.board.now(),
+        )
         config = self.board.config
         if config is not None:
             # tornado's timeout runs while the connection is idle and while the
@@ -282,6 +301,7 @@
         """Forgets a connection that has been closed."""
         self._unused_connections.discard(server_conn)
         self._used_connections.discard(server_conn)
+        self._limits.record_closed(server_conn, self.board.now())
         self._end_request(server_conn)
 
     def _end_request(self, server_conn: object) -> None:
@@ -306,8 +326,9 @@
             cause = "caller_closed"
         self._log_unanswered(request, cause)
 
-    def record_first_request(self, server_conn: object) -> None:
-        """Records that a request has arrived on a connection."""
+    def record_head(self, server_conn: object) -> None:
+        """Records that the head of a request has arrived on a connection."""
+        self._limits.stop_waiting(server_conn)
         self._unused_connections.discard(server_conn)
         self._used_connections.add(server_conn)
 
@@ -420,7 +441,12 @@
         """
         for listener in self._sockets:
             self._accept_queued(listener)
-        self._server.stop()
+        for stop_accepting in self._stop_accepting:
+            stop_accepting()
+        self._stop_accepting.clear()
+        for listener in self._sockets:
+            listener.close()
+        self._sockets.clear()
 
     def _accept_queued(self, listener: socket.socket) -> None:
         """Accepts all connections that are in the accept queue now."""
@@ -432,5 +458,4 @@
             except OSError as error:
                 _LOGGER.warning("accept_failed", extra={"reason": str(error)})
                 return
-            connection.setblocking(False)
-            self._server.handle_stream(IOStream(connection), address)
+            self._handle_connection(connection, address)
