Close a caller's connection only if nothing has arrived on it

What callers saw: a whole request on a kept connection ended without an answer or a refusal, with a reset, if the idle limit ended while the router was late; and a connection was closed at the old limit after a new version of the configuration had raised it.

Cause: tornado's timer closes the connection on the clock alone. When the event loop comes late, the timer and the bytes are due in the same turn and the timer wins. The limit was fixed when the connection began to wait.

Connections that wait for a request are now checked by the router itself. A connection stays open while bytes lie in its socket, and once a head has begun, only the limit of a head counts; it is doubled while the head goes on arriving, so that a late check comes after the read. The idle limit of a connection is the longest one that was in force while it waited: a raised limit reaches it at once, a lowered one after its next request.

--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -13,7 +13,10 @@
 from mulberrypaddle.serving.caller_connection import CallerConnection
 from mulberrypaddle.serving.caller_request import CallerRequest
 from mulberrypaddle.serving.caller_stream import CallerStream
-from mulberrypaddle.serving.connection_limits import ConnectionLimits
+from mulberrypaddle.serving.connection_limits import (
+    CHECK_INTERVAL_SECONDS,
+    ConnectionLimits,
+)
 from mulberrypaddle.serving.decision_log import log_request
 from mulberrypaddle.serving.exchange import Exchange
 
@@ -24,6 +27,7 @@
     from tornado.http1connection import HTTP1Connection
 
     from mulberrypaddle.dispatch.stop_schedule import StopSchedule
+    from mulberrypaddle.fleet.config import CallerLimits
     from mulberrypaddle.serving.blackboard import Blackboard
 
 _LOGGER = logging.getLogger("mulberrypaddle.door")
@@ -33,6 +37,7 @@
 DEFAULT_MAX_HEADER_BYTES = 65_536
 DEFAULT_MAX_BODY_BYTES = 8_388_608
 DEFAULT_IDLE_SECONDS = 60.0
+DEFAULT_HEADER_SECONDS = 60.0
 
 # Connections that the kernel queues until this process accepts them.
 LISTEN_BACKLOG = 512
@@ -239,7 +244,10 @@
         self._sockets: list[socket.socket] = []
         # Each stops accepting connections on one of the sockets.
         self._stop_accepting: list[Callable[[], None]] = []
-        self._limits = ConnectionLimits()
+        self._limits = ConnectionLimits(
+            idle_seconds=DEFAULT_IDLE_SECONDS,
+            head_seconds=DEFAULT_HEADER_SECONDS,
+        )
         # Open connections, by whether a request has arrived on them.
         self._unused_connections: set[object] = set()
         self._used_connections: set[object] = set()
@@ -249,9 +257,10 @@
         self._server = _ConnectionServer(
             self,
             max_header_size=DEFAULT_MAX_HEADER_BYTES,
-            idle_connection_timeout=DEFAULT_IDLE_SECONDS,
             max_body_size=DEFAULT_MAX_BODY_BYTES,
         )
+        # tornado would close connections on the clock alone.
+        self._server.conn_params.header_timeout = None
 
     def listen(self) -> None:
         """Starts to accept connections on the address of the settings."""
@@ -268,6 +277,19 @@
         """Serves an accepted connection."""
         self._server.handle_stream(CallerStream(connection), address)
 
+    async def check_limits(self) -> None:
+        """Closes connections on which no request arrives in time, forever."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            self._limits.close_expired(self.board.now())
+
+    def update_limits(self, limits: CallerLimits) -> None:
+        """Applies the limits of a new configuration to all connections."""
+        self._limits.update(
+            idle_seconds=limits.idle_seconds,
+            head_seconds=limits.header_seconds,
+        )
+
     def start_request(
         self,
         server_conn: object,
@@ -280,15 +302,6 @@
             request_conn.stream,  # type: ignore[attr-defined]
             self.board.now(),
         )
-        config = self.board.config
-        if config is not None:
-            # tornado's timeout runs while the connection is idle and while the
-            # headers are read. Callers reuse connections that were idle for
-            # nearly the whole limit, so both limits are added.
-            params = request_conn.params  # type: ignore[attr-defined]
-            params.header_timeout = config.limits.idle_seconds + (
-                config.limits.header_seconds
-            )
         if server_conn not in self._used_connections:
             self._unused_connections.add(server_conn)
         return _RequestReader(
--- a/mulberrypaddle/serving/metrics.py
+++ b/mulberrypaddle/serving/metrics.py
@@ -61,6 +61,12 @@
     ["service", "cause"],
     registry=REGISTRY,
 )
+CLOSED_CONNECTIONS = Counter(
+    "mulberrypaddle_serving_closed_connections",
+    "Connections of callers that were closed at a limit, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
 ORDERS = Counter(
     "mulberrypaddle_serving_orders",
     "Orders to runners, by order and outcome.",
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -220,6 +220,7 @@
             ("duties", self._duty_manager.run),
             ("groups", self._group_controller.run),
             ("periodic work", self._run_periodic_work),
+            ("connection limits", self._caller_server.check_limits),
         ):
             tasks.append(supervisor.keep_running(name, work))
         return [asyncio.ensure_future(task) for task in tasks]
@@ -537,6 +538,7 @@
         if known is not None and config.revision <= known.revision:
             return
         self.board.config = config
+        self._caller_server.update_limits(config.limits)
         log_state_change(
             "config",
             version=config.version,
