Keep the limit of a head for connections that wait already

What callers saw: a request whose head was under way, or was sent late in the idle time, lost its connection without an answer when a new version of the configuration lowered the header limit.

Cause: the idle limit of a waiting connection was the longest one in force since it began to wait, but the header limit was always the newest. It ends heads that have begun, and also is the time for a head under way at the end of the idle time. tornado's own timer, used before, kept the old limit.

A waiting connection now keeps the longest limit of a head as it keeps the longest idle limit, so a lowered limit applies from its next request on.

--- a/mulberrypaddle/serving/connection_limits.py
+++ b/mulberrypaddle/serving/connection_limits.py
@@ -31,6 +31,8 @@
         stream: The connection.
         idle_since_seconds: Loop time since which it is idle.
         idle_limit_seconds: Longest idle limit that was in force since then.
+        head_limit_seconds: Longest limit of a head that was in force since
+            then.
         idle_bytes: Number of bytes received before it became idle.
         checked_bytes: Number of bytes received before the last check.
         head_since_seconds: Loop time at which the first bytes of the head were
@@ -41,6 +43,7 @@
     __slots__ = (
         "checked_bytes",
         "closed_at_limit",
+        "head_limit_seconds",
         "head_since_seconds",
         "idle_bytes",
         "idle_limit_seconds",
@@ -54,10 +57,12 @@
         *,
         idle_since_seconds: float,
         idle_limit_seconds: float,
+        head_limit_seconds: float,
     ) -> None:
         self.stream = stream
         self.idle_since_seconds = idle_since_seconds
         self.idle_limit_seconds = idle_limit_seconds
+        self.head_limit_seconds = head_limit_seconds
         self.idle_bytes = stream.received_bytes
         self.checked_bytes = stream.received_bytes
         self.head_since_seconds: float | None = None
@@ -85,8 +90,8 @@
     def update(self, *, idle_seconds: float, head_seconds: float) -> None:
         """Applies the limits of a new configuration.
 
-        Connections that wait already keep their limit if the new one is
-        shorter, since their callers may not know it yet.
+        Connections that wait already keep their limits if the new ones are
+        shorter, since their callers may not know them yet.
         """
         self.idle_seconds = idle_seconds
         self.head_seconds = head_seconds
@@ -94,6 +99,9 @@
             waiting.idle_limit_seconds = max(
                 waiting.idle_limit_seconds, idle_seconds
             )
+            waiting.head_limit_seconds = max(
+                waiting.head_limit_seconds, head_seconds
+            )
 
     def start_waiting(
         self, connection: object, stream: CallerStream, now_seconds: float
@@ -103,6 +111,7 @@
             stream,
             idle_since_seconds=now_seconds,
             idle_limit_seconds=self.idle_seconds,
+            head_limit_seconds=self.head_seconds,
         )
 
     def stop_waiting(self, connection: object) -> None:
@@ -155,12 +164,14 @@
         """
         if waiting.head_since_seconds is not None:
             factor = LATE_HEAD_FACTOR if grows else 1.0
-            return waiting.head_since_seconds + factor * self.head_seconds
+            return (
+                waiting.head_since_seconds + factor * waiting.head_limit_seconds
+            )
         # The head of a request that was sent in time may be under way.
         return (
             waiting.idle_since_seconds
             + waiting.idle_limit_seconds
-            + self.head_seconds
+            + waiting.head_limit_seconds
         )
 
     def _close(self, waiting: _WaitingConnection) -> None:
