Count a line end between two requests as no part of a head

What callers saw: a caller that sent a line end after the body of a request lost its connection after the header limit instead of the idle limit, and a request sent in between, within the idle limit, was not answered.

Cause: any byte that arrived while a connection waited counted as the begin of a head, and from then on only the limit of a head applied. HTTP lets servers ignore line ends before a request line, and tornado does. The other way round, the begin of a head that was read together with the request before did not count, so it had the idle limit.

The head now begins with the first byte that is no line end, whether it was received before or after the connection began to wait. A head that is read but not handled yet still counts, as the buffer is empty then.

Evidence: two of the four new tests fail without the change and pass with it.

--- a/mulberrypaddle/serving/caller_stream.py
+++ b/mulberrypaddle/serving/caller_stream.py
@@ -34,6 +34,18 @@
             self.dropped_unread = self.has_unread_bytes()
         super().close(exc_info)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Returns the number of bytes that were read but not handled yet."""
+        return int(self._read_buffer_size)
+
+    @property
+    def buffers_only_line_ends(self) -> bool:
+        """Returns whether bytes are buffered, all of which are line ends."""
+        if not self._read_buffer_size:
+            return False
+        return not bytes(self._read_buffer).strip(b"\r\n")
+
     def has_unread_bytes(self) -> bool:
         """Returns whether bytes lie in the socket that were not read yet."""
         if self.closed():
--- a/mulberrypaddle/serving/connection_limits.py
+++ b/mulberrypaddle/serving/connection_limits.py
@@ -33,7 +33,8 @@
         idle_limit_seconds: Longest idle limit that was in force since then.
         head_limit_seconds: Longest limit of a head that was in force since
             then.
-        idle_bytes: Number of bytes received before it became idle.
+        idle_bytes: Number of bytes received before it became idle that do not
+            belong to the awaited request.
         checked_bytes: Number of bytes received before the last check.
         head_since_seconds: Loop time at which the first bytes of the head were
             noticed; None before.
@@ -63,11 +64,22 @@
         self.idle_since_seconds = idle_since_seconds
         self.idle_limit_seconds = idle_limit_seconds
         self.head_limit_seconds = head_limit_seconds
-        self.idle_bytes = stream.received_bytes
+        self.idle_bytes = stream.received_bytes - stream.buffered_bytes
         self.checked_bytes = stream.received_bytes
         self.head_since_seconds: float | None = None
         self.closed_at_limit = False
 
+    @property
+    def has_head_begun(self) -> bool:
+        """Returns whether bytes of a head were received.
+
+        Callers may send line ends between two requests.
+        """
+        return (
+            self.stream.received_bytes > self.idle_bytes
+            and not self.stream.buffers_only_line_ends
+        )
+
 
 class ConnectionLimits:
     """Closes connections of callers on which no request arrives in time.
@@ -124,12 +136,11 @@
         if waiting is None:
             return
         stream = waiting.stream
-        received_bytes = stream.received_bytes - waiting.idle_bytes
-        if not received_bytes and not stream.dropped_unread:
+        if not waiting.has_head_begun and not stream.dropped_unread:
             return
         log_state_change(
             "request_dropped",
-            received_bytes=received_bytes,
+            received_bytes=stream.received_bytes - waiting.idle_bytes,
             unread=stream.dropped_unread,
             idle_seconds=round(now_seconds - waiting.idle_since_seconds, 3),
             limit_seconds=waiting.idle_limit_seconds,
@@ -142,9 +153,7 @@
             received_bytes = waiting.stream.received_bytes
             grows = received_bytes > waiting.checked_bytes
             waiting.checked_bytes = received_bytes
-            if waiting.head_since_seconds is None and (
-                received_bytes > waiting.idle_bytes
-            ):
+            if waiting.head_since_seconds is None and waiting.has_head_begun:
                 waiting.head_since_seconds = now_seconds
             if now_seconds < self._closes_at_seconds(waiting, grows=grows):
                 continue
--- a/tests/serving/test_connection_limits.py
+++ b/tests/serving/test_connection_limits.py
@@ -32,8 +32,15 @@
             idle_seconds=IDLE_SECONDS, head_seconds=HEAD_SECONDS
         )
 
-    async def start(self) -> None:
-        """Begins to wait for a head, at time 0."""
+    async def start(self, *, buffered: bytes = b"") -> None:
+        """Begins to wait for a head, at time 0.
+
+        Args:
+            buffered: Bytes that are read together with the request before.
+        """
+        if buffered:
+            self._caller.sendall(b"!" + buffered)
+            await self.stream.read_until(b"!")
         self.limits.start_waiting(self, self.stream, 0.0)
         self.head = asyncio.ensure_future(self._read_head())
         await asyncio.sleep(0.01)
@@ -101,3 +108,55 @@
             return states
 
         self.assertEqual([True, True, False], run(scenario()))
+
+
+class BlankLineTest(testtools.TestCase):
+    """A line end between two requests begins no request."""
+
+    def test_connection_with_a_line_end_has_the_idle_limit(self) -> None:
+        async def scenario() -> list[bool]:
+            caller = WaitingCaller()
+            await caller.start()
+            await caller.send(b"\r\n")
+            states = caller.is_open_at(1.0, 4.1, 12.0)
+            await caller.send(b"GET / HT")
+            states += caller.is_open_at(12.1, 15.0, 15.2)
+            caller.close()
+            return states
+
+        self.assertEqual([True] * 5 + [False], run(scenario()))
+
+    def test_line_end_read_with_the_request_before(self) -> None:
+        async def scenario() -> list[bool]:
+            caller = WaitingCaller()
+            await caller.start(buffered=b"\r\n")
+            states = caller.is_open_at(4.1, 17.9, 18.1)
+            caller.close()
+            return states
+
+        self.assertEqual([True, True, False], run(scenario()))
+
+    def test_head_begun_with_the_request_before_has_its_limit(self) -> None:
+        async def scenario() -> list[bool]:
+            caller = WaitingCaller()
+            await caller.start(buffered=b"GET / HT")
+            states = caller.is_open_at(0.2, 3.1, 3.3)
+            caller.close()
+            return states
+
+        self.assertEqual([True, True, False], run(scenario()))
+
+    def test_head_that_is_complete_but_not_handled_is_kept(self) -> None:
+        async def scenario() -> tuple[list[bool], bytes]:
+            caller = WaitingCaller()
+            await caller.start()
+            await caller.send(b"\r\n")
+            await caller.send(b"GET / HTTP/1.1\r\n\r\n")
+            states = caller.is_open_at(18.1)
+            head = await caller.head
+            caller.close()
+            return states, head
+
+        states, head = run(scenario())
+        self.assertEqual([True], states)
+        self.assertEqual(b"\r\nGET / HTTP/1.1\r\n\r\n", head)
