Log no dropped request for a head that was refused

What callers saw: nothing. A malformed head was answered with 400, and its connection then gave a line event=request_dropped, as if nobody had answered.

A connection from whose stream the head was taken gives no line any more; a head of which only a part arrived still gives one.

Evidence: of the two new tests, the one with the malformed head fails without the change and passes with it; the other holds the line for a head that ends early and passes with and without it. The function that collects log records in the tests is shared now; its checks are the same.

--- a/mulberrypaddle/serving/connection_limits.py
+++ b/mulberrypaddle/serving/connection_limits.py
@@ -80,6 +80,12 @@
             and not self.stream.buffers_only_line_ends
         )
 
+    @property
+    def has_head_been_read(self) -> bool:
+        """Returns whether a whole head was taken from the stream."""
+        stream = self.stream
+        return stream.received_bytes - stream.buffered_bytes > self.idle_bytes
+
 
 class ConnectionLimits:
     """Closes connections of callers on which no request arrives in time.
@@ -133,7 +139,8 @@
     def record_closed(self, connection: object, now_seconds: float) -> None:
         """Records that a connection is closed; logs a request that is lost."""
         waiting = self._waiting.pop(connection, None)
-        if waiting is None:
+        if waiting is None or waiting.has_head_been_read:
+            # A head that was read, but did not end the wait, was refused.
             return
         stream = waiting.stream
         if not waiting.has_head_begun and not stream.dropped_unread:
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -49,6 +49,31 @@
         before, after = run(scenario())
         self.assertEqual((3, 0), (before, after))
 
+    def test_refused_head_is_not_logged_as_dropped(self) -> None:
+        async def scenario() -> None:
+            harness = FrontEndHarness()
+            reader, writer = await harness.connect()
+            writer.write(b"no request\r\n\r\n")
+            answer = await asyncio.wait_for(reader.read(), 5.0)
+            self.assertEqual(b"HTTP/1.1 400", answer[:12])
+            writer.close()
+            harness.close()
+
+        self.assertEqual([], _dropped_records(scenario()))
+
+    def test_head_that_ends_early_is_logged_as_dropped(self) -> None:
+        async def scenario() -> None:
+            harness = FrontEndHarness()
+            _, writer = await harness.connect()
+            writer.write(_REQUEST[:20])
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.05)
+            harness.close()
+
+        records = _dropped_records(scenario())
+        self.assertEqual([20], [fields["received_bytes"] for fields in records])
+
 
 class StopTest(testtools.TestCase):
     """Connections that were made just before the listener closes."""
@@ -427,10 +452,24 @@
     scenario: Coroutine[Any, Any, None],
 ) -> list[dict[str, Any]]:
     """Runs a scenario; returns the fields of each unanswered request."""
+    return _records_of("mulberrypaddle.requests", "unanswered", scenario)
+
+
+def _dropped_records(
+    scenario: Coroutine[Any, Any, None],
+) -> list[dict[str, Any]]:
+    """Runs a scenario; returns the fields of each dropped request."""
+    return _records_of("mulberrypaddle.beliefs", "request_dropped", scenario)
+
+
+def _records_of(
+    logger_name: str, event: str, scenario: Coroutine[Any, Any, None]
+) -> list[dict[str, Any]]:
+    """Runs a scenario; returns the fields of each record of an event."""
     records: list[logging.LogRecord] = []
     handler = logging.Handler()
     handler.emit = records.append  # type: ignore[method-assign]
-    logger = logging.getLogger("mulberrypaddle.requests")
+    logger = logging.getLogger(logger_name)
     level = logger.level
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
@@ -439,11 +478,7 @@
     finally:
         logger.removeHandler(handler)
         logger.setLevel(level)
-    return [
-        vars(record)
-        for record in records
-        if record.getMessage() == "unanswered"
-    ]
+    return [vars(record) for record in records if record.getMessage() == event]
 
 
 async def _send_long_answer(
