Take over the store's era from revisions of other routers

A router whose copy came from another router, in an era that the store had not told it itself, took answers of the era before as news: it dropped their lists as old, listed and watched in turn, and told others that the store answers it and its copy is current. Its conditional writes carried the revision number of the later era to a store of the era before.

Cause: the client learned the era from answers only, though the revisions it is called with carry a later one.

The client now takes the era of such a revision as seen. Answers of an era before it count as failures, so the feed pauses and other routers send it the changes; an answer without an era counts as of this era, as it did for clients that had seen it. Eras out of range are ignored.

Evidence: the two new tests fail without the change and pass with it.

--- a/mulberrypaddle/platform/store.py
+++ b/mulberrypaddle/platform/store.py
@@ -100,7 +100,7 @@
     def __init__(self, address: str) -> None:
         self._base = f"http://{address}/objects/"
         self._client = make_client()
-        # Era of the last answer that was used.
+        # Latest era that an answer, or a revision from another router, had.
         self._era = FIRST_ERA
 
     async def list(
@@ -163,6 +163,7 @@
                 restored since the revision.
         """
         era = era_of(revision)
+        self._record_later_era(era)
         if self._era > era:
             raise HistoryGoneError(
                 f"{collection.value}: revision of era {era}, now {self._era}"
@@ -228,6 +229,7 @@
         path = _path(collection, name)
         metadata: dict[str, Any] = {"name": name}
         if revision is not None:
+            self._record_later_era(era_of(revision))
             if era_of(revision) < self._era:
                 return Failure(_outdated_problem(path, revision, self._era))
             metadata["revision"] = store_revision_of(revision)
@@ -311,10 +313,14 @@
         era = max(era, FIRST_ERA)
         if era < self._era:
             return _restored_problem(path, era, self._era)
-        if era > self._era:
+        self._record_later_era(era)
+        return None
+
+    def _record_later_era(self, era: int) -> None:
+        """Records an era if it is later than the latest one, and in range."""
+        if self._era < era <= MAX_ERA:
             log_state_change("store_era", era=era, before=self._era)
             self._era = era
-        return None
 
 
 def _configure_read(curl: pycurl.Curl) -> None:
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -8,10 +8,14 @@
 import testtools
 from returns.result import Failure
 
-from mulberrypaddle.core.errors import ErrorKind
+from mulberrypaddle.core.errors import ErrorKind, Ran
 from mulberrypaddle.platform.store import PlatformStore
 from mulberrypaddle.serving.store import Collection, HistoryGoneError
-from mulberrypaddle.serving.store_era import MAX_ERA
+from mulberrypaddle.serving.store_era import (
+    MAX_ERA,
+    era_of,
+    make_revision,
+)
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import free_port
 from tests.support.odd_entries import RUNNER_FIELDS
@@ -132,3 +136,37 @@
 
         for era in (-1, MAX_ERA + 1, 10**30, "x", "", "1.5", "\xb2"):
             self.assertIsInstance(_play(scenario), Failure, repr(era))
+
+    def test_era_that_another_router_has_seen_counts(self) -> None:
+        async def scenario(
+            store: Store, client: PlatformStore, era: int | None
+        ) -> Any:
+            store.era = era
+            # The copy came from a router that has seen the second era.
+            return await client.watch(
+                Collection.RUNNERS,
+                revision=make_revision(store.revision, 2),
+                wait_seconds=0.1,
+            )
+
+        for era in (None, 2):
+            changes = _play(functools.partial(scenario, era=era)).unwrap()
+            self.assertEqual(2, era_of(changes.revision))
+        result = _play(functools.partial(scenario, era=1))
+        self.assertIsInstance(result, Failure)
+
+    def test_condition_of_an_era_that_another_router_has_seen(self) -> None:
+        async def scenario(store: Store, client: PlatformStore) -> Any:
+            created = await client.create(Collection.DUTIES, "d", {"n": 1})
+            result = await client.replace(
+                Collection.DUTIES,
+                "d",
+                {"n": 2},
+                revision=make_revision(created.unwrap().revision, 2),
+            )
+            return result, await client.list(Collection.DUTIES)
+
+        result, listed = _play(scenario)
+        self.assertEqual(ErrorKind.STORE_UNAVAILABLE, result.failure().kind)
+        self.assertIs(Ran.UNKNOWN, result.failure().ran)
+        self.assertIsInstance(listed, Failure)
