Say that a write of the era before has run if the store did it

What callers saw: nothing. A conditional write whose revision the store had given out again after a restore, before this router had seen the new era, replaced the other write, and its problem said that it had not run.

Cause: the store compares the number of the revision only, and the client finds the later era in the answer, after the write was done. The call still fails with CONFLICT, so that its caller reads the object, but the problem used the default of that kind, "not run".

Evidence: the new test holds that the object has the new value, and fails without the change because of "not run". This does not prevent the write: the revision is only withheld by a router that knows the new era.

--- a/mulberrypaddle/platform/store.py
+++ b/mulberrypaddle/platform/store.py
@@ -224,7 +224,8 @@
 
         If `revision` is given and the object has another revision, the call
         fails with CONFLICT. That holds also if the store was restored since the
-        revision: it may have given the revision to another write.
+        revision: it may have given the revision to another write. The problem
+        then tells whether that write was replaced.
         """
         path = _path(collection, name)
         metadata: dict[str, Any] = {"name": name}
@@ -239,7 +240,9 @@
         if not isinstance(result, Success):
             return Failure(result.failure())
         if revision is not None and era_of(revision) != self._era:
-            return Failure(_outdated_problem(path, revision, self._era))
+            return Failure(
+                _outdated_problem(path, revision, self._era, ran=Ran.RAN)
+            )
         return _parse_item_result(result.unwrap(), self._era)
 
     def value_of(self, item: StoredItem) -> Any:
@@ -401,12 +404,15 @@
     )
 
 
-def _outdated_problem(path: str, revision: int, era: int) -> Problem:
+def _outdated_problem(
+    path: str, revision: int, era: int, *, ran: Ran = Ran.NOT_RUN
+) -> Problem:
     """Returns the problem of a condition that an earlier era has set."""
     return Problem(
         ErrorKind.CONFLICT,
         f"{path}: revision of era {era_of(revision)}, the store is in era "
         f"{era}",
+        ran=ran,
     )
 
 
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -170,3 +170,23 @@
         self.assertEqual(ErrorKind.STORE_UNAVAILABLE, result.failure().kind)
         self.assertIs(Ran.UNKNOWN, result.failure().ran)
         self.assertIsInstance(listed, Failure)
+
+    def test_write_that_a_reissued_revision_let_through_has_run(self) -> None:
+        async def scenario(store: Store, client: PlatformStore) -> Any:
+            copied = store.make_copy()
+            created = await client.create(Collection.DUTIES, "d", {"n": 1})
+            store.restore(copied)
+            store.put("mulberrypaddle-duties", "d", {"n": 2})
+            result = await client.replace(
+                Collection.DUTIES,
+                "d",
+                {"n": 3},
+                revision=created.unwrap().revision,
+            )
+            item = (await client.read(Collection.DUTIES, "d")).unwrap()
+            return result.failure(), client.value_of(item)
+
+        problem, value = _play(scenario)
+        self.assertEqual({"n": 3}, value)
+        self.assertEqual(ErrorKind.CONFLICT, problem.kind)
+        self.assertIs(Ran.RAN, problem.ran)
