Accept the connections queued behind a failed one before a stop

What callers saw: nothing that was reported; found in the review of the stop. If accept fails for one queued connection while the listener is about to close, the connections behind it are reset with the listener, although their callers may have sent requests.

Cause: the last accepts ended at the first error of any kind. On Linux, accept passes on an error that is pending on the new connection, and has then removed it from the queue.

Such errors now only skip their connection; others, such as too many open files, still end the accepts.

Evidence: the new test lets accept fail for the first of two queued connections, with ECONNABORTED and with EPROTO; the second gets no answer without the change and its answer with it. The errors are simulated; none was seen in a deployment.

--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 from typing import TYPE_CHECKING, Any
 
@@ -49,6 +50,20 @@
 # response, the next request of its connection may have been received already.
 STOP_IDLE_POLLS = 2
 
+# Errors of accept(2) that concern one queued connection, which it removes.
+_FAILED_WHILE_QUEUED = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EPROTO,
+    }
+)
+
 
 class CompleteRequest:
     """A request that was read completely and whose response may be due.
@@ -470,5 +485,7 @@
                 return
             except OSError as error:
                 _LOGGER.warning("accept_failed", extra={"reason": str(error)})
+                if error.errno in _FAILED_WHILE_QUEUED:
+                    continue
                 return
             self._handle_connection(connection, address)
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 from typing import TYPE_CHECKING, Any
@@ -96,6 +97,39 @@
 
         self.assertEqual(b"HTTP/1.1 401", run(scenario())[:12])
 
+    def test_connection_queued_behind_a_failed_one_is_served(self) -> None:
+        accept = socket.socket.accept
+
+        async def scenario(error: OSError) -> bytes:
+            def accept_all_but_first(listener: socket.socket) -> Any:
+                connection, _ = accept(listener)
+                self.patch(socket.socket, "accept", accept)
+                connection.close()
+                raise error
+
+            harness = FrontEndHarness()
+            address = harness.settings.caller_address
+            failed = socket.create_connection(address)
+            caller = socket.create_connection(address)
+            self.patch(socket.socket, "accept", accept_all_but_first)
+            stopping = asyncio.ensure_future(
+                harness.stop(quiet_seconds=1.0, until_seconds=0.0)
+            )
+            await asyncio.sleep(0)
+            try:
+                caller.sendall(_REQUEST)
+                answer = await _read_answer(caller)
+            except OSError:
+                answer = b""
+            await stopping
+            failed.close()
+            harness.close()
+            return answer
+
+        for number in (errno.ECONNABORTED, errno.EPROTO):
+            answer = run(scenario(OSError(number, "failed while queued")))
+            self.assertEqual(b"HTTP/1.1 401", answer[:12])
+
     def test_first_request_after_the_listener_closed_is_served(self) -> None:
         async def scenario() -> bytes:
             harness = FrontEndHarness()
