--- a/mulberrypaddle/serving/connection_limits.py
+++ b/mulberrypaddle/serving/connection_limits.py
@@ -31,7 +31,10 @@
         stream: The connection.
         idle_since_seconds: Loop time since which it is idle.
         idle_limit_seconds: Longest idle limit that was in force since then.
-        idle_bytes: Number of bytes received before it became idle.
+        head_limit_seconds: Longest limit of a head that was in force since
+            then.
+        idle_bytes: Number of bytes received before it became idle that do not
+            belong to the awaited request.
         checked_bytes: Number of bytes received before the last check.
         head_since_seconds: Loop time at which the first bytes of the head were
             noticed; None before.
@@ -41,6 +44,7 @@
     __slots__ = (
         "checked_bytes",
         "closed_at_limit",
+        "head_limit_seconds",
         "head_since_seconds",
         "idle_bytes",
         "idle_limit_seconds",
@@ -54,15 +58,34 @@
         *,
         idle_since_seconds: float,
         idle_limit_seconds: float,
+        head_limit_seconds: float,
     ) -> None:
         self.stream = stream
         self.idle_since_seconds = idle_since_seconds
         self.idle_limit_seconds = idle_limit_seconds
-        self.idle_bytes = stream.received_bytes
+        self.head_limit_seconds = head_limit_seconds
+        self.idle_bytes = stream.received_bytes - stream.buffered_bytes
         self.checked_bytes = stream.received_bytes
         self.head_since_seconds: float | None = None
         self.closed_at_limit = False
 
+    @property
+    def has_head_begun(self) -> bool:
+        """Returns whether bytes of a head were received.
+
+        Callers may send line ends between two requests.
+        """
+        return (
+            self.stream.received_bytes > self.idle_bytes
+            and not self.stream.buffers_only_line_ends
+        )
+
+    @property
+    def has_head_been_read(self) -> bool:
+        """Returns whether a whole head was taken from the stream."""
+        stream = self.stream
+        return stream.received_bytes - stream.buffered_bytes > self.idle_bytes
+
 
 class ConnectionLimits:
     """Closes connections of callers on which no request arrives in time.
@@ -85,8 +108,8 @@
     def update(self, *, idle_seconds: float, head_seconds: float) -> None:
         """Applies the limits of a new configuration.
 
-        Connections that wait already keep their limit if the new one is
-        shorter, since their callers may not know it yet.
+        Connections that wait already keep their limits if the new ones are
+        shorter, since their callers may not know them yet.
         """
         self.idle_seconds = idle_seconds
         self.head_seconds = head_seconds
@@ -94,6 +117,9 @@
             waiting.idle_limit_seconds = max(
                 waiting.idle_limit_seconds, idle_seconds
             )
+            waiting.head_limit_seconds = max(
+                waiting.head_limit_seconds, head_seconds
+            )
 
     def start_waiting(
         self, connection: object, stream: CallerStream, now_seconds: float
@@ -103,6 +129,7 @@
             stream,
             idle_since_seconds=now_seconds,
             idle_limit_seconds=self.idle_seconds,
+            head_limit_seconds=self.head_seconds,
         )
 
     def stop_waiting(self, connection: object) -> None:
@@ -112,15 +139,15 @@
     def record_closed(self, connection: object, now_seconds: float) -> None:
         """Records that a connection is closed; logs a request that is lost."""
         waiting = self._waiting.pop(connection, None)
-        if waiting is None:
+        if waiting is None or waiting.has_head_been_read:
+            # A head that was read, but did not end the wait, was refused.
             return
         stream = waiting.stream
-        received_bytes = stream.received_bytes - waiting.idle_bytes
-        if not received_bytes and not stream.dropped_unread:
+        if not waiting.has_head_begun and not stream.dropped_unread:
             return
         log_state_change(
             "request_dropped",
-            received_bytes=received_bytes,
+            received_bytes=stream.received_bytes - waiting.idle_bytes,
             unread=stream.dropped_unread,
             idle_seconds=round(now_seconds - waiting.idle_since_seconds, 3),
             limit_seconds=waiting.idle_limit_seconds,
@@ -133,9 +160,7 @@
             received_bytes = waiting.stream.received_bytes
             grows = received_bytes > waiting.checked_bytes
             waiting.checked_bytes = received_bytes
-            if waiting.head_since_seconds is None and (
-                received_bytes > waiting.idle_bytes
-            ):
+            if waiting.head_since_seconds is None and waiting.has_head_begun:
                 waiting.head_since_seconds = now_seconds
             if now_seconds < self._closes_at_seconds(waiting, grows=grows):
                 continue
@@ -155,12 +180,14 @@
         """
         if waiting.head_since_seconds is not None:
             factor = LATE_HEAD_FACTOR if grows else 1.0
-            return waiting.head_since_seconds + factor * self.head_seconds
+            return (
+                waiting.head_since_seconds + factor * waiting.head_limit_seconds
+            )
         # The head of a request that was sent in time may be under way.
         return (
             waiting.idle_since_seconds
             + waiting.idle_limit_seconds
-            + self.head_seconds
+            + waiting.head_limit_seconds
         )
 
     def _close(self, waiting: _WaitingConnection) -> None:
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 from typing import TYPE_CHECKING, Any
@@ -49,6 +50,31 @@
         before, after = run(scenario())
         self.assertEqual((3, 0), (before, after))
 
+    def test_refused_head_is_not_logged_as_dropped(self) -> None:
+        async def scenario() -> None:
+            harness = FrontEndHarness()
+            reader, writer = await harness.connect()
+            writer.write(b"no request\r\n\r\n")
+            answer = await asyncio.wait_for(reader.read(), 5.0)
+            self.assertEqual(b"HTTP/1.1 400", answer[:12])
+            writer.close()
+            harness.close()
+
+        self.assertEqual([], _dropped_records(scenario()))
+
+    def test_head_that_ends_early_is_logged_as_dropped(self) -> None:
+        async def scenario() -> None:
+            harness = FrontEndHarness()
+            _, writer = await harness.connect()
+            writer.write(_REQUEST[:20])
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.05)
+            harness.close()
+
+        records = _dropped_records(scenario())
+        self.assertEqual([20], [fields["received_bytes"] for fields in records])
+
 
 class StopTest(testtools.TestCase):
     """Connections that were made just before the listener closes."""
@@ -71,6 +97,39 @@
 
         self.assertEqual(b"HTTP/1.1 401", run(scenario())[:12])
 
+    def test_connection_queued_behind_a_failed_one_is_served(self) -> None:
+        accept = socket.socket.accept
+
+        async def scenario(error: OSError) -> bytes:
+            def accept_all_but_first(listener: socket.socket) -> Any:
+                connection, _ = accept(listener)
+                self.patch(socket.socket, "accept", accept)
+                connection.close()
+                raise error
+
+            harness = FrontEndHarness()
+            address = harness.settings.caller_address
+            failed = socket.create_connection(address)
+            caller = socket.create_connection(address)
+            self.patch(socket.socket, "accept", accept_all_but_first)
+            stopping = asyncio.ensure_future(
+                harness.stop(quiet_seconds=1.0, until_seconds=0.0)
+            )
+            await asyncio.sleep(0)
+            try:
+                caller.sendall(_REQUEST)
+                answer = await _read_answer(caller)
+            except OSError:
+                answer = b""
+            await stopping
+            failed.close()
+            harness.close()
+            return answer
+
+        for number in (errno.ECONNABORTED, errno.EPROTO):
+            answer = run(scenario(OSError(number, "failed while queued")))
+            self.assertEqual(b"HTTP/1.1 401", answer[:12])
+
     def test_first_request_after_the_listener_closed_is_served(self) -> None:
         async def scenario() -> bytes:
             harness = FrontEndHarness()
@@ -427,10 +486,24 @@
     scenario: Coroutine[Any, Any, None],
 ) -> list[dict[str, Any]]:
     """Runs a scenario; returns the fields of each unanswered request."""
+    return _records_of("mulberrypaddle.requests", "unanswered", scenario)
+
+
+def _dropped_records(
+    scenario: Coroutine[Any, Any, None],
+) -> list[dict[str, Any]]:
+    """Runs a scenario; returns the fields of each dropped request."""
+    return _records_of("mulberrypaddle.beliefs", "request_dropped", scenario)
+
+
+def _records_of(
+    logger_name: str, event: str, scenario: Coroutine[Any, Any, None]
+) -> list[dict[str, Any]]:
+    """Runs a scenario; returns the fields of each record of an event."""
     records: list[logging.LogRecord] = []
     handler = logging.Handler()
     handler.emit = records.append  # type: ignore[method-assign]
-    logger = logging.getLogger("mulberrypaddle.requests")
+    logger = logging.getLogger(logger_name)
     level = logger.level
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
@@ -439,11 +512,7 @@
     finally:
         logger.removeHandler(handler)
         logger.setLevel(level)
-    return [
-        vars(record)
-        for record in records
-        if record.getMessage() == "unanswered"
-    ]
+    return [vars(record) for record in records if record.getMessage() == event]
 
 
 async def _send_long_answer(
