--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -33,12 +33,15 @@
 _LOGGER = logging.getLogger("mulberrypaddle.door")
 
 # Limits that apply until a configuration is known; the values are those of the
-# platform's example configuration.
+# platform's example configuration. Heads up to the first one are always read.
 DEFAULT_MAX_HEADER_BYTES = 65_536
 DEFAULT_MAX_BODY_BYTES = 8_388_608
 DEFAULT_IDLE_SECONDS = 60.0
 DEFAULT_HEADER_SECONDS = 60.0
 
+# Allowance for the request line, which limits on headers don't count.
+REQUEST_LINE_BYTES = 8_192
+
 # Connections that the kernel queues until this process accepts them.
 LISTEN_BACKLOG = 512
 
@@ -289,6 +292,15 @@
             idle_seconds=limits.idle_seconds,
             head_seconds=limits.header_seconds,
         )
+        # A head that is awaited keeps its limit if the new one is lower.
+        max_header_bytes = max(
+            DEFAULT_MAX_HEADER_BYTES, limits.header_bytes + REQUEST_LINE_BYTES
+        )
+        self._server.conn_params.max_header_size = max_header_bytes
+        for connection in [*self._unused_connections, *self._used_connections]:
+            connection.stream.raise_head_limit(  # type: ignore[attr-defined]
+                max_header_bytes
+            )
 
     def start_request(
         self,
@@ -314,6 +326,19 @@
         """Forgets a connection that has been closed."""
         self._unused_connections.discard(server_conn)
         self._used_connections.discard(server_conn)
+        stream: CallerStream = server_conn.stream  # type: ignore[attr-defined]
+        if stream.refused_status:
+            self._limits.stop_waiting(server_conn)
+            kind = (
+                "too_large" if stream.refused_status == 431 else "bad_request"
+            )
+            log_request(
+                "refused",
+                request_id="",
+                kind=kind,
+                status=stream.refused_status,
+                received_bytes=stream.received_bytes,
+            )
         self._limits.record_closed(server_conn, self.board.now())
         self._end_request(server_conn)
 
--- a/mulberrypaddle/serving/caller_stream.py
+++ b/mulberrypaddle/serving/caller_stream.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import socket
 from typing import Any
 
-from tornado.iostream import IOStream
+from tornado.httputil import responses
+from tornado.iostream import IOStream, UnsatisfiableReadError
+
+from mulberrypaddle.serving.unread_remainder import UnreadRemainder
 
 
 class CallerStream(IOStream):
@@ -15,11 +19,17 @@
         received_bytes: Number of bytes that were read from the socket.
         dropped_unread: Whether bytes lay unread in the socket when this end
             closed the connection.
+        drains_on_close: Whether the caller may still send when this end closes
+            the connection, and is to read the last answer nevertheless.
+        refused_status: Status of the refusal of a request that could not be
+            read; 0 if there is none.
     """
 
     def __init__(self, connection: socket.socket, **options: Any) -> None:
         self.received_bytes = 0
         self.dropped_unread = False
+        self.drains_on_close = False
+        self.refused_status = 0
         super().__init__(connection, **options)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -28,10 +38,27 @@
         self.received_bytes += count or 0
         return count
 
+    def raise_head_limit(self, max_bytes: int) -> None:
+        """Raises the limit on the size of a head that is awaited."""
+        if self._read_regex is not None and self._read_max_bytes is not None:
+            self._read_max_bytes = max(self._read_max_bytes, max_bytes)
+
     def close(self, exc_info: Any = False) -> None:
-        """Closes the connection and records whether bytes are dropped."""
+        """Closes the connection and records whether bytes are dropped.
+
+        tornado gives no answer when it closes a connection because a line or a
+        head is too long.
+        """
         if not self.closed():
             self.dropped_unread = self.has_unread_bytes()
+            if (
+                isinstance(exc_info, UnsatisfiableReadError)
+                and not self.writing()
+            ):
+                is_head = self._read_regex is not None
+                self._send_refusal(431 if is_head else 400)
+            if self.drains_on_close:
+                UnreadRemainder(self.socket).start()
         super().close(exc_info)
 
     def has_unread_bytes(self) -> bool:
@@ -43,3 +70,27 @@
         except OSError:
             # Nothing has arrived, or the caller has reset the connection.
             return False
+
+    def _send_refusal(self, status: int) -> None:
+        """Refuses a request that can't be read, just before the close."""
+        self.refused_status = status
+        self.drains_on_close = True
+        try:
+            # The previous answer has been written, so that this one fits.
+            self.socket.send(refusal_bytes(status))
+        except OSError:
+            # The caller has gone.
+            return
+
+
+def refusal_bytes(status: int) -> bytes:
+    """Returns the refusal of a request that could not be read."""
+    reason = responses[status]
+    body = json.dumps({"error": reason.lower()}).encode()
+    head = (
+        f"HTTP/1.1 {status} {reason}\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    return head.encode() + body
--- a/tests/support/front_end_harness.py
+++ b/tests/support/front_end_harness.py
@@ -62,11 +62,21 @@
     )
 
 
-def make_config(*, version: int = 1) -> ServingConfig:
+def make_config(
+    *,
+    version: int = 1,
+    header_bytes: int = 16_384,
+    body_bytes: int = 100_000,
+) -> ServingConfig:
     """Returns a configuration with one organisation and three routes.
 
     `safe` and `pay` lead to the plain service `stock`, `write` to the engine
     service `cards`; only `pay` may not be retried.
+
+    Args:
+        version: Version and revision of the configuration.
+        header_bytes: Limit on the headers of a request.
+        body_bytes: Limit on the body of a request.
     """
     services = {
         "stock": ServiceSpec(
@@ -92,8 +102,8 @@
         ),
         services=services,
         limits=CallerLimits(
-            header_bytes=16_384,
-            body_bytes=100_000,
+            header_bytes=header_bytes,
+            body_bytes=body_bytes,
             header_seconds=3.0,
             idle_seconds=15.0,
         ),
@@ -161,6 +171,11 @@
             self._entries, revision=self._revision, now_seconds=0.0
         )
 
+    def apply_config(self, config: ServingConfig) -> None:
+        """Applies a configuration, as the router does for a new version."""
+        self.board.config = config
+        self._door.update_limits(config.limits)
+
     @property
     def connection_count(self) -> int:
         """Returns the number of open connections of callers."""
