--- a/mulberrypaddle/serving/caller_connection.py
+++ b/mulberrypaddle/serving/caller_connection.py
@@ -147,6 +147,27 @@
             status, headers, json.dumps({"error": detail}).encode()
         )
 
+    def refuse_unread(self, status: int, *, detail: str) -> None:
+        """Writes an error response to a request that is not read further.
+
+        The connection is closed behind it.
+        """
+        if self.disconnected or self.response_started:
+            return
+        body = json.dumps({"error": detail}).encode()
+        self._closes_after = lambda: True
+        self._finishing = True
+        self._write_head(
+            status,
+            [("Content-Type", "application/json")],
+            body=body if self._has_body else b"",
+            size_bytes=len(body),
+        )
+        # The end must not wait for the write, as the connection would ask for
+        # the body, or read more of it, in between.
+        self._finished = True
+        self._connection.finish()
+
     def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Writes status and headers of a response of unknown length."""
         if self.disconnected or self.response_started:
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import re
+import sys
 from typing import TYPE_CHECKING, Any
 
 from tornado import httputil
@@ -42,6 +45,8 @@
 # Allowance for the request line, which limits on headers don't count.
 REQUEST_LINE_BYTES = 8_192
 
+_LENGTH = re.compile("[0-9]+")
+
 # Connections that the kernel queues until this process accepts them.
 LISTEN_BACKLOG = 512
 
@@ -118,6 +123,18 @@
         )
 
 
+def _announced_body_bytes(headers: httputil.HTTPHeaders) -> int:
+    """Returns the length of a body by its header; 0 if that is not a number."""
+    announced = headers.get("Content-Length", "")
+    if _LENGTH.fullmatch(announced) is None:
+        return 0
+    try:
+        return int(announced)
+    except ValueError:
+        # Python limits the digits of a number that it reads.
+        return sys.maxsize
+
+
 class _RequestReader(httputil.HTTPMessageDelegate):
     """Buffers one request and starts an `Exchange` once it is complete."""
 
@@ -136,6 +153,10 @@
         self._headers = httputil.HTTPHeaders()
         self._chunks: list[bytes] = []
         self._size_bytes = 0
+        # Longest body that is read; the limit in force when the head arrived.
+        self._limit_bytes = DEFAULT_MAX_BODY_BYTES
+        # Whether the request was refused before all of it was read.
+        self._refused = False
         # Whether this request is in the router's count of those being read.
         self._reading = False
 
@@ -144,21 +165,67 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        """Stores the request line and the headers of a request."""
+        """Stores the request line and the headers of a request.
+
+        A body that is announced to be too long is refused without being read.
+        """
         assert isinstance(start_line, httputil.RequestStartLine)
         self._start_line = start_line
         self._headers = headers
         self._reading = True
-        self._caller_server.board.reading += 1
+        board = self._caller_server.board
+        board.reading += 1
         self._caller_server.record_head(self._server_connection)
+        if board.config is not None:
+            self._limit_bytes = board.config.limits.body_bytes
+        # tornado would refuse a longer body without a complete answer.
+        self._connection.set_max_body_size(sys.maxsize)
+        announced_bytes = _announced_body_bytes(headers)
+        if announced_bytes > self._limit_bytes:
+            self._refuse_body(announced_bytes)
 
     def data_received(self, chunk: bytes) -> None:
-        """Appends a chunk of the body."""
+        """Appends a chunk of the body; refuses one that is too long."""
         self._size_bytes += len(chunk)
+        if self._refused:
+            return
         self._chunks.append(chunk)
+        if self._size_bytes <= self._limit_bytes:
+            return
+        config = self._caller_server.board.config
+        if config is not None:
+            self._limit_bytes = max(self._limit_bytes, config.limits.body_bytes)
+        if self._size_bytes > self._limit_bytes:
+            self._refuse_body(self._size_bytes)
 
-    def finish(self) -> None:
-        """Starts handling the request, which is now complete."""
+    def _refuse_body(self, size_bytes: int) -> None:
+        """Refuses a request whose body is too long; reads no more of it.
+
+        Args:
+            size_bytes: Number of bytes that were announced or have come.
+        """
+        self._refused = True
+        self._chunks.clear()
+        complete = self._begin_response()
+        with contextlib.suppress(Exception):
+            complete.request_id = (
+                self._caller_server.board.header_codec.parse_caller_headers(
+                    self._headers
+                ).request_id
+            )
+        detail = f"got {size_bytes} bytes, allowed are {self._limit_bytes}"
+        log_request(
+            "refused",
+            request_id=complete.request_id,
+            kind="too_large",
+            detail=detail,
+        )
+        stream: CallerStream = self._connection.stream  # type: ignore[assignment]
+        stream.drains_on_close = True
+        complete.caller.refuse_unread(413, detail=detail)
+
+    def _begin_response(self) -> CompleteRequest:
+        """Prepares the response to this request, of which no more is read."""
         assert self._start_line is not None
         self._finish_reading()
         board = self._caller_server.board
@@ -168,6 +235,20 @@
             closes_after=lambda: board.stopping,
         )
         self._caller = caller
+        complete = CompleteRequest(
+            caller,
+            target=self._start_line.path,
+            arrived_at_seconds=board.now(),
+        )
+        self._caller_server.record_request(self._server_connection, complete)
+        return complete
+
+    def finish(self) -> None:
+        """Starts handling the request, which is now complete."""
+        assert self._start_line is not None
+        board = self._caller_server.board
+        complete = self._begin_response()
+        caller = complete.caller
         # Once a request is complete, only this callback reports that its
         # caller has closed the connection.
         self._connection.set_close_callback(caller.handle_close)
@@ -178,20 +259,6 @@
             body=b"".join(self._chunks),
         )
         self._chunks.clear()
-        complete = CompleteRequest(
-            caller, target=request.target, arrived_at_seconds=board.now()
-        )
-        self._caller_server.record_request(self._server_connection, complete)
-        if (
-            board.config is not None
-            and self._size_bytes > board.config.limits.body_bytes
-        ):
-            caller.send_error(
-                413,
-                detail=f"got {self._size_bytes} bytes, allowed are "
-                f"{board.config.limits.body_bytes}",
-            )
-            return
         try:
             fields = board.header_codec.parse_caller_headers(self._headers)
         except Exception as error:  # noqa: BLE001 - tornado would only close
@@ -207,7 +274,8 @@
         """Drops the request, as the caller has closed the connection."""
         self._chunks.clear()
         self._finish_reading()
-        if self._caller is not None:
+        # The close behind a refusal is no loss.
+        if self._caller is not None and not self._refused:
             self._caller.handle_close()
 
     def _finish_reading(self) -> None:
@@ -260,7 +328,6 @@
         self._server = _ConnectionServer(
             self,
             max_header_size=DEFAULT_MAX_HEADER_BYTES,
-            max_body_size=DEFAULT_MAX_BODY_BYTES,
         )
         # tornado would close connections on the clock alone.
         self._server.conn_params.header_timeout = None
--- a/tests/serving/test_request_sizes.py
+++ b/tests/serving/test_request_sizes.py
@@ -21,6 +21,10 @@
 # An unknown key is answered by the router itself, without a runner.
 _UNKNOWN_KEY = "X-Api-Key: other"
 
+# More than the sockets of both ends hold, so that the caller still sends when
+# the refusal is written.
+_LONG_BODY_BYTES = 40_000_000
+
 
 class HeadTest(testtools.TestCase):
     """Heads of requests around the limit."""
@@ -81,6 +85,79 @@
             self.assertEqual(["too_large"], refusals)
 
 
+class BodyTest(testtools.TestCase):
+    """Bodies of requests around the limit."""
+
+    def test_body_within_the_configured_limit_is_read(self) -> None:
+        for is_chunked in (False, True):
+
+            async def scenario(is_chunked: bool) -> bytes:
+                harness = FrontEndHarness()
+                harness.apply_config(
+                    make_config(version=2, body_bytes=20_000_000)
+                )
+                answer = await _send(
+                    harness, _request_with_body_of(10_000_000, is_chunked)
+                )
+                harness.close()
+                return answer
+
+            answer = run(scenario(is_chunked))
+            self.assertEqual(b"HTTP/1.1 401", answer[:12], f"{is_chunked}")
+
+    def test_body_over_the_limit_is_refused(self) -> None:
+        for is_chunked in (False, True):
+
+            async def scenario(is_chunked: bool) -> bytes:
+                harness = FrontEndHarness()
+                answer = await _send(
+                    harness, _request_with_body_of(_LONG_BODY_BYTES, is_chunked)
+                )
+                await asyncio.sleep(0.1)
+                self.assertEqual(
+                    (0, 0),
+                    (harness.board.reading, harness.board.in_flight_count),
+                )
+                harness.close()
+                return answer
+
+            answers: list[bytes] = []
+            refusals = _refusals_in(scenario(is_chunked), answers)
+            _check_refusal(self, b"413", answers[0])
+            self.assertEqual(["q1 too_large"], refusals)
+
+    def test_body_over_the_limit_is_not_asked_for(self) -> None:
+        async def scenario(length: bytes) -> bytes:
+            harness = FrontEndHarness()
+            request = request_bytes(
+                "/pay/1", headers=("Expect: 100-continue",)
+            ).replace(b"Content-Length: 0", b"Content-Length: " + length)
+            answer = await _send(harness, request)
+            harness.close()
+            return answer
+
+        for length in (b"200000", b"9" * 5_000):
+            _check_refusal(self, b"413", run(scenario(length)))
+
+    def test_body_that_arrives_while_the_limit_is_lowered_is_read(
+        self,
+    ) -> None:
+        async def scenario() -> bytes:
+            harness = FrontEndHarness()
+            reader, writer = await harness.connect()
+            request = _request_with_body_of(90_000, is_chunked=False)
+            writer.write(request[:50_000])
+            await asyncio.sleep(0.05)
+            harness.apply_config(make_config(version=2, body_bytes=1_000))
+            writer.write(request[50_000:])
+            answer = await _read_answer(reader)
+            writer.close()
+            harness.close()
+            return answer
+
+        self.assertEqual(b"HTTP/1.1 401", run(scenario())[:12])
+
+
 def _check_refusal(
     test: testtools.TestCase, status: bytes, answer: bytes
 ) -> None:
@@ -102,6 +179,19 @@
     )
 
 
+def _request_with_body_of(size_bytes: int, is_chunked: bool) -> bytes:
+    """Returns a request with a body of a given size."""
+    body = b"x" * size_bytes
+    request = request_bytes("/pay/1", body=body, headers=(_UNKNOWN_KEY,))
+    if not is_chunked:
+        return request
+    head = request.partition(b"\r\n\r\n")[0].replace(
+        b"Content-Length: %d" % size_bytes, b"Transfer-Encoding: chunked"
+    )
+    chunk = b"%x\r\n%s\r\n" % (size_bytes // 10, body[: size_bytes // 10])
+    return b"".join([head, b"\r\n\r\n", chunk * 10, b"0\r\n\r\n"])
+
+
 async def _send(harness: FrontEndHarness, request: bytes) -> bytes:
     """Sends all of a request before the answer is read, as most callers do."""
     reader, writer = await harness.connect()
