--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -499,9 +499,9 @@
     ) -> None:
         """Serves or ends what was accepted, then closes all connections.
 
-        New connections aren't accepted. Between the last check for requests and
-        the close there is no turn of the event loop, so that no request is read
-        which nobody would answer.
+        New connections aren't accepted. Between the last check for requests,
+        read or not, and the close there is no turn of the event loop, so that
+        no request is read which nobody would answer.
 
         Args:
             quiet_seconds: Time in which the first request of a connection is
@@ -509,7 +509,7 @@
             until_seconds: Loop time at which requests in flight are ended, and
                 from which new ones are refused.
             exit_seconds: Loop time until which responses are written to slow
-                callers, and first requests and bodies are awaited.
+                callers, and requests are awaited that have begun to arrive.
         """
         self.stop_listening()
         board = self.board
@@ -523,7 +523,12 @@
                 self._unused_connections and now < quiet_until_seconds
             )
             idle_polls += 1
-            if awaits_request or board.in_flight_count or board.reading:
+            if (
+                awaits_request
+                or board.in_flight_count
+                or board.reading
+                or self._limits.has_arriving_request()
+            ):
                 idle_polls = 0
             if idle_polls >= STOP_IDLE_POLLS or now >= exit_seconds:
                 break
--- a/mulberrypaddle/serving/connection_limits.py
+++ b/mulberrypaddle/serving/connection_limits.py
@@ -109,6 +109,16 @@
         """Records that the head of a request is complete."""
         self._waiting.pop(connection, None)
 
+    def has_arriving_request(self) -> bool:
+        """Returns whether any part of a request has come on a connection."""
+        for waiting in self._waiting.values():
+            stream = waiting.stream
+            if stream.received_bytes > waiting.idle_bytes:
+                return True
+            if stream.has_unread_bytes():
+                return True
+        return False
+
     def record_closed(self, connection: object, now_seconds: float) -> None:
         """Records that a connection is closed; logs a request that is lost."""
         waiting = self._waiting.pop(connection, None)
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -185,6 +185,84 @@
             answered, runs = run(scenario(turns))
             self.assertLessEqual(runs, int(answered), f"{turns} turns")
 
+    def test_request_that_lies_unread_at_the_last_check_is_answered(
+        self,
+    ) -> None:
+        async def scenario(is_used: bool) -> bytes:
+            harness = FrontEndHarness()
+            caller = socket.create_connection(harness.settings.caller_address)
+            if is_used:
+                caller.sendall(_REQUEST.replace(b"Connection: close\r\n", b""))
+            await asyncio.sleep(0.1)
+            if is_used:
+                self.assertEqual(b"HTTP/1.1 401", caller.recv(65_536)[:12])
+            # The event loop does not run between the request and the check.
+            self.patch(caller_server, "STOP_IDLE_POLLS", 1)
+            caller.sendall(_REQUEST)
+            await harness.stop(
+                quiet_seconds=0.0, until_seconds=harness.board.now()
+            )
+            try:
+                answer = await _read_answer(caller)
+            except ConnectionResetError:
+                answer = b""
+            harness.close()
+            return answer
+
+        for is_used in (False, True):
+            answer = run(scenario(is_used))
+            self.assertEqual(b"HTTP/1.1 401", answer[:12], f"{is_used}")
+
+    def test_request_whose_head_arrives_in_pieces_in_a_stop_is_refused(
+        self,
+    ) -> None:
+        async def scenario() -> tuple[bytes, int]:
+            harness = FrontEndHarness()
+            runner = RawRunner(_send_refusal)
+            harness.add_runner("r0", await runner.start())
+            reader, writer = await harness.connect()
+            request = request_bytes("/safe/1")
+            writer.write(request[:40])
+            await asyncio.sleep(0.1)
+            stop = harness.begin_stop(left_seconds=0.2)
+            stopping = asyncio.ensure_future(
+                harness.stop(
+                    quiet_seconds=0.0,
+                    until_seconds=stop.ends_at_seconds,
+                    exit_seconds=stop.ends_at_seconds + 2.0,
+                )
+            )
+            await asyncio.sleep(0.6)
+            writer.write(request[40:])
+            answer = await asyncio.wait_for(reader.read(), 5.0)
+            await asyncio.wait_for(stopping, 1.0)
+            writer.close()
+            harness.close()
+            await runner.stop()
+            return answer, len(runner.request_heads)
+
+        answer, runs = run(scenario())
+        self.assertEqual((b"HTTP/1.1 503", 0), (answer[:12], runs))
+
+    def test_head_without_an_end_delays_the_stop_until_its_exit(self) -> None:
+        async def scenario() -> float:
+            harness = FrontEndHarness()
+            _, writer = await harness.connect()
+            writer.write(_REQUEST[:40])
+            await asyncio.sleep(0.1)
+            now = harness.board.now()
+            await harness.stop(
+                quiet_seconds=0.0, until_seconds=now, exit_seconds=now + 0.5
+            )
+            duration_seconds = harness.board.now() - now
+            writer.close()
+            harness.close()
+            return duration_seconds
+
+        duration_seconds = run(scenario())
+        self.assertGreaterEqual(duration_seconds, 0.5)
+        self.assertLess(duration_seconds, 1.5)
+
     def test_refusal_that_crosses_the_close_is_not_truncated(self) -> None:
         async def scenario(turns: int) -> bytes:
             harness = FrontEndHarness()
