--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -147,6 +147,7 @@
     ) -> None:
         self._caller_server = caller_server
         self._connection = connection
+        self._stream: CallerStream = connection.stream  # type: ignore[assignment]
         self._server_connection = server_connection
         self._caller: CallerConnection | None = None
         self._start_line: httputil.RequestStartLine | None = None
@@ -220,14 +221,14 @@
             kind="too_large",
             detail=detail,
         )
-        stream: CallerStream = self._connection.stream  # type: ignore[assignment]
-        stream.drains_on_close = True
+        self._stream.drains_on_close = True
         complete.caller.refuse_unread(413, detail=detail)
 
     def _begin_response(self) -> CompleteRequest:
         """Prepares the response to this request, of which no more is read."""
         assert self._start_line is not None
         self._finish_reading()
+        self._stream.awaits_request = False
         board = self._caller_server.board
         caller = CallerConnection(
             self._connection,
@@ -376,11 +377,9 @@
     ) -> httputil.HTTPMessageDelegate:
         """Returns the delegate that reads the next request of a connection."""
         self._end_request(server_conn)
-        self._limits.start_waiting(
-            server_conn,
-            request_conn.stream,  # type: ignore[attr-defined]
-            self.board.now(),
-        )
+        stream: CallerStream = request_conn.stream  # type: ignore[attr-defined]
+        stream.awaits_request = True
+        self._limits.start_waiting(server_conn, stream, self.board.now())
         if server_conn not in self._used_connections:
             self._unused_connections.add(server_conn)
         return _RequestReader(
--- a/mulberrypaddle/serving/caller_stream.py
+++ b/mulberrypaddle/serving/caller_stream.py
@@ -4,13 +4,19 @@
 
 import json
 import socket
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from tornado.httputil import responses
 from tornado.iostream import IOStream, UnsatisfiableReadError
 
 from mulberrypaddle.serving.unread_remainder import UnreadRemainder
 
+if TYPE_CHECKING:
+    import asyncio
+
+# What tornado writes on a malformed request, before it closes the connection.
+_BARE_REFUSAL = b"HTTP/1.1 400 Bad Request\r\n\r\n"
+
 
 class CallerStream(IOStream):
     """Stream of a caller's connection.
@@ -23,6 +29,8 @@
             the connection, and is to read the last answer nevertheless.
         refused_status: Status of the refusal of a request that could not be
             read; 0 if there is none.
+        awaits_request: Whether a request is awaited or being read, so that no
+            response has begun.
     """
 
     def __init__(self, connection: socket.socket, **options: Any) -> None:
@@ -30,6 +38,7 @@
         self.dropped_unread = False
         self.drains_on_close = False
         self.refused_status = 0
+        self.awaits_request = False
         super().__init__(connection, **options)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -38,6 +47,18 @@
         self.received_bytes += count or 0
         return count
 
+    def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
+        """Writes bytes; completes tornado's refusal of a malformed request."""
+        if data == _BARE_REFUSAL:
+            if self.awaits_request:
+                self.refused_status = 400
+                self.drains_on_close = True
+                return super().write(refusal_bytes(400))
+            if self.drains_on_close:
+                # The request has been refused already.
+                return super().write(b"")
+        return super().write(data)
+
     def raise_head_limit(self, max_bytes: int) -> None:
         """Raises the limit on the size of a head that is awaited."""
         if self._read_regex is not None and self._read_max_bytes is not None:
--- a/tests/serving/test_request_sizes.py
+++ b/tests/serving/test_request_sizes.py
@@ -139,6 +139,20 @@
         for length in (b"200000", b"9" * 5_000):
             _check_refusal(self, b"413", run(scenario(length)))
 
+    def test_malformed_request_with_a_body_over_the_limit_is_refused_once(
+        self,
+    ) -> None:
+        async def scenario() -> bytes:
+            harness = FrontEndHarness()
+            request = request_bytes(
+                "/pay/1", headers=("Transfer-Encoding: chunked",)
+            ).replace(b"Content-Length: 0", b"Content-Length: 200000")
+            answer = await _send(harness, request)
+            harness.close()
+            return answer
+
+        _check_refusal(self, b"413", run(scenario()))
+
     def test_body_that_arrives_while_the_limit_is_lowered_is_read(
         self,
     ) -> None:
