--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -29,7 +29,7 @@
 
     from mulberrypaddle.backends.curl import CurlClient
     from mulberrypaddle.dispatch.stop_schedule import StopSchedule
-    from mulberrypaddle.fleet import NodeSettings, ServingConfig
+    from mulberrypaddle.fleet import NodeSettings, ServiceSpec, ServingConfig
     from mulberrypaddle.serving.header_codec import HeaderCodec
 
 
@@ -76,6 +76,7 @@
     """
 
     __slots__ = (
+        "_queued_services",
         "chooser",
         "client",
         "cold_rate",
@@ -133,6 +134,8 @@
         self.crashes = CrashRecords()
         self.demand = DemandMeter()
         self.queues: dict[tuple[str, str], WaitQueue] = {}
+        # Services of the queues, as their last requests were admitted to.
+        self._queued_services: dict[str, ServiceSpec] = {}
         self.retries = RetryBudget(
             ratio=settings.bounds.retry_ratio,
             slack=settings.bounds.retry_slack,
@@ -167,9 +170,10 @@
         """Returns the loop's monotonic time in seconds."""
         return self.loop.time()
 
-    def queue_for(self, service: str, model: str) -> WaitQueue:
+    def queue_for(self, service: ServiceSpec, model: str) -> WaitQueue:
         """Returns the queue of a service and model, created if missing."""
-        key = (service, model)
+        self._queued_services[service.name] = service
+        key = (service.name, model)
         queue = self.queues.get(key)
         if queue is None:
             queue = WaitQueue()
@@ -234,23 +238,24 @@
         for (service_name, model), queue in self.queues.items():
             if not len(queue):
                 continue
-            service = config.services.get(service_name)
-            free_capacity = 0
-            if service is not None:
-                requirements = RunnerRequirements(service, model=model)
-                pause_seconds = self.pause_left_seconds(requirements)
-                if pause_seconds is not None:
-                    queue.end_waits_before(now + pause_seconds)
-                free_capacity = share_of_free_slots(
-                    self.chooser.free_capacity(
-                        requirements,
-                        routers=self.live_routers,
-                        now_seconds=now,
-                    ),
-                    local_waiting=len(queue),
-                    peers_waiting=self.others_waiting(service_name, model),
-                    chance=self.rng.random(),
-                )
+            # Requests that were admitted outlive their service.
+            service = config.services.get(
+                service_name, self._queued_services[service_name]
+            )
+            requirements = RunnerRequirements(service, model=model)
+            pause_seconds = self.pause_left_seconds(requirements)
+            if pause_seconds is not None:
+                queue.end_waits_before(now + pause_seconds)
+            free_capacity = share_of_free_slots(
+                self.chooser.free_capacity(
+                    requirements,
+                    routers=self.live_routers,
+                    now_seconds=now,
+                ),
+                local_waiting=len(queue),
+                peers_waiting=self.others_waiting(service_name, model),
+                chance=self.rng.random(),
+            )
             queue.admit_waiting(free_capacity, now_seconds=now)
 
 
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -250,7 +250,7 @@
             The runner; None if the request was refused or its caller is gone.
         """
         board = self._board
-        queue = board.queue_for(self._terms.service.name, self._fields.model)
+        queue = board.queue_for(self._terms.service, self._fields.model)
         sort_key = queue_sort_key(
             arrived_at_seconds=self._arrived_at,
             urgency=RETRY_URGENCY if self._send_count else self._terms.urgency,
