--- a/mulberrypaddle/fleet/config.py
+++ b/mulberrypaddle/fleet/config.py
@@ -92,6 +92,15 @@
             return self.resumable
         return self.retry_policy is RetryPolicy.SAFE
 
+    @property
+    def may_use_kept_connections(self) -> bool:
+        """Returns whether requests may use kept connections to runners.
+
+        A runner may close one as a request comes, and the request must be sent
+        again.
+        """
+        return self.may_retry and self.max_runners > 1
+
 
 class ModelSpec:
     """One model of an engine service.
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -174,7 +174,7 @@
             # An answer to an earlier attempt could still come over a kept
             # connection, with the id of this request.
             uses_kept_connection=previous is None
-            and route.may_retry
+            and route.may_use_kept_connections
             and board.connections.take(entry.address, board.now()),
             may_send=lambda: (
                 not board.pauses.is_paused(entry.incarnation, board.now())
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -239,7 +239,8 @@
             excluded=frozenset(self._excluded_runners),
             resumed=self._may_have_run,
             may_use_kept_connection=(
-                self._terms.route.may_retry and self._send_count == 0
+                self._terms.route.may_use_kept_connections
+                and self._send_count == 0
             ),
         )
 
--- a/tests/serving/test_kept_runner_connections.py
+++ b/tests/serving/test_kept_runner_connections.py
@@ -51,27 +51,43 @@
                 self.assertEqual(3, sends, case)
 
     async def _send_twice(
-        self, end: Callable[[asyncio.StreamWriter], None], runner_count: int
+        self,
+        end: Callable[[asyncio.StreamWriter], None],
+        runner_count: int,
+        *,
+        max_runners: int = 2,
     ) -> tuple[list[bytes], int]:
-        """Sends two requests; the runner closes as it gets the second.
+        """Sends two requests; a runner closes a connection if both come on it.
+
+        Args:
+            end: Closes a connection.
+            runner_count: Number of runners.
+            max_runners: Number of runners that the route allows.
 
         Returns:
             The answers, and how often runners got a request.
         """
         harness = FrontEndHarness()
+        assert harness.board.config is not None
+        route = harness.board.config.route_for("shop.example", "/safe/1")
+        assert route is not None
+        route.max_runners = max_runners
         for _ in range(20):
             # The retry budget of a new process allows no second attempt.
             harness.board.retries.record_first_attempt(
                 "stock", harness.board.now()
             )
         sends = 0
+        answered_on: list[asyncio.StreamWriter] = []
 
         async def answer(
             count: int, request: bytes, writer: asyncio.StreamWriter
         ) -> None:
             nonlocal sends
             sends += 1
-            if sends == 2:
+            is_kept = writer in answered_on
+            answered_on.append(writer)
+            if is_kept:
                 end(writer)
                 return
             writer.write(_ANSWER)
@@ -85,6 +101,15 @@
             await runner.stop()
         return answers, sends
 
+    def test_request_that_may_not_be_repeated_meets_no_close(self) -> None:
+        for max_runners in (0, 1):
+            answers, sends = run(
+                self._send_twice(_reset, 1, max_runners=max_runners)
+            )
+            heads = [answer[:12] for answer in answers]
+            self.assertEqual([b"HTTP/1.1 200"] * 2, heads, f"{max_runners}")
+            self.assertEqual(2, sends, f"{max_runners}")
+
     def test_requests_around_the_idle_limit_of_a_runner_are_answered(
         self,
     ) -> None:
