--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import logging
+import re
+import sys
 from typing import TYPE_CHECKING, Any
 
 from tornado import httputil
@@ -34,12 +37,17 @@
 _LOGGER = logging.getLogger("mulberrypaddle.door")
 
 # Limits that apply until a configuration is known; the values are those of the
-# platform's example configuration.
+# platform's example configuration. Heads up to the first one are always read.
 DEFAULT_MAX_HEADER_BYTES = 65_536
 DEFAULT_MAX_BODY_BYTES = 8_388_608
 DEFAULT_IDLE_SECONDS = 60.0
 DEFAULT_HEADER_SECONDS = 60.0
 
+# Allowance for the request line, which limits on headers don't count.
+REQUEST_LINE_BYTES = 8_192
+
+_LENGTH = re.compile("[0-9]+")
+
 # Connections that the kernel queues until this process accepts them.
 LISTEN_BACKLOG = 512
 
@@ -130,6 +138,18 @@
         )
 
 
+def _announced_body_bytes(headers: httputil.HTTPHeaders) -> int:
+    """Returns the length of a body by its header; 0 if that is not a number."""
+    announced = headers.get("Content-Length", "")
+    if _LENGTH.fullmatch(announced) is None:
+        return 0
+    try:
+        return int(announced)
+    except ValueError:
+        # Python limits the digits of a number that it reads.
+        return sys.maxsize
+
+
 class _RequestReader(httputil.HTTPMessageDelegate):
     """Buffers one request and starts an `Exchange` once it is complete."""
 
@@ -142,12 +162,17 @@
     ) -> None:
         self._caller_server = caller_server
         self._connection = connection
+        self._stream: CallerStream = connection.stream  # type: ignore[assignment]
         self._server_connection = server_connection
         self._caller: CallerConnection | None = None
         self._start_line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
         self._chunks: list[bytes] = []
         self._size_bytes = 0
+        # Longest body that is read; the limit in force when the head arrived.
+        self._limit_bytes = DEFAULT_MAX_BODY_BYTES
+        # Whether the request was refused before all of it was read.
+        self._refused = False
         # Whether this request is in the router's count of those being read.
         self._reading = False
 
@@ -156,23 +181,69 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        """Stores the request line and the headers of a request."""
+        """Stores the request line and the headers of a request.
+
+        A body that is announced to be too long is refused without being read.
+        """
         assert isinstance(start_line, httputil.RequestStartLine)
         self._start_line = start_line
         self._headers = headers
         self._reading = True
-        self._caller_server.board.reading += 1
+        board = self._caller_server.board
+        board.reading += 1
         self._caller_server.record_head(self._server_connection)
+        if board.config is not None:
+            self._limit_bytes = board.config.limits.body_bytes
+        # tornado would refuse a longer body without a complete answer.
+        self._connection.set_max_body_size(sys.maxsize)
+        announced_bytes = _announced_body_bytes(headers)
+        if announced_bytes > self._limit_bytes:
+            self._refuse_body(announced_bytes)
 
     def data_received(self, chunk: bytes) -> None:
-        """Appends a chunk of the body."""
+        """Appends a chunk of the body; refuses one that is too long."""
         self._size_bytes += len(chunk)
+        if self._refused:
+            return
         self._chunks.append(chunk)
+        if self._size_bytes <= self._limit_bytes:
+            return
+        config = self._caller_server.board.config
+        if config is not None:
+            self._limit_bytes = max(self._limit_bytes, config.limits.body_bytes)
+        if self._size_bytes > self._limit_bytes:
+            self._refuse_body(self._size_bytes)
 
-    def finish(self) -> None:
-        """Starts handling the request, which is now complete."""
+    def _refuse_body(self, size_bytes: int) -> None:
+        """Refuses a request whose body is too long; reads no more of it.
+
+        Args:
+            size_bytes: Number of bytes that were announced or have come.
+        """
+        self._refused = True
+        self._chunks.clear()
+        complete = self._begin_response()
+        with contextlib.suppress(Exception):
+            complete.request_id = (
+                self._caller_server.board.header_codec.parse_caller_headers(
+                    self._headers
+                ).request_id
+            )
+        detail = f"got {size_bytes} bytes, allowed are {self._limit_bytes}"
+        log_request(
+            "refused",
+            request_id=complete.request_id,
+            kind="too_large",
+            detail=detail,
+        )
+        self._stream.drains_on_close = True
+        complete.caller.refuse_unread(413, detail=detail)
+
+    def _begin_response(self) -> CompleteRequest:
+        """Prepares the response to this request, of which no more is read."""
         assert self._start_line is not None
         self._finish_reading()
+        self._stream.awaits_request = False
         board = self._caller_server.board
         caller = CallerConnection(
             self._connection,
@@ -180,6 +251,20 @@
             closes_after=lambda: board.stopping,
         )
         self._caller = caller
+        complete = CompleteRequest(
+            caller,
+            target=self._start_line.path,
+            arrived_at_seconds=board.now(),
+        )
+        self._caller_server.record_request(self._server_connection, complete)
+        return complete
+
+    def finish(self) -> None:
+        """Starts handling the request, which is now complete."""
+        assert self._start_line is not None
+        board = self._caller_server.board
+        complete = self._begin_response()
+        caller = complete.caller
         # Once a request is complete, only this callback reports that its
         # caller has closed the connection.
         self._connection.set_close_callback(caller.handle_close)
@@ -190,20 +275,6 @@
             body=b"".join(self._chunks),
         )
         self._chunks.clear()
-        complete = CompleteRequest(
-            caller, target=request.target, arrived_at_seconds=board.now()
-        )
-        self._caller_server.record_request(self._server_connection, complete)
-        if (
-            board.config is not None
-            and self._size_bytes > board.config.limits.body_bytes
-        ):
-            caller.send_error(
-                413,
-                detail=f"got {self._size_bytes} bytes, allowed are "
-                f"{board.config.limits.body_bytes}",
-            )
-            return
         try:
             fields = board.header_codec.parse_caller_headers(self._headers)
         except Exception as error:  # noqa: BLE001 - tornado would only close
@@ -219,7 +290,8 @@
         """Drops the request, as the caller has closed the connection."""
         self._chunks.clear()
         self._finish_reading()
-        if self._caller is not None:
+        # The close behind a refusal is no loss.
+        if self._caller is not None and not self._refused:
             self._caller.handle_close()
 
     def _finish_reading(self) -> None:
@@ -272,7 +344,6 @@
         self._server = _ConnectionServer(
             self,
             max_header_size=DEFAULT_MAX_HEADER_BYTES,
-            max_body_size=DEFAULT_MAX_BODY_BYTES,
         )
         # tornado would close connections on the clock alone.
         self._server.conn_params.header_timeout = None
@@ -304,6 +375,15 @@
             idle_seconds=limits.idle_seconds,
             head_seconds=limits.header_seconds,
         )
+        # A head that is awaited keeps its limit if the new one is lower.
+        max_header_bytes = max(
+            DEFAULT_MAX_HEADER_BYTES, limits.header_bytes + REQUEST_LINE_BYTES
+        )
+        self._server.conn_params.max_header_size = max_header_bytes
+        for connection in [*self._unused_connections, *self._used_connections]:
+            connection.stream.raise_head_limit(  # type: ignore[attr-defined]
+                max_header_bytes
+            )
 
     def start_request(
         self,
@@ -312,11 +392,9 @@
     ) -> httputil.HTTPMessageDelegate:
         """Returns the delegate that reads the next request of a connection."""
         self._end_request(server_conn)
-        self._limits.start_waiting(
-            server_conn,
-            request_conn.stream,  # type: ignore[attr-defined]
-            self.board.now(),
-        )
+        stream: CallerStream = request_conn.stream  # type: ignore[attr-defined]
+        stream.awaits_request = True
+        self._limits.start_waiting(server_conn, stream, self.board.now())
         if server_conn not in self._used_connections:
             self._unused_connections.add(server_conn)
         return _RequestReader(
@@ -329,6 +407,19 @@
         """Forgets a connection that has been closed."""
         self._unused_connections.discard(server_conn)
         self._used_connections.discard(server_conn)
+        stream: CallerStream = server_conn.stream  # type: ignore[attr-defined]
+        if stream.refused_status:
+            self._limits.stop_waiting(server_conn)
+            kind = (
+                "too_large" if stream.refused_status == 431 else "bad_request"
+            )
+            log_request(
+                "refused",
+                request_id="",
+                kind=kind,
+                status=stream.refused_status,
+                received_bytes=stream.received_bytes,
+            )
         self._limits.record_closed(server_conn, self.board.now())
         self._end_request(server_conn)
 
@@ -422,9 +513,9 @@
     ) -> None:
         """Serves or ends what was accepted, then closes all connections.
 
-        New connections aren't accepted. Between the last check for requests and
-        the close there is no turn of the event loop, so that no request is read
-        which nobody would answer.
+        New connections aren't accepted. Between the last check for requests,
+        read or not, and the close there is no turn of the event loop, so that
+        no request is read which nobody would answer.
 
         Args:
             quiet_seconds: Time in which the first request of a connection is
@@ -432,7 +523,7 @@
             until_seconds: Loop time at which requests in flight are ended, and
                 from which new ones are refused.
             exit_seconds: Loop time until which responses are written to slow
-                callers, and first requests and bodies are awaited.
+                callers, and requests are awaited that have begun to arrive.
         """
         self.stop_listening()
         board = self.board
@@ -446,7 +537,12 @@
                 self._unused_connections and now < quiet_until_seconds
             )
             idle_polls += 1
-            if awaits_request or board.in_flight_count or board.reading:
+            if (
+                awaits_request
+                or board.in_flight_count
+                or board.reading
+                or self._limits.has_arriving_request()
+            ):
                 idle_polls = 0
             if idle_polls >= STOP_IDLE_POLLS or now >= exit_seconds:
                 break
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -239,7 +239,8 @@
             excluded=frozenset(self._excluded_runners),
             resumed=self._may_have_run,
             may_use_kept_connection=(
-                self._terms.route.may_retry and self._send_count == 0
+                self._terms.route.may_use_kept_connections
+                and self._send_count == 0
             ),
         )
 
@@ -250,7 +251,7 @@
             The runner; None if the request was refused or its caller is gone.
         """
         board = self._board
-        queue = board.queue_for(self._terms.service.name, self._fields.model)
+        queue = board.queue_for(self._terms.service, self._fields.model)
         sort_key = queue_sort_key(
             arrived_at_seconds=self._arrived_at,
             urgency=RETRY_URGENCY if self._send_count else self._terms.urgency,
