--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -528,14 +528,25 @@
     # Updates from the feeds.
 
     def _apply_config(self, update: FeedUpdate) -> None:
-        """Decodes the configuration and replaces the current one if newer."""
+        """Decodes the configuration and replaces the current one if newer.
+
+        The operator only raises the version, whereas a store that was restored
+        may hold an older version at a higher revision.
+        """
         config = self._decoder.decode_config(
             list(self._config_feed.items.values())
         )
         known = self.board.config
         if config is None:
             return
-        if known is not None and config.revision <= known.revision:
+        if known is not None and config.version <= known.version:
+            if config.version < known.version:
+                log_state_change(
+                    "older_config_held_back",
+                    version=config.version,
+                    revision=config.revision,
+                    in_force=known.version,
+                )
             return
         self.board.config = config
         self._caller_server.update_limits(config.limits)
