--- a/mulberrypaddle/platform/decoder.py
+++ b/mulberrypaddle/platform/decoder.py
@@ -91,6 +91,15 @@
                 )
         return None
 
+    def config_version(self, item: StoredItem) -> int | None:
+        """Returns the version of a configuration; None if unreadable."""
+        if item.name != CONFIG_NAME:
+            return None
+        try:
+            return require_int(item.content["spec"]["version"])
+        except _DECODE_ERRORS:
+            return None
+
     def decode_runner(
         self, item: StoredItem, *, now_seconds: float
     ) -> RunnerEntry | None:
--- a/mulberrypaddle/serving/collection_sync.py
+++ b/mulberrypaddle/serving/collection_sync.py
@@ -8,7 +8,7 @@
 
 import gzip
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import tornado.httpclient
 from tornado import httputil
@@ -19,6 +19,8 @@
 from mulberrypaddle.serving.decision_log import log_state_change
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mulberrypaddle.serving.feed import Feed
     from mulberrypaddle.serving.heartbeat import Heartbeat
     from mulberrypaddle.serving.supervision import Supervisor
@@ -46,7 +48,8 @@
 
     Attributes:
         cached_responses: Compressed responses, by collection, the revision that
-            the asking router holds and the one that this router holds.
+            the asking router holds, and the revision and the version that this
+            router holds.
     """
 
     def __init__(
@@ -71,10 +74,12 @@
         self._behind_since_seconds: dict[str, float] = {}
         # Names of the collections that are being fetched.
         self._fetching: set[str] = set()
+        # Loop time at which a higher version was last fetched, by the same.
+        self._versions_fetched_at_seconds: dict[str, float] = {}
         self._supervisor = supervisor
         self._client = make_client()
         self._server = HTTPServer(self._serve)
-        self.cached_responses: dict[tuple[str, int, int], bytes] = {}
+        self.cached_responses: dict[tuple[str, int, int, int], bytes] = {}
 
     def listen(self) -> None:
         """Starts to serve other routers."""
@@ -96,6 +101,7 @@
                 feed.changed_revision, feed.revision
             ):
                 self._behind_since_seconds.pop(key, None)
+                self._fetch_higher_version(name, heartbeat, now_seconds)
                 continue
             if not (feed.revision or heartbeat.watches or feed.failed):
                 # After a start the store is asked first: a router that cannot
@@ -112,17 +118,75 @@
                 f"fetch of {name}", self._fetch(name, heartbeat.ip)
             )
 
+    def _fetch_higher_version(
+        self, name: str, heartbeat: Heartbeat, now_seconds: float
+    ) -> None:
+        """Starts to fetch a version that is higher than the one known here.
+
+        The store won't bring it soon: its copy was restored with an older one.
+
+        Args:
+            name: Name of the collection.
+            heartbeat: Heartbeat of a router whose copy is no newer than this
+                router's by its revision.
+            now_seconds: Loop time.
+        """
+        feed = self._feeds[name]
+        if not feed.revision or name in self._fetching:
+            return
+        if heartbeat.versions.get(name, 0) <= feed.version:
+            return
+        key = f"{name} {heartbeat.ip}"
+        fetched_at = self._versions_fetched_at_seconds.get(key)
+        if fetched_at is not None and now_seconds - fetched_at < (
+            FETCH_LAG_SECONDS
+        ):
+            return
+        self._versions_fetched_at_seconds[key] = now_seconds
+        self._fetching.add(name)
+        self._supervisor.start(
+            f"fetch of a version of {name}",
+            self._fetch_version(name, heartbeat.ip),
+        )
+
     async def _fetch(self, name: str, ip: str) -> None:
         """Fetches a collection's changes from a router and applies them."""
         feed = self._feeds[name]
+        await self._fetch_and_apply(
+            name, ip, since=feed.revision, apply=feed.apply_message
+        )
+
+    async def _fetch_version(self, name: str, ip: str) -> None:
+        """Fetches a collection and takes over objects of higher versions."""
+        await self._fetch_and_apply(
+            name, ip, since=0, apply=self._feeds[name].adopt_versions
+        )
+
+    async def _fetch_and_apply(
+        self,
+        name: str,
+        ip: str,
+        *,
+        since: int,
+        apply: Callable[[Any], bool],
+    ) -> None:
+        """Fetches a message about a collection from a router and applies it.
+
+        Args:
+            name: Name of the collection.
+            ip: Address of the other router.
+            since: Revision after which changes are asked for; 0 for all.
+            apply: Applies the message; returns whether it was news.
+        """
+        feed = self._feeds[name]
         try:
             response = await self._client.fetch(
-                f"http://{ip}:{self._address[1]}/{name}?since={feed.revision}",
+                f"http://{ip}:{self._address[1]}/{name}?since={since}",
                 connect_timeout=FETCH_TIMEOUT_SECONDS,
                 request_timeout=FETCH_TIMEOUT_SECONDS,
                 prepare_curl_callback=limit_answer_size(MAX_COLLECTION_BYTES),
             )
-            applied = feed.apply_message(json.loads(response.body))
+            applied = apply(json.loads(response.body))
         except (
             tornado.httpclient.HTTPError,
             OSError,
@@ -139,7 +203,11 @@
             self._fetching.discard(name)
         if applied and not feed.is_passive:
             log_state_change(
-                "fetched", collection=name, peer=ip, revision=feed.revision
+                "fetched",
+                collection=name,
+                peer=ip,
+                revision=feed.revision,
+                version=feed.version,
             )
 
     def _serve(self, request: httputil.HTTPServerRequest) -> None:
@@ -176,9 +244,10 @@
             since: Revision that the asking router holds; 0 for the whole
                 collection.
         """
-        key = (name, since, self._feeds[name].revision)
+        feed = self._feeds[name]
+        key = (name, since, feed.revision, feed.version)
         if key not in self.cached_responses:
-            message = self._feeds[name].to_message(since)
+            message = feed.to_message(since)
             compressed = gzip.compress(
                 json.dumps(message).encode(), COMPRESSION_LEVEL
             )
--- a/mulberrypaddle/serving/decoder.py
+++ b/mulberrypaddle/serving/decoder.py
@@ -21,6 +21,16 @@
             items: All objects of the configuration collection.
         """
 
+    @abc.abstractmethod
+    def config_version(self, item: StoredItem) -> int | None:
+        """Returns the version of the configuration that an object holds.
+
+        The operator only raises it. None if the object has no readable one.
+
+        Args:
+            item: Object of the configuration collection.
+        """
+
     @abc.abstractmethod
     def decode_runner(
         self, item: StoredItem, *, now_seconds: float
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -94,6 +94,7 @@
         revision: Revision of the copy; 0 before the first list.
         changed_revision: Highest revision at which an object of the copy is
             known to have changed; 0 before the first list.
+        version: Highest version of an object in the copy; 0 if none has one.
         connected: Whether the store answered the last call; False before the
             first one.
         on_history_gone: Called when the store no longer keeps the changes
@@ -111,6 +112,7 @@
         peer_watches: Callable[[], bool] = lambda: False,
         retry_pause_factor: Callable[[], float] = lambda: 1.0,
         may_await_handover: Callable[[], bool] = lambda: False,
+        version_of: Callable[[StoredItem], int | None] = lambda item: None,
     ) -> None:
         """Creates a feed that makes no calls until `run`.
 
@@ -131,6 +133,10 @@
             may_await_handover: Returns whether, after the start, another
                 router may still send the collection, so that the store need
                 not be asked yet.
+            version_of: Returns the version of an object whose writer only
+                raises it, or None if the object has no version. The copy never
+                goes back to an older version of an object, nor loses one that
+                has a version, whatever the revisions are.
         """
         self._store = store
         self._on_update = on_update
@@ -139,6 +145,7 @@
         self._peer_watches = peer_watches
         self._retry_pause_factor = retry_pause_factor
         self._may_await_handover = may_await_handover
+        self._version_of = version_of
         # Revision and name of each remembered removal, the oldest first.
         self._removals: list[tuple[int, str]] = []
         # Revision from which on all removals are remembered.
@@ -158,6 +165,7 @@
         self.items: dict[str, StoredItem] = {}
         self.revision = 0
         self.changed_revision = 0
+        self.version = 0
         self.connected = False
         self.on_history_gone: Callable[[], None] = lambda: None
 
@@ -348,19 +356,19 @@
             after_outage: Whether another router sent the changes and reported
                 that the store was unavailable until shortly before.
         """
+        changed = [self._latest_version(item, revision) for item in changed]
         if complete:
             names = {item.name for item in changed}
             removed = [name for name in self.items if name not in names]
-        if complete:
             self._history_start_revision = revision
+        removed = [name for name in removed if not self._has_version(name)]
         for name in removed:
             self.items.pop(name, None)
             self._removals.append((revision, name))
         if len(self._removals) > MAX_REMOVALS:
             self._history_start_revision = self._removals[-MAX_REMOVALS][0]
             del self._removals[:-MAX_REMOVALS]
-        for item in changed:
-            self.items[item.name] = item
+        self._put(changed)
         self.revision = revision
         if removed:
             self.changed_revision = revision
@@ -378,6 +386,41 @@
             )
         )
 
+    def _put(self, changed: list[StoredItem]) -> None:
+        """Puts objects into the copy."""
+        for item in changed:
+            self.items[item.name] = item
+            self.version = max(self.version, self._version_of(item) or 0)
+
+    def _has_version(self, name: str) -> bool:
+        """Returns whether the copy holds an object with a version."""
+        known = self.items.get(name)
+        return known is not None and self._version_of(known) is not None
+
+    def _latest_version(self, item: StoredItem, revision: int) -> StoredItem:
+        """Returns the known object if it has a higher version, or the new one.
+
+        Args:
+            item: The new object.
+            revision: Revision that the feed gets with it.
+        """
+        known = self.items.get(item.name)
+        if known is None:
+            return item
+        known_version = self._version_of(known)
+        version = self._version_of(item)
+        if known_version is None or version is None or version >= known_version:
+            return item
+        log_state_change(
+            "older_version_held_back",
+            collection=self.collection.value,
+            name=item.name,
+            version=version,
+            known=known_version,
+            revision=revision,
+        )
+        return known
+
     def _is_after_outage(self) -> bool:
         """Returns whether the store is, or was just now, unavailable.
 
@@ -458,16 +501,7 @@
             ValueError: If another value has another type or is out of range.
         """
         revision = require_int(message["revision"])
-        items = [
-            StoredItem(
-                require_name(item["name"]),
-                revision=require_int(item["revision"]),
-                content=None
-                if is_nested_deeper(item["content"], MAX_OBJECT_LEVELS)
-                else item["content"],
-            )
-            for item in message["items"]
-        ]
+        items = _read_items(message)
         complete = bool(message["whole"])
         if revision <= self.revision:
             return False
@@ -493,3 +527,64 @@
             self.request_list()
             raise
         return True
+
+    def adopt_versions(self, message: Any) -> bool:
+        """Takes over objects with higher versions from a router's message.
+
+        A store that was restored may hold an older version than other routers
+        know, at a revision that is higher than theirs. The revision of the copy
+        stays as it is.
+
+        Args:
+            message: The decoded message, made by `to_message`.
+
+        Returns:
+            Whether it held a higher version.
+
+        Raises:
+            KeyError: If a field is missing.
+            TypeError: If a list or an object has another type.
+            ValueError: If another value has another type or is out of range.
+        """
+        newer = []
+        for item in _read_items(message):
+            version = self._version_of(item)
+            if version is None:
+                continue
+            known = self.items.get(item.name)
+            known_version = None if known is None else self._version_of(known)
+            if known_version is None or version > known_version:
+                newer.append(item)
+        if not newer:
+            return False
+        self._put(newer)
+        self._on_update(
+            FeedUpdate(
+                newer,
+                removed=[],
+                revision=self.revision,
+                complete=False,
+                after_outage=self._is_after_outage(),
+            )
+        )
+        return True
+
+
+def _read_items(message: Any) -> list[StoredItem]:
+    """Returns the objects of a message of `Feed.to_message`.
+
+    Raises:
+        KeyError: If a field is missing.
+        TypeError: If a list or an object has another type.
+        ValueError: If another value has another type or is out of range.
+    """
+    return [
+        StoredItem(
+            require_name(item["name"]),
+            revision=require_int(item["revision"]),
+            content=None
+            if is_nested_deeper(item["content"], MAX_OBJECT_LEVELS)
+            else item["content"],
+        )
+        for item in message["items"]
+    ]
--- a/mulberrypaddle/serving/heartbeat.py
+++ b/mulberrypaddle/serving/heartbeat.py
@@ -73,6 +73,7 @@
     "changes": dict,
     "stopping": bool,
     "leaving": dict,
+    "versions": dict,
 }
 
 
@@ -140,11 +141,11 @@
 
 # Fields that a message leaves out if they are empty, so that routers of earlier
 # versions, which do not know them, accept it.
-_OPTIONAL_FIELDS = ("crashes", "cleared", "leaving")
+_OPTIONAL_FIELDS = ("crashes", "cleared", "leaving", "versions")
 
 # Fields that travel as a key of `changes`: earlier versions reject messages
 # with unknown fields, but skip unknown collections.
-_FIELDS_IN_CHANGES = ("leaving",)
+_FIELDS_IN_CHANGES = ("leaving", "versions")
 
 # Checks for the values of mapping fields; JSON makes all keys strings.
 _VALUE_CHECKS: dict[str, Callable[[Any], bool]] = {
@@ -162,6 +163,7 @@
     "resigned": _is_int_mapping,
     "relays": _is_str,
     "leaving": _is_int_or_none,
+    "versions": is_int,
 }
 
 # Fields that are lists of addresses or ids.
@@ -243,6 +245,8 @@
         stopping: Whether the sender is shutting down.
         leaving: Start time in milliseconds, or None, of the runners that
             announced in answers that they are leaving, by runner.
+        versions: Highest version in the sender's copy of a collection whose
+            objects have versions, by collection.
     """
 
     __slots__ = tuple(_FIELD_TYPES)
@@ -279,6 +283,7 @@
     changes: dict[str, Any]
     stopping: bool
     leaving: dict[str, int | None]
+    versions: dict[str, int]
 
     def __init__(self, **fields: Any) -> None:
         """Sets all fields from keyword arguments.
--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -724,7 +724,7 @@
             known = [ip for ip in known if self._address_book.is_local(ip)]
         if len(known) > MAX_KNOWN_ADDRESSES:
             known = self._board.rng.sample(known, MAX_KNOWN_ADDRESSES)
-        return make_local_heartbeat(
+        heartbeat = make_local_heartbeat(
             self._board,
             duty_status=self.duty_status(),
             incarnation=self.incarnation,
@@ -737,6 +737,12 @@
             relays=self.relays.all_relays(now),
             now_seconds=now,
         )
+        heartbeat.versions = {
+            name: feed.version
+            for name, feed in self._feeds.items()
+            if feed.version
+        }
+        return heartbeat
 
 
 def _rank_of(heartbeat: Heartbeat) -> RelayRank:
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -43,7 +43,7 @@
     from mulberrypaddle.serving.decoder import Decoder
     from mulberrypaddle.serving.header_codec import HeaderCodec
     from mulberrypaddle.serving.runner_control import RunnerControl
-    from mulberrypaddle.serving.store import ObjectStore
+    from mulberrypaddle.serving.store import ObjectStore, StoredItem
 
 # Pause between two watches of the runners: changes arrive in batches, and each
 # watch is a call to the store, which has a cost. Leaders, that is, routers that
@@ -114,7 +114,10 @@
             rng=random.Random(),
         )
         self._config_feed = self._make_feed(
-            Collection.CONFIGURATION, self._apply_config, _urgent_pause_seconds
+            Collection.CONFIGURATION,
+            self._apply_config,
+            _urgent_pause_seconds,
+            version_of=decoder.config_version,
         )
         self._evacuation_feed = self._make_feed(
             Collection.EVACUATIONS,
@@ -155,6 +158,7 @@
         collection: Collection,
         on_update: Callable[[FeedUpdate], None],
         watch_pause_seconds: Callable[[], float],
+        version_of: Callable[[StoredItem], int | None] = lambda item: None,
     ) -> Feed:
         """Creates the feed of one collection."""
         return Feed(
@@ -166,6 +170,7 @@
             peer_watches=self._peer_watches,
             retry_pause_factor=self._fleet_size_factor,
             may_await_handover=self._may_await_handover,
+            version_of=version_of,
         )
 
     def is_ready(self) -> bool:
