--- a/mulberrypaddle/fleet/runners.py
+++ b/mulberrypaddle/fleet/runners.py
@@ -55,6 +55,8 @@
         service: Name of the service that it belongs to.
         address: Address that it listens on, as host:port.
         data_centre: Data centre of its VM.
+        sequence: The runner's own count of its writes of the entry, which rises
+            while it lives; None if it is unknown.
         slots: Number of requests that it serves at once.
         draining: Whether its entry says that it is about to leave.
         announced_leaving: Whether an answer of it announced that it is leaving,
@@ -78,6 +80,7 @@
         "group",
         "models",
         "runner_id",
+        "sequence",
         "service",
         "slots",
         "staged",
@@ -98,6 +101,7 @@
         domain: str = "",
         staged: tuple[str, ...] = (),
         group: GroupMembership | None = None,
+        sequence: int | None = None,
     ) -> None:
         self.runner_id = runner_id
         self.started_at_ms = started_at_ms
@@ -112,6 +116,7 @@
         self.domain = domain
         self.staged = staged
         self.group = group
+        self.sequence = sequence
 
     @property
     def is_leaving(self) -> bool:
@@ -125,3 +130,20 @@
         A restart under the same id is another incarnation.
         """
         return (self.runner_id, self.started_at_ms)
+
+    def is_newer_than(self, other: RunnerEntry) -> bool:
+        """Returns whether it was certainly written after another entry.
+
+        Start times are compared only if the incarnations differ, and may
+        mislead where a clock was set back.
+
+        Args:
+            other: Entry under the same id.
+        """
+        if self.started_at_ms is None or other.started_at_ms is None:
+            return False
+        if self.started_at_ms != other.started_at_ms:
+            return self.started_at_ms > other.started_at_ms
+        if self.sequence is None or other.sequence is None:
+            return False
+        return self.sequence > other.sequence
--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -24,6 +24,8 @@
         generation: Number of changes so far. Results computed from the view
             stay valid as long as it is the same.
         evacuated_revision: Revision of the store at which `evacuated` was read.
+        held_back: Runners of which the last snapshot held an entry that was
+            not taken over, since the known one is newer.
     """
 
     __slots__ = (
@@ -35,8 +37,10 @@
         "_leaving",
         "_leaving_by_time",
         "_removal_due_seconds",
+        "_unconfirmed",
         "evacuated_revision",
         "generation",
+        "held_back",
         "revision",
     )
 
@@ -53,10 +57,13 @@
         self._leaving_by_time: list[RunnerEntry] | None = None
         # Start time in the last entry that had one, by listed runner.
         self._last_start_ms: dict[str, int] = {}
+        # Runners whose entry is from before the last restore of the store.
+        self._unconfirmed: set[str] = set()
         self.revision = 0
         self.generation = 0
         self._evacuated: frozenset[str] = frozenset()
         self.evacuated_revision = 0
+        self.held_back: list[str] = []
 
     @property
     def evacuated(self) -> frozenset[str]:
@@ -193,24 +200,39 @@
         *,
         revision: int,
         now_seconds: float,
+        restored: bool = False,
     ) -> bool:
         """Replaces all entries by a snapshot.
 
+        After a restore of the store a snapshot may hold entries from before it
+        that are older than the known ones; those are held back until their
+        runners write again.
+
         Args:
             entries: All runners in the snapshot.
             revision: Revision of the store at which it was read.
             now_seconds: Monotonic time.
+            restored: Whether the store was restored from a copy since the
+                view's revision.
 
         Returns:
             Whether it was applied; a snapshot older than the view is ignored.
         """
         if revision < self.revision:
             return False
+        if restored:
+            self._unconfirmed = set(self._entries)
         fresh = {entry.runner_id: entry for entry in entries}
+        self.held_back = []
         for runner_id in list(self._entries):
             if runner_id not in fresh:
                 self._remove_or_defer(runner_id, now_seconds)
         for entry in fresh.values():
+            if self._is_superseded(entry):
+                if self._entries[entry.runner_id].is_newer_than(entry):
+                    self.held_back.append(entry.runner_id)
+                self._removal_due_seconds.pop(entry.runner_id, None)
+                continue
             self._put(entry)
         self.revision = revision
         self._record_change()
@@ -269,8 +291,20 @@
         self._by_service.clear()
         self._leaving_by_time = None
 
+    def _is_superseded(self, entry: RunnerEntry) -> bool:
+        """Returns whether an entry of a snapshot is held back.
+
+        That is so if the known one is from before a restore of the store and
+        the other isn't certainly newer.
+        """
+        if entry.runner_id not in self._unconfirmed:
+            return False
+        known = self._entries.get(entry.runner_id)
+        return known is not None and not entry.is_newer_than(known)
+
     def _put(self, entry: RunnerEntry) -> None:
         """Adds or replaces an entry and cancels its pending removal."""
+        self._unconfirmed.discard(entry.runner_id)
         self._removal_due_seconds.pop(entry.runner_id, None)
         if entry.started_at_ms is not None:
             self._last_start_ms[entry.runner_id] = entry.started_at_ms
@@ -287,6 +321,7 @@
 
     def _remove(self, runner_id: str) -> None:
         """Removes an entry."""
+        self._unconfirmed.discard(runner_id)
         self._entries.pop(runner_id, None)
         self._last_start_ms.pop(runner_id, None)
         self._leaving.forget_unknown(runner_id)
--- a/mulberrypaddle/platform/decoder.py
+++ b/mulberrypaddle/platform/decoder.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrypaddle.core.value_checks import (
+    is_int,
     require_address,
     require_int,
     require_name,
@@ -169,9 +170,15 @@
         domain="" if domain is None else require_str(domain),
         staged=_read_staged_models(fields),
         group=_read_membership(fields.get("group")),
+        sequence=_read_sequence(fields.get("sequence")),
     )
 
 
+def _read_sequence(value: Any) -> int | None:
+    """Returns the runner's count of its writes; None if it is odd."""
+    return value if is_int(value) else None
+
+
 def _require_list(value: Any) -> list[Any]:
     """Returns a list, empty if it is missing; raises ValueError if none."""
     if value is None:
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -30,6 +30,7 @@
     Listing,
     StoredItem,
 )
+from mulberrypaddle.serving.store_era import era_of, is_restored_between
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,9 +66,18 @@
         revision: Revision of the feed after the update.
         after_outage: Whether the store was unavailable until shortly before,
             so that entries that expired meanwhile may come back.
+        restored: Whether the store was restored from a copy since the update
+            before, so that objects may be missing or older than they were.
     """
 
-    __slots__ = ("after_outage", "changed", "complete", "removed", "revision")
+    __slots__ = (
+        "after_outage",
+        "changed",
+        "complete",
+        "removed",
+        "restored",
+        "revision",
+    )
 
     def __init__(
         self,
@@ -77,12 +87,14 @@
         revision: int,
         complete: bool,
         after_outage: bool,
+        restored: bool = False,
     ) -> None:
         self.changed = changed
         self.removed = removed
         self.revision = revision
         self.complete = complete
         self.after_outage = after_outage
+        self.restored = restored
 
 
 class Feed:
@@ -356,6 +368,15 @@
             after_outage: Whether another router sent the changes and reported
                 that the store was unavailable until shortly before.
         """
+        restored = is_restored_between(self.revision, revision)
+        if restored:
+            log_state_change(
+                "restored_copy",
+                collection=self.collection.value,
+                era=era_of(revision),
+                revision=revision,
+                before=self.revision,
+            )
         changed = [self._latest_version(item, revision) for item in changed]
         if complete:
             names = {item.name for item in changed}
@@ -383,6 +404,7 @@
                 revision=revision,
                 complete=complete,
                 after_outage=after_outage or self._is_after_outage(),
+                restored=restored,
             )
         )
 
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -73,6 +73,9 @@
 # router: two readiness checks, a second apart, and one in flight.
 READINESS_LAG_SECONDS = 2.5
 
+# Runners that one log record names at most.
+MAX_LOGGED_RUNNERS = 20
+
 # Time after the listener was closed in which the first request of a connection
 # is awaited.
 STOP_QUIET_SECONDS = 0.3
@@ -594,8 +597,18 @@
                 entries.append(entry)
         if update.complete:
             board.view.replace_all(
-                entries, revision=update.revision, now_seconds=now
+                entries,
+                revision=update.revision,
+                now_seconds=now,
+                restored=update.restored,
             )
+            if board.view.held_back:
+                log_state_change(
+                    "older_runners_held_back",
+                    revision=update.revision,
+                    count=len(board.view.held_back),
+                    runners=board.view.held_back[:MAX_LOGGED_RUNNERS],
+                )
         else:
             board.view.apply(
                 entries,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -132,6 +132,23 @@
                 )
         self.assertEqual([5, 6], [line.revision for line in logs.records])
 
+    def test_odd_sequence_is_unknown(self) -> None:
+        for sequence, expected in (
+            (4, 4),
+            (None, None),
+            (True, None),
+            (-1, None),
+            ("4", None),
+            (4.5, None),
+            (10**30, None),
+            ([4], None),
+        ):
+            entry = DECODER.decode_runner(
+                _item({**_RUNNER_FIELDS, "sequence": sequence}), now_seconds=0.0
+            )
+            assert entry is not None
+            self.assertEqual(expected, entry.sequence, sequence)
+
     def test_engine_fields_are_optional(self) -> None:
         fields = ("domain", "staged", "models", "group", "born")
         spec = {k: v for k, v in _RUNNER_FIELDS.items() if k not in fields}
--- a/tests/serving/test_feed.py
+++ b/tests/serving/test_feed.py
@@ -19,6 +19,7 @@
     ObjectStore,
     StoredItem,
 )
+from mulberrypaddle.serving.store_era import make_revision
 from tests.support.asynchronous import run
 
 
@@ -198,6 +199,17 @@
             [update.after_outage for update in harness.updates],
         )
 
+    def test_update_after_a_restore_is_marked(self) -> None:
+        harness = _FeedHarness(_Store())
+        for revision, is_restored in (
+            (make_revision(9, 1), False),
+            (make_revision(5, 2), True),
+            (make_revision(6, 2), False),
+            (make_revision(3, 4), True),
+        ):
+            harness.feed.apply_listing(Listing([], revision=revision))
+            self.assertEqual(is_restored, harness.updates[-1].restored)
+
     def test_starts_no_watch_while_another_router_watches(self) -> None:
         async def scenario() -> int:
             store = _Store()
