--- a/mulberrypaddle/fleet/deployment_limits.py
+++ b/mulberrypaddle/fleet/deployment_limits.py
@@ -20,10 +20,12 @@
             weights are counted.
         drain_seconds: Time for which a runner goes on serving after it decided
             to leave.
+        heartbeat_seconds: Interval at which a runner writes its entry.
     """
 
     __slots__ = (
         "drain_seconds",
+        "heartbeat_seconds",
         "load_window_seconds",
         "retry_ratio",
         "retry_slack",
@@ -40,6 +42,7 @@
         retry_window_seconds: float = 10.0,
         load_window_seconds: float = 5.0,
         drain_seconds: float = 2.0,
+        heartbeat_seconds: float = 1.0,
     ) -> None:
         self.stop_grace_seconds = stop_grace_seconds
         self.retry_ratio = retry_ratio
@@ -47,3 +50,4 @@
         self.retry_window_seconds = retry_window_seconds
         self.load_window_seconds = load_window_seconds
         self.drain_seconds = drain_seconds
+        self.heartbeat_seconds = heartbeat_seconds
--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -15,6 +15,13 @@
 # the outage are written again; about two seconds according to the platform.
 RETURN_GRACE_SECONDS = 2.0
 
+# Heartbeat intervals after which the store removes the entry of a silent
+# runner, according to the platform.
+SILENT_INTERVALS = 3
+
+# Removed entries that are remembered: several times those of a large fleet.
+MAX_REMOVED = 8_192
+
 
 class FleetView:
     """Current entries of all runners, updated by snapshots and watch events.
@@ -26,6 +33,8 @@
         evacuated_revision: Revision of the store at which `evacuated` was read.
         held_back: Runners of which the last snapshot held an entry that was
             not taken over, since the known one is newer.
+        silence_seconds: Time after which the store removes the entry of a
+            runner that doesn't write it.
     """
 
     __slots__ = (
@@ -37,14 +46,17 @@
         "_leaving",
         "_leaving_by_time",
         "_removal_due_seconds",
+        "_removed",
         "_unconfirmed",
+        "_unproven_until_seconds",
         "evacuated_revision",
         "generation",
         "held_back",
         "revision",
+        "silence_seconds",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, silence_seconds: float = 3.0) -> None:
         self._entries: dict[str, RunnerEntry] = {}
         # Cache of the runners of each service, cleared by every change.
         self._by_service: dict[str, list[RunnerEntry]] = {}
@@ -59,11 +71,23 @@
         self._last_start_ms: dict[str, int] = {}
         # Runners whose entry is from before the last restore of the store.
         self._unconfirmed: set[str] = set()
+        # Last entry of each runner that was removed, the oldest removal first.
+        self._removed: dict[str, RunnerEntry] = {}
+        # Runners whose entry had been removed and is back only since the store
+        # was restored, with the monotonic time from which on they count as
+        # alive if the store still has it.
+        self._unproven_until_seconds: dict[str, float] = {}
         self.revision = 0
         self.generation = 0
         self._evacuated: frozenset[str] = frozenset()
         self.evacuated_revision = 0
         self.held_back: list[str] = []
+        self.silence_seconds = silence_seconds
+
+    @property
+    def unproven(self) -> list[str]:
+        """Returns runners that are back only since the store was restored."""
+        return list(self._unproven_until_seconds)
 
     @property
     def evacuated(self) -> frozenset[str]:
@@ -103,9 +127,14 @@
     def accepts_new_work(self, entry: RunnerEntry) -> bool:
         """Returns whether a runner may get new work.
 
-        It may not while it is leaving or its data centre is evacuated.
+        It may not while it is leaving, its data centre is evacuated, or it is
+        back only since the store was restored and may be gone.
         """
-        return not entry.is_leaving and entry.data_centre not in self.evacuated
+        return (
+            not entry.is_leaving
+            and entry.data_centre not in self.evacuated
+            and entry.runner_id not in self._unproven_until_seconds
+        )
 
     def record_leaving(
         self, incarnation: tuple[str, int | None], now_seconds: float
@@ -206,7 +235,9 @@
 
         After a restore of the store a snapshot may hold entries from before it
         that are older than the known ones; those are held back until their
-        runners write again.
+        runners write again. Runners that had been removed and are back get no
+        new work until they write again, or until the store would have removed
+        them.
 
         Args:
             entries: All runners in the snapshot.
@@ -222,6 +253,10 @@
             return False
         if restored:
             self._unconfirmed = set(self._entries)
+            for runner_id in self._unproven_until_seconds:
+                self._unproven_until_seconds[runner_id] = (
+                    now_seconds + self.silence_seconds
+                )
         fresh = {entry.runner_id: entry for entry in entries}
         self.held_back = []
         for runner_id in list(self._entries):
@@ -233,7 +268,15 @@
                     self.held_back.append(entry.runner_id)
                 self._removal_due_seconds.pop(entry.runner_id, None)
                 continue
+            until_seconds = self._unproven_until_seconds.get(entry.runner_id)
+            if restored and self._is_past(entry):
+                until_seconds = now_seconds + self.silence_seconds
+            is_unproven = until_seconds is not None and not (
+                self._is_newer_than_known(entry)
+            )
             self._put(entry)
+            if until_seconds is not None and is_unproven:
+                self._unproven_until_seconds[entry.runner_id] = until_seconds
         self.revision = revision
         self._record_change()
         return True
@@ -291,6 +334,33 @@
         self._by_service.clear()
         self._leaving_by_time = None
 
+    def admit_proven(self, now_seconds: float) -> list[str]:
+        """Admits runners that the store has kept for as long as live ones.
+
+        Returns:
+            Ids of the runners that may get new work from now on.
+        """
+        admitted = [
+            runner_id
+            for runner_id, until in self._unproven_until_seconds.items()
+            if now_seconds >= until
+        ]
+        for runner_id in admitted:
+            del self._unproven_until_seconds[runner_id]
+        if admitted:
+            self._record_change()
+        return admitted
+
+    def _is_past(self, entry: RunnerEntry) -> bool:
+        """Returns whether an entry is one that had been removed, or older."""
+        removed = self._removed.get(entry.runner_id)
+        return removed is not None and not entry.is_newer_than(removed)
+
+    def _is_newer_than_known(self, entry: RunnerEntry) -> bool:
+        """Returns whether an entry is certainly newer than the one listed."""
+        known = self._entries.get(entry.runner_id)
+        return known is not None and entry.is_newer_than(known)
+
     def _is_superseded(self, entry: RunnerEntry) -> bool:
         """Returns whether an entry of a snapshot is held back.
 
@@ -305,6 +375,8 @@
     def _put(self, entry: RunnerEntry) -> None:
         """Adds or replaces an entry and cancels its pending removal."""
         self._unconfirmed.discard(entry.runner_id)
+        self._unproven_until_seconds.pop(entry.runner_id, None)
+        self._removed.pop(entry.runner_id, None)
         self._removal_due_seconds.pop(entry.runner_id, None)
         if entry.started_at_ms is not None:
             self._last_start_ms[entry.runner_id] = entry.started_at_ms
@@ -322,7 +394,13 @@
     def _remove(self, runner_id: str) -> None:
         """Removes an entry."""
         self._unconfirmed.discard(runner_id)
-        self._entries.pop(runner_id, None)
+        self._unproven_until_seconds.pop(runner_id, None)
+        removed = self._entries.pop(runner_id, None)
+        if removed is not None:
+            self._removed.pop(runner_id, None)
+            self._removed[runner_id] = removed
+            while len(self._removed) > MAX_REMOVED:
+                del self._removed[next(iter(self._removed))]
         self._last_start_ms.pop(runner_id, None)
         self._leaving.forget_unknown(runner_id)
 
--- a/mulberrypaddle/platform/node_file.py
+++ b/mulberrypaddle/platform/node_file.py
@@ -106,6 +106,7 @@
         "retry_window_seconds": ("budgetWindowS", 1.0),
         "load_window_seconds": ("ceilingWindowS", 1.0),
         "drain_seconds": ("drainMs", 0.001),
+        "heartbeat_seconds": ("heartbeatMs", 0.001),
     }
     for attribute, (name, factor) in setting_by_attribute.items():
         if name in fields:
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -21,6 +21,7 @@
 from mulberrypaddle.dispatch.stalls import HeadProgress
 from mulberrypaddle.dispatch.wait_queue import share_of_free_slots
 from mulberrypaddle.fleet import FleetView
+from mulberrypaddle.fleet.view import SILENT_INTERVALS
 from mulberrypaddle.serving.demand import DemandMeter
 from mulberrypaddle.serving.supervision import Supervisor
 
@@ -123,7 +124,9 @@
         self.client = client
         self.rng = rng
         self.config: ServingConfig | None = None
-        self.view = FleetView()
+        self.view = FleetView(
+            silence_seconds=SILENT_INTERVALS * settings.bounds.heartbeat_seconds
+        )
         self.loads = InFlightCounts()
         self.runner_health = RunnerHealth()
         self.pauses = RunnerPauses()
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -367,8 +367,16 @@
         self._crash_monitor.tick(may_try=self._duty_manager.holds_first_duty())
 
     def _remove_expired_runners(self) -> None:
-        """Removes runners that did not write their entries again in time."""
+        """Removes runners that did not write their entries again in time.
+
+        Also admits those that a restore of the store has brought back and that
+        the store has kept.
+        """
         board = self.board
+        admitted = board.view.admit_proven(board.now())
+        if admitted:
+            log_state_change("returned_runners_admitted", count=len(admitted))
+            board.dispatch_waiting()
         if board.view.remove_expired(board.now()):
             board.runner_health.retain_only(
                 entry.runner_id for entry in board.view
@@ -609,6 +617,14 @@
                     count=len(board.view.held_back),
                     runners=board.view.held_back[:MAX_LOGGED_RUNNERS],
                 )
+            unproven = board.view.unproven
+            if update.restored and unproven:
+                log_state_change(
+                    "returned_runners_held_back",
+                    revision=update.revision,
+                    count=len(unproven),
+                    runners=unproven[:MAX_LOGGED_RUNNERS],
+                )
         else:
             board.view.apply(
                 entries,
