--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -11,8 +11,9 @@
 
     from mulberrypaddle.fleet.runners import RunnerEntry
 
-# Time after the store is reachable again in which entries that expired during
-# the outage are written again; about two seconds according to the platform.
+# Time after the store is reachable again, or was restored, in which entries
+# that expired during the outage or were lost are written again; about two
+# seconds according to the platform.
 RETURN_GRACE_SECONDS = 2.0
 
 # Heartbeat intervals after which the store removes the entry of a silent
@@ -237,7 +238,8 @@
         that are older than the known ones; those are held back until their
         runners write again. Runners that had been removed and are back get no
         new work until they write again, or until the store would have removed
-        them.
+        them. Runners that the snapshot lacks are kept for
+        `RETURN_GRACE_SECONDS`, since they may write their entries again.
 
         Args:
             entries: All runners in the snapshot.
@@ -252,6 +254,11 @@
         if revision < self.revision:
             return False
         if restored:
+            self._grace_until_seconds = max(
+                self._grace_until_seconds, now_seconds + RETURN_GRACE_SECONDS
+            )
+            # The time of those that were missing before starts again.
+            self._removal_due_seconds.clear()
             self._unconfirmed = set(self._entries)
             for runner_id in self._unproven_until_seconds:
                 self._unproven_until_seconds[runner_id] = (
