--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -13,6 +13,7 @@
 
 from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.dispatch.stop_schedule import StopSchedule
+from mulberrypaddle.fleet.view import RETURN_GRACE_SECONDS
 from mulberrypaddle.serving.announcements import record_announcement
 from mulberrypaddle.serving.blackboard import Blackboard
 from mulberrypaddle.serving.caller_server import (
@@ -134,6 +135,9 @@
         self._feeds = feeds
         for feed in feeds:
             feed.on_history_gone = self._relist_all
+        # Evacuated data centres that the store lacks since it was restored,
+        # with the loop time until which they stay evacuated.
+        self._kept_evacuations: dict[str, float] = {}
         self._peers = PeerExchange(self.board, feeds)
         self._duty_manager = DutyManager(self.board, store, self._peers)
         control.on_announcement = functools.partial(
@@ -329,8 +333,9 @@
 
         Each round, at the interval of heartbeats, sends heartbeats, handles
         overdue lease renewals, probes runners that may have crashed, sends
-        queued requests to runners with free slots, removes expired runners, and
-        detects that the VM was suspended or this process is slow.
+        queued requests to runners with free slots, removes expired runners,
+        ends evacuations that a restored store has lost, and detects that the VM
+        was suspended or this process is slow.
         """
         board = self.board
         mark = SuspensionMark()
@@ -351,6 +356,7 @@
                 ("dispatch", board.dispatch_waiting),
                 ("expired runners", self._remove_expired_runners),
                 ("expired pauses", self._forget_expired_pauses),
+                ("kept evacuations", self._end_kept_evacuations),
             ):
                 board.supervisor.run_step(name, step)
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
@@ -576,16 +582,58 @@
         )
 
     def _apply_evacuations(self, update: FeedUpdate) -> None:
-        """Replaces the set of evacuated data centres."""
+        """Replaces the set of evacuated data centres.
+
+        After a restore of the store, evacuations that it lacks stay in force
+        for `RETURN_GRACE_SECONDS`, in which the operator writes them again, and
+        those that it holds are in force at once, although they may have been
+        ended: work that is sent to a data centre that is evacuated breaks a
+        promise, and work that is kept from one that is not only has to go
+        elsewhere.
+        """
         board = self.board
-        board.view.evacuated = frozenset(self._evacuation_feed.items)
+        if update.restored:
+            missing = board.view.evacuated.difference(
+                self._evacuation_feed.items
+            )
+            until_seconds = board.now() + RETURN_GRACE_SECONDS
+            self._kept_evacuations = dict.fromkeys(missing, until_seconds)
+            if missing:
+                log_state_change(
+                    "evacuations_kept",
+                    out=sorted(missing),
+                    revision=update.revision,
+                )
+        for data_centre in self._evacuation_feed.items:
+            self._kept_evacuations.pop(data_centre, None)
         board.view.evacuated_revision = update.revision
+        self._update_evacuated()
+
+    def _update_evacuated(self) -> None:
+        """Sets the data centres that are evacuated by the store or kept so."""
+        view = self.board.view
+        view.evacuated = frozenset(self._evacuation_feed.items).union(
+            self._kept_evacuations
+        )
         log_state_change(
             "evacuations",
-            out=sorted(board.view.evacuated),
-            revision=update.revision,
+            out=sorted(view.evacuated),
+            revision=view.evacuated_revision,
         )
 
+    def _end_kept_evacuations(self) -> None:
+        """Ends evacuations that were not written again after a restore."""
+        now = self.board.now()
+        expired = [
+            data_centre
+            for data_centre, until in self._kept_evacuations.items()
+            if now >= until
+        ]
+        for data_centre in expired:
+            del self._kept_evacuations[data_centre]
+        if expired:
+            self._update_evacuated()
+
     def _apply_runners(self, update: FeedUpdate) -> None:
         """Applies changes of runners to the fleet view.
 
