--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -171,6 +171,8 @@
         ] = set()
         # Failed calls in a row.
         self._failures = 0
+        # Watches in a row whose changes the store no longer kept.
+        self._lost_histories = 0
         # Monotonic time at which the last outage of the store ended.
         self._store_back_at_seconds = -RETURN_GRACE_SECONDS
         self.collection = collection
@@ -233,6 +235,10 @@
                 )
                 self._must_list = True
                 self.on_history_gone()
+                self._lost_histories += 1
+                # The first list is made at once.
+                if self._lost_histories > 1:
+                    await self._pause(self._lost_histories - 1)
                 continue
             if problem is None:
                 self._record_success()
@@ -240,13 +246,17 @@
                     await asyncio.sleep(self._watch_pause_seconds())
                 continue
             self._record_failure(problem)
-            await self._pause_after_failure()
+            await self._pause(self._failures)
 
-    async def _pause_after_failure(self) -> None:
-        """Waits before the next call; ends early once the feed is passive."""
+    async def _pause(self, failures: int) -> None:
+        """Waits before the next call; ends early once the feed is passive.
+
+        Args:
+            failures: Number of calls in a row that failed.
+        """
         pause_seconds = min(
             MAX_RETRY_PAUSE_SECONDS,
-            RETRY_PAUSE_SECONDS * 2 ** min(self._failures, 8),
+            RETRY_PAUSE_SECONDS * 2 ** min(failures, 8),
         )
         until_seconds = (
             time.monotonic() + pause_seconds * self._retry_pause_factor()
@@ -268,6 +278,7 @@
         if not self._must_list:
             watched = await self._watch()
             if watched is not None:
+                self._lost_histories = 0
                 return self._apply_watch_result(watched)
         self._list_requested.clear()
         listed = await self._store.list(self.collection)
--- a/tests/serving/test_feed.py
+++ b/tests/serving/test_feed.py
@@ -133,6 +133,29 @@
         self.assertEqual(2, store.lists)
         self.assertEqual(9, harness.feed.revision)
 
+    def test_pauses_if_the_history_is_gone_again_after_each_list(self) -> None:
+        # The list is dropped as older than the copy, or is as old as it.
+        for revision in (1, 9, 12):
+            store = _Store()
+            store.watches = [HistoryGoneError("gone") for _ in range(1000)]
+            store.listing = Listing([_item("c", revision)], revision=revision)
+            harness = _FeedHarness(store)
+            harness.feed.apply_listing(Listing([_item("a", 9)], revision=9))
+            run(harness.run_for(0.75))
+            # At 0, 0, 0.2 and 0.6 seconds, and one at the start.
+            self.assertIn(store.lists, (3, 4, 5), str(revision))
+            self.assertIn(len(store.watch_timeouts), (3, 4), str(revision))
+
+    def test_lists_at_once_when_the_history_is_gone_later_on(self) -> None:
+        store = _Store()
+        for revision in range(2, 12):
+            store.watches += [
+                HistoryGoneError("gone"),
+                Changes([], removed=[], revision=revision),
+            ]
+        harness = run(_run_feed(store, seconds=0.2))
+        self.assertEqual(11, harness.feed.revision)
+
     def test_requested_list_does_not_wait_for_a_pending_watch(self) -> None:
         # The history of another collection is gone. This one's watch may have
         # missed changes too, but would only report that after its timeout.
