--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -526,7 +526,9 @@
 
         Returns:
             Whether it was applied: it must be newer than this copy and must
-            not start from a later revision.
+            not start from a later revision. Changes across a restore of the
+            store are refused unless they are complete, since what the store
+            has lost is no change.
 
         Raises:
             KeyError: If a field is missing.
@@ -538,8 +540,10 @@
         complete = bool(message["whole"])
         if revision <= self.revision:
             return False
-        if not complete and require_int(message["since"]) > self.revision:
-            return False
+        if not complete:
+            since = require_int(message["since"])
+            if since > self.revision or era_of(since) != era_of(revision):
+                return False
         names = {item.name for item in items}
         removed = [
             require_name(name)
