--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -166,7 +166,10 @@
         return True
 
     def leaving_to_report(self, limit: int) -> dict[str, int | None]:
-        """Returns the runners of whose leaving only their answers tell.
+        """Returns the runners of whose leaving the store does not tell.
+
+        Only their answers told of it, or the store was restored since their
+        entries did.
 
         Args:
             limit: Number of runners that are returned at most.
@@ -186,7 +189,10 @@
         """Returns the runners for `leaving_to_report`, the latest first."""
         by_time = []
         for entry in self._entries.values():
-            if not entry.announced_leaving or entry.draining:
+            is_in_store = (
+                entry.draining and entry.runner_id not in self._unconfirmed
+            )
+            if not entry.is_leaving or is_in_store:
                 continue
             since_seconds = self._leaving.since_seconds(entry) or 0.0
             by_time.append((since_seconds, entry.runner_id, entry))
