--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -20,6 +20,9 @@
 # runner, according to the platform.
 SILENT_INTERVALS = 3
 
+# Time in which the removal of an entry reaches all routers.
+REMOVAL_LAG_SECONDS = 0.5
+
 # Removed entries that are remembered: several times those of a large fleet.
 MAX_REMOVED = 8_192
 
@@ -34,8 +37,8 @@
         evacuated_revision: Revision of the store at which `evacuated` was read.
         held_back: Runners of which the last snapshot held an entry that was
             not taken over, since the known one is newer.
-        silence_seconds: Time after which the store removes the entry of a
-            runner that doesn't write it.
+        silence_seconds: Time after which the entry of a runner that doesn't
+            write it is certainly known to be removed.
     """
 
     __slots__ = (
@@ -341,12 +344,6 @@
             self._record_change()
         return expired
 
-    def _record_change(self) -> None:
-        """Raises `generation` and clears the caches, since entries changed."""
-        self.generation += 1
-        self._by_service.clear()
-        self._leaving_by_time = None
-
     def admit_proven(self, now_seconds: float) -> list[str]:
         """Admits runners that the store has kept for as long as live ones.
 
@@ -364,6 +361,12 @@
             self._record_change()
         return admitted
 
+    def _record_change(self) -> None:
+        """Raises `generation` and clears the caches, since entries changed."""
+        self.generation += 1
+        self._by_service.clear()
+        self._leaving_by_time = None
+
     def _is_past(self, entry: RunnerEntry) -> bool:
         """Returns whether an entry is one that had been removed, or older."""
         removed = self._removed.get(entry.runner_id)
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -21,7 +21,7 @@
 from mulberrypaddle.dispatch.stalls import HeadProgress
 from mulberrypaddle.dispatch.wait_queue import share_of_free_slots
 from mulberrypaddle.fleet import FleetView
-from mulberrypaddle.fleet.view import SILENT_INTERVALS
+from mulberrypaddle.fleet.view import REMOVAL_LAG_SECONDS, SILENT_INTERVALS
 from mulberrypaddle.serving.demand import DemandMeter
 from mulberrypaddle.serving.supervision import Supervisor
 
@@ -126,6 +126,7 @@
         self.config: ServingConfig | None = None
         self.view = FleetView(
             silence_seconds=SILENT_INTERVALS * settings.bounds.heartbeat_seconds
+            + REMOVAL_LAG_SECONDS
         )
         self.loads = InFlightCounts()
         self.runner_health = RunnerHealth()
