--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -421,10 +421,14 @@
         self._leaving.forget_unknown(runner_id)
 
     def _remove_or_defer(self, runner_id: str, now_seconds: float) -> None:
-        """Removes an entry now, or at the end of a current grace period."""
+        """Removes an entry now, or at the end of a current grace period.
+
+        One that was back only since a restore of the store is removed now.
+        """
         if runner_id not in self._entries:
             return
-        if now_seconds >= self._grace_until_seconds:
+        is_unproven = runner_id in self._unproven_until_seconds
+        if is_unproven or now_seconds >= self._grace_until_seconds:
             self._removal_due_seconds.pop(runner_id, None)
             self._remove(runner_id)
             return
--- a/tests/fleet/test_returned_runners.py
+++ b/tests/fleet/test_returned_runners.py
@@ -109,6 +109,12 @@
         self.assertFalse(_accepts(view))
         self.assertEqual(["a"], view.admit_proven(11.0 + _SILENCE_SECONDS))
 
+    def test_removed_again_it_is_not_kept_for_the_grace_period(self) -> None:
+        view = _view(_entry(sequence=7))
+        view.apply([], removed=["a"], revision=_RESTORED + 9, now_seconds=11.0)
+        self.assertEqual([], view.admit_proven(10.0 + _SILENCE_SECONDS))
+        self.assertIsNone(view.get("a"))
+
     def test_removed_again_it_is_forgotten(self) -> None:
         view = _view(_entry(sequence=7))
         view.apply([], removed=["a"], revision=_RESTORED + 9, now_seconds=20.0)
