--- a/mulberrypaddle/serving/collection_sync.py
+++ b/mulberrypaddle/serving/collection_sync.py
@@ -105,7 +105,9 @@
                 continue
             if not (feed.revision or heartbeat.watches or feed.failed):
                 # After a start the store is asked first: a router that cannot
-                # reach the store may hold a long outdated collection.
+                # reach the store may hold a long outdated collection. The
+                # store may hold an older version, though.
+                self._fetch_higher_version(name, heartbeat, now_seconds)
                 continue
             since = self._behind_since_seconds.setdefault(key, now_seconds)
             is_watching = feed.connected and not feed.is_passive
@@ -128,11 +130,11 @@
         Args:
             name: Name of the collection.
             heartbeat: Heartbeat of a router whose copy is no newer than this
-                router's by its revision.
+                router's by its revision, or isn't used before the first list.
             now_seconds: Loop time.
         """
         feed = self._feeds[name]
-        if not feed.revision or name in self._fetching:
+        if name in self._fetching:
             return
         if heartbeat.versions.get(name, 0) <= feed.version:
             return
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -570,7 +570,7 @@
 
         A store that was restored may hold an older version than other routers
         know, at a revision that is higher than theirs. The revision of the copy
-        stays as it is.
+        stays as it is. Before the first list they are only kept for it.
 
         Args:
             message: The decoded message, made by `to_message`.
@@ -595,6 +595,8 @@
         if not newer:
             return False
         self._put(newer)
+        if not self.revision:
+            return True
         self._on_update(
             FeedUpdate(
                 newer,
--- a/tests/serving/test_unshared_versions.py
+++ b/tests/serving/test_unshared_versions.py
@@ -135,6 +135,44 @@
         # Routers of the release before don't report their versions.
         self.assertEqual(11, run(scenario(False)))
 
+    def test_version_is_known_before_the_first_list(self) -> None:
+        async def scenario(listed: int) -> list[int | None]:
+            port = free_port()
+            knowing = _Router((12, _BEFORE))
+            starting = _Router()
+            server, client = (
+                CollectionSync(
+                    {_NAME: router.feed},
+                    address=("127.0.0.1", port),
+                    supervisor=Supervisor(),
+                )
+                for router in (knowing, starting)
+            )
+            server.listen()
+            # Since the restore the sender has not reached the store.
+            heartbeat = make_heartbeat(
+                "known",
+                revisions={_NAME: _BEFORE},
+                versions={_NAME: 12},
+                watches=False,
+            )
+            client.fetch_if_behind(heartbeat, 100.0)
+            for task in list(client._supervisor.tasks):
+                await task
+            server._server.stop()
+            # The store is asked first, and may have a later version.
+            self.assertEqual([], starting.updates)
+            self.assertEqual(0, starting.feed.revision)
+            starting.list_version(listed, revision=_RESTORED)
+            return [
+                PlatformDecoder().config_version(item)
+                for update in starting.updates
+                for item in update.changed
+            ]
+
+        self.assertEqual([12], run(scenario(11)))
+        self.assertEqual([15], run(scenario(15)))
+
     def test_cached_response_does_not_hide_an_adopted_version(self) -> None:
         async def scenario() -> bool:
             starting = _Router((11, _RESTORED))
