--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -11,10 +11,21 @@
 
     from mulberrypaddle.fleet.runners import RunnerEntry
 
-# Time after the store is reachable again in which entries that expired during
-# the outage are written again; about two seconds according to the platform.
+# Time after the store is reachable again, or was restored, in which entries
+# that expired during the outage or were lost are written again; about two
+# seconds according to the platform.
 RETURN_GRACE_SECONDS = 2.0
 
+# Heartbeat intervals after which the store removes the entry of a silent
+# runner, according to the platform.
+SILENT_INTERVALS = 3
+
+# Time in which the removal of an entry reaches all routers.
+REMOVAL_LAG_SECONDS = 0.5
+
+# Removed entries that are remembered: several times those of a large fleet.
+MAX_REMOVED = 8_192
+
 
 class FleetView:
     """Current entries of all runners, updated by snapshots and watch events.
@@ -24,6 +35,10 @@
         generation: Number of changes so far. Results computed from the view
             stay valid as long as it is the same.
         evacuated_revision: Revision of the store at which `evacuated` was read.
+        held_back: Runners of which the last snapshot held an entry that was
+            not taken over, since the known one is newer.
+        silence_seconds: Time after which the entry of a runner that doesn't
+            write it is certainly known to be removed.
     """
 
     __slots__ = (
@@ -35,12 +50,17 @@
         "_leaving",
         "_leaving_by_time",
         "_removal_due_seconds",
+        "_removed",
+        "_unconfirmed",
+        "_unproven_until_seconds",
         "evacuated_revision",
         "generation",
+        "held_back",
         "revision",
+        "silence_seconds",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, silence_seconds: float = 3.0) -> None:
         self._entries: dict[str, RunnerEntry] = {}
         # Cache of the runners of each service, cleared by every change.
         self._by_service: dict[str, list[RunnerEntry]] = {}
@@ -53,10 +73,25 @@
         self._leaving_by_time: list[RunnerEntry] | None = None
         # Start time in the last entry that had one, by listed runner.
         self._last_start_ms: dict[str, int] = {}
+        # Runners whose entry is from before the last restore of the store.
+        self._unconfirmed: set[str] = set()
+        # Last entry of each runner that was removed, the oldest removal first.
+        self._removed: dict[str, RunnerEntry] = {}
+        # Runners whose entry had been removed and is back only since the store
+        # was restored, with the monotonic time from which on they count as
+        # alive if the store still has it.
+        self._unproven_until_seconds: dict[str, float] = {}
         self.revision = 0
         self.generation = 0
         self._evacuated: frozenset[str] = frozenset()
         self.evacuated_revision = 0
+        self.held_back: list[str] = []
+        self.silence_seconds = silence_seconds
+
+    @property
+    def unproven(self) -> list[str]:
+        """Returns runners that are back only since the store was restored."""
+        return list(self._unproven_until_seconds)
 
     @property
     def evacuated(self) -> frozenset[str]:
@@ -96,9 +131,14 @@
     def accepts_new_work(self, entry: RunnerEntry) -> bool:
         """Returns whether a runner may get new work.
 
-        It may not while it is leaving or its data centre is evacuated.
+        It may not while it is leaving, its data centre is evacuated, or it is
+        back only since the store was restored and may be gone.
         """
-        return not entry.is_leaving and entry.data_centre not in self.evacuated
+        return (
+            not entry.is_leaving
+            and entry.data_centre not in self.evacuated
+            and entry.runner_id not in self._unproven_until_seconds
+        )
 
     def record_leaving(
         self, incarnation: tuple[str, int | None], now_seconds: float
@@ -129,7 +169,10 @@
         return True
 
     def leaving_to_report(self, limit: int) -> dict[str, int | None]:
-        """Returns the runners of whose leaving only their answers tell.
+        """Returns the runners of whose leaving the store does not tell.
+
+        Only their answers told of it, or the store was restored since their
+        entries did.
 
         Args:
             limit: Number of runners that are returned at most.
@@ -149,7 +192,10 @@
         """Returns the runners for `leaving_to_report`, the latest first."""
         by_time = []
         for entry in self._entries.values():
-            if not entry.announced_leaving or entry.draining:
+            is_in_store = (
+                entry.draining and entry.runner_id not in self._unconfirmed
+            )
+            if not entry.is_leaving or is_in_store:
                 continue
             since_seconds = self._leaving.since_seconds(entry) or 0.0
             by_time.append((since_seconds, entry.runner_id, entry))
@@ -193,25 +239,60 @@
         *,
         revision: int,
         now_seconds: float,
+        restored: bool = False,
     ) -> bool:
         """Replaces all entries by a snapshot.
 
+        After a restore of the store a snapshot may hold entries from before it
+        that are older than the known ones; those are held back until their
+        runners write again. Runners that had been removed and are back get no
+        new work until they write again, or until the store would have removed
+        them. Runners that the snapshot lacks are kept for
+        `RETURN_GRACE_SECONDS`, since they may write their entries again.
+
         Args:
             entries: All runners in the snapshot.
             revision: Revision of the store at which it was read.
             now_seconds: Monotonic time.
+            restored: Whether the store was restored from a copy since the
+                view's revision.
 
         Returns:
             Whether it was applied; a snapshot older than the view is ignored.
         """
         if revision < self.revision:
             return False
+        if restored:
+            self._grace_until_seconds = max(
+                self._grace_until_seconds, now_seconds + RETURN_GRACE_SECONDS
+            )
+            # The time of those that were missing before starts again.
+            self._removal_due_seconds.clear()
+            self._unconfirmed = set(self._entries)
+            for runner_id in self._unproven_until_seconds:
+                self._unproven_until_seconds[runner_id] = (
+                    now_seconds + self.silence_seconds
+                )
         fresh = {entry.runner_id: entry for entry in entries}
+        self.held_back = []
         for runner_id in list(self._entries):
             if runner_id not in fresh:
                 self._remove_or_defer(runner_id, now_seconds)
         for entry in fresh.values():
+            if self._is_superseded(entry):
+                if self._entries[entry.runner_id].is_newer_than(entry):
+                    self.held_back.append(entry.runner_id)
+                self._removal_due_seconds.pop(entry.runner_id, None)
+                continue
+            until_seconds = self._unproven_until_seconds.get(entry.runner_id)
+            if restored and self._is_past(entry):
+                until_seconds = now_seconds + self.silence_seconds
+            is_unproven = until_seconds is not None and not (
+                self._is_newer_than_known(entry)
+            )
             self._put(entry)
+            if until_seconds is not None and is_unproven:
+                self._unproven_until_seconds[entry.runner_id] = until_seconds
         self.revision = revision
         self._record_change()
         return True
@@ -263,14 +344,55 @@
             self._record_change()
         return expired
 
+    def admit_proven(self, now_seconds: float) -> list[str]:
+        """Admits runners that the store has kept for as long as live ones.
+
+        Returns:
+            Ids of the runners that may get new work from now on.
+        """
+        admitted = [
+            runner_id
+            for runner_id, until in self._unproven_until_seconds.items()
+            if now_seconds >= until
+        ]
+        for runner_id in admitted:
+            del self._unproven_until_seconds[runner_id]
+        if admitted:
+            self._record_change()
+        return admitted
+
     def _record_change(self) -> None:
         """Raises `generation` and clears the caches, since entries changed."""
         self.generation += 1
         self._by_service.clear()
         self._leaving_by_time = None
 
+    def _is_past(self, entry: RunnerEntry) -> bool:
+        """Returns whether an entry is one that had been removed, or older."""
+        removed = self._removed.get(entry.runner_id)
+        return removed is not None and not entry.is_newer_than(removed)
+
+    def _is_newer_than_known(self, entry: RunnerEntry) -> bool:
+        """Returns whether an entry is certainly newer than the one listed."""
+        known = self._entries.get(entry.runner_id)
+        return known is not None and entry.is_newer_than(known)
+
+    def _is_superseded(self, entry: RunnerEntry) -> bool:
+        """Returns whether an entry of a snapshot is held back.
+
+        That is so if the known one is from before a restore of the store and
+        the other isn't certainly newer.
+        """
+        if entry.runner_id not in self._unconfirmed:
+            return False
+        known = self._entries.get(entry.runner_id)
+        return known is not None and not entry.is_newer_than(known)
+
     def _put(self, entry: RunnerEntry) -> None:
         """Adds or replaces an entry and cancels its pending removal."""
+        self._unconfirmed.discard(entry.runner_id)
+        self._unproven_until_seconds.pop(entry.runner_id, None)
+        self._removed.pop(entry.runner_id, None)
         self._removal_due_seconds.pop(entry.runner_id, None)
         if entry.started_at_ms is not None:
             self._last_start_ms[entry.runner_id] = entry.started_at_ms
@@ -287,15 +409,26 @@
 
     def _remove(self, runner_id: str) -> None:
         """Removes an entry."""
-        self._entries.pop(runner_id, None)
+        self._unconfirmed.discard(runner_id)
+        self._unproven_until_seconds.pop(runner_id, None)
+        removed = self._entries.pop(runner_id, None)
+        if removed is not None:
+            self._removed.pop(runner_id, None)
+            self._removed[runner_id] = removed
+            while len(self._removed) > MAX_REMOVED:
+                del self._removed[next(iter(self._removed))]
         self._last_start_ms.pop(runner_id, None)
         self._leaving.forget_unknown(runner_id)
 
     def _remove_or_defer(self, runner_id: str, now_seconds: float) -> None:
-        """Removes an entry now, or at the end of a current grace period."""
+        """Removes an entry now, or at the end of a current grace period.
+
+        One that was back only since a restore of the store is removed now.
+        """
         if runner_id not in self._entries:
             return
-        if now_seconds >= self._grace_until_seconds:
+        is_unproven = runner_id in self._unproven_until_seconds
+        if is_unproven or now_seconds >= self._grace_until_seconds:
             self._removal_due_seconds.pop(runner_id, None)
             self._remove(runner_id)
             return
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -30,6 +30,7 @@
     Listing,
     StoredItem,
 )
+from mulberrypaddle.serving.store_era import era_of, is_restored_between
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,9 +66,18 @@
         revision: Revision of the feed after the update.
         after_outage: Whether the store was unavailable until shortly before,
             so that entries that expired meanwhile may come back.
+        restored: Whether the store was restored from a copy since the update
+            before, so that objects may be missing or older than they were.
     """
 
-    __slots__ = ("after_outage", "changed", "complete", "removed", "revision")
+    __slots__ = (
+        "after_outage",
+        "changed",
+        "complete",
+        "removed",
+        "restored",
+        "revision",
+    )
 
     def __init__(
         self,
@@ -77,12 +87,14 @@
         revision: int,
         complete: bool,
         after_outage: bool,
+        restored: bool = False,
     ) -> None:
         self.changed = changed
         self.removed = removed
         self.revision = revision
         self.complete = complete
         self.after_outage = after_outage
+        self.restored = restored
 
 
 class Feed:
@@ -94,6 +106,7 @@
         revision: Revision of the copy; 0 before the first list.
         changed_revision: Highest revision at which an object of the copy is
             known to have changed; 0 before the first list.
+        version: Highest version of an object in the copy; 0 if none has one.
         connected: Whether the store answered the last call; False before the
             first one.
         on_history_gone: Called when the store no longer keeps the changes
@@ -111,6 +124,7 @@
         peer_watches: Callable[[], bool] = lambda: False,
         retry_pause_factor: Callable[[], float] = lambda: 1.0,
         may_await_handover: Callable[[], bool] = lambda: False,
+        version_of: Callable[[StoredItem], int | None] = lambda item: None,
     ) -> None:
         """Creates a feed that makes no calls until `run`.
 
@@ -131,6 +145,10 @@
             may_await_handover: Returns whether, after the start, another
                 router may still send the collection, so that the store need
                 not be asked yet.
+            version_of: Returns the version of an object whose writer only
+                raises it, or None if the object has no version. The copy never
+                goes back to an older version of an object, nor loses one that
+                has a version, whatever the revisions are.
         """
         self._store = store
         self._on_update = on_update
@@ -139,6 +157,7 @@
         self._peer_watches = peer_watches
         self._retry_pause_factor = retry_pause_factor
         self._may_await_handover = may_await_handover
+        self._version_of = version_of
         # Revision and name of each remembered removal, the oldest first.
         self._removals: list[tuple[int, str]] = []
         # Revision from which on all removals are remembered.
@@ -152,12 +171,15 @@
         ] = set()
         # Failed calls in a row.
         self._failures = 0
+        # Watches in a row whose changes the store no longer kept.
+        self._lost_histories = 0
         # Monotonic time at which the last outage of the store ended.
         self._store_back_at_seconds = -RETURN_GRACE_SECONDS
         self.collection = collection
         self.items: dict[str, StoredItem] = {}
         self.revision = 0
         self.changed_revision = 0
+        self.version = 0
         self.connected = False
         self.on_history_gone: Callable[[], None] = lambda: None
 
@@ -213,6 +235,10 @@
                 )
                 self._must_list = True
                 self.on_history_gone()
+                self._lost_histories += 1
+                # The first list is made at once.
+                if self._lost_histories > 1:
+                    await self._pause(self._lost_histories - 1)
                 continue
             if problem is None:
                 self._record_success()
@@ -220,13 +246,17 @@
                     await asyncio.sleep(self._watch_pause_seconds())
                 continue
             self._record_failure(problem)
-            await self._pause_after_failure()
+            await self._pause(self._failures)
 
-    async def _pause_after_failure(self) -> None:
-        """Waits before the next call; ends early once the feed is passive."""
+    async def _pause(self, failures: int) -> None:
+        """Waits before the next call; ends early once the feed is passive.
+
+        Args:
+            failures: Number of calls in a row that failed.
+        """
         pause_seconds = min(
             MAX_RETRY_PAUSE_SECONDS,
-            RETRY_PAUSE_SECONDS * 2 ** min(self._failures, 8),
+            RETRY_PAUSE_SECONDS * 2 ** min(failures, 8),
         )
         until_seconds = (
             time.monotonic() + pause_seconds * self._retry_pause_factor()
@@ -248,6 +278,7 @@
         if not self._must_list:
             watched = await self._watch()
             if watched is not None:
+                self._lost_histories = 0
                 return self._apply_watch_result(watched)
         self._list_requested.clear()
         listed = await self._store.list(self.collection)
@@ -348,19 +379,28 @@
             after_outage: Whether another router sent the changes and reported
                 that the store was unavailable until shortly before.
         """
+        restored = is_restored_between(self.revision, revision)
+        if restored:
+            log_state_change(
+                "restored_copy",
+                collection=self.collection.value,
+                era=era_of(revision),
+                revision=revision,
+                before=self.revision,
+            )
+        changed = [self._latest_version(item, revision) for item in changed]
         if complete:
             names = {item.name for item in changed}
             removed = [name for name in self.items if name not in names]
-        if complete:
             self._history_start_revision = revision
+        removed = [name for name in removed if not self._has_version(name)]
         for name in removed:
             self.items.pop(name, None)
             self._removals.append((revision, name))
         if len(self._removals) > MAX_REMOVALS:
             self._history_start_revision = self._removals[-MAX_REMOVALS][0]
             del self._removals[:-MAX_REMOVALS]
-        for item in changed:
-            self.items[item.name] = item
+        self._put(changed)
         self.revision = revision
         if removed:
             self.changed_revision = revision
@@ -375,9 +415,45 @@
                 revision=revision,
                 complete=complete,
                 after_outage=after_outage or self._is_after_outage(),
+                restored=restored,
             )
         )
 
+    def _put(self, changed: list[StoredItem]) -> None:
+        """Puts objects into the copy."""
+        for item in changed:
+            self.items[item.name] = item
+            self.version = max(self.version, self._version_of(item) or 0)
+
+    def _has_version(self, name: str) -> bool:
+        """Returns whether the copy holds an object with a version."""
+        known = self.items.get(name)
+        return known is not None and self._version_of(known) is not None
+
+    def _latest_version(self, item: StoredItem, revision: int) -> StoredItem:
+        """Returns the known object if it has a higher version, or the new one.
+
+        Args:
+            item: The new object.
+            revision: Revision that the feed gets with it.
+        """
+        known = self.items.get(item.name)
+        if known is None:
+            return item
+        known_version = self._version_of(known)
+        version = self._version_of(item)
+        if known_version is None or version is None or version >= known_version:
+            return item
+        log_state_change(
+            "older_version_held_back",
+            collection=self.collection.value,
+            name=item.name,
+            version=version,
+            known=known_version,
+            revision=revision,
+        )
+        return known
+
     def _is_after_outage(self) -> bool:
         """Returns whether the store is, or was just now, unavailable.
 
@@ -450,7 +526,9 @@
 
         Returns:
             Whether it was applied: it must be newer than this copy and must
-            not start from a later revision.
+            not start from a later revision. Changes across a restore of the
+            store are refused unless they are complete, since what the store
+            has lost is no change.
 
         Raises:
             KeyError: If a field is missing.
@@ -458,21 +536,14 @@
             ValueError: If another value has another type or is out of range.
         """
         revision = require_int(message["revision"])
-        items = [
-            StoredItem(
-                require_name(item["name"]),
-                revision=require_int(item["revision"]),
-                content=None
-                if is_nested_deeper(item["content"], MAX_OBJECT_LEVELS)
-                else item["content"],
-            )
-            for item in message["items"]
-        ]
+        items = _read_items(message)
         complete = bool(message["whole"])
         if revision <= self.revision:
             return False
-        if not complete and require_int(message["since"]) > self.revision:
-            return False
+        if not complete:
+            since = require_int(message["since"])
+            if since > self.revision or era_of(since) != era_of(revision):
+                return False
         names = {item.name for item in items}
         removed = [
             require_name(name)
@@ -493,3 +564,66 @@
             self.request_list()
             raise
         return True
+
+    def adopt_versions(self, message: Any) -> bool:
+        """Takes over objects with higher versions from a router's message.
+
+        A store that was restored may hold an older version than other routers
+        know, at a revision that is higher than theirs. The revision of the copy
+        stays as it is. Before the first list they are only kept for it.
+
+        Args:
+            message: The decoded message, made by `to_message`.
+
+        Returns:
+            Whether it held a higher version.
+
+        Raises:
+            KeyError: If a field is missing.
+            TypeError: If a list or an object has another type.
+            ValueError: If another value has another type or is out of range.
+        """
+        newer = []
+        for item in _read_items(message):
+            version = self._version_of(item)
+            if version is None:
+                continue
+            known = self.items.get(item.name)
+            known_version = None if known is None else self._version_of(known)
+            if known_version is None or version > known_version:
+                newer.append(item)
+        if not newer:
+            return False
+        self._put(newer)
+        if not self.revision:
+            return True
+        self._on_update(
+            FeedUpdate(
+                newer,
+                removed=[],
+                revision=self.revision,
+                complete=False,
+                after_outage=self._is_after_outage(),
+            )
+        )
+        return True
+
+
+def _read_items(message: Any) -> list[StoredItem]:
+    """Returns the objects of a message of `Feed.to_message`.
+
+    Raises:
+        KeyError: If a field is missing.
+        TypeError: If a list or an object has another type.
+        ValueError: If another value has another type or is out of range.
+    """
+    return [
+        StoredItem(
+            require_name(item["name"]),
+            revision=require_int(item["revision"]),
+            content=None
+            if is_nested_deeper(item["content"], MAX_OBJECT_LEVELS)
+            else item["content"],
+        )
+        for item in message["items"]
+    ]
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -13,6 +13,7 @@
 
 from mulberrypaddle.backends.curl import make_client
 from mulberrypaddle.dispatch.stop_schedule import StopSchedule
+from mulberrypaddle.fleet.view import RETURN_GRACE_SECONDS
 from mulberrypaddle.serving.announcements import record_announcement
 from mulberrypaddle.serving.blackboard import Blackboard
 from mulberrypaddle.serving.caller_server import (
@@ -43,7 +44,7 @@
     from mulberrypaddle.serving.decoder import Decoder
     from mulberrypaddle.serving.header_codec import HeaderCodec
     from mulberrypaddle.serving.runner_control import RunnerControl
-    from mulberrypaddle.serving.store import ObjectStore
+    from mulberrypaddle.serving.store import ObjectStore, StoredItem
 
 # Pause between two watches of the runners: changes arrive in batches, and each
 # watch is a call to the store, which has a cost. Leaders, that is, routers that
@@ -73,6 +74,9 @@
 # router: two readiness checks, a second apart, and one in flight.
 READINESS_LAG_SECONDS = 2.5
 
+# Runners that one log record names at most.
+MAX_LOGGED_RUNNERS = 20
+
 # Time after the listener was closed in which the first request of a connection
 # is awaited.
 STOP_QUIET_SECONDS = 0.3
@@ -114,7 +118,10 @@
             rng=random.Random(),
         )
         self._config_feed = self._make_feed(
-            Collection.CONFIGURATION, self._apply_config, _urgent_pause_seconds
+            Collection.CONFIGURATION,
+            self._apply_config,
+            _urgent_pause_seconds,
+            version_of=decoder.config_version,
         )
         self._evacuation_feed = self._make_feed(
             Collection.EVACUATIONS,
@@ -128,6 +135,9 @@
         self._feeds = feeds
         for feed in feeds:
             feed.on_history_gone = self._relist_all
+        # Evacuated data centres that the store lacks since it was restored,
+        # with the loop time until which they stay evacuated.
+        self._kept_evacuations: dict[str, float] = {}
         self._peers = PeerExchange(self.board, feeds)
         self._duty_manager = DutyManager(self.board, store, self._peers)
         control.on_announcement = functools.partial(
@@ -155,6 +165,7 @@
         collection: Collection,
         on_update: Callable[[FeedUpdate], None],
         watch_pause_seconds: Callable[[], float],
+        version_of: Callable[[StoredItem], int | None] = lambda item: None,
     ) -> Feed:
         """Creates the feed of one collection."""
         return Feed(
@@ -166,6 +177,7 @@
             peer_watches=self._peer_watches,
             retry_pause_factor=self._fleet_size_factor,
             may_await_handover=self._may_await_handover,
+            version_of=version_of,
         )
 
     def is_ready(self) -> bool:
@@ -321,8 +333,9 @@
 
         Each round, at the interval of heartbeats, sends heartbeats, handles
         overdue lease renewals, probes runners that may have crashed, sends
-        queued requests to runners with free slots, removes expired runners, and
-        detects that the VM was suspended or this process is slow.
+        queued requests to runners with free slots, removes expired runners,
+        ends evacuations that a restored store has lost, and detects that the VM
+        was suspended or this process is slow.
         """
         board = self.board
         mark = SuspensionMark()
@@ -343,6 +356,7 @@
                 ("dispatch", board.dispatch_waiting),
                 ("expired runners", self._remove_expired_runners),
                 ("expired pauses", self._forget_expired_pauses),
+                ("kept evacuations", self._end_kept_evacuations),
             ):
                 board.supervisor.run_step(name, step)
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
@@ -359,8 +373,16 @@
         self._crash_monitor.tick(may_try=self._duty_manager.holds_first_duty())
 
     def _remove_expired_runners(self) -> None:
-        """Removes runners that did not write their entries again in time."""
+        """Removes runners that did not write their entries again in time.
+
+        Also admits those that a restore of the store has brought back and that
+        the store has kept.
+        """
         board = self.board
+        admitted = board.view.admit_proven(board.now())
+        if admitted:
+            log_state_change("returned_runners_admitted", count=len(admitted))
+            board.dispatch_waiting()
         if board.view.remove_expired(board.now()):
             board.runner_health.retain_only(
                 entry.runner_id for entry in board.view
@@ -528,14 +550,25 @@
     # Updates from the feeds.
 
     def _apply_config(self, update: FeedUpdate) -> None:
-        """Decodes the configuration and replaces the current one if newer."""
+        """Decodes the configuration and replaces the current one if newer.
+
+        The operator only raises the version, whereas a store that was restored
+        may hold an older version at a higher revision.
+        """
         config = self._decoder.decode_config(
             list(self._config_feed.items.values())
         )
         known = self.board.config
         if config is None:
             return
-        if known is not None and config.revision <= known.revision:
+        if known is not None and config.version <= known.version:
+            if config.version < known.version:
+                log_state_change(
+                    "older_config_held_back",
+                    version=config.version,
+                    revision=config.revision,
+                    in_force=known.version,
+                )
             return
         self.board.config = config
         self._caller_server.update_limits(config.limits)
@@ -549,16 +582,58 @@
         )
 
     def _apply_evacuations(self, update: FeedUpdate) -> None:
-        """Replaces the set of evacuated data centres."""
+        """Replaces the set of evacuated data centres.
+
+        After a restore of the store, evacuations that it lacks stay in force
+        for `RETURN_GRACE_SECONDS`, in which the operator writes them again, and
+        those that it holds are in force at once, although they may have been
+        ended: work that is sent to a data centre that is evacuated breaks a
+        promise, and work that is kept from one that is not only has to go
+        elsewhere.
+        """
         board = self.board
-        board.view.evacuated = frozenset(self._evacuation_feed.items)
+        if update.restored:
+            missing = board.view.evacuated.difference(
+                self._evacuation_feed.items
+            )
+            until_seconds = board.now() + RETURN_GRACE_SECONDS
+            self._kept_evacuations = dict.fromkeys(missing, until_seconds)
+            if missing:
+                log_state_change(
+                    "evacuations_kept",
+                    out=sorted(missing),
+                    revision=update.revision,
+                )
+        for data_centre in self._evacuation_feed.items:
+            self._kept_evacuations.pop(data_centre, None)
         board.view.evacuated_revision = update.revision
+        self._update_evacuated()
+
+    def _update_evacuated(self) -> None:
+        """Sets the data centres that are evacuated by the store or kept so."""
+        view = self.board.view
+        view.evacuated = frozenset(self._evacuation_feed.items).union(
+            self._kept_evacuations
+        )
         log_state_change(
             "evacuations",
-            out=sorted(board.view.evacuated),
-            revision=update.revision,
+            out=sorted(view.evacuated),
+            revision=view.evacuated_revision,
         )
 
+    def _end_kept_evacuations(self) -> None:
+        """Ends evacuations that were not written again after a restore."""
+        now = self.board.now()
+        expired = [
+            data_centre
+            for data_centre, until in self._kept_evacuations.items()
+            if now >= until
+        ]
+        for data_centre in expired:
+            del self._kept_evacuations[data_centre]
+        if expired:
+            self._update_evacuated()
+
     def _apply_runners(self, update: FeedUpdate) -> None:
         """Applies changes of runners to the fleet view.
 
@@ -578,8 +653,26 @@
                 entries.append(entry)
         if update.complete:
             board.view.replace_all(
-                entries, revision=update.revision, now_seconds=now
+                entries,
+                revision=update.revision,
+                now_seconds=now,
+                restored=update.restored,
             )
+            if board.view.held_back:
+                log_state_change(
+                    "older_runners_held_back",
+                    revision=update.revision,
+                    count=len(board.view.held_back),
+                    runners=board.view.held_back[:MAX_LOGGED_RUNNERS],
+                )
+            unproven = board.view.unproven
+            if update.restored and unproven:
+                log_state_change(
+                    "returned_runners_held_back",
+                    revision=update.revision,
+                    count=len(unproven),
+                    runners=unproven[:MAX_LOGGED_RUNNERS],
+                )
         else:
             board.view.apply(
                 entries,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -132,6 +132,23 @@
                 )
         self.assertEqual([5, 6], [line.revision for line in logs.records])
 
+    def test_odd_sequence_is_unknown(self) -> None:
+        for sequence, expected in (
+            (4, 4),
+            (None, None),
+            (True, None),
+            (-1, None),
+            ("4", None),
+            (4.5, None),
+            (10**30, None),
+            ([4], None),
+        ):
+            entry = DECODER.decode_runner(
+                _item({**_RUNNER_FIELDS, "sequence": sequence}), now_seconds=0.0
+            )
+            assert entry is not None
+            self.assertEqual(expected, entry.sequence, sequence)
+
     def test_engine_fields_are_optional(self) -> None:
         fields = ("domain", "staged", "models", "group", "born")
         spec = {k: v for k, v in _RUNNER_FIELDS.items() if k not in fields}
@@ -221,6 +238,16 @@
         problem = self._load('node = "a"\n').failure()
         self.assertIn("bindAddrs", problem.detail)
 
+    def test_interval_of_the_runners_heartbeats_is_read(self) -> None:
+        text = (
+            'node = "a"\nzone = "z"\nip = "127.0.0.1"\ninternalPorts = [1]\n'
+            '[bindAddrs]\nfrontend = "127.0.0.1:1"\nreadiness = "127.0.0.1:2"\n'
+            '[platform]\naddress = "127.0.0.1:3"\n[bounds]\n'
+        )
+        for line, expected in (("", 1.0), ("heartbeatMs = 400\n", 0.4)):
+            settings = self._load(text + line).unwrap()
+            self.assertEqual(expected, settings.bounds.heartbeat_seconds)
+
     def test_error_names_the_address_format(self) -> None:
         text = '[bindAddrs]\nfrontend = "10.1.0.1"\n'
         problem = self._load('node = "a"\nzone = "z"\nip = "i"\n' + text)
