Read the interval of the runners' heartbeats where the platform sets it

What callers saw: nothing yet; the interval was read from the bounds of the settings file, where it never is, so the default of 1 s held. A runner that a restore brought back would have counted as alive after 3.5 s, while the store removes a silent one after 3.6 s where the interval is 1.2 s.

--- a/mulberrypaddle/platform/node_file.py
+++ b/mulberrypaddle/platform/node_file.py
@@ -79,7 +79,7 @@
         ),
         store_address=str(fields["platform"]["address"]),
         first_start=bool(fields.get("bootstrap", False)),
-        bounds=_read_deployment_limits(fields.get("bounds", {})),
+        bounds=_read_deployment_limits(fields),
     )
 
 
@@ -99,6 +99,9 @@
 def _read_deployment_limits(fields: dict[str, Any]) -> DeploymentLimits:
     """Returns the limits of the deployment; omitted ones have defaults."""
     limits = DeploymentLimits()
+    if "heartbeatMs" in fields:
+        limits.heartbeat_seconds = float(fields["heartbeatMs"]) * 0.001
+    bounds = fields.get("bounds", {})
     setting_by_attribute = {
         "stop_grace_seconds": ("graceS", 1.0),
         "retry_ratio": ("retryBudgetRatio", 1.0),
@@ -106,11 +109,10 @@
         "retry_window_seconds": ("budgetWindowS", 1.0),
         "load_window_seconds": ("ceilingWindowS", 1.0),
         "drain_seconds": ("drainMs", 0.001),
-        "heartbeat_seconds": ("heartbeatMs", 0.001),
     }
     for attribute, (name, factor) in setting_by_attribute.items():
-        if name in fields:
-            setattr(limits, attribute, float(fields[name]) * factor)
+        if name in bounds:
+            setattr(limits, attribute, float(bounds[name]) * factor)
     return limits
 
 
