Wait out the leases that a restore of the store may hide

What could happen: two routers owned one duty at once. After a restore the store shows no lease, or one from before a hand-over, while the lease that counts is known only to its holder. A router took the duty at once if the copied record was released, missing, its own, or of a process that had ended or resigned; a claim of the copied record also shortened its wait. The same followed from a release that was sent before the restore and took effect after it, at a revision that had been given out again.

Cause: the store's state was taken as the latest state of the lease.

Lease records now name the era in which they were sent. A record of another era than its revision's, and an absence in any era but the first, prove nothing: the duty is free a whole lease after that state was first observed, and neither claims nor ended processes shorten the wait. A record without an era, of an earlier version, counts as one of the first era. An object that was created in another era than that of the list without it does not make its writer the owner.

The stand-in of the lease store can now be restored from a copy.

--- a/mulberrypaddle/replicas/ownership.py
+++ b/mulberrypaddle/replicas/ownership.py
@@ -10,6 +10,12 @@
 An owner that can't renew asks the other routers whether they reach the store.
 If one of them does, the owner hands the duty over. If none does, none can
 acquire the duty, and the owner continues for as long as that remains true.
+
+A store that is restored from a copy has lost the leases written after the copy
+was made, and may run writes that were sent before. Records therefore name the
+era in which they were sent. What the store shows of an earlier era, or the
+absence of an object in a new one, proves nothing about the owner: the lease
+that counts may be known only to its holder, until it ends.
 """
 
 from __future__ import annotations
@@ -24,6 +30,7 @@
     require_int,
     require_name,
 )
+from mulberrypaddle.serving.store_era import FIRST_ERA, era_of, make_revision
 
 _LOGGER = logging.getLogger("mulberrypaddle.duties")
 
@@ -113,11 +120,19 @@
         renewals: Number of the record among those of the process, which differ
             in it, also across ownerships. The store gives a record that equals
             the stored one no new revision.
+        era: Era of the store in which the record was sent.
         given_up: Whether the owner has released the duty, so that another
             router may acquire it at once.
     """
 
-    __slots__ = ("address", "given_up", "incarnation", "node", "renewals")
+    __slots__ = (
+        "address",
+        "era",
+        "given_up",
+        "incarnation",
+        "node",
+        "renewals",
+    )
 
     def __init__(
         self,
@@ -126,12 +141,14 @@
         incarnation: str,
         address: str,
         renewals: int,
+        era: int = FIRST_ERA,
         given_up: bool = False,
     ) -> None:
         self.node = node
         self.incarnation = incarnation
         self.address = address
         self.renewals = renewals
+        self.era = era
         self.given_up = given_up
 
     def to_value(self) -> dict[str, Any]:
@@ -141,6 +158,7 @@
             "incarnation": self.incarnation,
             "address": self.address,
             "renewals": self.renewals,
+            "era": self.era,
             "given_up": self.given_up,
         }
 
@@ -155,6 +173,8 @@
                 incarnation=require_name(value["incarnation"]),
                 address=require_address(value["address"]),
                 renewals=require_int(value["renewals"]),
+                # Earlier versions write no era.
+                era=require_int(value.get("era", FIRST_ERA)),
                 given_up=require_bool(value["given_up"]),
             )
         except (KeyError, ValueError) as error:
@@ -164,6 +184,16 @@
             )
             return None
 
+    def was_sent_before(self, revision: int) -> bool:
+        """Returns whether the record was sent in an era before a revision's.
+
+        It was then copied or has taken effect late, and proves nothing.
+
+        Args:
+            revision: Revision at which the store has the record.
+        """
+        return self.era != era_of(revision)
+
 
 class Ownership:
     """One router's knowledge of a duty's owner, and its lease if it owns it.
@@ -171,7 +201,8 @@
     Times are in seconds of a clock that continues while the VM is suspended.
 
     Attributes:
-        revision: Revision of the store's object that was last observed.
+        revision: Revision of the store's object that was last observed; the
+            first of its era if the object was absent.
         record: Contents of that revision; None if there is no valid record.
         renewals: Number of the record that this router's lease is based on.
         since_seconds: Time from which the owner's lease is counted: when the
@@ -214,6 +245,16 @@
         self.record = record
         self.since_seconds = now_seconds
 
+    def observe_absence(self, *, revision: int, now_seconds: float) -> None:
+        """Records that the store has no object, if that is news of its era.
+
+        Args:
+            revision: Revision of the list without the object.
+            now_seconds: Time of a clock that continues during suspension.
+        """
+        first_revision = make_revision(0, era_of(revision))
+        self.observe(None, revision=first_revision, now_seconds=now_seconds)
+
     def has_valid_lease(self, now_seconds: float) -> bool:
         """Returns whether this router owns the duty and may send orders now."""
         return self.fencing_token > 0 and now_seconds < self._held_until_seconds
@@ -234,6 +275,8 @@
         record = self.record
         if record is None or record.incarnation != incarnation:
             return
+        if self._may_hide_lease():
+            return
         if record.renewals == renewals:
             self.since_seconds = min(
                 self.since_seconds, until_seconds - LEASE_SECONDS
@@ -252,10 +295,18 @@
             now_seconds: Time of a clock that continues during suspension.
             owner_ended: Whether the owner's process is known to have ended.
         """
-        if self.record is None or self.record.given_up or owner_ended:
+        if not self._may_hide_lease() and (
+            self.record is None or self.record.given_up or owner_ended
+        ):
             return True
         return now_seconds - self.since_seconds >= LEASE_SECONDS
 
+    def _may_hide_lease(self) -> bool:
+        """Returns whether a restore may have undone a lease that still runs."""
+        if self.record is None:
+            return era_of(self.revision) > FIRST_ERA
+        return self.record.was_sent_before(self.revision)
+
     def next_renewals(self, now_seconds: float) -> int:
         """Returns the number for a record that this router is about to write.
 
--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -25,6 +25,7 @@
 from mulberrypaddle.serving.decision_log import log_state_change
 from mulberrypaddle.serving.duty import Duty, OwnerClaim, boottime_seconds
 from mulberrypaddle.serving.store import Collection
+from mulberrypaddle.serving.store_era import era_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -368,7 +369,9 @@
     async def _release(self, duty: Duty) -> None:
         """Resigns from a duty, then marks its lease object as released."""
         record = self._make_record(
-            duty.ownership.next_renewals(boottime_seconds()), given_up=True
+            duty.ownership.next_renewals(boottime_seconds()),
+            era=era_of(duty.ownership.revision),
+            given_up=True,
         )
         revision = duty.resign()
         result = await self._store.replace(
@@ -472,7 +475,9 @@
                 self._store.replace(
                     Collection.DUTIES,
                     duty.name,
-                    self._make_record(renewals).to_value(),
+                    self._make_record(
+                        renewals, era=era_of(duty.ownership.revision)
+                    ).to_value(),
                     revision=duty.ownership.revision,
                 ),
                 RENEWAL_TIMEOUT_SECONDS,
@@ -516,7 +521,8 @@
             duty.last_write_at_seconds = 0.0
             return
         duty.ownership.record_lost()
-        self._observe_record(duty, item, record)
+        if item is not None:
+            self._observe_record(duty, item, record)
         log_state_change(
             "ownership_lost",
             duty=duty.name,
@@ -533,14 +539,17 @@
         self._record_store_result(reachable=isinstance(listed, Success))
         if not isinstance(listed, Success):
             return
-        items = {item.name: item for item in listed.unwrap().items}
+        listing = listed.unwrap()
+        items = {item.name: item for item in listing.items}
         self._record_relays(items)
         for duty in candidates:
             if self._board.stopping:
                 return
             if duty.owned:
                 continue
-            if not await self._try_acquire_one(duty, items.get(duty.name)):
+            if not await self._try_acquire_one(
+                duty, items.get(duty.name), list_revision=listing.revision
+            ):
                 # Another router was faster and will acquire the rest too.
                 break
 
@@ -557,20 +566,26 @@
         self._peers.relays.record_reported_relays(relays)
 
     async def _try_acquire_one(
-        self, duty: Duty, item: StoredItem | None
+        self, duty: Duty, item: StoredItem | None, *, list_revision: int
     ) -> bool:
         """Acquires a duty if its lease ended or its owner is gone.
 
         Args:
             duty: The duty.
             item: Its lease object as just read; None if there is none.
+            list_revision: Revision of the list in which it was read.
 
         Returns:
             Whether to go on with other duties; False if the write failed,
             usually because another router was faster.
         """
         record = self._decode_record(item)
-        self._observe_record(duty, item, record)
+        if item is None:
+            duty.ownership.observe_absence(
+                revision=list_revision, now_seconds=boottime_seconds()
+            )
+        else:
+            self._observe_record(duty, item, record)
         owner_ended = record is not None and self._has_owner_ended(
             record, duty=duty.name, revision=duty.ownership.revision
         )
@@ -578,16 +593,10 @@
             return True
         sent_at_seconds = boottime_seconds()
         renewals = duty.ownership.next_renewals(sent_at_seconds)
-        value = self._make_record(renewals).to_value()
         duty.last_write_at_seconds = sent_at_seconds
-        if item is None:
-            result = await self._store.create(
-                Collection.DUTIES, duty.name, value
-            )
-        else:
-            result = await self._store.replace(
-                Collection.DUTIES, duty.name, value, revision=item.revision
-            )
+        result = await self._write_claim(
+            duty, item, renewals=renewals, list_revision=list_revision
+        )
         if not isinstance(result, Success):
             # The router that was faster is about to send a claim.
             duty.owner_seen_at_seconds = boottime_seconds()
@@ -616,6 +625,41 @@
         self.on_acquired()
         return True
 
+    async def _write_claim(
+        self,
+        duty: Duty,
+        item: StoredItem | None,
+        *,
+        renewals: int,
+        list_revision: int,
+    ) -> Result[StoredItem, Problem]:
+        """Writes that this router owns a duty, if nothing changed since a list.
+
+        Args:
+            duty: The duty.
+            item: Its lease object in the list; None if there was none.
+            renewals: Number of the record to be written.
+            list_revision: Revision of the list.
+        """
+        era = era_of(list_revision)
+        value = self._make_record(renewals, era=era).to_value()
+        if item is not None:
+            return await self._store.replace(
+                Collection.DUTIES, duty.name, value, revision=item.revision
+            )
+        result = await self._store.create(Collection.DUTIES, duty.name, value)
+        if isinstance(result, Success):
+            revision = result.unwrap().revision
+            if era_of(revision) != era:
+                # The absence was read before a restore.
+                return Failure(
+                    Problem(
+                        ErrorKind.CONFLICT,
+                        f"created in era {era_of(revision)}, sent in era {era}",
+                    )
+                )
+        return result
+
     def _has_owner_ended(
         self, record: OwnerRecord, *, duty: str, revision: int
     ) -> bool:
@@ -626,6 +670,8 @@
             duty: Name of the duty.
             revision: Revision of the lease object.
         """
+        if record.was_sent_before(revision):
+            return False
         if record.incarnation == self._peers.incarnation:
             return True
         # A write of that process after its resignation is a new ownership.
@@ -643,13 +689,11 @@
         return host == self._board.settings.ip
 
     def _observe_record(
-        self, duty: Duty, item: StoredItem | None, record: OwnerRecord | None
+        self, duty: Duty, item: StoredItem, record: OwnerRecord | None
     ) -> None:
         """Records the state of a lease object that was just read."""
         duty.ownership.observe(
-            record,
-            revision=item.revision if item else 0,
-            now_seconds=boottime_seconds(),
+            record, revision=item.revision, now_seconds=boottime_seconds()
         )
 
     def _decode_record(self, item: StoredItem | None) -> OwnerRecord | None:
@@ -659,12 +703,13 @@
         return OwnerRecord.from_value(self._store.value_of(item))
 
     def _make_record(
-        self, renewals: int, *, given_up: bool = False
+        self, renewals: int, *, era: int, given_up: bool = False
     ) -> OwnerRecord:
         """Returns the content that this router writes to a lease object.
 
         Args:
             renewals: Number of the record among those of this process.
+            era: Era of the store that this router knows.
             given_up: Whether this router releases the duty by the write.
         """
         settings = self._board.settings
@@ -673,5 +718,6 @@
             incarnation=self._peers.incarnation,
             address=f"{settings.ip}:{settings.peer_port}",
             renewals=renewals,
+            era=era,
             given_up=given_up,
         )
--- a/tests/platform/test_fuzzed_documents.py
+++ b/tests/platform/test_fuzzed_documents.py
@@ -366,6 +366,8 @@
         if record is not None:
             assert type(record.renewals) is int
             assert 0 <= record.renewals < 2**63
+            assert type(record.era) is int
+            assert 0 <= record.era < 2**63
 
     @_SETTINGS
     @hypothesis.given(odd=_VALUES, choice=_CHOICES)
--- a/tests/replicas/test_ownership.py
+++ b/tests/replicas/test_ownership.py
@@ -15,14 +15,18 @@
     StoreReachability,
     decide_on_outage,
 )
+from mulberrypaddle.serving.store_era import FIRST_ERA, make_revision
 
 
-def _record(*, renewals: int = 0, given_up: bool = False) -> OwnerRecord:
+def _record(
+    *, renewals: int = 0, era: int = FIRST_ERA, given_up: bool = False
+) -> OwnerRecord:
     return OwnerRecord(
         "router-1",
         incarnation="abc",
         address="127.0.0.1:1",
         renewals=renewals,
+        era=era,
         given_up=given_up,
     )
 
@@ -99,6 +103,63 @@
         self.assertEqual(11.0, owner.sent_at_seconds(second))
 
 
+class RestoredLeaseTest(testtools.TestCase):
+    """What a router may conclude from the store after a restore."""
+
+    def _may_acquire(self, other: Ownership) -> list[bool]:
+        """Returns whether a duty first observed at 10.0 is free, over time."""
+        return [
+            other.may_acquire(10.0 + waited_seconds, owner_ended=True)
+            for waited_seconds in (0.1, LEASE_SECONDS - 0.1, LEASE_SECONDS)
+        ]
+
+    def test_release_of_an_earlier_era_does_not_free_the_duty(self) -> None:
+        other = Ownership()
+        other.observe(
+            _record(given_up=True),
+            revision=make_revision(7, 2),
+            now_seconds=10.0,
+        )
+        self.assertEqual([False, False, True], self._may_acquire(other))
+
+    def test_release_of_the_same_era_frees_the_duty(self) -> None:
+        other = Ownership()
+        other.observe(
+            _record(era=2, given_up=True),
+            revision=make_revision(7, 2),
+            now_seconds=10.0,
+        )
+        self.assertEqual([True, True, True], self._may_acquire(other))
+
+    def test_absence_in_a_new_era_does_not_free_the_duty(self) -> None:
+        other = Ownership()
+        other.observe(_record(), revision=7, now_seconds=1.0)
+        for now in (10.0, 10.5, 12.0):
+            other.observe_absence(revision=make_revision(5, 2), now_seconds=now)
+        self.assertEqual([False, False, True], self._may_acquire(other))
+
+    def test_absence_in_the_first_era_frees_the_duty(self) -> None:
+        other = Ownership()
+        other.observe_absence(revision=5, now_seconds=10.0)
+        self.assertEqual([True, True, True], self._may_acquire(other))
+
+    def test_record_that_follows_an_absence_is_observed(self) -> None:
+        other = Ownership()
+        other.observe_absence(revision=make_revision(5, 2), now_seconds=10.0)
+        other.observe(
+            _record(era=2), revision=make_revision(6, 2), now_seconds=12.0
+        )
+        self.assertFalse(other.may_acquire(14.0, owner_ended=False))
+
+    def test_claim_does_not_shorten_the_wait_on_a_copied_record(self) -> None:
+        other = Ownership()
+        other.observe(
+            _record(renewals=3), revision=make_revision(7, 2), now_seconds=10.0
+        )
+        other.observe_reported_lease("abc", renewals=3, until_seconds=10.0)
+        self.assertEqual([False, False, True], self._may_acquire(other))
+
+
 class OutageTest(testtools.TestCase):
     """Decisions of an owner that can't renew its lease."""
 
--- a/tests/support/lease_store.py
+++ b/tests/support/lease_store.py
@@ -1,4 +1,7 @@
-"""A store of lease objects whose writes can be lost or take effect late."""
+"""A store of lease objects whose writes can be lost or take effect late.
+
+It can be restored from a copy, as the platform's store may be.
+"""
 
 from __future__ import annotations
 
@@ -17,6 +20,12 @@
     ObjectStore,
     StoredItem,
 )
+from mulberrypaddle.serving.store_era import (
+    FIRST_ERA,
+    era_of,
+    make_revision,
+    store_revision_of,
+)
 
 if TYPE_CHECKING:
     import random
@@ -52,13 +61,28 @@
 class LeaseObjects:
     """Objects of the store; a write that changes nothing keeps the revision.
 
+    Revisions are those of the store itself.
+
     Attributes:
         revision: Revision of the last change of any object.
+        era: Era of the store.
     """
 
     def __init__(self) -> None:
         self.revision = 10
+        self.era = FIRST_ERA
         self._items: dict[str, StoredItem] = {}
+        # States of the store in the order of their times.
+        self._copies = [(0.0, self.revision, dict(self._items))]
+
+    def restore(self, age_seconds: float) -> None:
+        """Goes back to the state of some time ago and begins a new era."""
+        now = asyncio.get_running_loop().time()
+        while len(self._copies) > 1 and self._copies[-1][0] > now - age_seconds:
+            self._copies.pop()
+        _, self.revision, items = self._copies[-1]
+        self._items = dict(items)
+        self.era += 1
 
     def items(self) -> list[StoredItem]:
         """Returns all objects."""
@@ -86,12 +110,16 @@
         self.revision += 1
         item = StoredItem(name, revision=self.revision, content=content)
         self._items[name] = item
+        now = asyncio.get_running_loop().time()
+        self._copies.append((now, self.revision, dict(self._items)))
         return Success(item)
 
 
 class LeaseStore(ObjectStore):
     """The store as one process reaches it.
 
+    It orders revisions by the era, as the client of the platform's store does.
+
     Attributes:
         state: What happens to the calls.
     """
@@ -99,6 +127,8 @@
     def __init__(self, objects: LeaseObjects, rng: random.Random) -> None:
         self._objects = objects
         self._rng = rng
+        # Era of the last answer.
+        self._era = FIRST_ERA
         self.state = LinkState.UP
 
     async def list(
@@ -108,9 +138,13 @@
         problem = await self._find_problem()
         if problem is not None:
             return Failure(problem)
-        return Success(
-            Listing(self._objects.items(), revision=self._objects.revision)
-        )
+        era = self._objects.era
+        items = [_in_era(item, era) for item in self._objects.items()]
+        revision = make_revision(self._objects.revision, era)
+        problem = await self._await_answer(era)
+        if problem is not None:
+            return Failure(problem)
+        return Success(Listing(items, revision=revision))
 
     async def watch(
         self, collection: Collection, *, revision: int, wait_seconds: float
@@ -125,7 +159,12 @@
         problem = await self._find_problem()
         if problem is not None:
             return Failure(problem)
-        return Success(self._objects.get(name))
+        era = self._objects.era
+        item = self._objects.get(name)
+        problem = await self._await_answer(era)
+        if problem is not None:
+            return Failure(problem)
+        return Success(None if item is None else _in_era(item, era))
 
     async def create(
         self, collection: Collection, name: str, value: dict[str, Any]
@@ -152,6 +191,8 @@
         self, name: str, value: Any, *, create: bool, revision: int | None
     ) -> Result[StoredItem, Problem]:
         """Writes an object as the state of the link allows."""
+        if revision is not None and era_of(revision) < self._era:
+            return Failure(Problem(ErrorKind.CONFLICT, name))
         state = self.state
         problem = await self._find_problem()
         if problem is not None:
@@ -159,7 +200,12 @@
 
         def execute() -> Result[StoredItem, Problem]:
             return self._objects.write(
-                name, value, create=create, revision=revision
+                name,
+                value,
+                create=create,
+                revision=(
+                    None if revision is None else store_revision_of(revision)
+                ),
             )
 
         if state is LinkState.LATE_WRITES:
@@ -167,23 +213,46 @@
                 self._rng.uniform(*LATE_SECONDS), execute
             )
         elif state is not LinkState.LOST_WRITES:
+            era = self._objects.era
             result = execute()
             if state is LinkState.UP:
-                return result
+                problem = await self._await_answer(era)
+                if problem is not None:
+                    return Failure(problem)
+                if revision is not None and era_of(revision) != era:
+                    return Failure(Problem(ErrorKind.CONFLICT, name))
+                return result.map(lambda item: _in_era(item, era))
         await asyncio.sleep(CALL_TIMEOUT_SECONDS)
         return Failure(_no_answer())
 
+    async def _await_answer(self, era: int) -> Problem | None:
+        """Waits for an answer; returns the problem if its era has ended."""
+        await asyncio.sleep(ANSWER_SECONDS / 2)
+        if era < self._era:
+            return _no_answer()
+        self._era = era
+        return None
+
     async def _find_problem(self) -> Problem | None:
-        """Waits for the answer; returns the problem of a call without any."""
+        """Waits until the store runs a call; returns the problem if not."""
         if self.state is LinkState.SILENT:
             await asyncio.sleep(CALL_TIMEOUT_SECONDS)
             return _no_answer()
-        await asyncio.sleep(ANSWER_SECONDS)
+        await asyncio.sleep(ANSWER_SECONDS / 2)
         if self.state is LinkState.BUSY:
             return Problem(ErrorKind.STORE_UNAVAILABLE, "busy", ran=Ran.NOT_RUN)
         return None
 
 
+def _in_era(item: StoredItem, era: int) -> StoredItem:
+    """Returns an object with the revision that stands for its own one."""
+    return StoredItem(
+        item.name,
+        revision=make_revision(item.revision, era),
+        content=item.content,
+    )
+
+
 def _no_answer() -> Problem:
     """Returns the problem of a call that got no answer in time."""
     return Problem(
