Let an owner reassert its lease after a restore of the store

What could happen after a restore: an owner took its own copied record for a renewal of which it had missed the answer. An owner whose lease had ended long before, with another owner since, thus got the duty back at once with its old fencing token, beside that owner. And an owner whose lease object was missing from the copy was answered NOT_FOUND, logged renewal_failed on each renewal and lost the duty.

Cause: the refusal of a renewal was explained by lost answers and other owners only.

An owner that is refused, now also with NOT_FOUND, reads the duties. If the store has no lease object, or a record that was sent in an earlier era, an owner whose lease is still valid writes its lease once more, on the state just read, and gets a new fencing token (event=ownership_reasserted). If its lease has ended, or the write is refused, it has lost the duty at once (ownership_lost with restored=true). Without an answer the lease runs on to its end, and the next renewal leads to the same path: no other router can acquire the duty before. A reassertion that was written during a release is released too.

--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure, Result, Success
 
@@ -25,10 +25,10 @@
 from mulberrypaddle.serving.decision_log import log_state_change
 from mulberrypaddle.serving.duty import Duty, OwnerClaim, boottime_seconds
 from mulberrypaddle.serving.store import Collection
-from mulberrypaddle.serving.store_era import era_of
+from mulberrypaddle.serving.store_era import era_of, is_restored_between
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from mulberrypaddle.serving.blackboard import Blackboard
     from mulberrypaddle.serving.heartbeat import Heartbeat
@@ -458,7 +458,9 @@
             self._record_store_result(reachable=True)
             return
         problem = result.failure()
-        if problem.kind is ErrorKind.CONFLICT:
+        # The lease object is missing if it was created after the copy from
+        # which the store was restored.
+        if problem.kind in (ErrorKind.CONFLICT, ErrorKind.NOT_FOUND):
             await self._resolve_conflict(duty)
             return
         self._record_store_result(reachable=False)
@@ -470,18 +472,23 @@
         self, duty: Duty, renewals: int
     ) -> Result[StoredItem, Problem]:
         """Writes one renewal; fails if the store does not answer in time."""
-        try:
-            return await asyncio.wait_for(
-                self._store.replace(
-                    Collection.DUTIES,
-                    duty.name,
-                    self._make_record(
-                        renewals, era=era_of(duty.ownership.revision)
-                    ).to_value(),
-                    revision=duty.ownership.revision,
-                ),
-                RENEWAL_TIMEOUT_SECONDS,
+        revision = duty.ownership.revision
+        record = self._make_record(renewals, era=era_of(revision))
+        return await self._await_renewal(
+            self._store.replace(
+                Collection.DUTIES,
+                duty.name,
+                record.to_value(),
+                revision=revision,
             )
+        )
+
+    async def _await_renewal(
+        self, write: Coroutine[Any, Any, Result[StoredItem, Problem]]
+    ) -> Result[StoredItem, Problem]:
+        """Awaits a write that renews a lease, for a limited time."""
+        try:
+            return await asyncio.wait_for(write, RENEWAL_TIMEOUT_SECONDS)
         except TimeoutError:
             # The write may still take effect; the next renewal then fails with
             # a conflict.
@@ -497,18 +504,27 @@
         """Handles a renewal that was refused because of its revision.
 
         Either an earlier renewal of this router took effect although its
-        answer was lost, or another router acquired the duty.
+        answer was lost, or the store was restored, or another router acquired
+        the duty.
         """
-        read = await self._store.read(Collection.DUTIES, duty.name)
-        if not isinstance(read, Success) or not duty.owned:
+        listed = await self._store.list(Collection.DUTIES)
+        if not isinstance(listed, Success) or not duty.owned:
             return
-        item = read.unwrap()
+        listing = listed.unwrap()
+        item = next(
+            (item for item in listing.items if item.name == duty.name), None
+        )
         record = self._decode_record(item)
+        restored = is_restored_between(
+            duty.ownership.revision, listing.revision
+        )
         if (
             item is not None
             and record is not None
-            and record.incarnation == self._peers.incarnation
+            and not restored
             and not record.given_up
+            and not record.was_sent_before(item.revision)
+            and record.incarnation == self._peers.incarnation
         ):
             # The lease runs from when the earlier renewal was sent, and may
             # have ended since.
@@ -520,6 +536,102 @@
             # The next check renews it.
             duty.last_write_at_seconds = 0.0
             return
+        if duty.holds_lease() and self._may_reassert(item, record):
+            await self._reassert(duty, item, list_revision=listing.revision)
+            return
+        self._lose(duty, item, record, list_revision=listing.revision)
+
+    def _may_reassert(
+        self, item: StoredItem | None, record: OwnerRecord | None
+    ) -> bool:
+        """Returns whether a valid lease may be written to the store again.
+
+        Another router can't have acquired the duty while the lease was valid,
+        unless the store's record is one of the present era.
+
+        Args:
+            item: The lease object; None if there is none.
+            record: Its content; None if it is absent or invalid.
+        """
+        if item is None:
+            return True
+        if record is None:
+            return False
+        if record.was_sent_before(item.revision):
+            return True
+        # An earlier reassertion took effect although its answer was lost.
+        return (
+            record.incarnation == self._peers.incarnation
+            and not record.given_up
+        )
+
+    async def _reassert(
+        self, duty: Duty, item: StoredItem | None, *, list_revision: int
+    ) -> None:
+        """Writes this router's lease to a store that doesn't have it.
+
+        Without an answer the lease runs on to its end, and the next renewal
+        leads here again.
+
+        Args:
+            duty: The duty, on which this router holds a valid lease.
+            item: Its lease object as just read; None if there is none.
+            list_revision: Revision of the list in which it was read.
+        """
+        sent_at_seconds = boottime_seconds()
+        duty.last_write_at_seconds = sent_at_seconds
+        renewals = duty.ownership.next_renewals(sent_at_seconds)
+        result = await self._await_renewal(
+            self._write_claim(
+                duty, item, renewals=renewals, list_revision=list_revision
+            )
+        )
+        if not isinstance(result, Success):
+            problem = result.failure()
+            if not duty.owned:
+                return
+            if problem.kind in (ErrorKind.CONFLICT, ErrorKind.NOT_FOUND):
+                self._lose(duty, None, None, list_revision=list_revision)
+                return
+            log_state_change(
+                "renewal_failed", duty=duty.name, reason=problem.detail
+            )
+            return
+        resigned = not duty.owned
+        duty.record_acquired(
+            result.unwrap().revision,
+            renewals=renewals,
+            sent_at_seconds=sent_at_seconds,
+        )
+        log_state_change(
+            "ownership_reasserted",
+            duty=duty.name,
+            fence=duty.ownership.fencing_token,
+            absent=item is None,
+        )
+        self._record_store_result(reachable=True)
+        if resigned or self._board.stopping:
+            await self._release(duty)
+            return
+        self.on_acquired()
+
+    def _lose(
+        self,
+        duty: Duty,
+        item: StoredItem | None,
+        record: OwnerRecord | None,
+        *,
+        list_revision: int,
+    ) -> None:
+        """Records that this router has lost a duty.
+
+        Args:
+            duty: The duty.
+            item: Its lease object as just read; None if it is unknown.
+            record: Content of the object; None if it is unknown or invalid.
+            list_revision: Revision of the list in which the object was read.
+        """
+        restored = is_restored_between(duty.ownership.revision, list_revision)
         duty.ownership.record_lost()
         if item is not None:
             self._observe_record(duty, item, record)
@@ -527,6 +639,7 @@
             "ownership_lost",
             duty=duty.name,
             owner=record.node if record else "nobody",
+            restored=restored,
         )
 
     async def _try_acquire(self, candidates: list[Duty]) -> None:
--- a/properties/test_ownership.py
+++ b/properties/test_ownership.py
@@ -17,19 +17,42 @@
 
 _STATES = tuple(state.value for state in LinkState)
 _FAULTS = (*_STATES, "all_links", "restart", "release", "deaf", "hear")
-_STEPS = st.lists(
-    st.tuples(
-        st.sampled_from(_FAULTS),
-        st.sampled_from((0, *LeaseWorld.VMS)),
-        st.sampled_from((0.05, 0.3, 0.7, 1.1, 2.0, 3.5)),
-    ),
-    min_size=4,
-    max_size=20,
+# Age of the copy, by restore of the store.
+_RESTORES = {"restore_new": 1.0, "restore_old": 4.0, "restore_first": 60.0}
+_RESTORE_FAULTS = (
+    *_RESTORES,
+    "up",
+    "silent",
+    "late_writes",
+    "restart",
+    "release",
+    "deaf",
 )
 
 
+def _make_steps(
+    faults: tuple[str, ...], *, min_size: int
+) -> st.SearchStrategy[list[tuple[str, int, float]]]:
+    """Returns a strategy of faults, processes and pauses after the faults."""
+    return st.lists(
+        st.tuples(
+            st.sampled_from(faults),
+            st.sampled_from((0, *LeaseWorld.VMS)),
+            st.sampled_from((0.05, 0.3, 0.7, 1.1, 2.0, 3.5)),
+        ),
+        min_size=min_size,
+        max_size=20,
+    )
+
+
 def _inject_fault(world: LeaseWorld, fault: str, vm: int) -> None:
-    """Injects a fault into the process of a VM; 0 stands for the owner's."""
+    """Injects a fault into the process of a VM; 0 stands for the owner's.
+
+    A restore of the store concerns all processes.
+    """
+    if fault in _RESTORES:
+        world.objects.restore(_RESTORES[fault])
+        return
     process = world.owner() if vm == 0 else world.processes[vm]
     if process is None:
         return
@@ -68,10 +91,21 @@
     """Fencing tokens and epochs of one duty."""
 
     @settings(max_examples=100)
-    @given(_STEPS, st.integers(0, 1000))
+    @given(_make_steps(_FAULTS, min_size=4), st.integers(0, 1000))
     def test_no_epoch_is_issued_twice(
         self, steps: list[tuple[str, int, float]], seed: int
     ) -> None:
+        self._check(steps, seed)
+
+    @settings(max_examples=200)
+    @given(_make_steps(_RESTORE_FAULTS, min_size=8), st.integers(0, 1000))
+    def test_no_epoch_is_issued_twice_across_restores(
+        self, steps: list[tuple[str, int, float]], seed: int
+    ) -> None:
+        self._check(steps, seed)
+
+    def _check(self, steps: list[tuple[str, int, float]], seed: int) -> None:
+        """Checks the owners, fencing tokens and epochs of a scenario."""
         world = run_lease_world(_make_scenario(steps), seed=seed)
         self.assertEqual(sorted(set(world.acquired)), world.acquired)
         epochs = [epoch for _, epoch in world.issued]
--- a/tests/serving/test_restored_leases.py
+++ b/tests/serving/test_restored_leases.py
@@ -7,11 +7,15 @@
 
 import testtools
 
-from mulberrypaddle.replicas.ownership import LEASE_SECONDS
+from mulberrypaddle.replicas.ownership import (
+    LEASE_SECONDS,
+    RENEWAL_INTERVAL_SECONDS,
+)
 from mulberrypaddle.serving.store_era import era_of
 from tests.support.lease_store import LinkState
 from tests.support.lease_world import (
     DUTY,
+    TICK_SECONDS,
     LeaseProcess,
     LeaseWorld,
     run_lease_world,
@@ -211,3 +215,118 @@
             await asyncio.sleep(LEASE_SECONDS + _ACQUISITION_SECONDS)
 
         self.assertEqual(3, len(self._run(scenario).acquired))
+
+
+class ReassertedLeaseTest(_RestoredLeaseTestCase):
+    """An owner whose lease is not in the copy."""
+
+    def _run_owner(
+        self, *, age_seconds: float, held_before: bool = True
+    ) -> tuple[LeaseWorld, float]:
+        """Restores the store under an owner that renews its lease.
+
+        Args:
+            age_seconds: Age of the copy.
+            held_before: Whether the owner's lease is valid at the restore.
+
+        Returns:
+            The world, and the time after the restore without an owner.
+        """
+        gap_seconds = 0.0
+
+        async def scenario(world: LeaseWorld) -> None:
+            nonlocal gap_seconds
+            owner = await world.wait_for_owner()
+            await asyncio.sleep(4 * RENEWAL_INTERVAL_SECONDS + 0.3)
+            if not held_before:
+                _deafen(world)
+                _connect_only(world)
+                while owner.manager.holds_any_lease():
+                    await asyncio.sleep(0.01)
+            world.objects.restore(age_seconds)
+            _connect_only(world, *world.processes.values())
+            for _ in range(100):
+                if world.owner() is None:
+                    gap_seconds += 0.05
+                await asyncio.sleep(0.05)
+
+        return self._run(scenario), gap_seconds
+
+    def test_owner_keeps_a_duty_whose_copied_record_is_older(self) -> None:
+        world, gap_seconds = self._run_owner(age_seconds=1.0)
+        self.assertEqual(0.0, gap_seconds)
+        self.assertEqual([1, 2], [era_of(fence) for fence in world.acquired])
+
+    def test_owner_keeps_a_duty_that_is_missing_from_the_copy(self) -> None:
+        world, gap_seconds = self._run_owner(age_seconds=60.0)
+        self.assertEqual(0.0, gap_seconds)
+        self.assertEqual([1, 2], [era_of(fence) for fence in world.acquired])
+
+    def test_owner_whose_lease_has_ended_waits_like_others(self) -> None:
+        _, gap_seconds = self._run_owner(age_seconds=2.0, held_before=False)
+        self.assertGreaterEqual(gap_seconds, LEASE_SECONDS - 0.1)
+        self.assertLess(gap_seconds, LEASE_SECONDS + _ACQUISITION_SECONDS)
+
+    def test_former_owner_does_not_renew_its_copied_record(self) -> None:
+        async def scenario(world: LeaseWorld) -> None:
+            first = await world.wait_for_owner()
+            second = _others(world, first)[0]
+            _deafen(world)
+            copied_at_seconds = asyncio.get_running_loop().time()
+            _connect_only(world, second)
+            await _wait_until_held(second)
+            _connect_only(world, first)
+            now = asyncio.get_running_loop().time()
+            world.objects.restore(now - copied_at_seconds)
+            await asyncio.sleep(LEASE_SECONDS + _ACQUISITION_SECONDS)
+
+        self.assertEqual(3, len(self._run(scenario).acquired))
+
+    def test_owner_that_learns_of_the_restore_late_keeps_the_duty(
+        self,
+    ) -> None:
+        async def scenario(world: LeaseWorld) -> None:
+            owner = await world.wait_for_owner()
+            await asyncio.sleep(2 * RENEWAL_INTERVAL_SECONDS)
+            world.objects.restore(60.0)
+            owner.store.state = LinkState.SILENT
+            _deafen(world)
+            await asyncio.sleep(0.9)
+            owner.store.state = LinkState.UP
+            await asyncio.sleep(LEASE_SECONDS)
+            self.assertTrue(owner.manager.holds_any_lease())
+
+        self.assertEqual(2, len(self._run(scenario).acquired))
+
+    def test_reassertion_whose_answer_is_lost_is_repeated(self) -> None:
+        async def scenario(world: LeaseWorld) -> None:
+            owner = await world.wait_for_owner()
+            await asyncio.sleep(2 * RENEWAL_INTERVAL_SECONDS)
+            world.objects.restore(60.0)
+            owner.store.state = LinkState.UNANSWERED_WRITES
+            while world.objects.get(DUTY) is None:
+                await asyncio.sleep(0.01)
+            owner.store.state = LinkState.UP
+            await asyncio.sleep(2 * LEASE_SECONDS)
+
+        self._run(scenario)
+
+    def test_late_write_over_the_owners_record_leaves_it_the_duty(
+        self,
+    ) -> None:
+        async def scenario(world: LeaseWorld) -> None:
+            owner = await world.wait_for_owner()
+            other = _others(world, owner)[0]
+            await asyncio.sleep(RENEWAL_INTERVAL_SECONDS)
+            late = other.manager._make_record(
+                other.manager.duties[DUTY].ownership.next_renewals(0.0),
+                era=1,
+            ).to_value()
+            world.objects.restore(60.0)
+            await asyncio.sleep(2 * RENEWAL_INTERVAL_SECONDS)
+            world.objects.write(DUTY, late, create=False, revision=None)
+            for _ in range(40):
+                await asyncio.sleep(TICK_SECONDS)
+                self.assertTrue(owner.manager.holds_any_lease())
+
+        self.assertEqual(3, len(self._run(scenario).acquired))
