Renew once more before a duty is handed over

As soon as another router reached the store again, the owner resigned, up to 0.8 s before its own next renewal; after a restore a resignation proves nothing to the others, who then waited for a whole lease.

Cause: that others reach the store was taken to mean that this router's own link is broken. An owner now renews as soon as it learns that others reach the store, and resigns only if it gets no answer in LAST_RENEWAL_SECONDS.

Evidence: test_duty_is_kept_over_an_outage_and_restore failed before.

--- a/mulberrypaddle/serving/duty.py
+++ b/mulberrypaddle/serving/duty.py
@@ -54,6 +54,8 @@
             or renews the lease; 0.0 before.
         renewal_pending_since_seconds: When the oldest renewal without a
             successful answer was sent; None if none is pending.
+        others_reached_at_seconds: When this router first learned that others
+            reach the store while its renewal is pending; None if it hasn't.
         resigned_revision: Revision of the lease object up to which this
             process has resigned from the duty; 0 if it never has.
     """
@@ -62,6 +64,7 @@
         "last_claim",
         "last_write_at_seconds",
         "name",
+        "others_reached_at_seconds",
         "owner_seen_at_seconds",
         "ownership",
         "renewal_pending_since_seconds",
@@ -75,6 +78,7 @@
         self.owner_seen_at_seconds = 0.0
         self.last_write_at_seconds = 0.0
         self.renewal_pending_since_seconds: float | None = None
+        self.others_reached_at_seconds: float | None = None
         self.resigned_revision = 0
 
     @property
--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -70,6 +70,10 @@
 CONSENT_AFTER_SECONDS = 0.5
 HAND_OVER_AFTER_SECONDS = 1.0
 
+# Time for which an owner tries to renew once more after it has learned that
+# other routers reach the store: the store may have come back for all.
+LAST_RENEWAL_SECONDS = 0.6
+
 # Age up to which the result of the last call to the store is reported to other
 # routers.
 MAX_OBSERVATION_AGE_SECONDS = 2.5
@@ -265,7 +269,7 @@
         """Extends the lease or resigns, depending on other routers' reports.
 
         The lease is extended if they cannot reach the store either; this router
-        resigns if one of them can.
+        resigns if one of them can and one more renewal fails.
 
         Args:
             duty: Duty whose renewal is pending.
@@ -285,6 +289,13 @@
         if verdict is OutageDecision.GO_ON:
             duty.ownership.extend_by_consent(now)
             return
+        if verdict is OutageDecision.HAND_OVER:
+            if duty.others_reached_at_seconds is None:
+                duty.others_reached_at_seconds = now
+                # The next check renews.
+                duty.last_write_at_seconds = 0.0
+            if now - duty.others_reached_at_seconds < LAST_RENEWAL_SECONDS:
+                return
         if waited_seconds < HAND_OVER_AFTER_SECONDS or not duty.holds_lease():
             return
         if verdict is OutageDecision.HAND_OVER:
@@ -445,6 +456,7 @@
         renewals = duty.ownership.next_renewals(sent_at_seconds)
         if duty.renewal_pending_since_seconds is None:
             duty.renewal_pending_since_seconds = sent_at_seconds
+            duty.others_reached_at_seconds = None
         result = await self._write_renewal(duty, renewals)
         if not duty.owned:
             # This router resigned while it waited for the answer.
--- a/tests/serving/test_restored_leases.py
+++ b/tests/serving/test_restored_leases.py
@@ -330,3 +330,44 @@
                 self.assertTrue(owner.manager.holds_any_lease())
 
         self.assertEqual(3, len(self._run(scenario).acquired))
+
+
+class OutageBeforeRestoreTest(_RestoredLeaseTestCase):
+    """A store that is away for a moment before it comes back from a copy."""
+
+    def _run_outage(self, link: LinkState, seconds: float) -> float:
+        """Runs an outage that ends with a restore.
+
+        Args:
+            link: What happens to the calls during the outage.
+            seconds: Length of the outage.
+
+        Returns:
+            Time without an owner.
+        """
+        gap_seconds = 0.0
+
+        async def scenario(world: LeaseWorld) -> None:
+            nonlocal gap_seconds
+            await world.wait_for_owner()
+            await asyncio.sleep(3.3)
+            for process in world.processes.values():
+                process.store.state = link
+            for step in range(200):
+                if step == int(seconds / 0.05):
+                    world.objects.restore(2.0 + seconds)
+                    _connect_only(world, *world.processes.values())
+                if world.owner() is None:
+                    gap_seconds += 0.05
+                await asyncio.sleep(0.05)
+
+        self._run(scenario)
+        return gap_seconds
+
+    def test_duty_is_kept_over_an_outage_and_restore(self) -> None:
+        for link in (LinkState.BUSY, LinkState.SILENT):
+            for seconds in (1.0, 1.5, 2.0, 2.5):
+                gap_seconds = self._run_outage(link, seconds)
+                self.assertLess(
+                    gap_seconds, LEASE_SECONDS / 2, f"{link} {seconds}"
+                )
