Release a duty whose lease a restore has undone

What happened in the stand-in: a router that stopped right after a restore, before its next renewal, left its duty without an owner for 3.9 s.

Cause: the release was refused, since it was sent on a revision of the era before, and a resignation proves nothing to the others after a restore.

A refused release is now written once more, on the state just read, if the store was restored, shows no record of the new era, and the lease still runs by the clock of its holder: no other router can own the duty then.

--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -33,7 +33,7 @@
     from mulberrypaddle.serving.blackboard import Blackboard
     from mulberrypaddle.serving.heartbeat import Heartbeat
     from mulberrypaddle.serving.peer_exchange import PeerExchange
-    from mulberrypaddle.serving.store import ObjectStore, StoredItem
+    from mulberrypaddle.serving.store import Listing, ObjectStore, StoredItem
 
 # Pause between two checks of the duties.
 CHECK_INTERVAL_SECONDS = 0.25
@@ -113,6 +113,26 @@
         return self._reachability
 
 
+def _is_refused(result: Result[StoredItem, Problem]) -> bool:
+    """Returns whether a write was refused since its object is another one.
+
+    The object is missing if it was created after the copy from which the store
+    was restored.
+    """
+    return not isinstance(result, Success) and result.failure().kind in (
+        ErrorKind.CONFLICT,
+        ErrorKind.NOT_FOUND,
+    )
+
+
+def _find_item(listing: Listing, name: str) -> StoredItem | None:
+    """Returns an object of a list; None if there is none of that name."""
+    for item in listing.items:
+        if item.name == name:
+            return item
+    return None
+
+
 class DutyManager:
     """Tracks the owners of all duties, and renews this router's leases.
 
@@ -384,16 +404,70 @@
             era=era_of(duty.ownership.revision),
             given_up=True,
         )
+        lease_end_seconds = boottime_seconds() + duty.lease_left_seconds()
         revision = duty.resign()
         result = await self._store.replace(
             Collection.DUTIES, duty.name, record.to_value(), revision=revision
         )
+        if _is_refused(result):
+            result = await self._release_restored(
+                duty,
+                result,
+                revision=revision,
+                lease_end_seconds=lease_end_seconds,
+            )
         log_state_change(
             "ownership_given_up",
             duty=duty.name,
             written=isinstance(result, Success),
         )
 
+    async def _release_restored(
+        self,
+        duty: Duty,
+        refusal: Result[StoredItem, Problem],
+        *,
+        revision: int,
+        lease_end_seconds: float,
+    ) -> Result[StoredItem, Problem]:
+        """Releases a lease that a restore has undone and that still runs.
+
+        Args:
+            duty: The duty that this router has resigned from.
+            refusal: Result of the release, which was refused.
+            revision: Revision of this router's last write of the lease.
+            lease_end_seconds: When the lease ends, by `boottime_seconds`.
+
+        Returns:
+            The result of the release; `refusal` if no restore explains it.
+        """
+        listed = await self._store.list(Collection.DUTIES)
+        if not isinstance(listed, Success):
+            return refusal
+        listing = listed.unwrap()
+        item = _find_item(listing, duty.name)
+        record = self._decode_record(item)
+        now = boottime_seconds()
+        if (
+            duty.owned
+            or now >= lease_end_seconds
+            or not is_restored_between(revision, listing.revision)
+            or (
+                item is not None
+                and (
+                    record is None or not record.was_sent_before(item.revision)
+                )
+            )
+        ):
+            return refusal
+        return await self._write_claim(
+            duty,
+            item,
+            renewals=duty.ownership.next_renewals(now),
+            list_revision=listing.revision,
+            given_up=True,
+        )
+
     async def _renew_and_acquire(self) -> None:
         """Renews leases that are due, and tries to acquire ownerless duties."""
         await self._release_remote_duties()
@@ -470,9 +544,7 @@
             self._record_store_result(reachable=True)
             return
         problem = result.failure()
-        # The lease object is missing if it was created after the copy from
-        # which the store was restored.
-        if problem.kind in (ErrorKind.CONFLICT, ErrorKind.NOT_FOUND):
+        if _is_refused(result):
             await self._resolve_conflict(duty)
             return
         self._record_store_result(reachable=False)
@@ -523,9 +595,7 @@
         if not isinstance(listed, Success) or not duty.owned:
             return
         listing = listed.unwrap()
-        item = next(
-            (item for item in listing.items if item.name == duty.name), None
-        )
+        item = _find_item(listing, duty.name)
         record = self._decode_record(item)
         restored = is_restored_between(
             duty.ownership.revision, listing.revision
@@ -602,7 +672,7 @@
             problem = result.failure()
             if not duty.owned:
                 return
-            if problem.kind in (ErrorKind.CONFLICT, ErrorKind.NOT_FOUND):
+            if _is_refused(result):
                 self._lose(duty, None, None, list_revision=list_revision)
                 return
             log_state_change(
@@ -757,17 +827,21 @@
         *,
         renewals: int,
         list_revision: int,
+        given_up: bool = False,
     ) -> Result[StoredItem, Problem]:
-        """Writes that this router owns a duty, if nothing changed since a list.
+        """Writes this router's record, if nothing changed since a list.
 
         Args:
             duty: The duty.
             item: Its lease object in the list; None if there was none.
             renewals: Number of the record to be written.
             list_revision: Revision of the list.
+            given_up: Whether this router releases the duty by the write.
         """
         era = era_of(list_revision)
-        value = self._make_record(renewals, era=era).to_value()
+        value = self._make_record(
+            renewals, era=era, given_up=given_up
+        ).to_value()
         if item is not None:
             return await self._store.replace(
                 Collection.DUTIES, duty.name, value, revision=item.revision
--- a/tests/serving/test_restored_leases.py
+++ b/tests/serving/test_restored_leases.py
@@ -332,6 +332,41 @@
         self.assertEqual(3, len(self._run(scenario).acquired))
 
 
+class ReleasedLeaseTest(_RestoredLeaseTestCase):
+    """An owner that releases a duty after a restore it does not know of."""
+
+    def _run_release(self, *, age_seconds: float) -> float:
+        """Releases the duty right after a restore, at the end of a process.
+
+        Args:
+            age_seconds: Age of the copy.
+
+        Returns:
+            Time until the duty is acquired again.
+        """
+        gap_seconds = 0.0
+
+        async def scenario(world: LeaseWorld) -> None:
+            nonlocal gap_seconds
+            owner = await world.wait_for_owner()
+            await asyncio.sleep(4 * RENEWAL_INTERVAL_SECONDS)
+            world.objects.restore(age_seconds)
+            await owner.release()
+            world.processes.pop(owner.vm).kill()
+            while world.owner() is None:
+                gap_seconds += 0.05
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(2 * LEASE_SECONDS)
+
+        self.assertEqual(2, len(self._run(scenario).acquired))
+        return gap_seconds
+
+    def test_release_after_a_restore_frees_the_duty(self) -> None:
+        for age_seconds in (1.0, 60.0):
+            gap_seconds = self._run_release(age_seconds=age_seconds)
+            self.assertLess(gap_seconds, LEASE_SECONDS / 2, age_seconds)
+
+
 class OutageBeforeRestoreTest(_RestoredLeaseTestCase):
     """A store that is away for a moment before it comes back from a copy."""
 
