--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure, Result, Success
 
@@ -25,14 +25,15 @@
 from mulberrypaddle.serving.decision_log import log_state_change
 from mulberrypaddle.serving.duty import Duty, OwnerClaim, boottime_seconds
 from mulberrypaddle.serving.store import Collection
+from mulberrypaddle.serving.store_era import era_of, is_restored_between
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from mulberrypaddle.serving.blackboard import Blackboard
     from mulberrypaddle.serving.heartbeat import Heartbeat
     from mulberrypaddle.serving.peer_exchange import PeerExchange
-    from mulberrypaddle.serving.store import ObjectStore, StoredItem
+    from mulberrypaddle.serving.store import Listing, ObjectStore, StoredItem
 
 # Pause between two checks of the duties.
 CHECK_INTERVAL_SECONDS = 0.25
@@ -69,6 +70,10 @@
 CONSENT_AFTER_SECONDS = 0.5
 HAND_OVER_AFTER_SECONDS = 1.0
 
+# Time for which an owner tries to renew once more after it has learned that
+# other routers reach the store: the store may have come back for all.
+LAST_RENEWAL_SECONDS = 0.6
+
 # Age up to which the result of the last call to the store is reported to other
 # routers.
 MAX_OBSERVATION_AGE_SECONDS = 2.5
@@ -108,6 +113,26 @@
         return self._reachability
 
 
+def _is_refused(result: Result[StoredItem, Problem]) -> bool:
+    """Returns whether a write was refused since its object is another one.
+
+    The object is missing if it was created after the copy from which the store
+    was restored.
+    """
+    return not isinstance(result, Success) and result.failure().kind in (
+        ErrorKind.CONFLICT,
+        ErrorKind.NOT_FOUND,
+    )
+
+
+def _find_item(listing: Listing, name: str) -> StoredItem | None:
+    """Returns an object of a list; None if there is none of that name."""
+    for item in listing.items:
+        if item.name == name:
+            return item
+    return None
+
+
 class DutyManager:
     """Tracks the owners of all duties, and renews this router's leases.
 
@@ -264,7 +289,7 @@
         """Extends the lease or resigns, depending on other routers' reports.
 
         The lease is extended if they cannot reach the store either; this router
-        resigns if one of them can.
+        resigns if one of them can and one more renewal fails.
 
         Args:
             duty: Duty whose renewal is pending.
@@ -284,6 +309,13 @@
         if verdict is OutageDecision.GO_ON:
             duty.ownership.extend_by_consent(now)
             return
+        if verdict is OutageDecision.HAND_OVER:
+            if duty.others_reached_at_seconds is None:
+                duty.others_reached_at_seconds = now
+                # The next check renews.
+                duty.last_write_at_seconds = 0.0
+            if now - duty.others_reached_at_seconds < LAST_RENEWAL_SECONDS:
+                return
         if waited_seconds < HAND_OVER_AFTER_SECONDS or not duty.holds_lease():
             return
         if verdict is OutageDecision.HAND_OVER:
@@ -368,18 +400,74 @@
     async def _release(self, duty: Duty) -> None:
         """Resigns from a duty, then marks its lease object as released."""
         record = self._make_record(
-            duty.ownership.next_renewals(boottime_seconds()), given_up=True
+            duty.ownership.next_renewals(boottime_seconds()),
+            era=era_of(duty.ownership.revision),
+            given_up=True,
         )
+        lease_end_seconds = boottime_seconds() + duty.lease_left_seconds()
         revision = duty.resign()
         result = await self._store.replace(
             Collection.DUTIES, duty.name, record.to_value(), revision=revision
         )
+        if _is_refused(result):
+            result = await self._release_restored(
+                duty,
+                result,
+                revision=revision,
+                lease_end_seconds=lease_end_seconds,
+            )
         log_state_change(
             "ownership_given_up",
             duty=duty.name,
             written=isinstance(result, Success),
         )
 
+    async def _release_restored(
+        self,
+        duty: Duty,
+        refusal: Result[StoredItem, Problem],
+        *,
+        revision: int,
+        lease_end_seconds: float,
+    ) -> Result[StoredItem, Problem]:
+        """Releases a lease that a restore has undone and that still runs.
+
+        Args:
+            duty: The duty that this router has resigned from.
+            refusal: Result of the release, which was refused.
+            revision: Revision of this router's last write of the lease.
+            lease_end_seconds: When the lease ends, by `boottime_seconds`.
+
+        Returns:
+            The result of the release; `refusal` if no restore explains it.
+        """
+        listed = await self._store.list(Collection.DUTIES)
+        if not isinstance(listed, Success):
+            return refusal
+        listing = listed.unwrap()
+        item = _find_item(listing, duty.name)
+        record = self._decode_record(item)
+        now = boottime_seconds()
+        if (
+            duty.owned
+            or now >= lease_end_seconds
+            or not is_restored_between(revision, listing.revision)
+            or (
+                item is not None
+                and (
+                    record is None or not record.was_sent_before(item.revision)
+                )
+            )
+        ):
+            return refusal
+        return await self._write_claim(
+            duty,
+            item,
+            renewals=duty.ownership.next_renewals(now),
+            list_revision=listing.revision,
+            given_up=True,
+        )
+
     async def _renew_and_acquire(self) -> None:
         """Renews leases that are due, and tries to acquire ownerless duties."""
         await self._release_remote_duties()
@@ -442,6 +530,7 @@
         renewals = duty.ownership.next_renewals(sent_at_seconds)
         if duty.renewal_pending_since_seconds is None:
             duty.renewal_pending_since_seconds = sent_at_seconds
+            duty.others_reached_at_seconds = None
         result = await self._write_renewal(duty, renewals)
         if not duty.owned:
             # This router resigned while it waited for the answer.
@@ -455,7 +544,7 @@
             self._record_store_result(reachable=True)
             return
         problem = result.failure()
-        if problem.kind is ErrorKind.CONFLICT:
+        if _is_refused(result):
             await self._resolve_conflict(duty)
             return
         self._record_store_result(reachable=False)
@@ -467,16 +556,23 @@
         self, duty: Duty, renewals: int
     ) -> Result[StoredItem, Problem]:
         """Writes one renewal; fails if the store does not answer in time."""
-        try:
-            return await asyncio.wait_for(
-                self._store.replace(
-                    Collection.DUTIES,
-                    duty.name,
-                    self._make_record(renewals).to_value(),
-                    revision=duty.ownership.revision,
-                ),
-                RENEWAL_TIMEOUT_SECONDS,
+        revision = duty.ownership.revision
+        record = self._make_record(renewals, era=era_of(revision))
+        return await self._await_renewal(
+            self._store.replace(
+                Collection.DUTIES,
+                duty.name,
+                record.to_value(),
+                revision=revision,
             )
+        )
+
+    async def _await_renewal(
+        self, write: Coroutine[Any, Any, Result[StoredItem, Problem]]
+    ) -> Result[StoredItem, Problem]:
+        """Awaits a write that renews a lease, for a limited time."""
+        try:
+            return await asyncio.wait_for(write, RENEWAL_TIMEOUT_SECONDS)
         except TimeoutError:
             # The write may still take effect; the next renewal then fails with
             # a conflict.
@@ -492,18 +588,25 @@
         """Handles a renewal that was refused because of its revision.
 
         Either an earlier renewal of this router took effect although its
-        answer was lost, or another router acquired the duty.
+        answer was lost, or the store was restored, or another router acquired
+        the duty.
         """
-        read = await self._store.read(Collection.DUTIES, duty.name)
-        if not isinstance(read, Success) or not duty.owned:
+        listed = await self._store.list(Collection.DUTIES)
+        if not isinstance(listed, Success) or not duty.owned:
             return
-        item = read.unwrap()
+        listing = listed.unwrap()
+        item = _find_item(listing, duty.name)
         record = self._decode_record(item)
+        restored = is_restored_between(
+            duty.ownership.revision, listing.revision
+        )
         if (
             item is not None
             and record is not None
-            and record.incarnation == self._peers.incarnation
+            and not restored
             and not record.given_up
+            and not record.was_sent_before(item.revision)
+            and record.incarnation == self._peers.incarnation
         ):
             # The lease runs from when the earlier renewal was sent, and may
             # have ended since.
@@ -515,12 +618,110 @@
             # The next check renews it.
             duty.last_write_at_seconds = 0.0
             return
+        if duty.holds_lease() and self._may_reassert(item, record):
+            await self._reassert(duty, item, list_revision=listing.revision)
+            return
+        self._lose(duty, item, record, list_revision=listing.revision)
+
+    def _may_reassert(
+        self, item: StoredItem | None, record: OwnerRecord | None
+    ) -> bool:
+        """Returns whether a valid lease may be written to the store again.
+
+        Another router can't have acquired the duty while the lease was valid,
+        unless the store's record is one of the present era.
+
+        Args:
+            item: The lease object; None if there is none.
+            record: Its content; None if it is absent or invalid.
+        """
+        if item is None:
+            return True
+        if record is None:
+            return False
+        if record.was_sent_before(item.revision):
+            return True
+        # An earlier reassertion took effect although its answer was lost.
+        return (
+            record.incarnation == self._peers.incarnation
+            and not record.given_up
+        )
+
+    async def _reassert(
+        self, duty: Duty, item: StoredItem | None, *, list_revision: int
+    ) -> None:
+        """Writes this router's lease to a store that doesn't have it.
+
+        Without an answer the lease runs on to its end, and the next renewal
+        leads here again.
+
+        Args:
+            duty: The duty, on which this router holds a valid lease.
+            item: Its lease object as just read; None if there is none.
+            list_revision: Revision of the list in which it was read.
+        """
+        sent_at_seconds = boottime_seconds()
+        duty.last_write_at_seconds = sent_at_seconds
+        renewals = duty.ownership.next_renewals(sent_at_seconds)
+        result = await self._await_renewal(
+            self._write_claim(
+                duty, item, renewals=renewals, list_revision=list_revision
+            )
+        )
+        if not isinstance(result, Success):
+            problem = result.failure()
+            if not duty.owned:
+                return
+            if _is_refused(result):
+                self._lose(duty, None, None, list_revision=list_revision)
+                return
+            log_state_change(
+                "renewal_failed", duty=duty.name, reason=problem.detail
+            )
+            return
+        resigned = not duty.owned
+        duty.record_acquired(
+            result.unwrap().revision,
+            renewals=renewals,
+            sent_at_seconds=sent_at_seconds,
+        )
+        log_state_change(
+            "ownership_reasserted",
+            duty=duty.name,
+            fence=duty.ownership.fencing_token,
+            absent=item is None,
+        )
+        self._record_store_result(reachable=True)
+        if resigned or self._board.stopping:
+            await self._release(duty)
+            return
+        self.on_acquired()
+
+    def _lose(
+        self,
+        duty: Duty,
+        item: StoredItem | None,
+        record: OwnerRecord | None,
+        *,
+        list_revision: int,
+    ) -> None:
+        """Records that this router has lost a duty.
+
+        Args:
+            duty: The duty.
+            item: Its lease object as just read; None if it is unknown.
+            record: Content of the object; None if it is unknown or invalid.
+            list_revision: Revision of the list in which the object was read.
+        """
+        restored = is_restored_between(duty.ownership.revision, list_revision)
         duty.ownership.record_lost()
-        self._observe_record(duty, item, record)
+        if item is not None:
+            self._observe_record(duty, item, record)
         log_state_change(
             "ownership_lost",
             duty=duty.name,
             owner=record.node if record else "nobody",
+            restored=restored,
         )
 
     async def _try_acquire(self, candidates: list[Duty]) -> None:
@@ -533,14 +734,17 @@
         self._record_store_result(reachable=isinstance(listed, Success))
         if not isinstance(listed, Success):
             return
-        items = {item.name: item for item in listed.unwrap().items}
+        listing = listed.unwrap()
+        items = {item.name: item for item in listing.items}
         self._record_relays(items)
         for duty in candidates:
             if self._board.stopping:
                 return
             if duty.owned:
                 continue
-            if not await self._try_acquire_one(duty, items.get(duty.name)):
+            if not await self._try_acquire_one(
+                duty, items.get(duty.name), list_revision=listing.revision
+            ):
                 # Another router was faster and will acquire the rest too.
                 break
 
@@ -557,20 +761,26 @@
         self._peers.relays.record_reported_relays(relays)
 
     async def _try_acquire_one(
-        self, duty: Duty, item: StoredItem | None
+        self, duty: Duty, item: StoredItem | None, *, list_revision: int
     ) -> bool:
         """Acquires a duty if its lease ended or its owner is gone.
 
         Args:
             duty: The duty.
             item: Its lease object as just read; None if there is none.
+            list_revision: Revision of the list in which it was read.
 
         Returns:
             Whether to go on with other duties; False if the write failed,
             usually because another router was faster.
         """
         record = self._decode_record(item)
-        self._observe_record(duty, item, record)
+        if item is None:
+            duty.ownership.observe_absence(
+                revision=list_revision, now_seconds=boottime_seconds()
+            )
+        else:
+            self._observe_record(duty, item, record)
         owner_ended = record is not None and self._has_owner_ended(
             record, duty=duty.name, revision=duty.ownership.revision
         )
@@ -578,16 +788,10 @@
             return True
         sent_at_seconds = boottime_seconds()
         renewals = duty.ownership.next_renewals(sent_at_seconds)
-        value = self._make_record(renewals).to_value()
         duty.last_write_at_seconds = sent_at_seconds
-        if item is None:
-            result = await self._store.create(
-                Collection.DUTIES, duty.name, value
-            )
-        else:
-            result = await self._store.replace(
-                Collection.DUTIES, duty.name, value, revision=item.revision
-            )
+        result = await self._write_claim(
+            duty, item, renewals=renewals, list_revision=list_revision
+        )
         if not isinstance(result, Success):
             # The router that was faster is about to send a claim.
             duty.owner_seen_at_seconds = boottime_seconds()
@@ -616,6 +820,45 @@
         self.on_acquired()
         return True
 
+    async def _write_claim(
+        self,
+        duty: Duty,
+        item: StoredItem | None,
+        *,
+        renewals: int,
+        list_revision: int,
+        given_up: bool = False,
+    ) -> Result[StoredItem, Problem]:
+        """Writes this router's record, if nothing changed since a list.
+
+        Args:
+            duty: The duty.
+            item: Its lease object in the list; None if there was none.
+            renewals: Number of the record to be written.
+            list_revision: Revision of the list.
+            given_up: Whether this router releases the duty by the write.
+        """
+        era = era_of(list_revision)
+        value = self._make_record(
+            renewals, era=era, given_up=given_up
+        ).to_value()
+        if item is not None:
+            return await self._store.replace(
+                Collection.DUTIES, duty.name, value, revision=item.revision
+            )
+        result = await self._store.create(Collection.DUTIES, duty.name, value)
+        if isinstance(result, Success):
+            revision = result.unwrap().revision
+            if era_of(revision) != era:
+                # The absence was read before a restore.
+                return Failure(
+                    Problem(
+                        ErrorKind.CONFLICT,
+                        f"created in era {era_of(revision)}, sent in era {era}",
+                    )
+                )
+        return result
+
     def _has_owner_ended(
         self, record: OwnerRecord, *, duty: str, revision: int
     ) -> bool:
@@ -626,6 +869,8 @@
             duty: Name of the duty.
             revision: Revision of the lease object.
         """
+        if record.was_sent_before(revision):
+            return False
         if record.incarnation == self._peers.incarnation:
             return True
         # A write of that process after its resignation is a new ownership.
@@ -643,13 +888,11 @@
         return host == self._board.settings.ip
 
     def _observe_record(
-        self, duty: Duty, item: StoredItem | None, record: OwnerRecord | None
+        self, duty: Duty, item: StoredItem, record: OwnerRecord | None
     ) -> None:
         """Records the state of a lease object that was just read."""
         duty.ownership.observe(
-            record,
-            revision=item.revision if item else 0,
-            now_seconds=boottime_seconds(),
+            record, revision=item.revision, now_seconds=boottime_seconds()
         )
 
     def _decode_record(self, item: StoredItem | None) -> OwnerRecord | None:
@@ -659,12 +902,13 @@
         return OwnerRecord.from_value(self._store.value_of(item))
 
     def _make_record(
-        self, renewals: int, *, given_up: bool = False
+        self, renewals: int, *, era: int, given_up: bool = False
     ) -> OwnerRecord:
         """Returns the content that this router writes to a lease object.
 
         Args:
             renewals: Number of the record among those of this process.
+            era: Era of the store that this router knows.
             given_up: Whether this router releases the duty by the write.
         """
         settings = self._board.settings
@@ -673,5 +917,6 @@
             incarnation=self._peers.incarnation,
             address=f"{settings.ip}:{settings.peer_port}",
             renewals=renewals,
+            era=era,
             given_up=given_up,
         )
