--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -5,19 +5,22 @@
 Each seed is one run with a random sequence of events, which may overlap.
 
 Planned work: routers are stopped, several at a time and some by more than one
-signal, and restarted; they are told to reload; the configuration changes;
-runners drain, are slow, stand still for a second, announce to leave or ask for
-pauses. Faults, except in every third seed: routers are paused and killed,
-runners crash, the store has outages and loses its watch history, and a proxy in
-front of the store delays, resets or silences connections, or drops the answers
-only. Every fifth seed has more routers and runners.
+signal, and restarted; they are told to reload; the configuration changes, and
+with it the idle limit of callers' connections; runners drain, are slow, stand
+still for a second, announce to leave or ask for pauses. Faults, except in every
+third seed: routers are killed, and paused, some of them as connections reach
+their idle limit; runners crash, the store has outages and loses its watch
+history, and a proxy in front of the store delays, resets or silences
+connections, or drops the answers only. Every fifth seed has more routers and
+runners.
 
 Callers send requests throughout, some of them on connections that they keep
 until the router's process is gone. In every other seed, some requests have a
 part in their prompt that crashes runners.
 
 `tests.support.simulated_deployment` checks the invariants from what callers and
-runners observe, `tests.support.kept_callers` that no stop costs an answer. A
+runners observe, `tests.support.kept_callers` that no stop costs an answer, and
+that no request is lost on a connection that is kept within its idle limit. A
 run also fails if the routers don't serve every kind of request after the faults
 have ended.
 """
@@ -37,6 +40,7 @@
 import fire
 
 from soak.announcement_faults import AnnouncementFaults
+from soak.idle_limit_faults import IdleLimitFaults
 from soak.upgrade import UpgradeRun
 from tests.support.crashing_parts import FIRST_PART, make_prompt
 from tests.support.fault_proxy import FaultProxy, ProxyMode
@@ -65,7 +69,7 @@
 # longest pause between two of them.
 KEPT_CALLERS = 50
 KEPT_REQUEST_KINDS = ("safe", "pay", "report", "write", "write", "draft")
-KEPT_PAUSE_SECONDS = 6.0
+KEPT_PAUSE_SECONDS = 12.0
 # Longest time between the signals of stops that overlap.
 STOP_SPREAD_SECONDS = 2.0
 # Pause between two checks whether a router has stopped.
@@ -134,6 +138,13 @@
         self._announcement_faults = AnnouncementFaults(
             self._deployment, random.Random(seed), call_later=self._call_later
         )
+        self._idle_limit_faults = IdleLimitFaults(
+            self._deployment,
+            self._kept_callers,
+            random.Random(seed),
+            suspend=self._suspend,
+        )
+        self._deployment.put_config()
         self.lost_counts: dict[str, int] = {}
         self.outcomes = self._caller.outcomes
 
@@ -151,9 +162,11 @@
             await deployment.wait_until_ready(30.0)
             load = asyncio.ensure_future(self._generate_load())
             announcing = asyncio.ensure_future(self._announcement_faults.run())
+            late = asyncio.ensure_future(self._run_idle_limit_faults())
             self._kept_callers.start(KEPT_CALLERS * self._router_count)
             await self._inject_faults()
             announcing.cancel()
+            late.cancel()
             await asyncio.gather(*self._stops)
             self._clear_faults()
             recovered = await self._recovers()
@@ -181,7 +194,7 @@
         )
 
     def _check_losses(self) -> None:
-        """Checks that no stop and no reload cost an answer."""
+        """Checks that no request on a kept connection was lost."""
         for loss in losses(
             self._deployment, self._kept_callers.requests, self._disruptions
         ):
@@ -244,6 +257,11 @@
             fault()
             await asyncio.sleep(self._rng.uniform(0.05, 1.2))
 
+    async def _run_idle_limit_faults(self) -> None:
+        """Pauses routers as connections end, unless all work is planned."""
+        if not self._only_planned:
+            await self._idle_limit_faults.run()
+
     def _random_router(self) -> Router:
         """Returns a random router."""
         return self._rng.choice(list(self._deployment.routers.values()))
@@ -256,10 +274,12 @@
         self._call_later(seconds, router.start)
 
     def _pause_router(self) -> None:
-        router = self._random_router()
+        self._suspend(self._random_router(), self._rng.uniform(0.1, 4.0))
+
+    def _suspend(self, router: Router, seconds: float) -> None:
+        """Makes the process of a router stand still for a while."""
         router.signal(signal.SIGSTOP)
-        seconds = self._rng.uniform(0.1, 4.0)
-        self._disruptions.add(router.ip, seconds)
+        self._disruptions.add_pause(router, seconds)
         self._call_later(seconds, lambda: router.signal(signal.SIGCONT))
 
     def _stop_routers(self) -> None:
@@ -376,8 +396,9 @@
         self._disruptions.add("store", 0.0)
 
     def _change_configuration(self) -> None:
-        """Writes a new version, with other timeouts of some routes."""
+        """Writes a new version, with other timeouts and limits."""
         deployment = self._deployment
+        self._idle_limit_faults.change_limits()
         for name, seconds in ROUTE_TIMEOUTS_SECONDS.items():
             deployment.route_timeouts_seconds[name] = (
                 seconds + self._rng.uniform(0.0, 4.0)
--- a/tests/soak/test_kept_callers.py
+++ b/tests/soak/test_kept_callers.py
@@ -1,4 +1,4 @@
-"""Tests of the check that planned work costs no answer."""
+"""Tests of the check that no request on a kept connection is lost."""
 
 from __future__ import annotations
 
@@ -6,10 +6,12 @@
 import tempfile
 import time
 from pathlib import Path
+from unittest import mock
 
 import testtools
 
 from tests.support.asynchronous import run
+from tests.support.idle_limits import IdleLimits
 from tests.support.kept_callers import Disruptions, SentRequest, losses
 from tests.support.simulated_deployment import Router, SimulatedDeployment
 
@@ -31,11 +33,14 @@
         run_lasted: float | None = None,
         was_reset: bool = False,
         paused: bool = False,
+        killed: bool = False,
+        signalled: bool = True,
+        within_limit: bool = False,
     ) -> list[str]:
-        """Returns the excuses of one request, sent after a signal to stop.
+        """Returns the excuses of one request.
 
         Args:
-            sent_after: Time from the signal to the request, in seconds.
+            sent_after: Time from a signal to stop to the request, in seconds.
             lasted: Time from the request to the end of its connection.
             outcome: Outcome of the request.
             limit: Time limit of the request, in seconds.
@@ -45,6 +50,9 @@
                 seconds; None if it did not.
             was_reset: Whether the connection was reset.
             paused: Whether the router was paused before the request.
+            killed: Whether the router was killed before the request.
+            signalled: Whether the router got the signal.
+            within_limit: Whether the connection was kept within its limit.
         """
 
         async def scenario() -> list[str]:
@@ -56,12 +64,14 @@
                     deployment, 1, data_centre="south", source=Path(folder)
                 )
                 stopped_at = time.monotonic()
-                router.stopped_at_seconds.append(stopped_at)
+                if signalled:
+                    router.stopped_at_seconds.append(stopped_at)
                 request = SentRequest("q1", "write", router, limit)
                 request.sent_at_seconds = stopped_at + sent_after
                 request.ended_at_seconds = stopped_at + sent_after + lasted
                 request.outcome = outcome
                 request.was_reset = was_reset
+                request.is_within_limit = within_limit
                 if runs:
                     work = deployment.record_run("q1", "i-1", may_repeat=True)
                     work.broke_off = broke_off
@@ -71,6 +81,8 @@
                         )
                 disruptions = Disruptions()
                 if paused:
+                    disruptions.add_pause(router, 1.0)
+                if killed:
                     disruptions.add(router.ip, 1.0)
                 found = losses(deployment, [request], disruptions)
                 excuses = [loss.excuse for loss in found]
@@ -111,3 +123,70 @@
         self.assertEqual(["disruption"], self._excuses(paused=True))
         late = self._excuses(sent_after=4.5, lasted=1.0, paused=True)
         self.assertEqual([""], late)
+
+    def test_unread_request_on_a_kept_connection_counts(self) -> None:
+        excuses = self._excuses(
+            outcome="no answer",
+            runs=False,
+            was_reset=True,
+            signalled=False,
+            within_limit=True,
+        )
+        self.assertEqual([""], excuses)
+
+    def test_request_after_the_idle_limit_is_not_lost(self) -> None:
+        excuses = self._excuses(
+            outcome="no answer", runs=False, was_reset=True, signalled=False
+        )
+        self.assertEqual([], excuses)
+
+    def test_late_process_does_not_excuse_a_request_in_its_socket(self) -> None:
+        excuses = self._excuses(
+            outcome="no answer",
+            runs=False,
+            was_reset=True,
+            signalled=False,
+            within_limit=True,
+            paused=True,
+        )
+        self.assertEqual([""], excuses)
+
+    def test_killed_process_excuses(self) -> None:
+        excuses = self._excuses(
+            outcome="no answer",
+            runs=False,
+            signalled=False,
+            within_limit=True,
+            killed=True,
+        )
+        self.assertEqual(["disruption"], excuses)
+
+    def test_kept_connection_that_crosses_a_stop_is_not_lost(self) -> None:
+        excuses = self._excuses(
+            outcome="no answer", runs=False, was_reset=True, within_limit=True
+        )
+        self.assertEqual([], excuses)
+
+
+class IdleLimitsTest(testtools.TestCase):
+    """The smallest limit that may be in force is that of a recent version."""
+
+    def test_raised_limit_holds_once_it_must_be_in_force(self) -> None:
+        limits = IdleLimits()
+        with mock.patch.object(time, "monotonic") as now:
+            now.return_value = 100.0
+            limits.record(2.0)
+            now.return_value = 110.0
+            limits.record(15.0)
+            now.return_value = 111.9
+            self.assertEqual(2.0, limits.smallest_seconds())
+            self.assertEqual(False, limits.allows(1.7))
+            now.return_value = 112.1
+            self.assertEqual(15.0, limits.smallest_seconds())
+            self.assertEqual(True, limits.allows(11.9))
+
+    def test_lowered_limit_holds_at_once(self) -> None:
+        limits = IdleLimits()
+        limits.record(15.0)
+        limits.record(2.0)
+        self.assertEqual(2.0, limits.smallest_seconds())
--- a/tests/support/kept_callers.py
+++ b/tests/support/kept_callers.py
@@ -1,8 +1,9 @@
-"""Callers that keep their connections open, and what they lose in a stop.
+"""Callers that keep their connections open, and what they lose.
 
 Each caller sends one request after the other on its connection, with pauses,
 until the router closes it or its process is gone. `losses` returns the requests
-that ended without a complete answer around planned work.
+that ended without a complete answer around planned work, or at any time if the
+connection was idle for no longer than callers may leave it.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from tests.support.crashing_parts import FIRST_PART, SHARED_PARTS, make_prompt
+from tests.support.idle_limits import CONFIG_APPLY_SECONDS
 from tests.support.simulated_deployment import (
     ROUTE_KINDS,
     ROUTE_TIMEOUTS_SECONDS,
@@ -35,14 +37,16 @@
 # `lossSlackMs` and the time after the grace period in which requests count.
 LOSS_SLACK_SECONDS = 0.2
 STOP_WINDOW_SECONDS = 1.0
-# `configApplyMs`: requests that were sent up to this long after a reload count.
-CONFIG_APPLY_SECONDS = 2.0
 # A request that was sent no later than this after the signal may be cut while
 # its runner is at work in the last part of the grace period.
 EARLY_SECONDS = 3.0
 LAST_FRACTION = 1 / 6
 # Tolerance between the clocks of caller and router on a time limit.
 LIMIT_TOLERANCE_SECONDS = 0.05
+# Share of the pauses that end shortly before callers may no longer send.
+LATE_SHARE = 0.5
+# The earliest end of these pauses, as a part of the longest pause.
+LATE_FRACTION = 0.75
 
 
 class SentRequest:
@@ -52,6 +56,9 @@
         request_id: Id of the request.
         kind: Name of its route.
         router: Router that it was sent to.
+        idle_since_seconds: When its connection became idle before it.
+        is_within_limit: Whether the connection was idle for no longer than
+            callers may leave it.
         sent_at_seconds: When its last byte was sent.
         limit_seconds: Its time limit; the timeout of its route is no shorter.
         ended_at_seconds: When its answer or its connection ended.
@@ -62,6 +69,8 @@
 
     __slots__ = (
         "ended_at_seconds",
+        "idle_since_seconds",
+        "is_within_limit",
         "kind",
         "limit_seconds",
         "outcome",
@@ -79,6 +88,8 @@
         self.router = router
         self.limit_seconds = limit_seconds
         self.sent_at_seconds = time.monotonic()
+        self.idle_since_seconds = self.sent_at_seconds
+        self.is_within_limit = False
         self.ended_at_seconds = 0.0
         self.outcome = ""
         self.was_reset = False
@@ -119,11 +130,22 @@
         self._number = 0
         self._is_open = True
         self.requests: list[SentRequest] = []
+        # Router and start of each connection's current pause, by caller.
+        self._idle: dict[int, tuple[Router, float]] = {}
 
     def start(self, count: int) -> None:
         """Starts some callers."""
         for _ in range(count):
-            self._tasks.append(asyncio.ensure_future(self._run()))
+            number = len(self._tasks)
+            self._tasks.append(asyncio.ensure_future(self._run(number)))
+
+    def idle_since_seconds(self, router: Router) -> list[float]:
+        """Returns since when each idle connection to a router is idle."""
+        return [
+            since_seconds
+            for idle_router, since_seconds in self._idle.values()
+            if idle_router is router
+        ]
 
     async def stop(self) -> None:
         """Ends the callers once their requests are answered."""
@@ -134,7 +156,7 @@
             if isinstance(result, BaseException):
                 raise result
 
-    async def _run(self) -> None:
+    async def _run(self, number: int) -> None:
         """Connects again and again to routers that take connections."""
         while self._is_open:
             routers = [
@@ -143,10 +165,10 @@
                 if router.takes_new_connections
             ]
             if routers:
-                await self._use_connection(self._rng.choice(routers))
+                await self._use_connection(number, self._rng.choice(routers))
             await asyncio.sleep(RECONNECT_SECONDS)
 
-    async def _use_connection(self, router: Router) -> None:
+    async def _use_connection(self, number: int, router: Router) -> None:
         """Sends requests on one connection until it ends."""
         try:
             reader, writer = await asyncio.wait_for(
@@ -160,16 +182,29 @@
             return
         try:
             while self._is_open:
-                pause_seconds = self._rng.uniform(
-                    0.0, self._longest_pause_seconds
-                )
-                if await self._is_closed(reader, pause_seconds):
+                idle_since_seconds = time.monotonic()
+                self._idle[number] = (router, idle_since_seconds)
+                if await self._is_closed(reader, self._choose_pause_seconds()):
                     return
-                if not await self._exchange(router, reader, writer):
+                del self._idle[number]
+                if not await self._exchange(
+                    router, reader, writer, idle_since_seconds
+                ):
                     return
         finally:
+            self._idle.pop(number, None)
             writer.close()
 
+    def _choose_pause_seconds(self) -> float:
+        """Returns a random pause that callers may make."""
+        longest_seconds = min(
+            self._longest_pause_seconds,
+            self._deployment.idle_limits.longest_pause_seconds(),
+        )
+        if self._rng.random() < LATE_SHARE:
+            return self._rng.uniform(LATE_FRACTION, 1.0) * longest_seconds
+        return self._rng.uniform(0.0, longest_seconds)
+
     async def _is_closed(
         self, reader: asyncio.StreamReader, pause_seconds: float
     ) -> bool:
@@ -189,6 +224,7 @@
         router: Router,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        idle_since_seconds: float,
     ) -> bool:
         """Sends a request; returns whether the connection can be used again."""
         self._number += 1
@@ -197,6 +233,10 @@
         limit_seconds = ROUTE_TIMEOUTS_SECONDS[kind]
         self._deployment.record_caller(request_id, router)
         request = SentRequest(request_id, kind, router, limit_seconds)
+        request.idle_since_seconds = idle_since_seconds
+        request.is_within_limit = self._deployment.idle_limits.allows(
+            request.sent_at_seconds - idle_since_seconds
+        )
         answer = bytearray()
         is_complete = False
         try:
@@ -263,12 +303,23 @@
         now = time.monotonic()
         self._spans.setdefault(name, []).append((now, now + duration_seconds))
 
+    def add_pause(self, router: Router, duration_seconds: float) -> None:
+        """Records that the process of a router stands still from now on."""
+        self.add(_pause_name(router), duration_seconds)
+
+    def ends_process(self, request: SentRequest) -> bool:
+        """Returns whether the process was killed that a request was sent to."""
+        return any(
+            request.idle_since_seconds <= began <= request.ended_at_seconds
+            for began, _ in self._spans.get(request.router.ip, ())
+        )
+
     def excuse(self, request: SentRequest, *, is_stream: bool) -> bool:
         """Returns whether a disruption excuses the loss of a request.
 
         The store, and a lost member of a group, excuse only streams.
         """
-        names = [request.router.ip]
+        names = [request.router.ip, _pause_name(request.router)]
         if is_stream:
             names += ["store", "runners"]
         begin = request.sent_at_seconds - STABLE_WINDOW_SECONDS
@@ -279,40 +330,51 @@
         return False
 
 
+def _pause_name(router: Router) -> str:
+    """Returns the name of pauses of a router among the disruptions."""
+    return f"pause of {router.ip}"
+
+
 class Loss:
-    """A request without a complete answer around planned work of its router.
+    """A request without a complete answer that its caller could expect.
 
     Attributes:
         request: The request.
-        work_at_seconds: Monotonic time of the signal to stop or to reload.
+        cause: What happened to its router or its connection before.
+        cause_at_seconds: Monotonic time of that.
         excuse: Why it does not count; empty if it does.
     """
 
-    __slots__ = ("excuse", "request", "work_at_seconds")
+    __slots__ = ("cause", "cause_at_seconds", "excuse", "request")
 
     def __init__(
-        self, request: SentRequest, work_at_seconds: float, excuse: str
+        self,
+        request: SentRequest,
+        cause: str,
+        cause_at_seconds: float,
+        excuse: str,
     ) -> None:
         self.request = request
-        self.work_at_seconds = work_at_seconds
+        self.cause = cause
+        self.cause_at_seconds = cause_at_seconds
         self.excuse = excuse
 
     @property
     def sent_after_seconds(self) -> float:
-        """Returns when the request was sent, relative to the signal."""
-        return self.request.sent_at_seconds - self.work_at_seconds
+        """Returns when the request was sent, relative to the cause."""
+        return self.request.sent_at_seconds - self.cause_at_seconds
 
     @property
     def ended_after_seconds(self) -> float:
-        """Returns when the connection ended, relative to the signal."""
-        return self.request.ended_at_seconds - self.work_at_seconds
+        """Returns when the connection ended, relative to the cause."""
+        return self.request.ended_at_seconds - self.cause_at_seconds
 
     def __str__(self) -> str:
         request = self.request
         return (
             f"{request.request_id} ({request.kind}) at {request.router.ip} has "
             f"{request.outcome!r}, sent {self.sent_after_seconds:+.2f} s and "
-            f"ended {self.ended_after_seconds:+.2f} s after a signal"
+            f"ended {self.ended_after_seconds:+.2f} s after {self.cause}"
         )
 
 
@@ -321,31 +383,48 @@
     requests: Sequence[SentRequest],
     disruptions: Disruptions,
 ) -> Iterator[Loss]:
-    """Yields the requests that were lost around planned work.
+    """Yields the requests that were lost.
 
-    A request is lost if its connection ends without a complete answer, either
-    after the request has reached a runner or later than `LOSS_SLACK_SECONDS`
-    after it was read. Losses that do not count are yielded with an excuse.
+    A request is lost if its connection ends without a complete answer. Around
+    a signal it counts after it has reached a runner, or later than
+    `LOSS_SLACK_SECONDS` after it was read. At other times it counts if its
+    connection was kept within the idle limit, whether it was read or not.
+    Losses that do not count are yielded with an excuse.
     """
     for request in requests:
         if request.outcome not in ("cut", "no answer"):
             continue
         work = deployment.work.get(request.request_id, [])
-        duration_seconds = request.ended_at_seconds - request.sent_at_seconds
-        was_read = not request.was_reset and (
-            duration_seconds > LOSS_SLACK_SECONDS
-        )
-        if not work and not was_read:
-            continue
+        is_stream = ROUTE_KINDS[request.kind] == "streaming"
         signalled_at = _planned_work(deployment, request)
-        if signalled_at is None:
+        if signalled_at is not None and (work or _was_read(request)):
+            excuse = _excuse(deployment, request, signalled_at, work)
+            if not excuse and disruptions.excuse(request, is_stream=is_stream):
+                excuse = "disruption"
+            yield Loss(request, "a signal", signalled_at, excuse)
             continue
-        excuse = _excuse(deployment, request, signalled_at, work)
-        if not excuse and disruptions.excuse(
-            request, is_stream=ROUTE_KINDS[request.kind] == "streaming"
-        ):
+        if not request.is_within_limit or _meets_stop(deployment, request):
+            continue
+        # A request that lies in the socket depends on its process alone; that
+        # the process is late is no excuse.
+        is_excused = disruptions.ends_process(request) or (
+            bool(work) and disruptions.excuse(request, is_stream=is_stream)
+        )
+        excuse = _kept_excuse(request, work)
+        if not excuse and is_excused:
             excuse = "disruption"
-        yield Loss(request, signalled_at, excuse)
+        yield Loss(
+            request,
+            "its connection became idle",
+            request.idle_since_seconds,
+            excuse,
+        )
+
+
+def _was_read(request: SentRequest) -> bool:
+    """Returns whether the router must have read a request without an answer."""
+    duration_seconds = request.ended_at_seconds - request.sent_at_seconds
+    return not request.was_reset and duration_seconds > LOSS_SLACK_SECONDS
 
 
 def _planned_work(
@@ -366,6 +445,29 @@
     return None
 
 
+def _meets_stop(deployment: SimulatedDeployment, request: SentRequest) -> bool:
+    """Returns whether a request ended in a stop of its router.
+
+    A stopping router closes connections that are idle, which a request may
+    cross.
+    """
+    window_seconds = deployment.grace_seconds + STOP_WINDOW_SECONDS
+    return any(
+        stopped_at <= request.ended_at_seconds <= stopped_at + window_seconds
+        for stopped_at in request.router.stopped_at_seconds
+    )
+
+
+def _kept_excuse(request: SentRequest, work: Sequence[RunnerWork]) -> str:
+    """Returns why the loss of a kept connection does not count, if any."""
+    limit_at = request.sent_at_seconds + request.limit_seconds
+    if request.ended_at_seconds >= limit_at - LIMIT_TOLERANCE_SECONDS:
+        return "time limit"
+    if work and work[-1].broke_off:
+        return "runner broke off"
+    return ""
+
+
 def _excuse(
     deployment: SimulatedDeployment,
     request: SentRequest,
--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -35,6 +35,7 @@
     prompt_parts,
 )
 from tests.support.front_end_harness import free_port
+from tests.support.idle_limits import IdleLimits
 from tests.support.runner_announcements import AnnouncementChecks
 
 if TYPE_CHECKING:
@@ -387,6 +388,7 @@
         idle_seconds: Time for which callers may leave a connection idle; in
             force with the next version of the configuration.
         header_seconds: Time that callers may take to send a head; the same.
+        idle_limits: Idle limits of all versions.
         grace_seconds: Grace period of a stop in the settings of the routers.
         refused: Ids of requests that were refused as not run.
         organisations: Organisation of each caller's request, by request id.
@@ -422,6 +424,7 @@
         self.route_timeouts_seconds = dict(ROUTE_TIMEOUTS_SECONDS)
         self.idle_seconds = 15.0
         self.header_seconds = 3.0
+        self.idle_limits = IdleLimits()
         self.grace_seconds = grace_seconds
         self.refused: set[str] = set()
         self.organisations: dict[str, str] = {}
@@ -446,6 +449,7 @@
         config["limits"]["idleTimeoutMs"] = int(self.idle_seconds * 1000)
         config["limits"]["headerTimeoutMs"] = int(self.header_seconds * 1000)
         self.store.put("config", "main", config)
+        self.idle_limits.record(self.idle_seconds)
 
     def add_runner(self, service: str, domain: str = "") -> Runner:
         """Starts a runner; one with a domain is an engine that joins groups."""
