--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -508,12 +508,14 @@
             until_seconds: Loop time at which requests in flight are ended, and
                 from which new ones are refused.
             exit_seconds: Loop time until which responses are written to slow
-                callers, and requests are awaited that have begun to arrive.
+                callers, and requests are awaited that have begun to arrive;
+                one more check follows.
         """
         self.stop_listening()
         board = self.board
         quiet_until_seconds = board.now() + quiet_seconds
         idle_polls = 0
+        is_last_poll = False
         while True:
             now = board.now()
             if now >= until_seconds and not self._ended:
@@ -529,8 +531,11 @@
                 or self._limits.has_arriving_request()
             ):
                 idle_polls = 0
-            if idle_polls >= STOP_IDLE_POLLS or now >= exit_seconds:
+            if idle_polls >= STOP_IDLE_POLLS or is_last_poll:
                 break
+            if now >= exit_seconds:
+                # A process that is late has yet to refuse what has come.
+                is_last_poll = True
             await asyncio.sleep(STOP_POLL_SECONDS)
         self._end_exchanges()
         for connection in [*self._unused_connections, *self._used_connections]:
--- a/tests/serving/test_caller_server.py
+++ b/tests/serving/test_caller_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+import time
 from typing import TYPE_CHECKING, Any
 
 import testtools
@@ -244,6 +245,47 @@
         answer, runs = run(scenario())
         self.assertEqual((b"HTTP/1.1 503", 0), (answer[:12], runs))
 
+    def test_requests_are_refused_by_a_stop_that_comes_late_to_its_exit(
+        self,
+    ) -> None:
+        async def scenario(is_read: bool) -> tuple[bytes, float]:
+            harness = FrontEndHarness()
+            runner = RawRunner(_send_nothing)
+            harness.add_runner("r0", await runner.start())
+            reader, writer = await harness.connect()
+            stop = harness.begin_stop(left_seconds=0.3)
+            stopping = asyncio.ensure_future(
+                harness.stop(
+                    quiet_seconds=5.0,
+                    until_seconds=stop.ends_at_seconds,
+                    exit_seconds=stop.ends_at_seconds + 0.2,
+                )
+            )
+            await asyncio.sleep(0.05)
+            writer.write(request_bytes("/safe/1"))
+            if is_read:
+                await asyncio.sleep(0.05)
+            # The process stands still until the exit is over.
+            time.sleep(stop.ends_at_seconds + 0.3 - harness.board.now())
+            late_at = harness.board.now()
+            await asyncio.wait_for(stopping, 5.0)
+            late_seconds = harness.board.now() - late_at
+            try:
+                answer = await asyncio.wait_for(reader.read(), 5.0)
+            except ConnectionError:
+                answer = b""
+            writer.close()
+            harness.close()
+            await runner.stop()
+            return answer, late_seconds
+
+        for is_read in (False, True):
+            answer, late_seconds = run(scenario(is_read))
+            self.assertIn(
+                answer[:12], (b"HTTP/1.1 503", b"HTTP/1.1 504"), f"{is_read}"
+            )
+            self.assertLess(late_seconds, 0.3)
+
     def test_head_without_an_end_delays_the_stop_until_its_exit(self) -> None:
         async def scenario() -> float:
             harness = FrontEndHarness()
