--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -46,7 +46,8 @@
 from soak.upgrade import UpgradeRun
 from soak.version_probe import VersionProbe
 from tests.support.crashing_parts import FIRST_PART, make_prompt
-from tests.support.kept_callers import Disruptions, KeptCallers, losses
+from tests.support.disruptions import Disruptions
+from tests.support.kept_callers import KeptCallers, losses
 from tests.support.simulated_deployment import (
     ENTRY_EXPIRY_SECONDS,
     ROUTE_TIMEOUTS_SECONDS,
@@ -201,9 +202,8 @@
     def describe_checks(self) -> str:
         """Returns how much the checks covered."""
         checks = (self._deployment.announcements, self._deployment.versions)
-        return (
-            f"{checks[0]}, {checks[1]}, {self._store_faults.restores} restores"
-        )
+        restores = self._store_faults.restores
+        return f"{checks[0]}, {checks[1]}, {restores} restores"
 
     def _check_losses(self) -> None:
         """Checks that no request on a kept connection was lost."""
--- a/soak/store_faults.py
+++ b/soak/store_faults.py
@@ -14,7 +14,7 @@
     import random
     from collections.abc import Callable
 
-    from tests.support.kept_callers import Disruptions
+    from tests.support.disruptions import Disruptions
     from tests.support.simulated_deployment import (
         SimulatedDeployment,
         StoreCopy,
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -14,7 +14,8 @@
 
 from mulberrypaddle.dispatch.stop_schedule import StopSchedule
 from tests.support.asynchronous import run
-from tests.support.kept_callers import Disruptions, losses
+from tests.support.disruptions import Disruptions
+from tests.support.kept_callers import losses
 from tests.support.persistent_callers import PersistentCallers
 from tests.support.simulated_deployment import (
     ROUTE_KINDS,
--- a/tests/soak/test_kept_callers.py
+++ b/tests/soak/test_kept_callers.py
@@ -11,8 +11,9 @@
 import testtools
 
 from tests.support.asynchronous import run
+from tests.support.disruptions import Disruptions
 from tests.support.idle_limits import IdleLimits
-from tests.support.kept_callers import Disruptions, SentRequest, losses
+from tests.support.kept_callers import SentRequest, losses
 from tests.support.simulated_deployment import Router, SimulatedDeployment
 
 GRACE_SECONDS = 6.0
@@ -161,6 +162,15 @@
         )
         self.assertEqual(["disruption"], excuses)
 
+    def test_request_that_never_ends_counts_unless_the_process_stands(
+        self,
+    ) -> None:
+        hanging = self._excuses(outcome="timed out", lasted=5.0)
+        paused = self._excuses(
+            outcome="timed out", sent_after=0.0, lasted=5.0, paused=True
+        )
+        self.assertEqual(([""], ["disruption"]), (hanging, paused))
+
     def test_kept_connection_that_crosses_a_stop_is_not_lost(self) -> None:
         excuses = self._excuses(
             outcome="no answer", runs=False, was_reset=True, within_limit=True
--- a/tests/support/kept_callers.py
+++ b/tests/support/kept_callers.py
@@ -18,7 +18,6 @@
 from tests.support.simulated_deployment import (
     ROUTE_KINDS,
     ROUTE_TIMEOUTS_SECONDS,
-    STABLE_WINDOW_SECONDS,
     Caller,
     Router,
     SimulatedDeployment,
@@ -28,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
+    from tests.support.disruptions import Disruptions
     from tests.support.simulated_deployment import RunnerWork
 
 # Pause before a new connection after one could not be made.
@@ -289,52 +289,6 @@
     return True
 
 
-class Disruptions:
-    """Unplanned disruptions, by what they hit. Times are monotonic.
-
-    What they hit is the address of a router, `store` or `runners`.
-    """
-
-    def __init__(self) -> None:
-        self._spans: dict[str, list[tuple[float, float]]] = {}
-
-    def add(self, name: str, duration_seconds: float) -> None:
-        """Records a disruption that begins now."""
-        now = time.monotonic()
-        self._spans.setdefault(name, []).append((now, now + duration_seconds))
-
-    def add_pause(self, router: Router, duration_seconds: float) -> None:
-        """Records that the process of a router stands still from now on."""
-        self.add(_pause_name(router), duration_seconds)
-
-    def ends_process(self, request: SentRequest) -> bool:
-        """Returns whether the process was killed that a request was sent to."""
-        return any(
-            request.idle_since_seconds <= began <= request.ended_at_seconds
-            for began, _ in self._spans.get(request.router.ip, ())
-        )
-
-    def excuse(self, request: SentRequest, *, is_stream: bool) -> bool:
-        """Returns whether a disruption excuses the loss of a request.
-
-        The store, and a lost member of a group, excuse only streams.
-        """
-        names = [request.router.ip, _pause_name(request.router)]
-        if is_stream:
-            names += ["store", "runners"]
-        begin = request.sent_at_seconds - STABLE_WINDOW_SECONDS
-        for name in names:
-            for began, ended in self._spans.get(name, ()):
-                if ended >= begin and began <= request.ended_at_seconds:
-                    return True
-        return False
-
-
-def _pause_name(router: Router) -> str:
-    """Returns the name of pauses of a router among the disruptions."""
-    return f"pause of {router.ip}"
-
-
 class Loss:
     """A request without a complete answer that its caller could expect.
 
@@ -388,10 +342,20 @@
     A request is lost if its connection ends without a complete answer. Around
     a signal it counts after it has reached a runner, or later than
     `LOSS_SLACK_SECONDS` after it was read. At other times it counts if its
-    connection was kept within the idle limit, whether it was read or not.
+    connection was kept within the idle limit, whether it was read or not. A
+    request whose connection does not end in time is lost, too.
     Losses that do not count are yielded with an excuse.
     """
     for request in requests:
+        if request.outcome == "timed out":
+            is_excused = disruptions.stops_process(request)
+            yield Loss(
+                request,
+                "its connection became idle",
+                request.idle_since_seconds,
+                "disruption" if is_excused else "",
+            )
+            continue
         if request.outcome not in ("cut", "no answer"):
             continue
         work = deployment.work.get(request.request_id, [])
