Close a refused connection also without a free descriptor

What callers saw: nothing yet. A router at its limit of file descriptors would have failed in the close of a connection whose request it refused, as the descriptor is duplicated to read the rest, and left it open.

The close goes on and logs event=not_drained. An error in the headers of such a request, which only costs the request's id, is logged as well instead of being suppressed.

--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import errno
 import logging
 import re
@@ -223,12 +222,12 @@
         self._refused = True
         self._chunks.clear()
         complete = self._begin_response()
-        with contextlib.suppress(Exception):
-            complete.request_id = (
-                self._caller_server.board.header_codec.parse_caller_headers(
-                    self._headers
-                ).request_id
-            )
+        codec = self._caller_server.board.header_codec
+        try:
+            fields = codec.parse_caller_headers(self._headers)
+            complete.request_id = fields.request_id
+        except Exception as error:  # noqa: BLE001 - the refusal needs no id
+            _LOGGER.warning("unreadable_headers", extra={"reason": str(error)})
         detail = f"got {size_bytes} bytes, allowed are {self._limit_bytes}"
         log_request(
             "refused",
--- a/mulberrypaddle/serving/unread_remainder.py
+++ b/mulberrypaddle/serving/unread_remainder.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 
+_LOGGER = logging.getLogger("mulberrypaddle.caller")
+
 # Time after which a connection is closed even if its caller goes on sending.
 DRAIN_SECONDS = 30.0
 
@@ -29,14 +32,21 @@
         """Prepares the read.
 
         Args:
-            connection: Socket of the connection. Its owner may close it.
+            connection: Socket of the connection. Its owner may close it after
+                `start`.
         """
         self._loop = asyncio.get_running_loop()
-        self._socket = connection.dup()
+        self._socket = connection
         self._deadline: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Ends the answer and starts to read, for `DRAIN_SECONDS` at most."""
+        try:
+            self._socket = self._socket.dup()
+        except OSError as error:
+            # Without a free descriptor the connection is closed at once.
+            _LOGGER.warning("not_drained", extra={"reason": str(error)})
+            return
         self._socket.setblocking(False)
         try:
             self._socket.shutdown(socket.SHUT_WR)
