Print the problem of a watch that fails in a test

The listed failure of test_watch_holds_beside_unreadable_object could not be traced, as the test raised without the problem. It checks the same and now fails with the problem's text.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import testtools
-from returns.result import Success
+from returns.result import Result, Success
 
 from mulberrypaddle.platform import lenient_json
 from mulberrypaddle.platform import store as platform_store
@@ -22,6 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from mulberrypaddle.core.errors import Problem
+
 # Values that can't be decoded wherever they are.
 UNREADABLE = (
     "nested deeply",
@@ -53,6 +55,13 @@
     return run(connected())
 
 
+def _value(result: Result[Any, Problem]) -> Any:
+    """Returns the value of a result; fails with the problem if it has none."""
+    if not isinstance(result, Success):
+        raise AssertionError(result.failure().detail)
+    return result.unwrap()
+
+
 def _runner_names(items: list[Any]) -> list[str]:
     decoder = PlatformDecoder()
     return sorted(
@@ -88,10 +97,10 @@
             store.remove("servers", "odd")
             removal = await client.watch(
                 Collection.RUNNERS,
-                revision=changes.unwrap().revision,
+                revision=_value(changes).revision,
                 wait_seconds=1.0,
             )
-            return changes.unwrap(), removal.unwrap()
+            return _value(changes), _value(removal)
 
         for reason in odd_entries():
             changes, removal = _read(scenario)
