--- a/mulberrypaddle/platform/decoder.py
+++ b/mulberrypaddle/platform/decoder.py
@@ -63,6 +63,9 @@
 # Highest number of the configuration that is accepted.
 _MAX_NUMBER = 1e12
 
+# Decoded configurations that are kept: the known and the new one are compared.
+_MAX_LAST_CONFIGS = 2
+
 # Used if the configuration has no limits; copied from the platform's example.
 _DEFAULT_LIMITS = CallerLimits(
     header_bytes=16_384,
@@ -77,29 +80,44 @@
 
     def __init__(self) -> None:
         self._reported_runners = ReportLimiter()
+        # Configurations that were decoded last, the latest at the end.
+        self._last_configs: list[tuple[StoredItem, ServingConfig | None]] = []
 
     def decode_config(self, items: list[StoredItem]) -> ServingConfig | None:
         """Decodes the configuration; returns None if missing or invalid."""
         for item in items:
-            if item.name != CONFIG_NAME:
-                continue
-            try:
-                return _read_config(item.content["spec"], item.revision)
-            except _DECODE_ERRORS as error:
-                _LOGGER.exception(
-                    "unreadable_configuration",
-                    extra={"revision": item.revision, "reason": str(error)},
-                )
+            if item.name == CONFIG_NAME:
+                return self._decode_config_once(item)
         return None
 
     def config_version(self, item: StoredItem) -> int | None:
-        """Returns the version of a configuration; None if unreadable."""
+        """Returns the version of a configuration; None if it is invalid."""
         if item.name != CONFIG_NAME:
             return None
+        config = self._decode_config_once(item)
+        return None if config is None else config.version
+
+    def _decode_config_once(self, item: StoredItem) -> ServingConfig | None:
+        """Decodes a configuration, unless it is one of the last decoded.
+
+        Returns:
+            The configuration; None if it is invalid.
+        """
+        config: ServingConfig | None
+        for decoded, config in self._last_configs:
+            if decoded is item:
+                return config
+        config = None
         try:
-            return require_int(item.content["spec"]["version"])
-        except _DECODE_ERRORS:
-            return None
+            config = _read_config(item.content["spec"], item.revision)
+        except _DECODE_ERRORS as error:
+            _LOGGER.exception(
+                "unreadable_configuration",
+                extra={"revision": item.revision, "reason": str(error)},
+            )
+        self._last_configs.append((item, config))
+        del self._last_configs[:-_MAX_LAST_CONFIGS]
+        return config
 
     def decode_runner(
         self, item: StoredItem, *, now_seconds: float
--- a/mulberrypaddle/serving/decoder.py
+++ b/mulberrypaddle/serving/decoder.py
@@ -25,7 +25,8 @@
     def config_version(self, item: StoredItem) -> int | None:
         """Returns the version of the configuration that an object holds.
 
-        The operator only raises it. None if the object has no readable one.
+        The operator only raises it. None if `decode_config` gives None for the
+        object, so that no version that can't be used displaces others.
 
         Args:
             item: Object of the configuration collection.
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -146,9 +146,9 @@
                 router may still send the collection, so that the store need
                 not be asked yet.
             version_of: Returns the version of an object whose writer only
-                raises it, or None if the object has no version. The copy never
-                goes back to an older version of an object, nor loses one that
-                has a version, whatever the revisions are.
+                raises it, or None if the object has no version or can't be
+                used. The copy never goes back from an object that has a version
+                to an older version or to none, whatever the revisions are.
         """
         self._store = store
         self._on_update = on_update
@@ -433,6 +433,8 @@
     def _latest_version(self, item: StoredItem, revision: int) -> StoredItem:
         """Returns the known object if it has a higher version, or the new one.
 
+        An object without a version doesn't replace one that has a version.
+
         Args:
             item: The new object.
             revision: Revision that the feed gets with it.
@@ -441,8 +443,10 @@
         if known is None:
             return item
         known_version = self._version_of(known)
+        if known_version is None:
+            return item
         version = self._version_of(item)
-        if known_version is None or version is None or version >= known_version:
+        if version is not None and version >= known_version:
             return item
         log_state_change(
             "older_version_held_back",
--- a/tests/serving/test_copies_across_eras.py
+++ b/tests/serving/test_copies_across_eras.py
@@ -236,15 +236,15 @@
             )
             task = asyncio.ensure_future(feed.run())
             try:
-                store.put("config", "main", {"version": 11})
+                store.put("config", "main", _config(11))
                 copied = store.make_copy()
-                store.put("config", "main", {"version": 12})
+                store.put("config", "main", _config(12))
                 await _wait_for(lambda: feed.version == 12)
                 for era in (2, 3):
                     store.restore(copied)
                     await _wait_for(lambda e=era: era_of(feed.revision) == e)
-                store.put("config", "main", {"version": 12})
-                store.put("config", "main", {"version": 13})
+                store.put("config", "main", _config(12))
+                store.put("config", "main", _config(13))
                 await _wait_for(lambda: feed.version == 13)
             finally:
                 task.cancel()
@@ -263,6 +263,11 @@
         self.assertEqual(2, sum(update.restored for update in updates))
 
 
+def _config(version: int) -> dict[str, Any]:
+    """Returns a valid configuration without routes."""
+    return {"version": version, "routes": [], "services": []}
+
+
 async def _wait_for(condition: Any) -> None:
     """Waits until a condition holds; fails after some seconds."""
     for _ in range(250):
