--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -34,13 +34,14 @@
 from mulberrypaddle.serving.readiness import METRICS_PORT, ReadinessServer
 from mulberrypaddle.serving.relays import MAX_MESH_ROUTERS
 from mulberrypaddle.serving.store import Collection
+from mulberrypaddle.serving.store_era import is_restored_between
 from mulberrypaddle.serving.suspension import SuspensionMark
 from mulberrypaddle.serving.tick_monitor import TickMonitor
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypaddle.fleet import NodeSettings
+    from mulberrypaddle.fleet import NodeSettings, ServingConfig
     from mulberrypaddle.serving.decoder import Decoder
     from mulberrypaddle.serving.header_codec import HeaderCodec
     from mulberrypaddle.serving.runner_control import RunnerControl
@@ -553,7 +554,8 @@
         """Decodes the configuration and replaces the current one if newer.
 
         The operator only raises the version, whereas a store that was restored
-        may hold an older version at a higher revision.
+        may hold an older version at a higher revision. The same version counts
+        as newer if it was written again without a restore in between.
         """
         config = self._decoder.decode_config(
             list(self._config_feed.items.values())
@@ -561,7 +563,7 @@
         known = self.board.config
         if config is None:
             return
-        if known is not None and config.version <= known.version:
+        if known is not None and not _is_later(config, known):
             if config.version < known.version:
                 log_state_change(
                     "older_config_held_back",
@@ -691,3 +693,16 @@
 def _urgent_pause_seconds() -> float:
     """Returns the pause between two watches of urgent collections."""
     return URGENT_WATCH_PAUSE_SECONDS
+
+
+def _is_later(config: ServingConfig, known: ServingConfig) -> bool:
+    """Returns whether a configuration was written after the known one.
+
+    If a restore of the store lies between two writes of the same version, that
+    can't be told.
+    """
+    if config.version != known.version:
+        return config.version > known.version
+    return config.revision > known.revision and not is_restored_between(
+        known.revision, config.revision
+    )
--- a/tests/serving/test_older_configuration.py
+++ b/tests/serving/test_older_configuration.py
@@ -116,6 +116,20 @@
 
         self.assertTrue(with_router(scenario))
 
+    def test_version_written_again_with_other_content_takes_effect(
+        self,
+    ) -> None:
+        def scenario(router: ServingRouter) -> list[bool]:
+            apply_version(router, 12, revision=10, host="a")
+            apply_version(router, 12, revision=11, host="b")
+            config = router.board.config
+            assert config is not None
+            return [
+                config.route_for(host, "/") is not None for host in ("a", "b")
+            ]
+
+        self.assertEqual([False, True], with_router(scenario))
+
     def test_feed_follows_the_new_era_with_the_same_version(self) -> None:
         def scenario(router: ServingRouter) -> int:
             apply_version(router, 12, revision=make_revision(285, 1))
