--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -368,9 +368,18 @@
         self._leaving_by_time = None
 
     def _is_past(self, entry: RunnerEntry) -> bool:
-        """Returns whether an entry is one that had been removed, or older."""
+        """Returns whether an entry may be of a runner that has been removed.
+
+        A higher number alone proves nothing: heartbeats raise it, and the last
+        ones before the removal were not reported.
+        """
         removed = self._removed.get(entry.runner_id)
-        return removed is not None and not entry.is_newer_than(removed)
+        if removed is None:
+            return False
+        return (
+            entry.incarnation == removed.incarnation
+            or not entry.is_newer_than(removed)
+        )
 
     def _is_newer_than_known(self, entry: RunnerEntry) -> bool:
         """Returns whether an entry is certainly newer than the one listed."""
--- a/tests/fleet/test_returned_runners.py
+++ b/tests/fleet/test_returned_runners.py
@@ -54,6 +54,8 @@
         for restored in (
             _entry(sequence=9),
             _entry(sequence=7),
+            # Heartbeats raise the number, and watches don't report them.
+            _entry(sequence=12),
             _entry(sequence=None),
             _entry(sequence=30, started_at_ms=3),
             _entry(sequence=30, started_at_ms=None),
@@ -62,12 +64,17 @@
             self.assertFalse(_accepts(view))
             self.assertEqual(["a"], view.unproven)
 
-    def test_newer_entry_in_the_restored_list_proves_it_alive(self) -> None:
-        for restored in (
-            _entry(sequence=10),
-            _entry(sequence=1, started_at_ms=6),
-        ):
-            self.assertTrue(_accepts(_view(restored)))
+    def test_later_start_in_the_restored_list_proves_it_alive(self) -> None:
+        view = _view(_entry(sequence=1, started_at_ms=6))
+        self.assertTrue(_accepts(view))
+
+    def test_heartbeat_after_the_restored_list_proves_it_alive(self) -> None:
+        view = _view(_entry(sequence=10))
+        self.assertFalse(_accepts(view))
+        view.replace_all(
+            [_entry(sequence=11)], revision=_RESTORED, now_seconds=10.1
+        )
+        self.assertTrue(_accepts(view))
 
     def test_write_of_the_new_era_proves_it_alive(self) -> None:
         view = _view(_entry(sequence=7))
