--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -451,7 +451,7 @@
         log_state_change(
             "older_version_held_back",
             collection=self.collection.value,
-            name=item.name,
+            subject=item.name,
             version=version,
             known=known_version,
             revision=revision,
--- a/tests/serving/test_older_configuration.py
+++ b/tests/serving/test_older_configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
@@ -130,6 +131,21 @@
 
         self.assertEqual([False, True], with_router(scenario))
 
+    def test_feed_that_logs_follows_the_new_era_with_an_older_version(
+        self,
+    ) -> None:
+        def scenario(router: ServingRouter) -> int:
+            apply_version(router, 12, revision=make_revision(285, 1))
+            apply_version(router, 11, revision=make_revision(263, 2))
+            return router._config_feed.revision
+
+        # As in a running router; otherwise entries are not made at all.
+        logger = logging.getLogger("mulberrypaddle.beliefs")
+        before = logger.level
+        logger.setLevel(logging.INFO)
+        self.addCleanup(logger.setLevel, before)
+        self.assertEqual(make_revision(263, 2), with_router(scenario))
+
     def test_feed_follows_the_new_era_with_the_same_version(self) -> None:
         def scenario(router: ServingRouter) -> int:
             apply_version(router, 12, revision=make_revision(285, 1))
