--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -446,7 +446,9 @@
         if known_version is None:
             return item
         version = self._version_of(item)
-        if version is not None and version >= known_version:
+        if version is None:
+            return known
+        if version >= known_version:
             return item
         log_state_change(
             "older_version_held_back",
--- a/tests/serving/test_unreadable_versions.py
+++ b/tests/serving/test_unreadable_versions.py
@@ -135,6 +135,14 @@
 
         self.assertEqual(13, with_router(scenario))
 
+    def test_unreadable_version_is_not_logged_as_an_older_one(self) -> None:
+        def scenario(router: ServingRouter) -> None:
+            apply_version(router, 12, revision=10)
+            with self.assertNoLogs("mulberrypaddle.beliefs", "INFO"):
+                list_unreadable(router, _HUGE, revision=11)
+
+        with_router(scenario)
+
     def test_version_is_decoded_once(self) -> None:
         decoder = PlatformDecoder()
         item = config_item(12, revision=10)
