Let a stream wait for a silent runner if no other one takes it

What callers saw: a stream was cut in the middle, without an end, although its runner only stood still for a second.

Cause: a stream returns to a runner that it left for its silence only if no stream was seen to stall there in the last 0.6 s. A runner that refuses within that time ended the stream, as no other had room.

While the silent runner is the same process in an open group, the request now waits and asks again until its deadline instead of giving up.

Evidence: test_stream_awaits_a_silent_head_if_the_others_ask_for_a_pause fails without the change (the stream is cut after event 1) and passes with it; the existing tests of returns pass unchanged.

--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -279,6 +279,9 @@
                 if entry is not None:
                     return entry
             if self._may_have_run and not self._may_send_again():
+                if self._may_return_later():
+                    await asyncio.sleep(RETRY_ROUND_PAUSE_SECONDS)
+                    continue
                 self._fail_outcome_unknown()
                 return None
             if self._only_excluded_healthy(now):
@@ -318,10 +321,21 @@
             return False
         if board.pauses.is_paused(runner.incarnation, now):
             return False
-        for entry in board.chooser.serving_runners(self._runner_requirements()):
-            if entry.incarnation == runner.incarnation:
-                return True
-        return False
+        return self._is_serving(runner)
+
+    def _is_serving(self, runner: RunnerEntry) -> bool:
+        """Returns whether a runner is the same process in an open group."""
+        serving = self._board.chooser.serving_runners(
+            self._runner_requirements()
+        )
+        return any(entry.incarnation == runner.incarnation for entry in serving)
+
+    def _may_return_later(self) -> bool:
+        """Returns whether a runner that was left for its silence may go on.
+
+        Until its group is closed it may be a sound one that pauses.
+        """
+        return any(self._is_serving(runner) for runner in self._silent_runners)
 
     def _return_to_silent_runner(self, now: float) -> RunnerEntry | None:
         """Reserves a slot at a runner that was left only for its silence.
@@ -393,10 +407,9 @@
             requirements, queue, sort_key, on_time=on_time, now=now
         )
         if decision.until_seconds is None or decision.until_seconds <= now:
-            self._refuse_no_capacity(
+            return await self._end_wait(
                 decision.retry_after_seconds, healthy_count
             )
-            return False
         waiter = Waiter(
             sort_key,
             on_time_until_seconds=self._terms.on_time_until_seconds,
@@ -420,10 +433,9 @@
                         now=board.now(),
                     )
                     if decision.until_seconds is None:
-                        self._refuse_no_capacity(
+                        return await self._end_wait(
                             decision.retry_after_seconds, healthy_count
                         )
-                        return False
             may_send = await waiter.wait_result
         finally:
             queue.drop(waiter)
@@ -438,7 +450,7 @@
             self._refuse_expired()
             return False
         if not may_send:
-            self._refuse_no_capacity(
+            return await self._end_wait(
                 retry_after(
                     self._terms.busy_seconds,
                     now_seconds=board.now(),
@@ -448,6 +460,27 @@
             )
         return may_send
 
+    async def _end_wait(
+        self, retry_after_seconds: float, healthy_count: int
+    ) -> bool:
+        """Ends a wait for a slot that is hopeless.
+
+        A stream that left a runner only for its silence goes on waiting for
+        that one.
+
+        Args:
+            retry_after_seconds: Value of the Retry-After header of a refusal.
+            healthy_count: Number of healthy runners.
+
+        Returns:
+            Whether to look for a runner again; if not, the request was refused.
+        """
+        if self._may_return_later():
+            await asyncio.sleep(RETRY_ROUND_PAUSE_SECONDS)
+            return True
+        self._refuse_no_capacity(retry_after_seconds, healthy_count)
+        return False
+
     def _evaluate_wait(
         self,
         requirements: RunnerRequirements,
@@ -772,10 +805,7 @@
                 )
                 return self._forward_error_response(attempt)
         if not self._terms.route.may_retry or not (
-            self._may_send_again()
-            or any(
-                self._can_return(runner, now) for runner in self._silent_runners
-            )
+            self._may_send_again() or self._may_return_later()
         ):
             return self._forward_error_response(attempt)
         if outcome is AttemptOutcome.FAILED and not self._has_other_healthy(
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -906,6 +906,36 @@
             self.assertEqual(1, got.count(b"id: %d\n" % number), got)
         self.assertTrue(got.endswith(b"0\r\n\r\n"))
 
+    def test_stream_awaits_a_silent_head_if_the_others_ask_for_a_pause(
+        self,
+    ) -> None:
+        self.patch(stalls, "STALL_SECONDS", 0.2)
+        requests: list[bytes] = []
+
+        async def answer(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            requests.append(request)
+            if len(requests) == 1:
+                writer.write(_STREAM_HEAD + _event(1))
+                await writer.drain()
+                await asyncio.sleep(1.0)
+                return
+            if len(requests) == 2:
+                writer.write(
+                    _complete_response(
+                        503, b"", b"X-Not-Executed: 1\r\nRetry-After: 9\r\n"
+                    )
+                )
+                return
+            writer.write(_STREAM_HEAD + _event(2) + _STREAM_END)
+
+        got, _ = self._send_request(answer, answer, first_attempts=100)
+        self.assertEqual(3, len(requests), got)
+        for number in (1, 2):
+            self.assertEqual(1, got.count(b"id: %d\n" % number), got)
+        self.assertTrue(got.endswith(b"0\r\n\r\n"))
+
     def test_event_after_a_gap_is_not_forwarded(self) -> None:
         got, _ = self._send_request(
             _answers(_STREAM_HEAD + _event(1) + _event(3) + _STREAM_END)
