--- a/mulberrypaddle/fleet/runners.py
+++ b/mulberrypaddle/fleet/runners.py
@@ -145,5 +145,6 @@
         if self.started_at_ms != other.started_at_ms:
             return self.started_at_ms > other.started_at_ms
         if self.sequence is None or other.sequence is None:
-            return False
+            # A runner that drains doesn't become ready again.
+            return self.draining and not other.draining
         return self.sequence > other.sequence
--- a/tests/serving/test_restored_runners.py
+++ b/tests/serving/test_restored_runners.py
@@ -55,6 +55,20 @@
 
         self.assertEqual([True, False, False, False], with_router(scenario))
 
+    def test_entry_without_a_number_that_drains_is_not_held_back(self) -> None:
+        def scenario(router: ServingRouter) -> bool:
+            for revision, state in (
+                (_BEFORE, "ready"),
+                (_RESTORED, "ready"),
+                (_RESTORED + 9, "draining"),
+            ):
+                _list_runner(
+                    router, revision=revision, state=state, sequence=None
+                )
+            return _accepts(router)
+
+        self.assertFalse(with_router(scenario))
+
     def test_starting_router_learns_it_from_the_others(self) -> None:
         def scenario(router: ServingRouter) -> list[dict[str, Any]]:
             reports = []
