List all collections again once a call shows that the store was restored

Cause: two routers learned of the new era at 15:26:09.2 from the list of the duties, but their watches of the configuration had waited since before the restore on connections that a proxy had silenced, and were given up only after their 8 s, at 15:26:15.7 and 16.2.

A client of the store now reports a restore, and a router that does not rely on another one gives up its watches and lists at once.

Evidence: test_version_behind_a_watch_that_hangs_since_before_a_restore has version 1 without the line in router.py and version 2 with it.

--- a/mulberrypaddle/platform/store.py
+++ b/mulberrypaddle/platform/store.py
@@ -102,6 +102,8 @@
         self._client = make_client()
         # Latest era that an answer, or a revision from another router, had.
         self._era = FIRST_ERA
+        # Whether an answer was received.
+        self._is_era_known = False
 
     async def list(
         self, collection: Collection, *, may_be_stale: bool = False
@@ -317,6 +319,7 @@
         if era < self._era:
             return _restored_problem(path, era, self._era)
         self._record_later_era(era)
+        self._is_era_known = True
         return None
 
     def _record_later_era(self, era: int) -> None:
@@ -324,6 +327,8 @@
         if self._era < era <= MAX_ERA:
             log_state_change("store_era", era=era, before=self._era)
             self._era = era
+            if self._is_era_known:
+                self.on_restored()
 
 
 def _configure_read(curl: pycurl.Curl) -> None:
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -151,6 +151,8 @@
         # reporting. That would hide changes from all routers that rely on this
         # one, so the collections are listed again.
         self._duty_manager.on_acquired = self._relist_unless_passive
+        # A watch of the era before may wait on a connection that is dead.
+        store.on_restored = self._relist_unless_passive
         self._crash_monitor = CrashMonitor(self.board)
         self._tick_monitor = TickMonitor()
         self._peers.duty_status = self._make_duty_status
--- a/mulberrypaddle/serving/store.py
+++ b/mulberrypaddle/serving/store.py
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from returns.result import Result
 
     from mulberrypaddle.core.errors import Problem
@@ -93,8 +95,19 @@
     """The store no longer keeps the changes since a revision; list again."""
 
 
+def _ignore() -> None:
+    """Does nothing."""
+
+
 class ObjectStore(abc.ABC):
-    """Reads, watches and conditionally writes objects."""
+    """Reads, watches and conditionally writes objects.
+
+    Attributes:
+        on_restored: Called when a call shows that the store was restored from a
+            copy since the call before.
+    """
+
+    on_restored: Callable[[], None] = staticmethod(_ignore)
 
     @abc.abstractmethod
     async def list(
--- a/tests/serving/test_router.py
+++ b/tests/serving/test_router.py
@@ -10,13 +10,63 @@
 from mulberrypaddle.dispatch import stop_schedule
 from mulberrypaddle.platform.decoder import PlatformDecoder
 from mulberrypaddle.platform.headers import PlatformHeaderCodec
+from mulberrypaddle.platform.store import PlatformStore
 from mulberrypaddle.serving import router as router_module
 from mulberrypaddle.serving.duty_manager import DutyManager
 from mulberrypaddle.serving.router import ServingRouter
 from mulberrypaddle.serving.runner_control import RunnerControl
-from mulberrypaddle.serving.store import ObjectStore
+from mulberrypaddle.serving.store import Collection, ObjectStore
 from tests.support.asynchronous import run
-from tests.support.front_end_harness import make_settings
+from tests.support.front_end_harness import free_port, make_settings
+from tests.support.simulated_deployment import Store
+
+
+def _config(version: int) -> dict[str, object]:
+    """Returns a configuration without routes."""
+    return {"version": version, "routes": [], "services": []}
+
+
+class RestoreTest(testtools.TestCase):
+    """What a router does when any call shows that the store was restored."""
+
+    def test_version_behind_a_watch_that_hangs_since_before_a_restore(
+        self,
+    ) -> None:
+        async def scenario() -> tuple[int, int]:
+            address = ("127.0.0.1", free_port())
+            store = Store(address)
+
+            watching = asyncio.Event()
+
+            async def hang(*_: object) -> None:
+                watching.set()
+                await asyncio.sleep(60.0)
+
+            self.patch(store, "_watch", hang)
+            client = PlatformStore(f"{address[0]}:{address[1]}")
+            router = ServingRouter(
+                make_settings(),
+                store=client,
+                decoder=PlatformDecoder(),
+                header_codec=PlatformHeaderCodec(),
+                control=mock.create_autospec(RunnerControl),
+            )
+            store.put("config", "main", _config(1))
+            copied = store.make_copy()
+            feed = router._config_feed
+            following = asyncio.ensure_future(feed.run())
+            await watching.wait()
+            before = feed.version
+            store.restore(copied)
+            store.put("config", "main", _config(2))
+            await client.list(Collection.DUTIES)
+            await asyncio.sleep(0.3)
+            following.cancel()
+            router.board.client.close()
+            store.close()
+            return before, feed.version
+
+        self.assertEqual((1, 2), run(scenario()))
 
 
 class StopTest(testtools.TestCase):
