Start the stop in a test once the runner has the request

Cause: the test slept 0.1 s, began a stop of 1 s and let the first attempt fail 0.3 s after its arrival, all by the real clock. If the process is more than 0.6 s late, the stop has no time left for a second attempt, as intended.

The stop now begins when the runner has the request, and the attempt fails when it has begun. Both bounds hold as before, and the first attempt is now checked to have had more time than the stop leaves.

--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -340,25 +340,36 @@
     ) -> None:
         async def scenario() -> list[int]:
             path = FrontEndHarness()
-            first = RawRunner(_abort_after(0.3))
-            second = RawRunner(_abort_after(0.0))
-            path.add_runner("r0", await first.start())
-            path.add_runner("r1", await second.start())
+            received = asyncio.Event()
+            may_abort = asyncio.Event()
+
+            async def abort(
+                count: int, request: bytes, writer: asyncio.StreamWriter
+            ) -> None:
+                received.set()
+                await may_abort.wait()
+                writer.transport.abort()
+
+            runners = [RawRunner(abort), RawRunner(abort)]
+            for number, runner in enumerate(runners):
+                path.add_runner(f"r{number}", await runner.start())
             _allow_retries(path)
             sending = asyncio.ensure_future(path.send_request("/safe/1"))
-            await asyncio.sleep(0.1)
-            path.begin_stop(left_seconds=1.0)
+            await received.wait()
+            path.begin_stop(left_seconds=2.0)
+            may_abort.set()
             await sending
             path.close()
-            heads = [*first.request_heads, *second.request_heads]
-            for runner in (first, second):
+            heads = [head for r in runners for head in r.request_heads]
+            for runner in runners:
                 await runner.stop()
-            return [_deadline_ms(head) for head in heads]
+            return sorted(_deadline_ms(head) for head in heads)
 
         deadlines_ms = run(scenario())
         # The first one was sent before the signal, with the caller's time.
         self.assertEqual(2, len(deadlines_ms))
-        self.assertLessEqual(min(deadlines_ms), 1000 + 10)
+        self.assertLessEqual(deadlines_ms[0], 2000 + 10)
+        self.assertGreater(deadlines_ms[1], 2000 + 10)
 
     def test_connecting_request_is_refused_at_the_end_of_a_stop(self) -> None:
         async def scenario() -> bytes:
@@ -471,18 +482,6 @@
     return int(head.lower().split(b"x-deadline-ms:")[1].split(b"\r\n")[0])
 
 
-def _abort_after(seconds: float) -> AnswerWriter:
-    """Returns a runner that aborts the connection after some time."""
-
-    async def answer(
-        count: int, request: bytes, writer: asyncio.StreamWriter
-    ) -> None:
-        await asyncio.sleep(seconds)
-        writer.transport.abort()
-
-    return answer
-
-
 # More requests than a runner of the harness has slots and places in its queue.
 _FULL_LOAD = 100
 
