Run the store outages of a duty manager on virtual time

Cause: 12 s of ticks ran on the real clock, so that a late process made the routers' reports old, on which an owner rightly gives up its lease.

The outages now run on the virtual loop that the tests of leases use; what they check is unchanged. With the process stopped for 1 s in every 2 s the test fails before this change.

--- a/tests/serving/test_duty_manager.py
+++ b/tests/serving/test_duty_manager.py
@@ -30,6 +30,7 @@
 from tests.serving.test_digest import make_heartbeat
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness, free_port
+from tests.support.virtual_time import run_virtual, virtual_lease_clock
 
 if TYPE_CHECKING:
     from mulberrypaddle.serving.blackboard import Blackboard
@@ -211,16 +212,18 @@
             owner = _RouterHarness(path.board)
             owner.peers.reachability = reachability
             owner.peers.observation_age_ms = observation_age_ms
-            task = asyncio.ensure_future(owner.manager.run())
-            while not owner.manager.holds_any_lease():
-                await asyncio.sleep(0.05)
-            owner.store.silent = True
-            held = await owner.run_ticks(LEASE_SECONDS + 2.0)
-            task.cancel()
-            path.close()
-            return held, bool(owner.manager.resigned())
-
-        return run(scenario())
+            with virtual_lease_clock():
+                task = asyncio.ensure_future(owner.manager.run())
+                while not owner.manager.holds_any_lease():
+                    await asyncio.sleep(0.05)
+                owner.store.silent = True
+                held = await owner.run_ticks(LEASE_SECONDS + 2.0)
+                task.cancel()
+                path.close()
+                return held, bool(owner.manager.resigned())
+
+        result: tuple[list[bool], bool] = run_virtual(scenario())
+        return result
 
     def test_keeps_the_lease_while_no_router_reaches_the_store(self) -> None:
         held, resigned = self._run_outage(StoreReachability.UNREACHABLE)
--- a/tests/support/lease_world.py
+++ b/tests/support/lease_world.py
@@ -5,17 +5,15 @@
 import asyncio
 import random
 from typing import TYPE_CHECKING
-from unittest import mock
 
 from mulberrypaddle.platform.headers import PlatformHeaderCodec
-from mulberrypaddle.serving import duty, duty_manager
 from mulberrypaddle.serving.blackboard import Blackboard
 from mulberrypaddle.serving.duty_manager import DutyManager
 from mulberrypaddle.serving.relays import Relays
 from tests.serving.test_digest import make_heartbeat
 from tests.support.front_end_harness import make_settings
 from tests.support.lease_store import LeaseObjects, LeaseStore
-from tests.support.virtual_time import run_virtual
+from tests.support.virtual_time import run_virtual, virtual_lease_clock
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -222,16 +220,7 @@
     """Runs a scenario with a process on each VM, and returns the world."""
 
     async def run_scenario() -> LeaseWorld:
-        loop = asyncio.get_running_loop()
-
-        def clock() -> float:
-            # 0 stands for "never" in a duty manager.
-            return 100.0 + loop.time()
-
-        with (
-            mock.patch.object(duty, "boottime_seconds", clock),
-            mock.patch.object(duty_manager, "boottime_seconds", clock),
-        ):
+        with virtual_lease_clock():
             world = LeaseWorld(seed)
             for vm in LeaseWorld.VMS:
                 world.start(vm)
--- a/tests/support/virtual_time.py
+++ b/tests/support/virtual_time.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import selectors
 from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+from mulberrypaddle.serving import duty, duty_manager
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Coroutine, Iterator
 
 
 class _VirtualSelector(selectors.SelectSelector):
@@ -47,3 +51,19 @@
     """Runs a coroutine on virtual time and returns its result."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(work)
+
+
+@contextlib.contextmanager
+def virtual_lease_clock() -> Iterator[None]:
+    """Lets leases run on the time of the running loop meanwhile."""
+    loop = asyncio.get_running_loop()
+
+    def clock() -> float:
+        # 0 stands for "never" in a duty manager.
+        return 100.0 + loop.time()
+
+    with (
+        mock.patch.object(duty, "boottime_seconds", clock),
+        mock.patch.object(duty_manager, "boottime_seconds", clock),
+    ):
+        yield
