Share set-ups between tests of configurations and restores

Three pairs of tests wrote the same steps out twice: versions beside requests, a heartbeat that a router fetches after, and a store that is copied between two versions.

--- a/tests/platform/test_restored_deployment.py
+++ b/tests/platform/test_restored_deployment.py
@@ -54,6 +54,23 @@
     )
 
 
+async def _copy_between_versions(
+    deployment: SimulatedDeployment,
+) -> tuple[int, int, StoreCopy]:
+    """Copies the store between two versions, of which the newer is in force.
+
+    Returns:
+        The older version, which the copy holds, the newer one, and the copy.
+    """
+    older = put_version(deployment)
+    await asyncio.sleep(_SPREAD_SECONDS)
+    copied = deployment.store.make_copy()
+    _raise_revision(deployment)
+    newer = put_version(deployment)
+    await asyncio.sleep(CONFIG_APPLY_SECONDS)
+    return older, newer, copied
+
+
 async def _ask(
     deployment: SimulatedDeployment, router: Router, version: int
 ) -> int | None:
@@ -93,12 +110,7 @@
         async def scenario(
             deployment: SimulatedDeployment, caller: Caller
         ) -> None:
-            older = put_version(deployment)
-            await asyncio.sleep(_SPREAD_SECONDS)
-            copied = deployment.store.make_copy()
-            _raise_revision(deployment)
-            newer = put_version(deployment)
-            await asyncio.sleep(CONFIG_APPLY_SECONDS)
+            older, newer, copied = await _copy_between_versions(deployment)
             await _restore(deployment, copied, rewritten_after_seconds=1.0)
             end = time.monotonic() + 2.0
             while time.monotonic() < end:
@@ -118,12 +130,7 @@
         async def scenario(
             deployment: SimulatedDeployment, caller: Caller
         ) -> None:
-            older = put_version(deployment)
-            await asyncio.sleep(_SPREAD_SECONDS)
-            copied = deployment.store.make_copy()
-            _raise_revision(deployment)
-            newer = put_version(deployment)
-            await asyncio.sleep(CONFIG_APPLY_SECONDS)
+            older, newer, copied = await _copy_between_versions(deployment)
             await _restore(deployment, copied, rewritten_after_seconds=4.0)
             router = deployment.add_router(ROUTERS + 1)
             end = time.monotonic() + _START_SECONDS
--- a/tests/serving/test_config_changes.py
+++ b/tests/serving/test_config_changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING, Any
 
 import testtools
 
@@ -15,6 +16,9 @@
 )
 from tests.support.raw_runner import RawRunner
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
 _HEAD = b"HTTP/1.1 200 X\r\nX-Request-Id: q1\r\nX-Response-Seal: s\r\n"
 _EVENT = b"f\r\nid: %d\ndata: x\n\n\r\n"
 _MODEL = ("X-Model: small", "X-Token-Counts: 100,50", "X-Deadline-Ms: 3000")
@@ -72,18 +76,30 @@
 class ConfigChangeTest(testtools.TestCase):
     """A new version does not apply to what was admitted before."""
 
-    def test_request_at_a_runner_is_answered_beside_a_new_version(
+    def _assert_served(
         self,
+        change: Callable[[str, ServingConfig], Coroutine[Any, Any, bytes]],
     ) -> None:
+        """Checks the answers to requests of each path beside each version.
+
+        Args:
+            change: Sends a request to a path, lets a version take effect, and
+                returns the answer.
+        """
         for name, version in zip(_NAMES, _VERSIONS, strict=True):
             for path in ("/safe/1", "/pay/1"):
-                answer = run(self._change_while_at_a_runner(path, version))
+                answer = run(change(path, version))
                 self.assertEqual(
                     (b"HTTP/1.1 200", True),
                     (answer[:12], answer.endswith(b"done")),
                     f"{path}, {name}",
                 )
 
+    def test_request_at_a_runner_is_answered_beside_a_new_version(
+        self,
+    ) -> None:
+        self._assert_served(self._change_while_at_a_runner)
+
     async def _change_while_at_a_runner(
         self, path: str, version: ServingConfig
     ) -> bytes:
@@ -107,14 +123,7 @@
     def test_request_in_the_queue_is_answered_beside_a_new_version(
         self,
     ) -> None:
-        for name, version in zip(_NAMES, _VERSIONS, strict=True):
-            for path in ("/safe/1", "/pay/1"):
-                answer = run(self._change_while_queued(path, version))
-                self.assertEqual(
-                    (b"HTTP/1.1 200", True),
-                    (answer[:12], answer.endswith(b"done")),
-                    f"{path}, {name}",
-                )
+        self._assert_served(self._change_while_queued)
 
     async def _change_while_queued(
         self, path: str, version: ServingConfig
--- a/tests/serving/test_unshared_versions.py
+++ b/tests/serving/test_unshared_versions.py
@@ -61,6 +61,26 @@
         return None if item is None else PlatformDecoder().config_version(item)
 
 
+async def _receive_heartbeat(
+    receiver: _Router, heartbeat: Heartbeat, *, sender: _Router
+) -> None:
+    """Lets a router fetch what a heartbeat of another one announces."""
+    port = free_port()
+    server, client = (
+        CollectionSync(
+            {_NAME: router.feed},
+            address=("127.0.0.1", port),
+            supervisor=Supervisor(),
+        )
+        for router in (sender, receiver)
+    )
+    server.listen()
+    client.fetch_if_behind(heartbeat, 100.0)
+    for task in list(client._supervisor.tasks):
+        await task
+    server._server.stop()
+
+
 class UnsharedVersionTest(testtools.TestCase):
     """Versions are passed on although the revisions say nothing of them."""
 
@@ -108,27 +128,14 @@
 
     def test_starting_router_fetches_the_version_over_http(self) -> None:
         async def scenario(knows: bool) -> int | None:
-            port = free_port()
             knowing = _Router((12, _BEFORE), (11, _RESTORED))
             starting = _Router((11, _RESTORED))
-            server, client = (
-                CollectionSync(
-                    {_NAME: router.feed},
-                    address=("127.0.0.1", port),
-                    supervisor=Supervisor(),
-                )
-                for router in (knowing, starting)
-            )
-            server.listen()
             heartbeat = make_heartbeat(
                 "known",
                 revisions={_NAME: knowing.feed.changed_revision},
                 versions={_NAME: knowing.feed.version} if knows else {},
             )
-            client.fetch_if_behind(heartbeat, 100.0)
-            for task in list(client._supervisor.tasks):
-                await task
-            server._server.stop()
+            await _receive_heartbeat(starting, heartbeat, sender=knowing)
             return starting.version
 
         self.assertEqual(12, run(scenario(True)))
@@ -137,18 +144,7 @@
 
     def test_version_is_known_before_the_first_list(self) -> None:
         async def scenario(listed: int) -> list[int | None]:
-            port = free_port()
-            knowing = _Router((12, _BEFORE))
             starting = _Router()
-            server, client = (
-                CollectionSync(
-                    {_NAME: router.feed},
-                    address=("127.0.0.1", port),
-                    supervisor=Supervisor(),
-                )
-                for router in (knowing, starting)
-            )
-            server.listen()
             # Since the restore the sender has not reached the store.
             heartbeat = make_heartbeat(
                 "known",
@@ -156,10 +152,9 @@
                 versions={_NAME: 12},
                 watches=False,
             )
-            client.fetch_if_behind(heartbeat, 100.0)
-            for task in list(client._supervisor.tasks):
-                await task
-            server._server.stop()
+            await _receive_heartbeat(
+                starting, heartbeat, sender=_Router((12, _BEFORE))
+            )
             # The store is asked first, and may have a later version.
             self.assertEqual([], starting.updates)
             self.assertEqual(0, starting.feed.revision)
