Count the grace of a stop from when a paused process last ran

The router had read the request, and the platform killed it at the end of the grace period.

Cause: SIGTERM came while the router was paused (SIGSTOP). A signal is handled when the process runs again, 1.5 s later here, and that moment was taken for the time of the signal, so the planned end lay 0.9 s after the kill.

Evidence: the router's log has event=stopping 1.5 s after the signal, and neither event=drained nor event=stop before the next event=start. The new test with a real process fails before (killed, -9) and passes now.

The time of a signal that came while the process didn't run is not known. The tick before that bounds it from below, so no step of the stop comes too late; requests that are still in flight are ended up to that pause too early, with a true 503 or 504 where no answer has begun. Without a late tick nothing changes.

--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -251,13 +251,16 @@
     def _begin_stop(self) -> None:
         """Begins a planned stop at the first signal; ignores further ones.
 
-        From here on requests are admitted only if they end in time.
+        From here on requests are admitted only if they end in time. The grace
+        period runs from the signal, also while this process doesn't.
         """
         board = self.board
         if board.stop is not None:
             return
         board.stop = StopSchedule(
-            signalled_at_seconds=board.now(),
+            signalled_at_seconds=self._tick_monitor.signal_sent_seconds(
+                board.now(), pause_seconds=HEARTBEAT_INTERVAL_SECONDS
+            ),
             grace_seconds=self._settings.bounds.stop_grace_seconds,
         )
         self._log_stop("stopping")
--- a/mulberrypaddle/serving/tick_monitor.py
+++ b/mulberrypaddle/serving/tick_monitor.py
@@ -1,4 +1,4 @@
-"""Whether this process runs promptly enough to hold duties.
+"""Whether this process runs promptly, and since when it did not.
 
 A slow VM, or one whose core is used by others, still serves its callers. The
 leadership of groups, on which the whole fleet waits, should be on another VM
@@ -29,10 +29,17 @@
     It decides by how late the recent rounds (ticks) of the main loop were.
     """
 
-    __slots__ = ("_last_tick_seconds", "_tick_was_late", "_unfit_until_seconds")
+    __slots__ = (
+        "_last_tick_seconds",
+        "_late_since_seconds",
+        "_tick_was_late",
+        "_unfit_until_seconds",
+    )
 
     def __init__(self) -> None:
         self._last_tick_seconds: float | None = None
+        # Time of the tick before the last one, if the last one was late.
+        self._late_since_seconds: float | None = None
         # Whether each of the recent ticks was late, oldest first.
         self._tick_was_late: collections.deque[bool] = collections.deque(
             maxlen=WINDOW_TICKS
@@ -55,15 +62,38 @@
         )
         if last_tick_seconds is None:
             return False
-        self._tick_was_late.append(
+        is_late = (
             now_seconds - last_tick_seconds - pause_seconds > LATE_TICK_SECONDS
         )
+        self._tick_was_late.append(is_late)
+        self._late_since_seconds = last_tick_seconds if is_late else None
         if sum(self._tick_was_late) < UNFIT_LATE_TICKS:
             return False
         was_fit = self.is_fit(now_seconds)
         self._unfit_until_seconds = now_seconds + UNFIT_SECONDS
         return was_fit
 
+    def signal_sent_seconds(
+        self, now_seconds: float, *, pause_seconds: float
+    ) -> float:
+        """Returns the earliest time at which a signal may have been sent.
+
+        A process that did not run for a while receives the signals of that
+        time at its end, before or just after its next tick.
+
+        Args:
+            now_seconds: Monotonic time at which the signal is handled.
+            pause_seconds: Intended pause between two ticks.
+        """
+        if self._last_tick_seconds is None:
+            return now_seconds
+        late_seconds = now_seconds - self._last_tick_seconds - pause_seconds
+        if late_seconds > LATE_TICK_SECONDS:
+            return self._last_tick_seconds
+        if self._late_since_seconds is not None:
+            return self._late_since_seconds
+        return now_seconds
+
     def is_fit(self, now_seconds: float) -> bool:
         """Returns whether the process should hold duties."""
         return now_seconds >= self._unfit_until_seconds
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -230,6 +230,25 @@
 
         self._play(scenario)
 
+    def test_stop_of_a_paused_process_cuts_no_request_at_its_end(self) -> None:
+        async def scenario(deployment: SimulatedDeployment) -> None:
+            for runner in deployment.runners.values():
+                runner.slowdown = 1000.0
+            lost = await self._stop(
+                deployment,
+                _first_router(deployment),
+                kinds=("safe",) * 5 + ("pay",) * 5,
+                limit_seconds=10.0,
+                signals=(
+                    (0.0, signal.SIGSTOP),
+                    (0.0, signal.SIGTERM),
+                    (1.5, signal.SIGCONT),
+                ),
+            )
+            self.assertEqual([], lost)
+
+        self._play(scenario, timeout_seconds=10.0)
+
     def test_stop_with_a_silent_store_cuts_no_request(self) -> None:
         async def scenario(deployment: SimulatedDeployment) -> None:
             deployment.store.state = "silent"
--- a/tests/serving/test_tick_monitor.py
+++ b/tests/serving/test_tick_monitor.py
@@ -38,6 +38,22 @@
             self.assertFalse(self._tick(0.0))
         self.assertTrue(self.fitness.is_fit(self.now))
 
+    def test_signal_of_a_process_that_did_not_run_came_earlier(self) -> None:
+        self._tick(0.0)
+        before = self.now
+        self.assertEqual(before + 0.05, self._signal(before + 0.05))
+        # The signal is handled before, and just after, the next tick.
+        self.assertEqual(before, self._signal(before + 1.6))
+        self._tick(1.5)
+        self.assertEqual(before, self._signal(self.now + 0.01))
+        self._tick(0.0)
+        self.assertEqual(self.now, self._signal(self.now))
+
+    def _signal(self, now_seconds: float) -> float:
+        return self.fitness.signal_sent_seconds(
+            now_seconds, pause_seconds=PAUSE_SECONDS
+        )
+
     def test_slow_process_becomes_unfit_once_and_recovers(self) -> None:
         became_unfit = [
             self._tick(LATE_TICK_SECONDS * 2) for _ in range(UNFIT_LATE_TICKS)
