--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -252,7 +252,7 @@
         """Begins a planned stop at the first signal; ignores further ones.
 
         From here on requests are admitted only if they end in time. The grace
-        period runs from the signal, also while this process doesn't.
+        period runs from the signal, also while this process does not run.
         """
         board = self.board
         if board.stop is not None:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -30,6 +30,9 @@
 
 GRACE_SECONDS = 6.0
 
+# A single signal to stop, with its time in seconds.
+_TERMINATION = ((0.0, signal.SIGTERM),)
+
 
 class StopCase(testtools.TestCase):
     """Base class: plays stops of routers and collects what was lost."""
@@ -84,9 +87,7 @@
         *,
         kinds: tuple[str, ...],
         limit_seconds: float = 4.0,
-        signals: tuple[tuple[float, signal.Signals], ...] = (
-            (0.0, signal.SIGTERM),
-        ),
+        signals: tuple[tuple[float, signal.Signals], ...] = _TERMINATION,
     ) -> list[str]:
         """Stops a router under callers of each kind.
 
@@ -135,6 +136,33 @@
             if not loss.excuse or ROUTE_KINDS[loss.request.kind] != "streaming"
         ]
 
+    def _play_plain_requests(
+        self,
+        slowdown: float,
+        *,
+        signals: tuple[tuple[float, signal.Signals], ...] = _TERMINATION,
+    ) -> None:
+        """Plays a stop while plain services are slower than usual.
+
+        Args:
+            slowdown: Factor on the time that runners need.
+            signals: Signals and their times, as in `_stop`.
+        """
+
+        async def scenario(deployment: SimulatedDeployment) -> None:
+            for runner in deployment.runners.values():
+                runner.slowdown = slowdown
+            lost = await self._stop(
+                deployment,
+                _first_router(deployment),
+                kinds=("safe",) * 5 + ("pay",) * 5,
+                limit_seconds=10.0,
+                signals=signals,
+            )
+            self.assertEqual([], lost)
+
+        self._play(scenario, timeout_seconds=10.0)
+
 
 def _first_router(deployment: SimulatedDeployment) -> Router:
     """Returns the first router of a deployment."""
@@ -190,22 +218,6 @@
     def test_plain_request_at_a_silent_runner_is_answered(self) -> None:
         self._play_plain_requests(slowdown=1000.0)
 
-    def _play_plain_requests(self, slowdown: float) -> None:
-        """Plays a stop while plain services are slower than usual."""
-
-        async def scenario(deployment: SimulatedDeployment) -> None:
-            for runner in deployment.runners.values():
-                runner.slowdown = slowdown
-            lost = await self._stop(
-                deployment,
-                _first_router(deployment),
-                kinds=("safe",) * 5 + ("pay",) * 5,
-                limit_seconds=10.0,
-            )
-            self.assertEqual([], lost)
-
-        self._play(scenario, timeout_seconds=10.0)
-
 
 class SignalTest(StopCase):
     """Stops beside other signals, faults and stops."""
@@ -231,23 +243,14 @@
         self._play(scenario)
 
     def test_stop_of_a_paused_process_cuts_no_request_at_its_end(self) -> None:
-        async def scenario(deployment: SimulatedDeployment) -> None:
-            for runner in deployment.runners.values():
-                runner.slowdown = 1000.0
-            lost = await self._stop(
-                deployment,
-                _first_router(deployment),
-                kinds=("safe",) * 5 + ("pay",) * 5,
-                limit_seconds=10.0,
-                signals=(
-                    (0.0, signal.SIGSTOP),
-                    (0.0, signal.SIGTERM),
-                    (1.5, signal.SIGCONT),
-                ),
-            )
-            self.assertEqual([], lost)
-
-        self._play(scenario, timeout_seconds=10.0)
+        self._play_plain_requests(
+            slowdown=1000.0,
+            signals=(
+                (0.0, signal.SIGSTOP),
+                (0.0, signal.SIGTERM),
+                (1.5, signal.SIGCONT),
+            ),
+        )
 
     def test_stop_with_a_silent_store_cuts_no_request(self) -> None:
         async def scenario(deployment: SimulatedDeployment) -> None:
