Ask once what a lease or an entry proves after a restore

Two places of the duty manager decided whether a stored lease proves nothing since a restore: it is absent, or was sent in an earlier era. _is_undone decides it for both, and takes a level out of the condition of a release. FleetView._is_superseded repeated the look-up and comparison of _is_newer_than_known: runners in _unconfirmed are always listed, so the case without a known entry could not occur. The feed looked up the version of a known object in three places, which share _known_version now.

--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -392,10 +392,10 @@
         That is so if the known one is from before a restore of the store and
         the other isn't certainly newer.
         """
-        if entry.runner_id not in self._unconfirmed:
-            return False
-        known = self._entries.get(entry.runner_id)
-        return known is not None and not entry.is_newer_than(known)
+        return (
+            entry.runner_id in self._unconfirmed
+            and not self._is_newer_than_known(entry)
+        )
 
     def _put(self, entry: RunnerEntry) -> None:
         """Adds or replaces an entry and cancels its pending removal."""
--- a/mulberrypaddle/serving/duty_manager.py
+++ b/mulberrypaddle/serving/duty_manager.py
@@ -125,6 +125,20 @@
     )
 
 
+def _is_undone(item: StoredItem | None, record: OwnerRecord | None) -> bool:
+    """Returns whether a lease object proves nothing since a restore.
+
+    It is absent, or its record was sent in an earlier era.
+
+    Args:
+        item: The lease object; None if there is none.
+        record: Its content; None if it is absent or invalid.
+    """
+    if item is None:
+        return True
+    return record is not None and record.was_sent_before(item.revision)
+
+
 def _find_item(listing: Listing, name: str) -> StoredItem | None:
     """Returns an object of a list; None if there is none of that name."""
     for item in listing.items:
@@ -452,12 +466,7 @@
             duty.owned
             or now >= lease_end_seconds
             or not is_restored_between(revision, listing.revision)
-            or (
-                item is not None
-                and (
-                    record is None or not record.was_sent_before(item.revision)
-                )
-            )
+            or not _is_undone(item, record)
         ):
             return refusal
         return await self._write_claim(
@@ -635,15 +644,12 @@
             item: The lease object; None if there is none.
             record: Its content; None if it is absent or invalid.
         """
-        if item is None:
-            return True
-        if record is None:
-            return False
-        if record.was_sent_before(item.revision):
+        if _is_undone(item, record):
             return True
         # An earlier reassertion took effect although its answer was lost.
         return (
-            record.incarnation == self._peers.incarnation
+            record is not None
+            and record.incarnation == self._peers.incarnation
             and not record.given_up
         )
 
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -427,8 +427,12 @@
 
     def _has_version(self, name: str) -> bool:
         """Returns whether the copy holds an object with a version."""
+        return self._known_version(name) is not None
+
+    def _known_version(self, name: str) -> int | None:
+        """Returns the version of an object in the copy, if it has one."""
         known = self.items.get(name)
-        return known is not None and self._version_of(known) is not None
+        return None if known is None else self._version_of(known)
 
     def _latest_version(self, item: StoredItem, revision: int) -> StoredItem:
         """Returns the known object if it has a higher version, or the new one.
@@ -439,12 +443,10 @@
             item: The new object.
             revision: Revision that the feed gets with it.
         """
-        known = self.items.get(item.name)
-        if known is None:
-            return item
-        known_version = self._version_of(known)
+        known_version = self._known_version(item.name)
         if known_version is None:
             return item
+        known = self.items[item.name]
         version = self._version_of(item)
         if version is None:
             return known
@@ -594,8 +596,7 @@
             version = self._version_of(item)
             if version is None:
                 continue
-            known = self.items.get(item.name)
-            known_version = None if known is None else self._version_of(known)
+            known_version = self._known_version(item.name)
             if known_version is None or version > known_version:
                 newer.append(item)
         if not newer:
