--- a/mulberrypaddle/fleet/deployment_limits.py
+++ b/mulberrypaddle/fleet/deployment_limits.py
@@ -21,10 +21,16 @@
         drain_seconds: Time for which a runner goes on serving after it decided
             to leave.
         heartbeat_seconds: Interval at which a runner writes its entry.
+        config_apply_seconds: Time from the acknowledgement of a configuration
+            until it must be in force on every router.
+        evacuate_seconds: Time from the acknowledgement of an evacuation until
+            nothing more may be sent to the data centre.
     """
 
     __slots__ = (
+        "config_apply_seconds",
         "drain_seconds",
+        "evacuate_seconds",
         "heartbeat_seconds",
         "load_window_seconds",
         "retry_ratio",
@@ -43,6 +49,8 @@
         load_window_seconds: float = 5.0,
         drain_seconds: float = 2.0,
         heartbeat_seconds: float = 1.0,
+        config_apply_seconds: float = 2.0,
+        evacuate_seconds: float = 5.0,
     ) -> None:
         self.stop_grace_seconds = stop_grace_seconds
         self.retry_ratio = retry_ratio
@@ -51,3 +59,5 @@
         self.load_window_seconds = load_window_seconds
         self.drain_seconds = drain_seconds
         self.heartbeat_seconds = heartbeat_seconds
+        self.config_apply_seconds = config_apply_seconds
+        self.evacuate_seconds = evacuate_seconds
--- a/mulberrypaddle/platform/node_file.py
+++ b/mulberrypaddle/platform/node_file.py
@@ -109,6 +109,8 @@
         "retry_window_seconds": ("budgetWindowS", 1.0),
         "load_window_seconds": ("ceilingWindowS", 1.0),
         "drain_seconds": ("drainMs", 0.001),
+        "config_apply_seconds": ("configApplyMs", 0.001),
+        "evacuate_seconds": ("evacuateMs", 0.001),
     }
     for attribute, (name, factor) in setting_by_attribute.items():
         if name in bounds:
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.dispatch import (
@@ -27,6 +28,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from mulberrypaddle.backends.curl import CurlClient
     from mulberrypaddle.dispatch.stop_schedule import StopSchedule
@@ -44,6 +46,8 @@
         loop: Event loop of the process.
         rng: Source of random choices.
         config: Active configuration; None before the first one.
+        config_age_seconds: Returns the time since which a newer configuration
+            may be in the store; infinite if unknown.
         view: Current entries of all runners in the store.
         loads: Number of requests in flight at each runner, from all routers.
         runner_health: Health of each runner.
@@ -82,6 +86,7 @@
         "client",
         "cold_rate",
         "config",
+        "config_age_seconds",
         "connections",
         "crash_attribution",
         "crashes",
@@ -125,6 +130,7 @@
         self.client = client
         self.rng = rng
         self.config: ServingConfig | None = None
+        self.config_age_seconds: Callable[[], float] = lambda: math.inf
         self.view = FleetView(
             silence_seconds=SILENT_INTERVALS * settings.bounds.heartbeat_seconds
             + REMOVAL_LAG_SECONDS
--- a/mulberrypaddle/serving/collection_sync.py
+++ b/mulberrypaddle/serving/collection_sync.py
@@ -8,6 +8,8 @@
 
 import gzip
 import json
+import math
+import time
 from typing import TYPE_CHECKING, Any
 
 import tornado.httpclient
@@ -39,6 +41,12 @@
 # Timeout of the whole fetch of a collection.
 FETCH_TIMEOUT_SECONDS = 1.0
 
+# Headers of an answer with a collection: the age of the serving router's copy
+# in milliseconds, if it is known, and its checksum. Compressed answers are
+# cached, so that the age can't be a part of them.
+AGE_HEADER = "Copy-Age-Ms"
+CHECKSUM_HEADER = "Copy-Checksum"
+
 # Longest collection accepted from another router: some thousand runners.
 MAX_COLLECTION_BYTES = 67_108_864
 
@@ -181,6 +189,7 @@
             apply: Applies the message; returns whether it was news.
         """
         feed = self._feeds[name]
+        sent_at_seconds = time.monotonic()
         try:
             response = await self._client.fetch(
                 f"http://{ip}:{self._address[1]}/{name}?since={since}",
@@ -203,6 +212,7 @@
             return
         finally:
             self._fetching.discard(name)
+        _adopt_age(feed, response.headers, sent_at_seconds)
         if applied and not feed.is_passive:
             log_state_change(
                 "fetched",
@@ -215,11 +225,13 @@
     def _serve(self, request: httputil.HTTPServerRequest) -> None:
         """Responds to another router's request for a collection."""
         name = request.path.lstrip("/")
-        status, body = 404, gzip.compress(b"{}")
+        status, body, more_headers = 404, gzip.compress(b"{}"), {}
         if name in self._feeds:
             since = request.arguments.get("since", [b"0"])[0]
             status = 200
-            body = self.compressed_collection(name, parse_unsigned(since) or 0)
+            body, more_headers = self.make_answer(
+                name, parse_unsigned(since) or 0
+            )
         connection = request.connection
         assert connection is not None
         headers = httputil.HTTPHeaders(
@@ -227,6 +239,7 @@
                 "Content-Type": "application/json",
                 "Content-Encoding": "gzip",
                 "Content-Length": str(len(body)),
+                **more_headers,
             }
         )
         connection.write_headers(
@@ -234,6 +247,19 @@
         )
         connection.finish()
 
+    def make_answer(
+        self, name: str, since: int
+    ) -> tuple[bytes, dict[str, str]]:
+        """Returns a compressed body for another router and further headers.
+
+        Args:
+            name: Name of the collection.
+            since: Revision that the asking router holds; 0 for the whole
+                collection.
+        """
+        body = self.compressed_collection(name, since)
+        return body, _age_headers(self._feeds[name])
+
     def compressed_collection(self, name: str, since: int) -> bytes:
         """Returns the changes of a collection since a revision, compressed.
 
@@ -257,3 +283,31 @@
                 del self.cached_responses[next(iter(self.cached_responses))]
             self.cached_responses[key] = compressed
         return self.cached_responses[key]
+
+
+def _age_headers(feed: Feed) -> dict[str, str]:
+    """Returns the headers that tell the age of a copy, if it is known."""
+    if feed.confirmed_at_seconds is None:
+        return {}
+    return {
+        AGE_HEADER: str(math.ceil(feed.age_seconds() * 1000)),
+        CHECKSUM_HEADER: str(feed.checksum),
+    }
+
+
+def _adopt_age(
+    feed: Feed, headers: httputil.HTTPHeaders, sent_at_seconds: float
+) -> None:
+    """Takes over the age of another router's copy if this one is equal to it.
+
+    Args:
+        feed: This router's copy.
+        headers: Headers of the answer with the other copy.
+        sent_at_seconds: Monotonic time at which the copy was asked for.
+    """
+    age_ms = parse_unsigned(headers.get(AGE_HEADER, ""))
+    checksum = parse_unsigned(headers.get(CHECKSUM_HEADER, ""))
+    if age_ms is not None and checksum is not None:
+        feed.adopt_age(
+            checksum, confirmed_at_seconds=sent_at_seconds - age_ms / 1000
+        )
--- a/mulberrypaddle/serving/decision_log.py
+++ b/mulberrypaddle/serving/decision_log.py
@@ -16,6 +16,9 @@
 # One success in this many is logged.
 SUCCESS_SAMPLE = 25
 
+# Longer ages, and unknown ones, are logged as this.
+MAX_LOGGED_AGE_SECONDS = 999.0
+
 
 class _SampleCounter:
     """Counts the successes that were skipped since the last logged one."""
@@ -44,6 +47,11 @@
     log_request("answered", request_id=request_id, left_out=skipped, **fields)
 
 
+def loggable_age_seconds(age_seconds: float) -> float:
+    """Returns an age as it is logged; it may be infinite."""
+    return round(min(age_seconds, MAX_LOGGED_AGE_SECONDS), 3)
+
+
 def log_state_change(event: str, **fields: Any) -> None:
     """Logs one change of the state of the fleet as this process sees it."""
     _BELIEFS.info(event, extra=fields)
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -25,11 +25,16 @@
     PlainAttempt,
     StreamAttempt,
 )
-from mulberrypaddle.serving.decision_log import log_request, log_success
+from mulberrypaddle.serving.decision_log import (
+    log_request,
+    log_success,
+    loggable_age_seconds,
+)
 from mulberrypaddle.serving.late_answers import LatenessRecorder
 from mulberrypaddle.serving.metrics import (
     ANSWER_SECONDS,
     ATTEMPTS,
+    CONFIG_AGE_SECONDS,
     FIRST_BYTE_SECONDS,
     REQUESTS,
 )
@@ -102,6 +107,9 @@
         self._fields = fields
         self._arrived_at = board.now()
         self._suspension = SuspensionMark()
+        # Version and age of the configuration that decides on the admission.
+        self._config_version = board.config.version if board.config else 0
+        self._config_age_seconds = board.config_age_seconds()
         # Terms of the admission; None until the request is admitted.
         self._admitted: Admission | None = None
         self._excluded_runners: set[str] = set()
@@ -170,6 +178,13 @@
         if self._waiter is not None and not self._waiter.wait_result.done():
             self._waiter.wait_result.set_result(False)
 
+    def _config_fields(self) -> dict[str, object]:
+        """Returns for the log by which configuration the request is handled."""
+        return {
+            "config": self._config_version,
+            "config_age": loggable_age_seconds(self._config_age_seconds),
+        }
+
     def progress_fields(self) -> dict[str, object]:
         """Returns for the log how often and where the request was sent."""
         fields: dict[str, object] = {"sends": self._send_count}
@@ -180,6 +195,7 @@
     def _admit(self) -> bool:
         """Returns whether the request is admitted; refuses it if not."""
         board = self._board
+        CONFIG_AGE_SECONDS.observe(self._config_age_seconds)
         admitted = admit(
             board.config,
             request=self._request,
@@ -731,6 +747,7 @@
                 status=attempt.status,
                 sends=self._send_count,
                 seconds=round(now - self._arrived_at, 3),
+                **self._config_fields(),
             )
             return _NextStep.DONE
         if outcome is AttemptOutcome.CALLER_GONE:
@@ -753,6 +770,7 @@
             parts=",".join(self._fields.prompt_parts),
             sends=self._send_count,
             age=round(now - self._arrived_at, 3),
+            **self._config_fields(),
         )
         if not attempt.was_sent and outcome in (
             AttemptOutcome.ENDED,
@@ -995,8 +1013,8 @@
             sends=self._send_count,
             model=self._fields.model,
             age=round(board.now() - self._arrived_at, 3),
-            config=board.config.version if board.config else 0,
             fleet=board.view.revision,
+            **self._config_fields(),
         )
 
     def _on_caller_disconnect(self) -> None:
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -10,6 +10,9 @@
 from __future__ import annotations
 
 import asyncio
+import enum
+import hashlib
+import math
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -55,6 +58,23 @@
 RETRY_PAUSE_SECONDS = 0.1
 MAX_RETRY_PAUSE_SECONDS = 0.6
 
+# Size of the checksum of a copy, which JSON has to carry exactly.
+CHECKSUM_BYTES = 6
+
+
+class UpdateSource(enum.Enum):
+    """Where an update of a feed came from.
+
+    Attributes:
+        LIST: A list of the store.
+        WATCH: A watch of the store.
+        ROUTER: A message of another router.
+    """
+
+    LIST = "list"
+    WATCH = "watch"
+    ROUTER = "router"
+
 
 class FeedUpdate:
     """One update of a feed, passed to its `on_update` callback.
@@ -68,15 +88,19 @@
             so that entries that expired meanwhile may come back.
         restored: Whether the store was restored from a copy since the update
             before, so that objects may be missing or older than they were.
+        source: Where the update came from.
+        age_seconds: Age of the copy before the update; see `Feed.age_seconds`.
     """
 
     __slots__ = (
         "after_outage",
+        "age_seconds",
         "changed",
         "complete",
         "removed",
         "restored",
         "revision",
+        "source",
     )
 
     def __init__(
@@ -88,6 +112,8 @@
         complete: bool,
         after_outage: bool,
         restored: bool = False,
+        source: UpdateSource = UpdateSource.LIST,
+        age_seconds: float = math.inf,
     ) -> None:
         self.changed = changed
         self.removed = removed
@@ -95,6 +121,8 @@
         self.complete = complete
         self.after_outage = after_outage
         self.restored = restored
+        self.source = source
+        self.age_seconds = age_seconds
 
 
 class Feed:
@@ -107,6 +135,10 @@
         changed_revision: Highest revision at which an object of the copy is
             known to have changed; 0 before the first list.
         version: Highest version of an object in the copy; 0 if none has one.
+        checksum: Checksum of the names and revisions of all objects. Copies
+            with the same checksum are equal.
+        confirmed_at_seconds: Monotonic time before which the store had made no
+            change that the copy lacks; None if that is not known of any time.
         connected: Whether the store answered the last call; False before the
             first one.
         on_history_gone: Called when the store no longer keeps the changes
@@ -180,6 +212,8 @@
         self.revision = 0
         self.changed_revision = 0
         self.version = 0
+        self.checksum = 0
+        self.confirmed_at_seconds: float | None = None
         self.connected = False
         self.on_history_gone: Callable[[], None] = lambda: None
 
@@ -197,6 +231,40 @@
         """Returns whether the last call to the store failed."""
         return self._failures > 0
 
+    def age_seconds(self) -> float:
+        """Returns the time since which changes may be missing from the copy.
+
+        It is infinite before the store has confirmed a copy.
+        """
+        if self.confirmed_at_seconds is None:
+            return math.inf
+        return time.monotonic() - self.confirmed_at_seconds
+
+    def record_confirmed(self, at_seconds: float) -> None:
+        """Records that the copy holds all changes made before some time.
+
+        Args:
+            at_seconds: Monotonic time, for instance that at which a call to
+                the store was sent that has brought or confirmed the copy.
+        """
+        if (
+            self.confirmed_at_seconds is None
+            or at_seconds > self.confirmed_at_seconds
+        ):
+            self.confirmed_at_seconds = at_seconds
+
+    def adopt_age(self, checksum: int, *, confirmed_at_seconds: float) -> None:
+        """Takes over what another router knows of the age of an equal copy.
+
+        Args:
+            checksum: Checksum of the other router's copy. Nothing is taken over
+                if that of this copy is another one.
+            confirmed_at_seconds: Monotonic time of this router before which the
+                store had made no change that the other copy lacks.
+        """
+        if self.revision and checksum == self.checksum:
+            self.record_confirmed(confirmed_at_seconds)
+
     @property
     def is_current(self) -> bool:
         """Returns whether other routers may rely on this copy.
@@ -276,15 +344,21 @@
             HistoryGoneError: If the changes since `revision` are gone.
         """
         if not self._must_list:
+            sent_at_seconds = time.monotonic()
             watched = await self._watch()
             if watched is not None:
                 self._lost_histories = 0
-                return self._apply_watch_result(watched)
+                problem = self._apply_watch_result(watched)
+                if problem is None:
+                    self.record_confirmed(sent_at_seconds)
+                return problem
         self._list_requested.clear()
+        sent_at_seconds = time.monotonic()
         listed = await self._store.list(self.collection)
         if not isinstance(listed, Success):
             return listed.failure()
-        self.apply_listing(listed.unwrap())
+        if self.apply_listing(listed.unwrap()):
+            self.record_confirmed(sent_at_seconds)
         # A list requested while this one was in flight is made next.
         self._must_list = self._list_requested.is_set()
         return None
@@ -344,6 +418,7 @@
                 removed=changes.removed,
                 revision=changes.revision,
                 complete=False,
+                source=UpdateSource.WATCH,
             )
         return None
 
@@ -368,6 +443,7 @@
         revision: int,
         complete: bool,
         after_outage: bool = False,
+        source: UpdateSource = UpdateSource.LIST,
     ) -> None:
         """Applies changes to the copy and calls `on_update`.
 
@@ -378,6 +454,7 @@
             complete: Whether `changed` is the complete collection.
             after_outage: Whether another router sent the changes and reported
                 that the store was unavailable until shortly before.
+            source: Where the changes came from.
         """
         restored = is_restored_between(self.revision, revision)
         if restored:
@@ -395,7 +472,7 @@
             self._history_start_revision = revision
         removed = [name for name in removed if not self._has_version(name)]
         for name in removed:
-            self.items.pop(name, None)
+            self._drop(name)
             self._removals.append((revision, name))
         if len(self._removals) > MAX_REMOVALS:
             self._history_start_revision = self._removals[-MAX_REMOVALS][0]
@@ -416,13 +493,25 @@
                 complete=complete,
                 after_outage=after_outage or self._is_after_outage(),
                 restored=restored,
+                source=source,
+                age_seconds=self.age_seconds(),
             )
         )
 
+    def _drop(self, name: str) -> None:
+        """Removes an object from the copy, if it is there."""
+        known = self.items.pop(name, None)
+        if known is not None:
+            self.checksum ^= _checksum_of(known)
+
     def _put(self, changed: list[StoredItem]) -> None:
         """Puts objects into the copy."""
         for item in changed:
+            known = self.items.get(item.name)
+            if known is not None:
+                self.checksum ^= _checksum_of(known)
             self.items[item.name] = item
+            self.checksum ^= _checksum_of(item)
             self.version = max(self.version, self._version_of(item) or 0)
 
     def _has_version(self, name: str) -> bool:
@@ -566,6 +655,7 @@
                 revision=revision,
                 complete=complete,
                 after_outage=after_outage,
+                source=UpdateSource.ROUTER,
             )
         except Exception:
             # The update may be missing from what follows this copy.
@@ -611,11 +701,20 @@
                 revision=self.revision,
                 complete=False,
                 after_outage=self._is_after_outage(),
+                source=UpdateSource.ROUTER,
+                age_seconds=self.age_seconds(),
             )
         )
         return True
 
 
+def _checksum_of(item: StoredItem) -> int:
+    """Returns the share of one object in the checksum of a copy."""
+    text = f"{item.revision} {item.name}"
+    digest = hashlib.blake2b(text.encode(), digest_size=CHECKSUM_BYTES).digest()
+    return int.from_bytes(digest)
+
+
 def _read_items(message: Any) -> list[StoredItem]:
     """Returns the objects of a message of `Feed.to_message`.
 
--- a/mulberrypaddle/serving/heartbeat.py
+++ b/mulberrypaddle/serving/heartbeat.py
@@ -74,6 +74,7 @@
     "stopping": bool,
     "leaving": dict,
     "versions": dict,
+    "ages": dict,
 }
 
 
@@ -131,6 +132,11 @@
     )
 
 
+def _is_age(value: Any) -> bool:
+    """Returns whether a value is an age, as described at `Heartbeat`."""
+    return _has_length(value, 2) and all(map(is_int, value))
+
+
 def _is_int_or_none(value: Any) -> bool:
     return value is None or is_int(value)
 
@@ -141,11 +147,11 @@
 
 # Fields that a message leaves out if they are empty, so that routers of earlier
 # versions, which do not know them, accept it.
-_OPTIONAL_FIELDS = ("crashes", "cleared", "leaving", "versions")
+_OPTIONAL_FIELDS = ("crashes", "cleared", "leaving", "versions", "ages")
 
 # Fields that travel as a key of `changes`: earlier versions reject messages
 # with unknown fields, but skip unknown collections.
-_FIELDS_IN_CHANGES = ("leaving", "versions")
+_FIELDS_IN_CHANGES = ("leaving", "versions", "ages")
 
 # Checks for the values of mapping fields; JSON makes all keys strings.
 _VALUE_CHECKS: dict[str, Callable[[Any], bool]] = {
@@ -164,6 +170,7 @@
     "relays": _is_str,
     "leaving": _is_int_or_none,
     "versions": is_int,
+    "ages": _is_age,
 }
 
 # Fields that are lists of addresses or ids.
@@ -247,6 +254,9 @@
             announced in answers that they are leaving, by runner.
         versions: Highest version in the sender's copy of a collection whose
             objects have versions, by collection.
+        ages: Age of the sender's copy in milliseconds and checksum of the copy,
+            by collection; see `Feed.age_seconds`. Copies that were never
+            confirmed are left out.
     """
 
     __slots__ = tuple(_FIELD_TYPES)
@@ -284,6 +294,7 @@
     stopping: bool
     leaving: dict[str, int | None]
     versions: dict[str, int]
+    ages: dict[str, tuple[int, int]]
 
     def __init__(self, **fields: Any) -> None:
         """Sets all fields from keyword arguments.
--- a/mulberrypaddle/serving/metrics.py
+++ b/mulberrypaddle/serving/metrics.py
@@ -7,7 +7,10 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from mulberrypaddle.serving.blackboard import Blackboard
+    from mulberrypaddle.serving.feed import Feed
 
 # Bucket bounds of the histograms: latency targets of routes lie between 0.1 s
 # and 0.5 s, deadlines between 1 s and 8 s.
@@ -55,6 +58,13 @@
     buckets=LATENCY_BUCKETS_SECONDS,
     registry=REGISTRY,
 )
+CONFIG_AGE_SECONDS = Histogram(
+    "mulberrypaddle_serving_config_age_seconds",
+    "Time since which a newer configuration may have been in the store, by "
+    "which a request was judged.",
+    buckets=LATENCY_BUCKETS_SECONDS,
+    registry=REGISTRY,
+)
 LATE_ANSWERS = Counter(
     "mulberrypaddle_serving_late_answers",
     "Answers that missed the target of their route, by service and cause.",
@@ -112,10 +122,23 @@
     "Version of the configuration in force; 0 before the first.",
     registry=REGISTRY,
 )
+_COPY_AGE = Gauge(
+    "mulberrypaddle_serving_copy_age_seconds",
+    "Time since which changes may be missing from the copy of a collection.",
+    ["collection"],
+    registry=REGISTRY,
+)
+
 
+def bind_gauges(board: Blackboard, feeds: Iterable[Feed]) -> None:
+    """Makes the gauges read the state of a router at each scrape.
 
-def bind_gauges(board: Blackboard) -> None:
-    """Makes the gauges read the state of a router at each scrape."""
+    Args:
+        board: State of the router.
+        feeds: Its copies of the store's collections.
+    """
+    for feed in feeds:
+        _COPY_AGE.labels(feed.collection.value).set_function(feed.age_seconds)
     _IN_FLIGHT.set_function(lambda: board.in_flight_count)
     _WAITING.set_function(
         lambda: sum(len(queue) for queue in board.queues.values())
--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -12,6 +12,7 @@
 import asyncio
 import functools
 import logging
+import math
 import uuid
 from typing import TYPE_CHECKING, Any
 
@@ -231,6 +232,12 @@
             self._store_watchers.record(heartbeat.node, now)
             if any(heartbeat.revisions.values()):
                 self.collections_available = True
+        for name, (age_ms, checksum) in heartbeat.ages.items():
+            feed = self._feeds.get(name)
+            if feed is not None:
+                feed.adopt_age(
+                    checksum, confirmed_at_seconds=now - age_ms / 1000
+                )
         self.on_heartbeat(heartbeat)
         self.collection_sync.fetch_if_behind(heartbeat, now)
 
@@ -717,6 +724,15 @@
             now, is_member=is_member, before=before
         )
 
+    def active_watchers(self, now: float) -> list[str]:
+        """Returns the routers that are believed to watch the store for others.
+
+        Args:
+            now: Loop time in seconds.
+        """
+        is_member = self.uses_relays and not self.relays.is_relay
+        return self._store_watchers.active(now, is_member=is_member)
+
     def _make_heartbeat(self, now: float) -> Heartbeat:
         """Returns the current heartbeat of this router alone."""
         known = list(self.peers)
@@ -742,6 +758,11 @@
             for name, feed in self._feeds.items()
             if feed.version
         }
+        heartbeat.ages = {
+            name: (math.ceil(feed.age_seconds() * 1000), feed.checksum)
+            for name, feed in self._feeds.items()
+            if feed.confirmed_at_seconds is not None
+        }
         return heartbeat
 
 
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -20,8 +20,12 @@
     STOP_POLL_SECONDS,
     CallerServer,
 )
+from mulberrypaddle.serving.copy_monitor import CopyMonitor
 from mulberrypaddle.serving.crash_monitor import CrashMonitor
-from mulberrypaddle.serving.decision_log import log_state_change
+from mulberrypaddle.serving.decision_log import (
+    log_state_change,
+    loggable_age_seconds,
+)
 from mulberrypaddle.serving.duty_manager import DutyManager
 from mulberrypaddle.serving.feed import Feed, FeedUpdate
 from mulberrypaddle.serving.group_controller import GroupController
@@ -139,6 +143,8 @@
         # Evacuated data centres that the store lacks since it was restored,
         # with the loop time until which they stay evacuated.
         self._kept_evacuations: dict[str, float] = {}
+        self.board.config_age_seconds = self._config_feed.age_seconds
+        self._copy_monitor = CopyMonitor(feeds, settings.bounds)
         self._peers = PeerExchange(self.board, feeds)
         self._duty_manager = DutyManager(self.board, store, self._peers)
         control.on_announcement = functools.partial(
@@ -160,7 +166,7 @@
         self._peers.on_heartbeat = self._duty_manager.handle_heartbeat
         self._caller_server = CallerServer(self.board)
         self._readiness = ReadinessServer(self.is_ready)
-        bind_gauges(self.board)
+        bind_gauges(self.board, feeds)
         self._started_at_seconds = self.board.now()
 
     def _make_feed(
@@ -357,6 +363,7 @@
             for name, step in (
                 ("slowness check", self._check_promptness),
                 ("overdue renewals", self._duty_manager.tick),
+                ("ages of copies", self._check_copies),
                 ("crash probes", self._probe_crashes),
                 ("heartbeats", self._peers.tick),
                 ("dispatch", board.dispatch_waiting),
@@ -374,6 +381,12 @@
         ):
             self._handle_slowness()
 
+    def _check_copies(self) -> None:
+        """Logs copies of collections that have become old."""
+        self._copy_monitor.tick(
+            lambda: self._peers.active_watchers(self.board.now())
+        )
+
     def _probe_crashes(self) -> None:
         """Starts due probes of runners that may have crashed."""
         self._crash_monitor.tick(may_try=self._duty_manager.holds_first_duty())
@@ -584,6 +597,8 @@
             version=config.version,
             revision=config.revision,
             before=known.version if known else 0,
+            source=update.source.value,
+            age=loggable_age_seconds(update.age_seconds),
             idle_seconds=config.limits.idle_seconds,
             header_seconds=config.limits.header_seconds,
         )
--- a/mulberrypaddle/serving/store_watchers.py
+++ b/mulberrypaddle/serving/store_watchers.py
@@ -23,6 +23,23 @@
         """Records a heartbeat of a router that watches the store for others."""
         self._received_at_seconds[node] = now_seconds
 
+    def active(self, now_seconds: float, *, is_member: bool) -> list[str]:
+        """Returns the routers that currently watch the store for others.
+
+        Args:
+            now_seconds: Monotonic time.
+            is_member: Whether this router is in a large fleet and not a relay,
+                so that a longer timeout applies.
+        """
+        timeout_seconds = WATCHER_TIMEOUT_SECONDS
+        if is_member:
+            timeout_seconds = MEMBER_WATCHER_TIMEOUT_SECONDS
+        return sorted(
+            node
+            for node, received_at_seconds in self._received_at_seconds.items()
+            if now_seconds - received_at_seconds < timeout_seconds
+        )
+
     def has_active(
         self, now_seconds: float, *, is_member: bool, before: str = ""
     ) -> bool:
@@ -34,12 +51,7 @@
                 so that a longer timeout applies.
             before: If given, only routers whose names sort before it count.
         """
-        timeout_seconds = WATCHER_TIMEOUT_SECONDS
-        if is_member:
-            timeout_seconds = MEMBER_WATCHER_TIMEOUT_SECONDS
-        for node, received_at_seconds in self._received_at_seconds.items():
-            if now_seconds - received_at_seconds >= timeout_seconds:
-                continue
-            if not before or node < before:
-                return True
-        return False
+        return any(
+            not before or node < before
+            for node in self.active(now_seconds, is_member=is_member)
+        )
--- a/tests/serving/test_feed.py
+++ b/tests/serving/test_feed.py
@@ -35,6 +35,7 @@
         watches: Answers to the next watches; when empty, a watch hangs.
         lists: Number of lists so far.
         watch_timeouts: Wait in seconds that each watch so far was given.
+        answer_seconds: Time after which a watch is answered.
     """
 
     def __init__(self) -> None:
@@ -42,6 +43,7 @@
         self.watches: list[Changes | Exception | Problem] = []
         self.lists = 0
         self.watch_timeouts: list[float] = []
+        self.answer_seconds = 0.0
 
     async def list(
         self, collection: Collection, *, may_be_stale: bool = False
@@ -56,6 +58,7 @@
         if not self.watches:
             await asyncio.sleep(3600)
         answer = self.watches.pop(0)
+        await asyncio.sleep(self.answer_seconds)
         if isinstance(answer, Exception):
             raise answer
         if isinstance(answer, Problem):
