--- a/mulberrypaddle/platform/store.py
+++ b/mulberrypaddle/platform/store.py
@@ -160,6 +160,57 @@
 
         If nothing changes within `wait_seconds`, the changes are empty.
 
+        Raises:
+            HistoryGoneError: If the store no longer keeps the changes, or was
+                restored since the revision.
+        """
+        return await self._read_changes(
+            collection,
+            revision,
+            wait_seconds=wait_seconds,
+            timeout_seconds=wait_seconds + WATCH_SLACK_SECONDS,
+        )
+
+    async def changes_since(
+        self,
+        collection: Collection,
+        *,
+        revision: int,
+        timeout_seconds: float,
+        new_connection: bool,
+    ) -> Result[Changes, Problem]:
+        """Returns the changes after a revision at once.
+
+        Raises:
+            HistoryGoneError: If the store no longer keeps the changes, or was
+                restored since the revision.
+        """
+        return await self._read_changes(
+            collection,
+            revision,
+            wait_seconds=0.0,
+            timeout_seconds=timeout_seconds,
+            new_connection=new_connection,
+        )
+
+    async def _read_changes(
+        self,
+        collection: Collection,
+        revision: int,
+        *,
+        wait_seconds: float,
+        timeout_seconds: float,
+        new_connection: bool = False,
+    ) -> Result[Changes, Problem]:
+        """Returns the changes after a revision, waiting for the first one.
+
+        Args:
+            collection: Collection to read.
+            revision: Revision of the last list or watch.
+            wait_seconds: Longest time to wait for a change.
+            timeout_seconds: Time within which the answer must be complete.
+            new_connection: Whether to use a new connection.
+
         Raises:
             HistoryGoneError: If the store no longer keeps the changes, or was
                 restored since the revision.
@@ -177,8 +228,9 @@
         result = await self._request(
             "GET",
             _path(collection, query=query),
-            timeout_seconds=wait_seconds + WATCH_SLACK_SECONDS,
+            timeout_seconds=timeout_seconds,
             levels=_WATCH_LEVELS,
+            new_connection=new_connection,
         )
         if not isinstance(result, Success):
             return Failure(result.failure())
@@ -261,6 +313,7 @@
         body: dict[str, Any] | None = None,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
         levels: int = _OBJECT_LEVELS,
+        new_connection: bool = False,
     ) -> Result[Any, Problem]:
         """Sends one HTTP request and returns the JSON of the answer.
 
@@ -273,7 +326,9 @@
             timeout_seconds: Time within which the answer must be complete.
             levels: Levels of the answer of which the values are read one by
                 one if the answer can't be decoded as a whole.
+            new_connection: Whether to use a new connection, as writes do.
         """
+        is_fresh = new_connection or body is not None
         request = tornado.httpclient.HTTPRequest(
             self._base + path,
             method=method,
@@ -283,7 +338,9 @@
             request_timeout=timeout_seconds,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=_configure_write if body else _configure_read,
+            prepare_curl_callback=(
+                _configure_fresh if is_fresh else _configure_kept
+            ),
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
@@ -331,16 +388,19 @@
                 self.on_restored()
 
 
-def _configure_read(curl: pycurl.Curl) -> None:
-    """Sets the curl options of a call that reads."""
+def _configure_kept(curl: pycurl.Curl) -> None:
+    """Sets the curl options of a call that may use a kept connection."""
     curl.setopt(pycurl.SOCKOPTFUNCTION, enable_keepalive_probes)
     limit_answer_size(MAX_ANSWER_BYTES)(curl)
 
 
-def _configure_write(curl: pycurl.Curl) -> None:
-    """Sets the curl options of a call that writes."""
-    # curl would resend a write if a reused connection turned out closed.
-    _configure_read(curl)
+def _configure_fresh(curl: pycurl.Curl) -> None:
+    """Sets the curl options of a call on a new connection.
+
+    Writes need one: curl would resend a write if a kept connection turned out
+    closed.
+    """
+    _configure_kept(curl)
     curl.setopt(pycurl.FRESH_CONNECT, 1)
 
 
--- a/mulberrypaddle/serving/collection_sync.py
+++ b/mulberrypaddle/serving/collection_sync.py
@@ -225,7 +225,8 @@
     def _serve(self, request: httputil.HTTPServerRequest) -> None:
         """Responds to another router's request for a collection."""
         name = request.path.lstrip("/")
-        status, body, more_headers = 404, gzip.compress(b"{}"), {}
+        status, body = 404, gzip.compress(b"{}")
+        more_headers: dict[str, str] = {}
         if name in self._feeds:
             since = request.arguments.get("since", [b"0"])[0]
             status = 200
--- a/mulberrypaddle/serving/copy_monitor.py
+++ b/mulberrypaddle/serving/copy_monitor.py
@@ -17,8 +17,9 @@
     from mulberrypaddle.fleet import DeploymentLimits
     from mulberrypaddle.serving.feed import Feed
 
-# Part of the bound on a collection's age from which its copy counts as old.
-OLD_SHARE = 1 / 3
+# Part of the bound on a collection's age from which its copy counts as old. A
+# copy is checked earlier, so that it gets so old only if the check fails.
+OLD_SHARE = 1 / 2
 
 
 def age_bounds_seconds(limits: DeploymentLimits) -> dict[Collection, float]:
--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -25,6 +25,7 @@
     require_name,
 )
 from mulberrypaddle.fleet.view import RETURN_GRACE_SECONDS
+from mulberrypaddle.serving.check_schedule import CheckSchedule
 from mulberrypaddle.serving.decision_log import log_state_change
 from mulberrypaddle.serving.store import (
     Changes,
@@ -68,11 +69,13 @@
     Attributes:
         LIST: A list of the store.
         WATCH: A watch of the store.
+        CHECK: A check of whether the store has changes that the copy lacks.
         ROUTER: A message of another router.
     """
 
     LIST = "list"
     WATCH = "watch"
+    CHECK = "check"
     ROUTER = "router"
 
 
@@ -141,6 +144,8 @@
             change that the copy lacks; None if that is not known of any time.
         connected: Whether the store answered the last call; False before the
             first one.
+        check_schedule: Decides when the copy is so old that the store is
+            asked whether it still holds.
         on_history_gone: Called when the store no longer keeps the changes
             since `revision`.
     """
@@ -155,6 +160,7 @@
         watch_timeout_seconds: Callable[[], float],
         peer_watches: Callable[[], bool] = lambda: False,
         retry_pause_factor: Callable[[], float] = lambda: 1.0,
+        check_schedule: CheckSchedule | None = None,
         may_await_handover: Callable[[], bool] = lambda: False,
         version_of: Callable[[StoredItem], int | None] = lambda item: None,
     ) -> None:
@@ -174,6 +180,8 @@
                 the first list and requested ones.
             retry_pause_factor: Returns a factor by which the pause after a
                 failed call is multiplied.
+            check_schedule: Decides when the copy is checked; None for the
+                default.
             may_await_handover: Returns whether, after the start, another
                 router may still send the collection, so that the store need
                 not be asked yet.
@@ -207,6 +215,10 @@
         self._lost_histories = 0
         # Monotonic time at which the last outage of the store ended.
         self._store_back_at_seconds = -RETURN_GRACE_SECONDS
+        # Whether what other routers say of the age of the copy is ignored, and
+        # the monotonic time since which earlier calls prove nothing.
+        self._distrusts_reports = False
+        self._distrusted_at_seconds = -math.inf
         self.collection = collection
         self.items: dict[str, StoredItem] = {}
         self.revision = 0
@@ -215,6 +227,7 @@
         self.checksum = 0
         self.confirmed_at_seconds: float | None = None
         self.connected = False
+        self.check_schedule = check_schedule or CheckSchedule()
         self.on_history_gone: Callable[[], None] = lambda: None
 
     @property
@@ -244,8 +257,7 @@
         """Records that the copy holds all changes made before some time.
 
         Args:
-            at_seconds: Monotonic time, for instance that at which a call to
-                the store was sent that has brought or confirmed the copy.
+            at_seconds: Monotonic time.
         """
         if (
             self.confirmed_at_seconds is None
@@ -262,7 +274,9 @@
             confirmed_at_seconds: Monotonic time of this router before which the
                 store had made no change that the other copy lacks.
         """
-        if self.revision and checksum == self.checksum:
+        if self._distrusts_reports or not self.revision:
+            return
+        if checksum == self.checksum:
             self.record_confirmed(confirmed_at_seconds)
 
     @property
@@ -282,6 +296,70 @@
         self._must_list = True
         self._list_requested.set()
 
+    def is_check_due(self) -> bool:
+        """Returns whether the store should be asked now what the copy lacks.
+
+        Whatever other routers claim, that depends only on the age of the copy.
+        """
+        return self.revision > 0 and self.check_schedule.is_due(
+            self.age_seconds(), time.monotonic()
+        )
+
+    async def check(self) -> None:
+        """Asks the store once which changes the copy lacks, and applies them.
+
+        Runs beside a list or a watch, which may hang.
+        """
+        schedule = self.check_schedule
+        sent_at_seconds = time.monotonic()
+        timeout_seconds = schedule.begin()
+        succeeded = False
+        try:
+            changes = await self._store.changes_since(
+                self.collection,
+                revision=self.revision,
+                timeout_seconds=timeout_seconds,
+                new_connection=schedule.failed,
+            )
+            problem = self._apply_watch_result(changes, UpdateSource.CHECK)
+            if problem is None:
+                succeeded = True
+                self._record_answer(sent_at_seconds)
+                self._record_success()
+            else:
+                self._record_failure(problem)
+        except HistoryGoneError:
+            self._log_history_gone()
+            self.request_list()
+            self.on_history_gone()
+        except Exception:
+            # The update may be missing from what follows this copy.
+            self.request_list()
+            raise
+        finally:
+            schedule.end(time.monotonic(), succeeded=succeeded)
+
+    def distrust_reports(self) -> None:
+        """Makes the store confirm the copy before other routers may do so.
+
+        Called when this process did not run for a while: reports that have
+        waited meanwhile are older than they seem.
+        """
+        self.confirmed_at_seconds = None
+        self._distrusts_reports = True
+        self._distrusted_at_seconds = time.monotonic()
+
+    def _record_answer(self, sent_at_seconds: float) -> None:
+        """Records that the store has brought or confirmed the copy.
+
+        Args:
+            sent_at_seconds: Monotonic time at which the call was sent.
+        """
+        if sent_at_seconds < self._distrusted_at_seconds:
+            return
+        self._distrusts_reports = False
+        self.record_confirmed(sent_at_seconds)
+
     async def run(self) -> None:
         """Keeps the copy up to date until the task is cancelled."""
         while not self.revision and self._may_await_handover():
@@ -296,11 +374,7 @@
             try:
                 problem = await self._list_or_watch()
             except HistoryGoneError:
-                log_state_change(
-                    "history_gone",
-                    collection=self.collection.value,
-                    revision=self.revision,
-                )
+                self._log_history_gone()
                 self._must_list = True
                 self.on_history_gone()
                 self._lost_histories += 1
@@ -316,6 +390,14 @@
             self._record_failure(problem)
             await self._pause(self._failures)
 
+    def _log_history_gone(self) -> None:
+        """Logs that the store no longer keeps the changes since `revision`."""
+        log_state_change(
+            "history_gone",
+            collection=self.collection.value,
+            revision=self.revision,
+        )
+
     async def _pause(self, failures: int) -> None:
         """Waits before the next call; ends early once the feed is passive.
 
@@ -350,7 +432,7 @@
                 self._lost_histories = 0
                 problem = self._apply_watch_result(watched)
                 if problem is None:
-                    self.record_confirmed(sent_at_seconds)
+                    self._record_answer(sent_at_seconds)
                 return problem
         self._list_requested.clear()
         sent_at_seconds = time.monotonic()
@@ -358,7 +440,7 @@
         if not isinstance(listed, Success):
             return listed.failure()
         if self.apply_listing(listed.unwrap()):
-            self.record_confirmed(sent_at_seconds)
+            self._record_answer(sent_at_seconds)
         # A list requested while this one was in flight is made next.
         self._must_list = self._list_requested.is_set()
         return None
@@ -406,9 +488,11 @@
             )
 
     def _apply_watch_result(
-        self, watched: Result[Changes, Problem]
+        self,
+        watched: Result[Changes, Problem],
+        source: UpdateSource = UpdateSource.WATCH,
     ) -> Problem | None:
-        """Applies the result of a watch, or returns why it failed."""
+        """Applies the result of a watch or check, or returns why it failed."""
         if not isinstance(watched, Success):
             return watched.failure()
         changes = watched.unwrap()
@@ -418,7 +502,7 @@
                 removed=changes.removed,
                 revision=changes.revision,
                 complete=False,
-                source=UpdateSource.WATCH,
+                source=source,
             )
         return None
 
--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -33,6 +33,7 @@
 )
 from mulberrypaddle.serving.heartbeat import (
     SCOPE_DATA_CENTRE,
+    SCOPE_FLEET,
     SCOPE_ROUTER,
     Heartbeat,
 )
@@ -232,6 +233,10 @@
             self._store_watchers.record(heartbeat.node, now)
             if any(heartbeat.revisions.values()):
                 self.collections_available = True
+        elif heartbeat.scope != SCOPE_FLEET:
+            # The routers of a data centre must not all turn to the store as
+            # soon as their relay misses a watcher.
+            self._store_watchers.withdraw(heartbeat.node)
         for name, (age_ms, checksum) in heartbeat.ages.items():
             feed = self._feeds.get(name)
             if feed is not None:
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -20,7 +20,8 @@
     STOP_POLL_SECONDS,
     CallerServer,
 )
-from mulberrypaddle.serving.copy_monitor import CopyMonitor
+from mulberrypaddle.serving.check_schedule import CheckSchedule
+from mulberrypaddle.serving.copy_monitor import CopyMonitor, age_bounds_seconds
 from mulberrypaddle.serving.crash_monitor import CrashMonitor
 from mulberrypaddle.serving.decision_log import (
     log_state_change,
@@ -75,6 +76,11 @@
 # once.
 URGENT_WATCH_PAUSE_SECONDS = 0.05
 
+# Time by which a round of the periodic work may be late before what other
+# routers say of the age of their copies is ignored: their messages may have
+# waited as long.
+MAX_REPORT_DELAY_SECONDS = 0.3
+
 # Time after the signal to stop in which callers may still be sent to this
 # router: two readiness checks, a second apart, and one in flight.
 READINESS_LAG_SECONDS = 2.5
@@ -185,6 +191,12 @@
             watch_timeout_seconds=self._watch_timeout_seconds,
             peer_watches=self._peer_watches,
             retry_pause_factor=self._fleet_size_factor,
+            check_schedule=CheckSchedule(
+                age_bounds_seconds(self._settings.bounds)[collection],
+                is_watcher=self._watches_for_others,
+                routers=lambda: self.board.live_routers,
+                rng=self.board.rng,
+            ),
             may_await_handover=self._may_await_handover,
             version_of=version_of,
         )
@@ -359,6 +371,7 @@
                     "resumed", seconds=round(mark.suspended_for_seconds(), 2)
                 )
                 mark = SuspensionMark()
+                self._distrust_reports()
                 self._relist_unless_passive()
             for name, step in (
                 ("slowness check", self._check_promptness),
@@ -376,13 +389,34 @@
 
     def _check_promptness(self) -> None:
         """Records the start of a round; handles the slowness of the process."""
+        before_seconds = self._tick_monitor.last_tick_seconds
+        if before_seconds is not None and (
+            self.board.now() - before_seconds
+            > HEARTBEAT_INTERVAL_SECONDS + MAX_REPORT_DELAY_SECONDS
+        ):
+            self._distrust_reports()
         if self._tick_monitor.record_tick(
             self.board.now(), pause_seconds=HEARTBEAT_INTERVAL_SECONDS
         ):
             self._handle_slowness()
 
+    def _distrust_reports(self) -> None:
+        """Ignores reports of other routers that may have waited unread."""
+        for feed in self._feeds:
+            feed.distrust_reports()
+
     def _check_copies(self) -> None:
-        """Logs copies of collections that have become old."""
+        """Asks the store about old copies of collections, and logs them.
+
+        While a check fails, the later collections wait for its end.
+        """
+        for feed in self._feeds:
+            if feed.is_check_due():
+                self.board.supervisor.start(
+                    f"check of {feed.collection.value}", feed.check()
+                )
+            if feed.check_schedule.is_failing(feed.age_seconds()):
+                break
         self._copy_monitor.tick(
             lambda: self._peers.active_watchers(self.board.now())
         )
@@ -527,6 +561,10 @@
             before=self._settings.node if self._is_leader() else "",
         )
 
+    def _watches_for_others(self) -> bool:
+        """Returns whether other routers rely on this one to watch the store."""
+        return self._is_leader() and not self._peer_watches()
+
     def _relist_unless_passive(self) -> None:
         """Lists all collections again unless another router watches them."""
         if not self._peer_watches():
--- a/mulberrypaddle/serving/store.py
+++ b/mulberrypaddle/serving/store.py
@@ -137,6 +137,28 @@
             HistoryGoneError: If the changes are no longer kept.
         """
 
+    @abc.abstractmethod
+    async def changes_since(
+        self,
+        collection: Collection,
+        *,
+        revision: int,
+        timeout_seconds: float,
+        new_connection: bool,
+    ) -> Result[Changes, Problem]:
+        """Returns the changes after a revision at once, also if there are none.
+
+        Args:
+            collection: Collection to read.
+            revision: Revision of the last list or watch.
+            timeout_seconds: Time within which the answer must be complete.
+            new_connection: Whether to use a new connection; kept ones may be
+                dead.
+
+        Raises:
+            HistoryGoneError: If the changes are no longer kept.
+        """
+
     @abc.abstractmethod
     async def read(
         self, collection: Collection, name: str
--- a/mulberrypaddle/serving/store_watchers.py
+++ b/mulberrypaddle/serving/store_watchers.py
@@ -23,6 +23,10 @@
         """Records a heartbeat of a router that watches the store for others."""
         self._received_at_seconds[node] = now_seconds
 
+    def withdraw(self, node: str) -> None:
+        """Records that a router no longer watches the store for others."""
+        self._received_at_seconds.pop(node, None)
+
     def active(self, now_seconds: float, *, is_member: bool) -> list[str]:
         """Returns the routers that currently watch the store for others.
 
--- a/mulberrypaddle/serving/tick_monitor.py
+++ b/mulberrypaddle/serving/tick_monitor.py
@@ -27,17 +27,21 @@
     """Decides whether this process is fit, that is, prompt enough for duties.
 
     It decides by how late the recent rounds (ticks) of the main loop were.
+
+    Attributes:
+        last_tick_seconds: Monotonic time of the last tick; None before the
+            first.
     """
 
     __slots__ = (
-        "_last_tick_seconds",
         "_late_since_seconds",
         "_tick_was_late",
         "_unfit_until_seconds",
+        "last_tick_seconds",
     )
 
     def __init__(self) -> None:
-        self._last_tick_seconds: float | None = None
+        self.last_tick_seconds: float | None = None
         # Time of the tick before the last one, if the last one was late.
         self._late_since_seconds: float | None = None
         # Whether each of the recent ticks was late, oldest first.
@@ -56,8 +60,8 @@
         Returns:
             Whether the process has just become unfit.
         """
-        last_tick_seconds, self._last_tick_seconds = (
-            self._last_tick_seconds,
+        last_tick_seconds, self.last_tick_seconds = (
+            self.last_tick_seconds,
             now_seconds,
         )
         if last_tick_seconds is None:
@@ -85,11 +89,11 @@
             now_seconds: Monotonic time at which the signal is handled.
             pause_seconds: Intended pause between two ticks.
         """
-        if self._last_tick_seconds is None:
+        if self.last_tick_seconds is None:
             return now_seconds
-        late_seconds = now_seconds - self._last_tick_seconds - pause_seconds
+        late_seconds = now_seconds - self.last_tick_seconds - pause_seconds
         if late_seconds > LATE_TICK_SECONDS:
-            return self._last_tick_seconds
+            return self.last_tick_seconds
         if self._late_since_seconds is not None:
             return self._late_since_seconds
         return now_seconds
--- a/tests/serving/test_duty_manager.py
+++ b/tests/serving/test_duty_manager.py
@@ -67,6 +67,16 @@
     ) -> Result[Changes, Problem]:
         raise NotImplementedError
 
+    async def changes_since(
+        self,
+        collection: Collection,
+        *,
+        revision: int,
+        timeout_seconds: float,
+        new_connection: bool,
+    ) -> Result[Changes, Problem]:
+        raise NotImplementedError
+
     async def read(
         self, collection: Collection, name: str
     ) -> Result[StoredItem | None, Problem]:
--- a/tests/serving/test_feed.py
+++ b/tests/serving/test_feed.py
@@ -65,6 +65,16 @@
             return Failure(answer)
         return Success(answer)
 
+    async def changes_since(
+        self,
+        collection: Collection,
+        *,
+        revision: int,
+        timeout_seconds: float,
+        new_connection: bool,
+    ) -> Result[Changes, Problem]:
+        return Success(Changes([], removed=[], revision=revision))
+
     async def read(
         self, collection: Collection, name: str
     ) -> Result[StoredItem | None, Problem]:
--- a/tests/support/lease_store.py
+++ b/tests/support/lease_store.py
@@ -152,6 +152,17 @@
         """Not needed for leases."""
         raise NotImplementedError
 
+    async def changes_since(
+        self,
+        collection: Collection,
+        *,
+        revision: int,
+        timeout_seconds: float,
+        new_connection: bool,
+    ) -> Result[Changes, Problem]:
+        """Not needed for leases."""
+        raise NotImplementedError
+
     async def read(
         self, collection: Collection, name: str
     ) -> Result[StoredItem | None, Problem]:
--- a/tests/support/store_links.py
+++ b/tests/support/store_links.py
@@ -176,6 +176,20 @@
         await asyncio.sleep(started_at + timeout_seconds - loop.time())
         return Failure(_problem("no answer in time"))
 
+    async def changes_since(
+        self,
+        collection: Collection,
+        *,
+        revision: int,
+        timeout_seconds: float,
+        new_connection: bool,
+    ) -> Result[Changes, Problem]:
+        """Returns the changes after a revision at once."""
+        return await self._call(
+            lambda: Success(self._store.changes(collection, revision)),
+            timeout_seconds,
+        )
+
     async def read(
         self, collection: Collection, name: str
     ) -> Result[StoredItem | None, Problem]:
