--- a/mulberrypaddle/platform/runner_control.py
+++ b/mulberrypaddle/platform/runner_control.py
@@ -39,8 +39,9 @@
 # Timeout of an order; runners usually answer within a few milliseconds.
 ORDER_TIMEOUT_SECONDS = 0.6
 
-# Maximum size of an answer; a report has a few hundred bytes.
-MAX_ANSWER_BYTES = 1_048_576
+# Maximum size of an answer; a report has a few hundred bytes, and those of all
+# runners are fetched at the same time.
+MAX_ANSWER_BYTES = 65_536
 
 _OUTCOME_BY_STATUS = {
     200: OrderOutcome.ALREADY_IN_EFFECT,
