--- a/mulberrypaddle/fleet/node.py
+++ b/mulberrypaddle/fleet/node.py
@@ -8,6 +8,10 @@
     from mulberrypaddle.fleet.deployment_limits import DeploymentLimits
 
 
+# Assumed if the settings omit the memory of the VM: that of small ones.
+DEFAULT_MEMORY_MEGABYTES = 200.0
+
+
 class NodeSettings:
     """Settings of one router process.
 
@@ -27,6 +31,7 @@
         first_start: Whether the whole deployment is starting for the first
             time.
         bounds: Limits of the deployment.
+        memory_megabytes: Memory of the VM.
     """
 
     __slots__ = (
@@ -37,6 +42,7 @@
         "data_centres",
         "first_start",
         "ip",
+        "memory_megabytes",
         "node",
         "peer_port",
         "readiness_address",
@@ -59,6 +65,7 @@
         store_address: str,
         first_start: bool,
         bounds: DeploymentLimits,
+        memory_megabytes: float = DEFAULT_MEMORY_MEGABYTES,
     ) -> None:
         self.node = node
         self.data_centre = data_centre
@@ -72,3 +79,4 @@
         self.store_address = store_address
         self.first_start = first_start
         self.bounds = bounds
+        self.memory_megabytes = memory_megabytes
--- a/mulberrypaddle/platform/node_file.py
+++ b/mulberrypaddle/platform/node_file.py
@@ -10,6 +10,7 @@
 
 from mulberrypaddle.core.errors import ErrorKind, Problem
 from mulberrypaddle.fleet import DeploymentLimits, NodeSettings
+from mulberrypaddle.fleet.node import DEFAULT_MEMORY_MEGABYTES
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -80,6 +81,9 @@
         store_address=str(fields["platform"]["address"]),
         first_start=bool(fields.get("bootstrap", False)),
         bounds=_read_deployment_limits(fields),
+        memory_megabytes=float(
+            fields.get("limits", {}).get("memoryMb", DEFAULT_MEMORY_MEGABYTES)
+        ),
     )
 
 
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -165,6 +165,8 @@
         self._head: RunnerResponseHead | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._head_bytes = 0
+        self._held_bytes = board.answer_buffers.open(self._handle_eviction)
         self._started_at = board.now()
         self._abandoned_outcome: AttemptOutcome | None = None
         self._call = RunnerCall(
@@ -179,6 +181,7 @@
             may_send=lambda: (
                 not board.pauses.is_paused(entry.incarnation, board.now())
             ),
+            on_head_bytes=self._handle_head_bytes,
         )
         self.status = 0
         self.detail = ""
@@ -271,12 +274,38 @@
         ):
             return False
         self._caller.send_response(
-            head.status, head.forwarded_headers, b"".join(self._body)
+            head.status, head.forwarded_headers, self._take_body()
         )
         return True
 
     is_complete = False
 
+    def release_buffers(self) -> None:
+        """Frees what is held of the answer, which can't be forwarded then."""
+        self._body.clear()
+        self._held_bytes.release()
+
+    def _take_body(self) -> bytes:
+        """Returns the buffered body, which the attempt holds no longer."""
+        body = b"".join(self._body)
+        self.release_buffers()
+        return body
+
+    def _handle_eviction(self) -> None:
+        """Ends the attempt, as it holds most of too many buffered bytes."""
+        self.detail = "its answer held most of too many buffered bytes"
+        self._body.clear()
+        self._abandon(AttemptOutcome.BROKEN)
+
+    def _handle_head_bytes(self, size_bytes: int) -> bool:
+        """Records the size of the head; returns whether to go on reading."""
+        self._head_bytes = size_bytes
+        return self._record_held_bytes()
+
+    def _record_held_bytes(self) -> bool:
+        """Records how many bytes are held; returns whether to go on."""
+        return self._held_bytes.resize(self._head_bytes + self._body_bytes)
+
     def progress_fields(self) -> dict[str, object]:
         """Returns for the log how far the attempt has come.
 
@@ -345,9 +374,11 @@
             self.detail = (
                 f"the answer is longer than {MAX_BUFFERED_BYTES} bytes"
             )
+            self.release_buffers()
             self._abandon(AttemptOutcome.BROKEN)
             return
         self._body.append(data)
+        self._record_held_bytes()
 
     def _conclude(self, call_outcome: CallOutcome) -> AttemptOutcome:
         """Returns the outcome of the attempt, after the call has ended.
@@ -387,7 +418,7 @@
     def _deliver(self, head: RunnerResponseHead) -> AttemptOutcome:
         """Passes the complete answer to the caller."""
         self._caller.send_response(
-            head.status, head.forwarded_headers, b"".join(self._body)
+            head.status, head.forwarded_headers, self._take_body()
         )
         if 200 <= head.status < 300:
             self._clear_prompt_parts()
@@ -537,6 +568,9 @@
             self.detail = str(error)
             self._abandon(AttemptOutcome.BROKEN)
             return True
+        self._body_bytes = self._parser.buffered_bytes
+        if not self._record_held_bytes():
+            return True
         keeps_up = True
         for event in events:
             keeps_up = self._forward_event(head, event)
--- a/mulberrypaddle/serving/blackboard.py
+++ b/mulberrypaddle/serving/blackboard.py
@@ -23,6 +23,12 @@
 from mulberrypaddle.dispatch.wait_queue import share_of_free_slots
 from mulberrypaddle.fleet import FleetView
 from mulberrypaddle.fleet.view import REMOVAL_LAG_SECONDS, SILENT_INTERVALS
+from mulberrypaddle.serving.buffer_budget import (
+    ANSWER_MEMORY_SHARE,
+    BYTES_PER_MEGABYTE,
+    REQUEST_MEMORY_SHARE,
+    BufferBudget,
+)
 from mulberrypaddle.serving.demand import DemandMeter
 from mulberrypaddle.serving.supervision import Supervisor
 
@@ -43,6 +49,8 @@
         settings: Settings of the process.
         header_codec: Parser of the headers of callers and runners.
         client: curl client for calls to runners.
+        answer_buffers: Bytes that are held of answers.
+        request_buffers: Bytes that are held of bodies of requests.
         loop: Event loop of the process.
         rng: Source of random choices.
         config: Active configuration; None before the first one.
@@ -82,6 +90,7 @@
 
     __slots__ = (
         "_queued_services",
+        "answer_buffers",
         "chooser",
         "client",
         "cold_rate",
@@ -101,6 +110,7 @@
         "pauses",
         "next_group_opens_in_seconds",
         "reading",
+        "request_buffers",
         "retries",
         "rng",
         "settings",
@@ -128,6 +138,13 @@
         self.settings = settings
         self.header_codec = header_codec
         self.client = client
+        memory_bytes = settings.memory_megabytes * BYTES_PER_MEGABYTE
+        self.answer_buffers = BufferBudget(
+            int(memory_bytes * ANSWER_MEMORY_SHARE)
+        )
+        self.request_buffers = BufferBudget(
+            int(memory_bytes * REQUEST_MEMORY_SHARE)
+        )
         self.rng = rng
         self.config: ServingConfig | None = None
         self.config_age_seconds: Callable[[], float] = lambda: math.inf
--- a/mulberrypaddle/serving/caller_connection.py
+++ b/mulberrypaddle/serving/caller_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 from typing import TYPE_CHECKING
@@ -9,12 +10,15 @@
 from tornado import httputil
 from tornado.iostream import StreamClosedError
 
+from mulberrypaddle.serving.decision_log import log_state_change
+
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Callable
 
     from tornado.http1connection import HTTP1Connection
 
+    from mulberrypaddle.serving.buffer_budget import BufferBudget
+
 _LOGGER = logging.getLogger("mulberrypaddle.caller")
 
 _REASON_PHRASES = httputil.responses
@@ -44,6 +48,8 @@
         "_finished",
         "_finishing",
         "_has_body",
+        "_held_bytes",
+        "_in_flight_bytes",
         "_on_drained",
         "_on_disconnect",
         "_pending",
@@ -59,6 +65,7 @@
         *,
         method: str,
         closes_after: Callable[[], bool],
+        buffers: BufferBudget | None = None,
     ) -> None:
         """Prepares the response.
 
@@ -67,6 +74,8 @@
             method: HTTP method of the request.
             closes_after: Returns, when the response starts, whether to announce
                 that the connection closes after it.
+            buffers: Budget for bytes that the caller has yet to read; None for
+                no limit.
         """
         self._connection = connection
         self._has_body = method != "HEAD"
@@ -74,6 +83,11 @@
         self._pending: list[bytes] = []
         self._pending_bytes = 0
         self._write_in_flight = False
+        # Bytes of the body in that write.
+        self._in_flight_bytes = 0
+        self._held_bytes = (
+            None if buffers is None else buffers.open(self._evict)
+        )
         self._finishing = False
         self._finished = False
         self._on_drained: Callable[[], None] | None = None
@@ -105,6 +119,8 @@
         if self.disconnected:
             return
         self.disconnected = True
+        if self._held_bytes is not None:
+            self._held_bytes.release()
         if self._on_disconnect is not None:
             self._on_disconnect()
 
@@ -140,17 +156,28 @@
             retry_after_seconds: Value of the Retry-After header; None for no
                 header.
         """
-        headers = [("Content-Type", "application/json")]
-        if retry_after_seconds is not None:
-            headers.append(("Retry-After", f"{retry_after_seconds:.2f}"))
         self.send_response(
-            status, headers, json.dumps({"error": detail}).encode()
+            status,
+            _error_headers(retry_after_seconds),
+            json.dumps({"error": detail}).encode(),
         )
 
-    def refuse_unread(self, status: int, *, detail: str) -> None:
+    def refuse_unread(
+        self,
+        status: int,
+        *,
+        detail: str,
+        retry_after_seconds: float | None = None,
+    ) -> None:
         """Writes an error response to a request that is not read further.
 
         The connection is closed behind it.
+
+        Args:
+            status: HTTP status.
+            detail: What went wrong.
+            retry_after_seconds: Value of the Retry-After header; None for no
+                header.
         """
         if self.disconnected or self.response_started:
             return
@@ -159,7 +186,7 @@
         self._finishing = True
         self._write_head(
             status,
-            [("Content-Type", "application/json")],
+            _error_headers(retry_after_seconds),
             body=body if self._has_body else b"",
             size_bytes=len(body),
         )
@@ -181,11 +208,14 @@
             Whether the caller keeps up; if not, the callback set by
             `set_drained_callback` is called once it has caught up.
         """
-        if self.disconnected or not data or not self._has_body:
+        if self.disconnected or self.aborted:
+            return True
+        if not data or not self._has_body:
             return True
         self._pending.append(data)
         self._pending_bytes += len(data)
         self._write_next()
+        self._record_held_bytes()
         return self._pending_bytes < MAX_PENDING_BYTES
 
     def finish(self) -> None:
@@ -228,17 +258,22 @@
             "HTTP/1.1", status, _REASON_PHRASES.get(status, "Unknown")
         )
         self._start_write(
-            lambda: self._connection.write_headers(line, fields, body)
+            lambda: self._connection.write_headers(line, fields, body),
+            len(body),
         )
+        self._record_held_bytes()
 
     def _write_next(self) -> None:
         """Writes all buffered bytes unless a write is still in flight."""
         if self.disconnected or self._write_in_flight or self._finished:
             return
+        if self.aborted:
+            # The response must not end as complete.
+            return
         if self._pending:
             data = b"".join(self._pending)
             self._pending.clear()
-            self._start_write(lambda: self._connection.write(data))
+            self._start_write(lambda: self._connection.write(data), len(data))
             return
         if self._finishing:
             self._finished = True
@@ -247,9 +282,35 @@
             except StreamClosedError:
                 self.handle_close()
 
-    def _start_write(self, write: Callable[[], asyncio.Future[None]]) -> None:
-        """Starts one write on the connection; `_on_written` follows it."""
+    def _evict(self) -> None:
+        """Ends the response, as its caller has yet to read most bytes."""
+        log_state_change(
+            "slow_caller_ended",
+            unread_bytes=self._pending_bytes + self._in_flight_bytes,
+        )
+        self._pending.clear()
+        self.aborted = True
+        # This may be called while another connection is being written.
+        asyncio.get_running_loop().call_soon(self.abort)
+
+    def _record_held_bytes(self) -> None:
+        """Records how many bytes the caller has yet to read."""
+        if self._held_bytes is not None:
+            self._held_bytes.resize(
+                sum(len(part) for part in self._pending) + self._in_flight_bytes
+            )
+
+    def _start_write(
+        self, write: Callable[[], asyncio.Future[None]], body_bytes: int
+    ) -> None:
+        """Starts one write on the connection; `_on_written` follows it.
+
+        Args:
+            write: Writes to the connection.
+            body_bytes: Bytes of the body that it writes.
+        """
         self._write_in_flight = True
+        self._in_flight_bytes = body_bytes
         try:
             future = write()
         except StreamClosedError:
@@ -263,6 +324,7 @@
         Calls the drained callback if the caller has caught up.
         """
         self._write_in_flight = False
+        self._in_flight_bytes = 0
         if done.cancelled():
             return
         error = done.exception()
@@ -276,6 +338,17 @@
         was_full = self._pending_bytes >= MAX_PENDING_BYTES
         self._pending_bytes = sum(len(part) for part in self._pending)
         self._write_next()
+        self._record_held_bytes()
         caught_up = was_full and self._pending_bytes < MAX_PENDING_BYTES
         if caught_up and self._on_drained is not None:
             self._on_drained()
+
+
+def _error_headers(
+    retry_after_seconds: float | None,
+) -> list[tuple[str, str]]:
+    """Returns the headers of an error response of the router itself."""
+    headers = [("Content-Type", "application/json")]
+    if retry_after_seconds is not None:
+        headers.append(("Retry-After", f"{retry_after_seconds:.2f}"))
+    return headers
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -45,6 +45,10 @@
 # Allowance for the request line, which limits on headers don't count.
 REQUEST_LINE_BYTES = 8_192
 
+# Delay before callers should retry that were refused for the bytes which other
+# requests hold.
+BUFFERS_FULL_RETRY_SECONDS = 1.0
+
 _LENGTH = re.compile("[0-9]+")
 
 # Connections that the kernel queues until this process accepts them.
@@ -170,6 +174,9 @@
         self._size_bytes = 0
         # Longest body that is read; the limit in force when the head arrived.
         self._limit_bytes = DEFAULT_MAX_BODY_BYTES
+        self._held_bytes = caller_server.board.request_buffers.open(
+            self._handle_eviction
+        )
         # Whether the request was refused before all of it was read.
         self._refused = False
         # Whether this request is in the router's count of those being read.
@@ -206,12 +213,15 @@
             return
         self._chunks.append(chunk)
         if self._size_bytes <= self._limit_bytes:
+            self._held_bytes.resize(self._size_bytes)
             return
         config = self._caller_server.board.config
         if config is not None:
             self._limit_bytes = max(self._limit_bytes, config.limits.body_bytes)
         if self._size_bytes > self._limit_bytes:
             self._refuse_body(self._size_bytes)
+            return
+        self._held_bytes.resize(self._size_bytes)
 
     def _refuse_body(self, size_bytes: int) -> None:
         """Refuses a request whose body is too long; reads no more of it.
@@ -219,8 +229,50 @@
         Args:
             size_bytes: Number of bytes that were announced or have come.
         """
+        self._refuse_unread(
+            413,
+            kind="too_large",
+            detail=f"got {size_bytes} bytes, allowed are {self._limit_bytes}",
+        )
+
+    def _handle_eviction(self) -> None:
+        """Refuses this request, as its body has most of too many bytes."""
+        self._refused = True
+        self._chunks.clear()
+        # This may be called while another connection is being read.
+        asyncio.get_running_loop().call_soon(self._refuse_evicted)
+
+    def _refuse_evicted(self) -> None:
+        """Refuses this request, unless its caller has gone."""
+        if self._stream.closed():
+            return
+        self._refuse_unread(
+            503,
+            kind="overloaded",
+            detail="too many bytes of requests are held",
+            retry_after_seconds=BUFFERS_FULL_RETRY_SECONDS,
+        )
+
+    def _refuse_unread(
+        self,
+        status: int,
+        *,
+        kind: str,
+        detail: str,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        """Refuses a request of which no more is read.
+
+        Args:
+            status: HTTP status.
+            kind: Kind of the refusal, for the log.
+            detail: Why it is refused.
+            retry_after_seconds: Delay before the caller should retry; None if
+                it should not.
+        """
         self._refused = True
         self._chunks.clear()
+        self._held_bytes.release()
         complete = self._begin_response()
         codec = self._caller_server.board.header_codec
         try:
@@ -228,15 +280,16 @@
             complete.request_id = fields.request_id
         except Exception as error:  # noqa: BLE001 - the refusal needs no id
             _LOGGER.warning("unreadable_headers", extra={"reason": str(error)})
-        detail = f"got {size_bytes} bytes, allowed are {self._limit_bytes}"
         log_request(
             "refused",
             request_id=complete.request_id,
-            kind="too_large",
+            kind=kind,
             detail=detail,
         )
         self._stream.drains_on_close = True
-        complete.caller.refuse_unread(413, detail=detail)
+        complete.caller.refuse_unread(
+            status, detail=detail, retry_after_seconds=retry_after_seconds
+        )
 
     def _begin_response(self) -> CompleteRequest:
         """Prepares the response to this request, of which no more is read."""
@@ -248,6 +301,7 @@
             self._connection,
             method=self._start_line.method,
             closes_after=lambda: board.stopping,
+            buffers=board.answer_buffers,
         )
         self._caller = caller
         complete = CompleteRequest(
@@ -261,7 +315,10 @@
     def finish(self) -> None:
         """Starts handling the request, which is now complete."""
         assert self._start_line is not None
+        if self._refused:
+            return
         board = self._caller_server.board
+        self._held_bytes.pin()
         complete = self._begin_response()
         caller = complete.caller
         # Once a request is complete, only this callback reports that its
@@ -279,15 +336,20 @@
         except Exception as error:  # noqa: BLE001 - tornado would only close
             _LOGGER.exception("request_failed", extra={"reason": str(error)})
             caller.send_error(500, detail="internal error")
+            self._held_bytes.release()
             return
         complete.request_id = fields.request_id
         exchange = Exchange(board, caller, request=request, fields=fields)
         complete.exchange = exchange
-        self._caller_server.start_exchange(exchange, caller)
+        self._caller_server.start_exchange(
+            exchange, caller, on_ended=self._held_bytes.release
+        )
 
     def on_connection_close(self) -> None:
         """Drops the request, as the caller has closed the connection."""
         self._chunks.clear()
+        if self._caller is None:
+            self._held_bytes.release()
         self._finish_reading()
         # The close behind a refusal is no loss.
         if self._caller is not None and not self._refused:
@@ -473,15 +535,26 @@
         return len(self._unused_connections) + len(self._used_connections)
 
     def start_exchange(
-        self, exchange: Exchange, caller: CallerConnection
+        self,
+        exchange: Exchange,
+        caller: CallerConnection,
+        *,
+        on_ended: Callable[[], None],
     ) -> None:
-        """Starts an exchange as a task."""
+        """Starts an exchange as a task.
+
+        Args:
+            exchange: Handles the request.
+            caller: Connection that the response is written to.
+            on_ended: Called when the request has been handled.
+        """
         self._exchanges.add(exchange)
         if self._ended:
             exchange.end()
         task = asyncio.ensure_future(self._run_exchange(exchange, caller))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: on_ended())
 
     async def _run_exchange(
         self, exchange: Exchange, caller: CallerConnection
--- a/mulberrypaddle/serving/event_parser.py
+++ b/mulberrypaddle/serving/event_parser.py
@@ -43,6 +43,11 @@
         """Returns whether the buffer holds the start of an incomplete event."""
         return bool(self._buffer.strip(b"\r\n"))
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Returns the number of bytes of the incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Appends bytes and returns the events that they complete.
 
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -590,6 +590,17 @@
             return _NextStep.DONE
         self._send_count += 1
         attempt = self._make_attempt(entry)
+        try:
+            outcome = await self._run_attempt(attempt, entry, now)
+            return self._handle_outcome(entry, attempt, outcome)
+        finally:
+            attempt.release_buffers()
+
+    async def _run_attempt(
+        self, attempt: Attempt, entry: RunnerEntry, now: float
+    ) -> AttemptOutcome:
+        """Runs an attempt at a runner and returns how it ended."""
+        board = self._board
         try:
             outcome = await attempt.run(
                 self._request, self._headers_for(entry, now)
@@ -600,7 +611,7 @@
         self._lateness.record_attempt(
             board.now() - now, answer_begun=self._caller.response_started
         )
-        return self._handle_outcome(entry, attempt, outcome)
+        return outcome
 
     def _may_still_send(self, now: float) -> bool:
         """Returns whether a planned stop leaves time for the next attempt.
--- a/mulberrypaddle/serving/metrics.py
+++ b/mulberrypaddle/serving/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
@@ -122,6 +123,18 @@
     "Version of the configuration in force; 0 before the first.",
     registry=REGISTRY,
 )
+_BUFFERED_BYTES = Gauge(
+    "mulberrypaddle_serving_buffered_bytes",
+    "Bytes that are held of answers and of bodies of requests.",
+    ["kind"],
+    registry=REGISTRY,
+)
+_BUFFER_EVICTIONS = Gauge(
+    "mulberrypaddle_serving_buffer_evictions",
+    "Calls that were ended since they held most of too many bytes.",
+    ["kind"],
+    registry=REGISTRY,
+)
 _COPY_AGE = Gauge(
     "mulberrypaddle_serving_copy_age_seconds",
     "Time since which changes may be missing from the copy of a collection.",
@@ -139,6 +152,16 @@
     """
     for feed in feeds:
         _COPY_AGE.labels(feed.collection.value).set_function(feed.age_seconds)
+    for kind, budget in (
+        ("answers", board.answer_buffers),
+        ("requests", board.request_buffers),
+    ):
+        _BUFFERED_BYTES.labels(kind).set_function(
+            functools.partial(getattr, budget, "held_bytes")
+        )
+        _BUFFER_EVICTIONS.labels(kind).set_function(
+            functools.partial(getattr, budget, "evicted_count")
+        )
     _IN_FLIGHT.set_function(lambda: board.in_flight_count)
     _WAITING.set_function(
         lambda: sum(len(queue) for queue in board.queues.values())
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -39,6 +39,9 @@
 # Size of curl's receive buffer for one answer.
 RECEIVE_BUFFER_BYTES = 16_384
 
+# Memory that a header takes beside its bytes.
+HEADER_OVERHEAD_BYTES = 200
+
 # A status code, and the idle timeout that a runner may announce in seconds.
 _STATUS = re.compile("[0-9]{3}")
 _IDLE_SECONDS = re.compile("[0-9]{1,6}")
@@ -99,8 +102,10 @@
         "_loop",
         "_may_send",
         "_suspension",
+        "_head_bytes",
         "_on_body",
         "_on_head",
+        "_on_head_bytes",
         "_paused",
         "_status",
         "uses_kept_connection",
@@ -118,6 +123,7 @@
         on_body: Callable[[bytes], bool],
         uses_kept_connection: bool = False,
         may_send: Callable[[], bool] = lambda: True,
+        on_head_bytes: Callable[[int], bool] = lambda _: True,
     ) -> None:
         """Prepares a call.
 
@@ -132,11 +138,16 @@
                 may be used, so that the request may have to be sent again.
             may_send: Called once connected, just before the request is sent;
                 False prevents that.
+            on_head_bytes: Called with the bytes that the call holds of the
+                head, each time that there are more. Returns whether to go on;
+                if not, the call ends.
         """
         self._client = client
         self._on_head = on_head
         self._on_body = on_body
         self._may_send = may_send
+        self._on_head_bytes = on_head_bytes
+        self._head_bytes = 0
         self._loop = asyncio.get_running_loop()
         self._suspension = SuspensionMark()
         self._curl: pycurl.Curl | None = None
@@ -323,6 +334,7 @@
         if text.startswith("HTTP/"):
             self._status = _parse_status(text)
             self._headers = []
+            self._head_bytes = 0
             return None
         if text:
             name, _, value = text.partition(":")
@@ -331,6 +343,10 @@
                 self.error = "the answer has an invalid header"
                 return 0
             self._headers.append((name, value))
+            self._head_bytes += len(line) + HEADER_OVERHEAD_BYTES
+            if not self._on_head_bytes(self._head_bytes):
+                self.error = "too many bytes are buffered"
+                return 0
             return None
         if self._status < 200:
             return None
