--- a/mulberrypaddle/serving/check_schedule.py
+++ b/mulberrypaddle/serving/check_schedule.py
@@ -18,10 +18,10 @@
 # Parts of the bound: the age of a copy from which a router checks it that
 # watches the store for others, and from which all other routers do, the random
 # spread of the latter, and the timeout of the first check.
-WATCHER_AGE_SHARE = 1 / 8
-AGE_SHARE = 1 / 3
-SPREAD_SHARE = 1 / 12
-TIMEOUT_SHARE = 1 / 4
+WATCHER_AGE_SHARE = 0.225
+AGE_SHARE = 0.42
+SPREAD_SHARE = 0.08
+TIMEOUT_SHARE = 0.2
 
 # Longest timeout of a check, which doubles with each failure in a row: a store
 # that is slow answers in a quarter of a second, and with many changes later.
--- a/mulberrypaddle/serving/copy_monitor.py
+++ b/mulberrypaddle/serving/copy_monitor.py
@@ -19,7 +19,7 @@
 
 # Part of the bound on a collection's age from which its copy counts as old. A
 # copy is checked earlier, so that it gets so old only if the check fails.
-OLD_SHARE = 1 / 2
+OLD_SHARE = 0.6
 
 
 def age_bounds_seconds(limits: DeploymentLimits) -> dict[Collection, float]:
