--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -11,7 +11,8 @@
 third seed: routers are killed, and paused, some of them as connections reach
 their idle limit; runners crash, the store has outages, loses its watch history
 and comes back from copies, and a proxy in front of the store delays, resets or
-silences connections, or drops the answers only. Every fifth seed has more
+silences connections, or drops the answers only; a further proxy does so for one
+router while the others reach the store. Every fifth seed has more
 routers and runners.
 
 Callers send requests throughout, some of them on connections that they keep
@@ -42,6 +43,7 @@
 from soak.announcement_faults import AnnouncementFaults
 from soak.crashing_check import check_crashing_part
 from soak.idle_limit_faults import IdleLimitFaults
+from soak.path_faults import PathFaults
 from soak.store_faults import StoreFaults
 from soak.upgrade import UpgradeRun
 from soak.version_probe import VersionProbe
@@ -144,10 +146,14 @@
             self._rng,
             call_later=self._call_later,
         )
+        self._path_faults = PathFaults(
+            self._deployment, self._disruptions, random.Random(seed)
+        )
         self._probe = VersionProbe(
             self._deployment,
             random.Random(seed),
             is_store_reachable=self._store_faults.is_reachable,
+            is_path_sound=self._path_faults.is_reachable,
         )
         put_version(self._deployment)
         self.lost_counts: dict[str, int] = {}
@@ -157,6 +163,7 @@
         """Runs all faults and returns the breached invariants."""
         deployment = self._deployment
         deployment.store_address = await self._store_faults.proxy.start()
+        await self._path_faults.start(self._router_count)
         try:
             for _ in range(self._runner_counts["stock"]):
                 deployment.add_runner("stock")
@@ -171,6 +178,7 @@
                 works += [
                     self._idle_limit_faults.run(),
                     self._store_faults.run(),
+                    self._path_faults.run(),
                 ]
             tasks = [asyncio.ensure_future(work) for work in works]
             probing = asyncio.ensure_future(self._probe.run())
@@ -197,13 +205,15 @@
             return deployment.breaches
         finally:
             await deployment.close()
+            self._path_faults.close()
             self._store_faults.proxy.close()
 
     def describe_checks(self) -> str:
         """Returns how much the checks covered."""
         checks = (self._deployment.announcements, self._deployment.versions)
         restores = self._store_faults.restores
-        return f"{checks[0]}, {checks[1]}, {restores} restores"
+        paths = self._path_faults.losses
+        return f"{checks[0]}, {checks[1]}, {restores} restores, {paths} paths"
 
     def _check_losses(self) -> None:
         """Checks that no request on a kept connection was lost."""
--- a/soak/version_probe.py
+++ b/soak/version_probe.py
@@ -32,6 +32,7 @@
         rng: random.Random,
         *,
         is_store_reachable: Callable[[], bool],
+        is_path_sound: Callable[[Router], bool],
     ) -> None:
         """Prepares the requests.
 
@@ -39,10 +40,12 @@
             deployment: The deployment with the routers.
             rng: Source of random choices.
             is_store_reachable: Returns whether routers reach the store.
+            is_path_sound: Returns whether a router's own path to it is sound.
         """
         self._deployment = deployment
         self._rng = rng
         self._is_store_reachable = is_store_reachable
+        self._is_path_sound = is_path_sound
         self._number = 0
         # When the store first said that a runner drains, by its lifetime.
         self._draining_since: dict[str, float] = {}
@@ -55,6 +58,7 @@
             while True:
                 if not self._is_store_reachable():
                     self._deployment.versions.record_unreachable()
+                self._note_lost_paths()
                 self._note_draining_runners()
                 await asyncio.sleep(LOOK_SECONDS)
 
@@ -72,6 +76,12 @@
                 f"v{self._number}",
             )
 
+    def _note_lost_paths(self) -> None:
+        """Notes which routers don't reach the store while others do."""
+        for router in self._deployment.routers.values():
+            if router.process is not None and not self._is_path_sound(router):
+                self._deployment.versions.record_path_lost(router.process.pid)
+
     def _note_draining_runners(self) -> None:
         """Notes which routers must know of the plain runners that drain."""
         deployment = self._deployment
--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -417,6 +417,8 @@
         ready_memberships: Runners that were ready in a group, each with the
             name and epoch of the group.
         store_address: Address at which routers reach the store.
+        store_address_by_router: Addresses of routers that reach it at another
+            one, by number of the router.
         runners: Runners by id.
         routers: Routers by IP address.
         caller_port: Port for callers, the same at all routers.
@@ -452,6 +454,7 @@
         self.entry_expiry_seconds = entry_expiry_seconds
         self.ready_memberships: set[tuple[str, tuple[str, int]]] = set()
         self.store_address = ("127.0.0.1", free_port())
+        self.store_address_by_router: dict[int, tuple[str, int]] = {}
         self.store = Store(self.store_address)
         self.runners: dict[str, Runner] = {}
         self.routers: dict[str, Router] = {}
@@ -1021,6 +1024,7 @@
     """One router process.
 
     Attributes:
+        number: Number of the router, 1 first.
         data_centre: Data centre of its VM.
         source: Folder of the build that the next start runs.
         ip: Its IP address, a loopback one.
@@ -1041,6 +1045,7 @@
         source: Path,
     ) -> None:
         self._deployment = deployment
+        self.number = number
         self.data_centre = data_centre
         self.source = source
         self.ip = f"127.0.0.{number + 10}"
@@ -1055,7 +1060,9 @@
     def _settings(self, number: int) -> str:
         """Returns the content of its settings file."""
         deployment = self._deployment
-        host, port = deployment.store_address
+        host, port = deployment.store_address_by_router.get(
+            number, deployment.store_address
+        )
         return "\n".join(
             [
                 f'node = "router-{number}"',
--- a/tests/support/version_checks.py
+++ b/tests/support/version_checks.py
@@ -22,14 +22,21 @@
 
     Attributes:
         running_since_seconds: When it gave its first answer.
+        unreachable_at_seconds: When its own path to the store was last lost.
         version: Highest version that was in force.
         version_since_seconds: When an answer showed that.
     """
 
-    __slots__ = ("running_since_seconds", "version", "version_since_seconds")
+    __slots__ = (
+        "running_since_seconds",
+        "unreachable_at_seconds",
+        "version",
+        "version_since_seconds",
+    )
 
     def __init__(self) -> None:
         self.running_since_seconds = time.monotonic()
+        self.unreachable_at_seconds = 0.0
         self.version = 0
         self.version_since_seconds = 0.0
 
@@ -72,12 +79,22 @@
         """Records that routers don't reach the store now."""
         self._unreachable_at_seconds = time.monotonic()
 
+    def record_path_lost(self, process_id: int) -> None:
+        """Records that one process doesn't reach the store now."""
+        process = self._processes.get(process_id)
+        if process is not None:
+            process.unreachable_at_seconds = time.monotonic()
+
     def reachable_since_seconds(self, process_id: int) -> float:
         """Returns since when a process has run and reached the store."""
         process = self._processes.get(process_id)
         if process is None:
             return float("inf")
-        return max(process.running_since_seconds, self._unreachable_at_seconds)
+        return max(
+            process.running_since_seconds,
+            process.unreachable_at_seconds,
+            self._unreachable_at_seconds,
+        )
 
     def record_answer(
         self,
