--- a/mulberrypaddle/serving/feed.py
+++ b/mulberrypaddle/serving/feed.py
@@ -59,6 +59,10 @@
 RETRY_PAUSE_SECONDS = 0.1
 MAX_RETRY_PAUSE_SECONDS = 0.6
 
+# Least time between two lists that are made since copies of other routers
+# contradict this one.
+RELIST_SECONDS = 2.0
+
 # Size of the checksum of a copy, which JSON has to carry exactly.
 CHECKSUM_BYTES = 6
 
@@ -219,6 +223,8 @@
         # the monotonic time since which earlier calls prove nothing.
         self._distrusts_reports = False
         self._distrusted_at_seconds = -math.inf
+        # Monotonic time at which another copy was last found to contradict.
+        self._contradicted_at_seconds = -math.inf
         self.collection = collection
         self.items: dict[str, StoredItem] = {}
         self.revision = 0
@@ -296,6 +302,32 @@
         self._must_list = True
         self._list_requested.set()
 
+    def compare_with(self, checksum: int, *, changed_revision: int) -> None:
+        """Lists the collection again if another router's copy contradicts.
+
+        Two copies in which the last change is the same one must be equal. One
+        of them may lack a removal that came before.
+
+        Args:
+            checksum: Checksum of the other router's copy.
+            changed_revision: Revision of the last change in that copy.
+        """
+        if not self.revision or changed_revision != self.changed_revision:
+            return
+        if checksum == self.checksum:
+            return
+        now_seconds = time.monotonic()
+        if now_seconds - self._contradicted_at_seconds < RELIST_SECONDS:
+            return
+        self._contradicted_at_seconds = now_seconds
+        log_state_change(
+            "copies_differ",
+            collection=self.collection.value,
+            changed_revision=changed_revision,
+            revision=self.revision,
+        )
+        self.request_list()
+
     def is_check_due(self) -> bool:
         """Returns whether the store should be asked now what the copy lacks.
 
--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -239,10 +239,12 @@
             self._store_watchers.withdraw(heartbeat.node)
         for name, (age_ms, checksum) in heartbeat.ages.items():
             feed = self._feeds.get(name)
-            if feed is not None:
-                feed.adopt_age(
-                    checksum, confirmed_at_seconds=now - age_ms / 1000
-                )
+            if feed is None:
+                continue
+            feed.adopt_age(checksum, confirmed_at_seconds=now - age_ms / 1000)
+            feed.compare_with(
+                checksum, changed_revision=heartbeat.revisions.get(name, 0)
+            )
         self.on_heartbeat(heartbeat)
         self.collection_sync.fetch_if_behind(heartbeat, now)
 
--- a/tests/serving/test_copy_ages.py
+++ b/tests/serving/test_copy_ages.py
@@ -95,6 +95,35 @@
             feed.adopt_age(other.checksum, confirmed_at_seconds=5.0)
             self.assertIsNone(feed.confirmed_at_seconds, str(revisions))
 
+    def test_copy_that_lacks_a_removal_is_listed_again(self) -> None:
+        # The other router has listed the collection after the removal of r2.
+        feed, other = make_feed(1, 2, 5), make_feed(1, 5)
+        for _ in range(2):
+            feed.compare_with(
+                other.checksum, changed_revision=other.changed_revision
+            )
+            self.assertTrue(feed._must_list)
+
+    def test_copy_that_is_only_behind_is_not_listed_again(self) -> None:
+        for revisions in ((1, 2), (1, 2, 5), (1, 2, 5, 6)):
+            feed, other = make_feed(1, 2, 5), make_feed(*revisions)
+            feed._must_list = False
+            feed.compare_with(
+                other.checksum, changed_revision=other.changed_revision
+            )
+            self.assertFalse(feed._must_list, str(revisions))
+
+    def test_contradictions_do_not_cause_a_list_each(self) -> None:
+        feed, other = make_feed(1, 2, 5), make_feed(1, 5)
+        lists = 0
+        for _ in range(5):
+            feed._must_list = False
+            feed.compare_with(
+                other.checksum, changed_revision=other.changed_revision
+            )
+            lists += feed._must_list
+        self.assertEqual(1, lists)
+
     def test_checksum_is_of_the_objects_and_not_of_how_they_came(self) -> None:
         feed = make_feed(1, 2, 5)
         feed._apply_watch_result(
