Break a stream in a test once the other heads are known

The test broke its stream 0.3 s after it began, in which time it had to add two more heads and reach one. Traced: with the process stopped for 0.6 s before the second head is added the old test fails in the same way; the new one passes with 1.5 s.

The stream now breaks on an event that is set once both heads are known. What is checked is the same.

--- a/tests/serving/test_leaving_runners.py
+++ b/tests/serving/test_leaving_runners.py
@@ -292,13 +292,15 @@
         self.assertEqual(b"HTTP/1.1 200", got[:12])
 
     def test_stream_is_not_resumed_at_it(self) -> None:
+        others_are_known = asyncio.Event()
+
         async def breaks(
             count: int, request: bytes, writer: asyncio.StreamWriter
         ) -> None:
             writer.write(_STREAM_HEAD + _event(1))
             await writer.drain()
             # The other head says that it is leaving meanwhile.
-            await asyncio.sleep(0.3)
+            await others_are_known.wait()
             writer.transport.abort()
 
         async def scenario() -> tuple[int, int]:
@@ -315,6 +317,7 @@
             await fleet.add_head("h3", _answer(_STREAM))
             for _ in range(4):
                 fleet.harness.board.loads.add_request("h3")
+            others_are_known.set()
             with contextlib.suppress(TimeoutError):
                 await stream
             await fleet.close()
