--- a/soak/upgrade.py
+++ b/soak/upgrade.py
@@ -45,6 +45,10 @@
 # format. All others must be the same.
 ADDED_METRICS = frozenset(
     {
+        "# TYPE mulberrypaddle_serving_buffer_evictions gauge",
+        "# TYPE mulberrypaddle_serving_buffered_bytes gauge",
+        "# TYPE mulberrypaddle_serving_config_age_seconds histogram",
+        "# TYPE mulberrypaddle_serving_copy_age_seconds gauge",
         "# TYPE mulberrypaddle_serving_runners_leaving gauge",
         "# TYPE mulberrypaddle_serving_runners_paused gauge",
     }
