Count the unread bytes of a response once

CallerConnection kept the bytes of the write in flight beside _pending_bytes, which counts them already until they are written; so event=slow_caller_ended logged the bytes of a stream in flight twice, and each event summed the pending parts again. The first bytes of a body now count there too, and the second count goes. The reader of a request accounts for its body in one place.

--- a/mulberrypaddle/serving/caller_connection.py
+++ b/mulberrypaddle/serving/caller_connection.py
@@ -49,7 +49,6 @@
         "_finishing",
         "_has_body",
         "_held_bytes",
-        "_in_flight_bytes",
         "_on_drained",
         "_on_disconnect",
         "_pending",
@@ -81,10 +80,9 @@
         self._has_body = method != "HEAD"
         self._closes_after = closes_after
         self._pending: list[bytes] = []
+        # Bytes of the body that are not written yet, also those in flight.
         self._pending_bytes = 0
         self._write_in_flight = False
-        # Bytes of the body in that write.
-        self._in_flight_bytes = 0
         self._held_bytes = (
             None if buffers is None else buffers.open(self._evict)
         )
@@ -257,9 +255,9 @@
         line = httputil.ResponseStartLine(
             "HTTP/1.1", status, _REASON_PHRASES.get(status, "Unknown")
         )
+        self._pending_bytes += len(body)
         self._start_write(
-            lambda: self._connection.write_headers(line, fields, body),
-            len(body),
+            lambda: self._connection.write_headers(line, fields, body)
         )
         self._record_held_bytes()
 
@@ -273,7 +271,7 @@
         if self._pending:
             data = b"".join(self._pending)
             self._pending.clear()
-            self._start_write(lambda: self._connection.write(data), len(data))
+            self._start_write(lambda: self._connection.write(data))
             return
         if self._finishing:
             self._finished = True
@@ -284,10 +282,7 @@
 
     def _evict(self) -> None:
         """Ends the response, as its caller has yet to read most bytes."""
-        log_state_change(
-            "slow_caller_ended",
-            unread_bytes=self._pending_bytes + self._in_flight_bytes,
-        )
+        log_state_change("slow_caller_ended", unread_bytes=self._pending_bytes)
         self._pending.clear()
         self.aborted = True
         # This may be called while another connection is being written.
@@ -296,21 +291,11 @@
     def _record_held_bytes(self) -> None:
         """Records how many bytes the caller has yet to read."""
         if self._held_bytes is not None:
-            self._held_bytes.resize(
-                sum(len(part) for part in self._pending) + self._in_flight_bytes
-            )
-
-    def _start_write(
-        self, write: Callable[[], asyncio.Future[None]], body_bytes: int
-    ) -> None:
-        """Starts one write on the connection; `_on_written` follows it.
+            self._held_bytes.resize(self._pending_bytes)
 
-        Args:
-            write: Writes to the connection.
-            body_bytes: Bytes of the body that it writes.
-        """
+    def _start_write(self, write: Callable[[], asyncio.Future[None]]) -> None:
+        """Starts one write on the connection; `_on_written` follows it."""
         self._write_in_flight = True
-        self._in_flight_bytes = body_bytes
         try:
             future = write()
         except StreamClosedError:
@@ -324,7 +309,6 @@
         Calls the drained callback if the caller has caught up.
         """
         self._write_in_flight = False
-        self._in_flight_bytes = 0
         if done.cancelled():
             return
         error = done.exception()
--- a/mulberrypaddle/serving/caller_server.py
+++ b/mulberrypaddle/serving/caller_server.py
@@ -212,11 +212,8 @@
         if self._refused:
             return
         self._chunks.append(chunk)
-        if self._size_bytes <= self._limit_bytes:
-            self._held_bytes.resize(self._size_bytes)
-            return
         config = self._caller_server.board.config
-        if config is not None:
+        if self._size_bytes > self._limit_bytes and config is not None:
             self._limit_bytes = max(self._limit_bytes, config.limits.body_bytes)
         if self._size_bytes > self._limit_bytes:
             self._refuse_body(self._size_bytes)
