Compute the lateness of a round and the watchers in one place

The router subtracted the last tick again, which TickMonitor did twice itself: TickMonitor.delay_seconds serves all three, and the last tick is private again. StoreWatchers.active built and sorted a list at each look of each feed at whether somebody watches; it is lazy again and sorted only for the log. Whether a router is a member is asked in one place.

--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -200,6 +200,11 @@
         """Returns whether the fleet is so large that it uses relays."""
         return self._board.live_routers > MAX_MESH_ROUTERS
 
+    @property
+    def _is_member(self) -> bool:
+        """Returns whether this router is in a large fleet and not a relay."""
+        return self.uses_relays and not self.relays.is_relay
+
     # Receiving.
 
     def datagram_received(
@@ -726,9 +731,8 @@
             now: Loop time in seconds.
             before: If given, only routers whose names sort before it count.
         """
-        is_member = self.uses_relays and not self.relays.is_relay
         return self._store_watchers.has_active(
-            now, is_member=is_member, before=before
+            now, is_member=self._is_member, before=before
         )
 
     def active_watchers(self, now: float) -> list[str]:
@@ -737,8 +741,9 @@
         Args:
             now: Loop time in seconds.
         """
-        is_member = self.uses_relays and not self.relays.is_relay
-        return self._store_watchers.active(now, is_member=is_member)
+        return sorted(
+            self._store_watchers.active(now, is_member=self._is_member)
+        )
 
     def _make_heartbeat(self, now: float) -> Heartbeat:
         """Returns the current heartbeat of this router alone."""
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -389,14 +389,14 @@
 
     def _check_promptness(self) -> None:
         """Records the start of a round; handles the slowness of the process."""
-        before_seconds = self._tick_monitor.last_tick_seconds
-        if before_seconds is not None and (
-            self.board.now() - before_seconds
-            > HEARTBEAT_INTERVAL_SECONDS + MAX_REPORT_DELAY_SECONDS
-        ):
+        now = self.board.now()
+        delay_seconds = self._tick_monitor.delay_seconds(
+            now, pause_seconds=HEARTBEAT_INTERVAL_SECONDS
+        )
+        if delay_seconds > MAX_REPORT_DELAY_SECONDS:
             self._distrust_reports()
         if self._tick_monitor.record_tick(
-            self.board.now(), pause_seconds=HEARTBEAT_INTERVAL_SECONDS
+            now, pause_seconds=HEARTBEAT_INTERVAL_SECONDS
         ):
             self._handle_slowness()
 
--- a/mulberrypaddle/serving/store_watchers.py
+++ b/mulberrypaddle/serving/store_watchers.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 # Time without a heartbeat from any router that watches the store for others,
 # after which a router watches it itself: several heartbeats. Members of a large
 # fleet, which rely on a relay, wait longer, since their many calls would reach
@@ -27,8 +32,8 @@
         """Records that a router no longer watches the store for others."""
         self._received_at_seconds.pop(node, None)
 
-    def active(self, now_seconds: float, *, is_member: bool) -> list[str]:
-        """Returns the routers that currently watch the store for others.
+    def active(self, now_seconds: float, *, is_member: bool) -> Iterator[str]:
+        """Yields the routers that currently watch the store for others.
 
         Args:
             now_seconds: Monotonic time.
@@ -38,11 +43,9 @@
         timeout_seconds = WATCHER_TIMEOUT_SECONDS
         if is_member:
             timeout_seconds = MEMBER_WATCHER_TIMEOUT_SECONDS
-        return sorted(
-            node
-            for node, received_at_seconds in self._received_at_seconds.items()
-            if now_seconds - received_at_seconds < timeout_seconds
-        )
+        for node, received_at_seconds in self._received_at_seconds.items():
+            if now_seconds - received_at_seconds < timeout_seconds:
+                yield node
 
     def has_active(
         self, now_seconds: float, *, is_member: bool, before: str = ""
--- a/mulberrypaddle/serving/tick_monitor.py
+++ b/mulberrypaddle/serving/tick_monitor.py
@@ -27,21 +27,17 @@
     """Decides whether this process is fit, that is, prompt enough for duties.
 
     It decides by how late the recent rounds (ticks) of the main loop were.
-
-    Attributes:
-        last_tick_seconds: Monotonic time of the last tick; None before the
-            first.
     """
 
     __slots__ = (
+        "_last_tick_seconds",
         "_late_since_seconds",
         "_tick_was_late",
         "_unfit_until_seconds",
-        "last_tick_seconds",
     )
 
     def __init__(self) -> None:
-        self.last_tick_seconds: float | None = None
+        self._last_tick_seconds: float | None = None
         # Time of the tick before the last one, if the last one was late.
         self._late_since_seconds: float | None = None
         # Whether each of the recent ticks was late, oldest first.
@@ -60,15 +56,16 @@
         Returns:
             Whether the process has just become unfit.
         """
-        last_tick_seconds, self.last_tick_seconds = (
-            self.last_tick_seconds,
+        delay_seconds = self.delay_seconds(
+            now_seconds, pause_seconds=pause_seconds
+        )
+        last_tick_seconds, self._last_tick_seconds = (
+            self._last_tick_seconds,
             now_seconds,
         )
         if last_tick_seconds is None:
             return False
-        is_late = (
-            now_seconds - last_tick_seconds - pause_seconds > LATE_TICK_SECONDS
-        )
+        is_late = delay_seconds > LATE_TICK_SECONDS
         self._tick_was_late.append(is_late)
         self._late_since_seconds = last_tick_seconds if is_late else None
         if sum(self._tick_was_late) < UNFIT_LATE_TICKS:
@@ -77,6 +74,19 @@
         self._unfit_until_seconds = now_seconds + UNFIT_SECONDS
         return was_fit
 
+    def delay_seconds(
+        self, now_seconds: float, *, pause_seconds: float
+    ) -> float:
+        """Returns by how much the next tick is late; 0 before the first.
+
+        Args:
+            now_seconds: Monotonic time.
+            pause_seconds: Intended pause between two ticks.
+        """
+        if self._last_tick_seconds is None:
+            return 0.0
+        return now_seconds - self._last_tick_seconds - pause_seconds
+
     def signal_sent_seconds(
         self, now_seconds: float, *, pause_seconds: float
     ) -> float:
@@ -89,11 +99,13 @@
             now_seconds: Monotonic time at which the signal is handled.
             pause_seconds: Intended pause between two ticks.
         """
-        if self.last_tick_seconds is None:
+        if self._last_tick_seconds is None:
             return now_seconds
-        late_seconds = now_seconds - self.last_tick_seconds - pause_seconds
-        if late_seconds > LATE_TICK_SECONDS:
-            return self.last_tick_seconds
+        delay_seconds = self.delay_seconds(
+            now_seconds, pause_seconds=pause_seconds
+        )
+        if delay_seconds > LATE_TICK_SECONDS:
+            return self._last_tick_seconds
         if self._late_since_seconds is not None:
             return self._late_since_seconds
         return now_seconds
