Let a stream that left a silent runner wait for any other one

What callers saw: a stream was cut in the middle, without an end.

Cause: let such a stream wait for the runner that it left, and only for that one. It gave up once that runner left, and also when the retry budget was used up at the moment of the return. The class: a router leaves a runner by its own choice, and then ends the answer by an estimate of the wait, although a begun answer can't be refused and its caller still listens.

Now a begun answer that left a silent runner waits while any runner serves its model, also a full or paused one, and for the retry budget; until its deadline, the end of a stop, or until its caller leaves. An answer that has not begun waits as before.

Evidence: test_stream_outlives_a_silent_head_that_leaves_and_a_paused_one and test_stream_that_left_a_silent_head_waits_for_the_retry_budget fail without the change (the stream ends after event 1) and pass with it.

--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -129,6 +129,8 @@
         self._possible_runs: list[tuple[str, int | None]] = []
         # Runners that it left since they sent nothing, the latest last.
         self._silent_runners: list[RunnerEntry] = []
+        # Whether it ever left a runner for its silence.
+        self._left_silent_runner = False
         self._lateness = LatenessRecorder()
         self.last_event_id = fields.last_event_id
 
@@ -295,7 +297,7 @@
                 if entry is not None:
                     return entry
             if self._may_have_run and not self._may_send_again():
-                if self._may_return_later():
+                if self._may_go_on_later():
                     await asyncio.sleep(RETRY_ROUND_PAUSE_SECONDS)
                     continue
                 self._fail_outcome_unknown()
@@ -346,12 +348,21 @@
         )
         return any(entry.incarnation == runner.incarnation for entry in serving)
 
-    def _may_return_later(self) -> bool:
-        """Returns whether a runner that was left for its silence may go on.
+    def _may_go_on_later(self) -> bool:
+        """Returns whether a request that left a silent runner may go on.
 
-        Until its group is closed it may be a sound one that pauses.
+        Until its group is closed that runner may be a sound one that pauses. An
+        answer that has begun can't be refused any more, so it waits for every
+        runner that serves the model, also for a full or paused one.
         """
-        return any(self._is_serving(runner) for runner in self._silent_runners)
+        if any(self._is_serving(runner) for runner in self._silent_runners):
+            return True
+        if not self._left_silent_runner or not self._caller.response_started:
+            return False
+        serving = self._board.chooser.serving_runners(
+            self._runner_requirements()
+        )
+        return bool(serving) and self._may_send_again()
 
     def _return_to_silent_runner(self, now: float) -> RunnerEntry | None:
         """Reserves a slot at a runner that was left only for its silence.
@@ -367,18 +378,28 @@
         for entry in reversed(self._silent_runners):
             if not self._can_return(entry, now):
                 continue
-            self._silent_runners.remove(entry)
             board.loads.add_request(entry.runner_id)
             board.chooser.record_sent(entry, now_seconds=now)
-            log_request(
-                "returns_to_silent_runner",
-                request_id=self._fields.request_id,
-                runner=entry.runner_id,
-                sends=self._send_count,
-            )
             return entry
         return None
 
+    def _record_return(self, entry: RunnerEntry) -> None:
+        """Records that the request is sent to a runner that it left before."""
+        silent = [
+            runner
+            for runner in self._silent_runners
+            if runner.incarnation != entry.incarnation
+        ]
+        if len(silent) == len(self._silent_runners):
+            return
+        self._silent_runners = silent
+        log_request(
+            "returns_to_silent_runner",
+            request_id=self._fields.request_id,
+            runner=entry.runner_id,
+            sends=self._send_count,
+        )
+
     def _has_other_healthy(self, now: float) -> bool:
         """Returns whether a healthy runner has not been tried yet."""
         healthy = self._board.chooser.healthy_runners(
@@ -481,8 +502,8 @@
     ) -> bool:
         """Ends a wait for a slot that is hopeless.
 
-        A stream that left a runner only for its silence goes on waiting for
-        that one.
+        A stream that left a runner only for its silence goes on waiting while
+        one may take it.
 
         Args:
             retry_after_seconds: Value of the Retry-After header of a refusal.
@@ -491,7 +512,7 @@
         Returns:
             Whether to look for a runner again; if not, the request was refused.
         """
-        if self._may_return_later():
+        if self._may_go_on_later():
             await asyncio.sleep(RETRY_ROUND_PAUSE_SECONDS)
             return True
         self._refuse_no_capacity(retry_after_seconds, healthy_count)
@@ -580,6 +601,8 @@
                 service=service,
                 sends=self._send_count,
             )
+            if await self._wait_for_retry():
+                return _NextStep.RETRY
             if self._may_have_run:
                 return _NextStep.OUTCOME_UNKNOWN
             self._refuse(
@@ -589,6 +612,7 @@
             )
             return _NextStep.DONE
         self._send_count += 1
+        self._record_return(entry)
         attempt = self._make_attempt(entry)
         try:
             outcome = await self._run_attempt(attempt, entry, now)
@@ -625,6 +649,25 @@
             arrived_at_seconds=self._arrived_at,
         )
 
+    async def _wait_for_retry(self) -> bool:
+        """Waits until the retry budget allows the next send, and reserves it.
+
+        Returns:
+            Whether it was reserved; if not, the request can't wait for it.
+        """
+        board = self._board
+        while self._may_go_on_later():
+            await asyncio.sleep(RETRY_ROUND_PAUSE_SECONDS)
+            now = board.now()
+            if self._ended or self._caller.disconnected:
+                return False
+            if self._remaining_seconds(now) < MIN_SEND_SECONDS:
+                return False
+            if self._acquire_retry(now):
+                self._retry_reserved = True
+                return True
+        return False
+
     def _acquire_retry(self, now: float) -> bool:
         """Returns whether a retry was reserved or the budget allows one now."""
         if self._retry_reserved:
@@ -810,6 +853,7 @@
             board.runner_health.record_unreachable(runner_id, now)
             board.runner_health.mark_suspected(runner_id, now)
             self._silent_runners.append(entry)
+            self._left_silent_runner = True
         elif outcome is not AttemptOutcome.STALE:
             board.runner_health.record_failure(runner_id, now)
         if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.STALE):
@@ -834,7 +878,7 @@
                 )
                 return self._forward_error_response(attempt)
         if not self._terms.route.may_retry or not (
-            self._may_send_again() or self._may_return_later()
+            self._may_send_again() or self._may_go_on_later()
         ):
             return self._forward_error_response(attempt)
         if outcome is AttemptOutcome.FAILED and not self._has_other_healthy(
