Let a stream return to a silent runner whoever else calls it silent

What callers saw: a stream was cut at the end of a stop, although its runner had only been silent for 1.7 s and went on.

Cause: the streams of all three routers left i-4 at the same moment. A router that leaves a runner calls it silent for 4 s in each report, the others count that as observed when they receive it, and no request returned to a runner that somebody calls silent.

Evidence: test_stream_returns_to_a_head_that_other_routers_call_silent fails without the change (cut after event 1) and passes with it.

--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -11,6 +11,7 @@
 from mulberrypaddle.core.errors import ANSWERS, ErrorKind
 from mulberrypaddle.dispatch import RunnerRequirements, decide_wait
 from mulberrypaddle.dispatch.crash_attribution import MAX_STARTING_EVENTS
+from mulberrypaddle.dispatch.runner_health import SUSPICION_TTL_SECONDS
 from mulberrypaddle.dispatch.wait_decision import (
     MIN_RETRY_AFTER_SECONDS,
     MIN_SEND_SECONDS,
@@ -82,6 +83,21 @@
     OUTCOME_UNKNOWN = "unknown"
 
 
+class _SilentRunner:
+    """A runner that the request left since it sent nothing.
+
+    Attributes:
+        entry: Its entry when the request was sent to it.
+        left_at_seconds: Loop time at which the request left it.
+    """
+
+    __slots__ = ("entry", "left_at_seconds")
+
+    def __init__(self, entry: RunnerEntry, left_at_seconds: float) -> None:
+        self.entry = entry
+        self.left_at_seconds = left_at_seconds
+
+
 class Exchange:
     """Handles one request: admits, queues, sends and if need be retries it."""
 
@@ -128,7 +144,7 @@
         # runner id and start time in milliseconds.
         self._possible_runs: list[tuple[str, int | None]] = []
         # Runners that it left since they sent nothing, the latest last.
-        self._silent_runners: list[RunnerEntry] = []
+        self._silent_runners: list[_SilentRunner] = []
         # Whether it ever left a runner for its silence.
         self._left_silent_runner = False
         self._lateness = LatenessRecorder()
@@ -328,18 +344,18 @@
         board.chooser.record_sent(entry, now_seconds=now)
         return entry
 
-    def _can_return(self, runner: RunnerEntry, now: float) -> bool:
-        """Returns whether a runner that was left serves again.
+    def _can_return(self, runner: _SilentRunner, now: float) -> bool:
+        """Returns whether the request may be sent to a runner that it left.
 
-        That is, it is the same process, its group is open, and no stream of it
-        was seen to stall lately.
+        That is, it is the same process, its group is open, and it was left some
+        time ago. That others call it silent does not count: they may have left
+        it at the same moment, and nobody would see that it goes on.
         """
-        board = self._board
-        if board.runner_health.is_suspected(runner.runner_id, now):
+        if now - runner.left_at_seconds < SUSPICION_TTL_SECONDS:
             return False
-        if board.pauses.is_paused(runner.incarnation, now):
+        if self._board.pauses.is_paused(runner.entry.incarnation, now):
             return False
-        return self._is_serving(runner)
+        return self._is_serving(runner.entry)
 
     def _is_serving(self, runner: RunnerEntry) -> bool:
         """Returns whether a runner is the same process in an open group."""
@@ -355,8 +371,9 @@
         answer that has begun can't be refused any more, so it waits for every
         runner that serves the model, also for a full or paused one.
         """
-        if any(self._is_serving(runner) for runner in self._silent_runners):
-            return True
+        for runner in self._silent_runners:
+            if self._is_serving(runner.entry):
+                return True
         if not self._left_silent_runner or not self._caller.response_started:
             return False
         serving = self._board.chooser.serving_runners(
@@ -375,9 +392,10 @@
             The runner; None if there is none that serves.
         """
         board = self._board
-        for entry in reversed(self._silent_runners):
-            if not self._can_return(entry, now):
+        for runner in reversed(self._silent_runners):
+            if not self._can_return(runner, now):
                 continue
+            entry = runner.entry
             board.loads.add_request(entry.runner_id)
             board.chooser.record_sent(entry, now_seconds=now)
             return entry
@@ -388,7 +406,7 @@
         silent = [
             runner
             for runner in self._silent_runners
-            if runner.incarnation != entry.incarnation
+            if runner.entry.incarnation != entry.incarnation
         ]
         if len(silent) == len(self._silent_runners):
             return
@@ -852,7 +870,7 @@
         if outcome is AttemptOutcome.STALLED:
             board.runner_health.record_unreachable(runner_id, now)
             board.runner_health.mark_suspected(runner_id, now)
-            self._silent_runners.append(entry)
+            self._silent_runners.append(_SilentRunner(entry, now))
             self._left_silent_runner = True
         elif outcome is not AttemptOutcome.STALE:
             board.runner_health.record_failure(runner_id, now)
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -948,6 +948,46 @@
             self.assertEqual(1, got.count(b"id: %d\n" % number), got)
         self.assertTrue(got.endswith(b"0\r\n\r\n"))
 
+    def test_stream_returns_to_a_head_that_other_routers_call_silent(
+        self,
+    ) -> None:
+        self.patch(stalls, "STALL_SECONDS", 0.2)
+        requests: list[bytes] = []
+
+        def report_silence(board: Blackboard) -> None:
+            board.runner_health.apply_peer_report(
+                failing=(), silent=("h0", "h1"), now_seconds=board.now()
+            )
+            board.loop.call_later(0.1, report_silence, board)
+
+        async def answer(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            requests.append(request)
+            if len(requests) == 1:
+                writer.write(_STREAM_HEAD + _event(1))
+                await writer.drain()
+                await asyncio.sleep(1.0)
+            elif len(requests) == 2:
+                writer.write(
+                    _complete_response(
+                        503, b"", b"X-Not-Executed: 1\r\nRetry-After: 9\r\n"
+                    )
+                )
+            else:
+                writer.write(_STREAM_HEAD + _event(2) + _STREAM_END)
+
+        got, _ = self._send_request(
+            answer,
+            answer,
+            first_attempts=100,
+            prepare=lambda path: report_silence(path.board),
+        )
+        self.assertEqual(3, len(requests), got)
+        for number in (1, 2):
+            self.assertEqual(1, got.count(b"id: %d\n" % number), got)
+        self.assertTrue(got.endswith(b"0\r\n\r\n"))
+
     def test_stream_outlives_a_silent_head_that_leaves_and_a_paused_one(
         self,
     ) -> None:
