Keep the load of the soak after the faults within what its runners bear

Callers that keep their connection must not pause for longer than 0.8 of it, so that a short limit makes them send more than twice as often, and all routers refuse with "no runner has room" while 12 of 12 groups are open. The check expects up to 21 requests in a row to be served, which an overloaded deployment doesn't do, and needn't: the callers of the soak are too many, no router is at fault.

Once the faults have ended, the kept callers now begin no stream while as many are open as half of the slots, and send plain requests instead. The faults, the load during them, and all checks are as before.

--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -71,10 +71,13 @@
 MANY_ROUTERS = 7
 MANY_RUNNERS = {"stock": 6, "cards": 25}
 # Callers that keep their connection, for each router, their requests, and the
-# longest pause between two of them.
+# longest pause between two of them. Short idle limits let them send more often.
 KEPT_CALLERS = 50
 KEPT_REQUEST_KINDS = ("safe", "pay", "report", "write", "write", "draft")
 KEPT_PAUSE_SECONDS = 12.0
+# Streams of these callers that may be open for each engine runner after the
+# faults, half of what the groups have slots for.
+KEPT_STREAMS_PER_RUNNER = 1.5
 # Longest time between the signals of stops that overlap.
 STOP_SPREAD_SECONDS = 2.0
 # Pause between two checks whether a router has stopped.
@@ -188,6 +191,9 @@
                 _cancel(task)
             await asyncio.gather(*self._stops)
             self._clear_faults()
+            self._kept_callers.limit_streams(
+                int(KEPT_STREAMS_PER_RUNNER * self._runner_counts["cards"])
+            )
             recovered = await self._recovers()
             if recovered and self._crashing:
                 await check_crashing_part(
--- a/tests/soak/test_kept_callers.py
+++ b/tests/soak/test_kept_callers.py
@@ -13,8 +13,12 @@
 from tests.support.asynchronous import run
 from tests.support.disruptions import Disruptions
 from tests.support.idle_limits import IdleLimits
-from tests.support.kept_callers import SentRequest, losses
-from tests.support.simulated_deployment import Router, SimulatedDeployment
+from tests.support.kept_callers import KeptCallers, SentRequest, losses
+from tests.support.simulated_deployment import (
+    Caller,
+    Router,
+    SimulatedDeployment,
+)
 
 GRACE_SECONDS = 6.0
 
@@ -200,3 +204,26 @@
         limits.record(15.0)
         limits.record(2.0)
         self.assertEqual(2.0, limits.smallest_seconds())
+
+
+class StreamLimitTest(testtools.TestCase):
+    """Kinds of requests while many streams are open."""
+
+    def test_no_more_streams_are_begun_than_the_limit(self) -> None:
+        async def scenario() -> tuple[set[str], set[str]]:
+            with tempfile.TemporaryDirectory() as folder:
+                deployment = SimulatedDeployment(Path(folder))
+                callers = KeptCallers(
+                    deployment,
+                    Caller(deployment),
+                    seed=1,
+                    kinds=("safe", "draft"),
+                    longest_pause_seconds=1.0,
+                )
+                before = {callers._choose_kind() for _ in range(50)}
+                callers.limit_streams(0)
+                after = {callers._choose_kind() for _ in range(50)}
+                await deployment.close()
+                return before, after
+
+        self.assertEqual(({"safe", "draft"}, {"safe"}), run(scenario()))
--- a/tests/support/kept_callers.py
+++ b/tests/support/kept_callers.py
@@ -129,6 +129,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._number = 0
         self._is_open = True
+        # Most streams that may be open at a time, and how many are.
+        self._max_streams: float = float("inf")
+        self._open_streams = 0
         self.requests: list[SentRequest] = []
         # Router and start of each connection's current pause, by caller.
         self._idle: dict[int, tuple[Router, float]] = {}
@@ -147,6 +150,13 @@
             if idle_router is router
         ]
 
+    def limit_streams(self, count: int) -> None:
+        """Lets no caller begin a stream while this many are open.
+
+        It sends a request of another kind instead.
+        """
+        self._max_streams = count
+
     async def stop(self) -> None:
         """Ends the callers once their requests are answered."""
         self._is_open = False
@@ -219,6 +229,15 @@
             self._deployment.breaches.append(f"{data!r} came unasked")
         return True
 
+    def _choose_kind(self) -> str:
+        """Returns a random kind of request."""
+        kind = self._rng.choice(self._kinds)
+        if self._open_streams < self._max_streams:
+            return kind
+        while ROUTE_KINDS[kind] == "streaming":
+            kind = self._rng.choice(self._kinds)
+        return kind
+
     async def _exchange(
         self,
         router: Router,
@@ -229,7 +248,7 @@
         """Sends a request; returns whether the connection can be used again."""
         self._number += 1
         request_id = f"k{self._number}"
-        kind = self._rng.choice(self._kinds)
+        kind = self._choose_kind()
         limit_seconds = ROUTE_TIMEOUTS_SECONDS[kind]
         self._deployment.record_caller(request_id, router)
         request = SentRequest(request_id, kind, router, limit_seconds)
@@ -239,6 +258,8 @@
         )
         answer = bytearray()
         is_complete = False
+        is_stream = ROUTE_KINDS[kind] == "streaming"
+        self._open_streams += is_stream
         try:
             writer.write(
                 request_bytes(
@@ -256,6 +277,8 @@
             request.outcome = "timed out"
         except OSError:
             request.was_reset = True
+        finally:
+            self._open_streams -= is_stream
         request.ended_at_seconds = time.monotonic()
         if not request.outcome:
             request.outcome = self._caller.check_answer(
