Wait for the retry budget only with an answer that has begun

A request that had left a silent runner before its first event, or a plain one that had left a slow one, waited for the retry budget until its deadline (504), although its caller can still get an error at once and decide what to do.

--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -670,11 +670,14 @@
     async def _wait_for_retry(self) -> bool:
         """Waits until the retry budget allows the next send, and reserves it.
 
+        Only an answer that has begun waits: for others, an error at once lets
+        the caller decide.
+
         Returns:
             Whether it was reserved; if not, the request can't wait for it.
         """
         board = self._board
-        while self._may_go_on_later():
+        while self._caller.response_started and self._may_go_on_later():
             await asyncio.sleep(RETRY_ROUND_PAUSE_SECONDS)
             now = board.now()
             if self._ended or self._caller.disconnected:
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -1069,6 +1069,25 @@
             self.assertEqual(1, got.count(b"id: %d\n" % number), got)
         self.assertTrue(got.endswith(b"0\r\n\r\n"))
 
+    def test_request_without_events_does_not_wait_for_the_retry_budget(
+        self,
+    ) -> None:
+        self.patch(stalls, "FIRST_EVENT_STALL_SECONDS", 0.2)
+        requests: list[bytes] = []
+
+        async def answer(
+            count: int, request: bytes, writer: asyncio.StreamWriter
+        ) -> None:
+            requests.append(request)
+            if len(requests) == 1:
+                await asyncio.sleep(3.0)
+                return
+            writer.write(_complete_response(503, b"", b"X-Not-Executed: 1\r\n"))
+
+        got, _ = self._send_request(answer, answer, first_attempts=15)
+        self.assertEqual(2, len(requests), got)
+        self.assertTrue(got.startswith(b"HTTP/1.1 502"), got)
+
     def test_event_after_a_gap_is_not_forwarded(self) -> None:
         got, _ = self._send_request(
             _answers(_STREAM_HEAD + _event(1) + _event(3) + _STREAM_END)
