--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import socket
-from typing import TYPE_CHECKING
 
 import testtools
 from testtools.matchers import Equals
@@ -13,16 +12,10 @@
 from mulberrypaddle.dispatch import stalls
 from mulberrypaddle.dispatch.runner_health import SUSPICION_TTL_SECONDS
 from mulberrypaddle.fleet import Organisation
-from mulberrypaddle.serving.announcements import record_leaving
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness, request_bytes
 from tests.support.raw_runner import AnswerWriter, RawRunner
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from mulberrypaddle.serving.blackboard import Blackboard
-
 _HEAD = b"HTTP/1.1 %d X\r\nX-Request-Id: q1\r\nX-Response-Seal: s\r\n"
 _MODEL = ("X-Model: small", "X-Token-Counts: 100,50", "X-Deadline-Ms: 3000")
 
@@ -666,10 +659,7 @@
     """Requests that are answered by a stream of events."""
 
     def _send_request(
-        self,
-        *answers: AnswerWriter,
-        first_attempts: int = 20,
-        prepare: Callable[[FrontEndHarness], None] | None = None,
+        self, *answers: AnswerWriter, first_attempts: int = 20
     ) -> tuple[bytes, list[RawRunner]]:
         """Requests a stream from a router with one head for each answer.
 
@@ -677,7 +667,6 @@
             *answers: Writes the answers of a head.
             first_attempts: Number of earlier requests. Without any, the retry
                 budget of a new process allows no second attempt.
-            prepare: Called with the router before the request.
 
         Returns:
             The bytes that the caller received, and the runners.
@@ -694,8 +683,6 @@
                 runner = RawRunner(answer)
                 path.add_open_group(f"h{number}", await runner.start())
                 runners.append(runner)
-            if prepare is not None:
-                prepare(path)
             got = await path.send_request("/write/1", headers=_MODEL)
             path.close()
             for runner in runners:
@@ -918,176 +905,6 @@
             self.assertEqual(1, got.count(b"id: %d\n" % number), got)
         self.assertTrue(got.endswith(b"0\r\n\r\n"))
 
-    def test_stream_awaits_a_silent_head_if_the_others_ask_for_a_pause(
-        self,
-    ) -> None:
-        self.patch(stalls, "STALL_SECONDS", 0.2)
-        requests: list[bytes] = []
-
-        async def answer(
-            count: int, request: bytes, writer: asyncio.StreamWriter
-        ) -> None:
-            requests.append(request)
-            if len(requests) == 1:
-                writer.write(_STREAM_HEAD + _event(1))
-                await writer.drain()
-                await asyncio.sleep(1.0)
-                return
-            if len(requests) == 2:
-                writer.write(
-                    _complete_response(
-                        503, b"", b"X-Not-Executed: 1\r\nRetry-After: 9\r\n"
-                    )
-                )
-                return
-            writer.write(_STREAM_HEAD + _event(2) + _STREAM_END)
-
-        got, _ = self._send_request(answer, answer, first_attempts=100)
-        self.assertEqual(3, len(requests), got)
-        for number in (1, 2):
-            self.assertEqual(1, got.count(b"id: %d\n" % number), got)
-        self.assertTrue(got.endswith(b"0\r\n\r\n"))
-
-    def test_stream_returns_to_a_head_that_other_routers_call_silent(
-        self,
-    ) -> None:
-        self.patch(stalls, "STALL_SECONDS", 0.2)
-        requests: list[bytes] = []
-
-        def report_silence(board: Blackboard) -> None:
-            board.runner_health.apply_peer_report(
-                failing=(), silent=("h0", "h1"), now_seconds=board.now()
-            )
-            board.loop.call_later(0.1, report_silence, board)
-
-        async def answer(
-            count: int, request: bytes, writer: asyncio.StreamWriter
-        ) -> None:
-            requests.append(request)
-            if len(requests) == 1:
-                writer.write(_STREAM_HEAD + _event(1))
-                await writer.drain()
-                await asyncio.sleep(1.0)
-            elif len(requests) == 2:
-                writer.write(
-                    _complete_response(
-                        503, b"", b"X-Not-Executed: 1\r\nRetry-After: 9\r\n"
-                    )
-                )
-            else:
-                writer.write(_STREAM_HEAD + _event(2) + _STREAM_END)
-
-        got, _ = self._send_request(
-            answer,
-            answer,
-            first_attempts=100,
-            prepare=lambda path: report_silence(path.board),
-        )
-        self.assertEqual(3, len(requests), got)
-        for number in (1, 2):
-            self.assertEqual(1, got.count(b"id: %d\n" % number), got)
-        self.assertTrue(got.endswith(b"0\r\n\r\n"))
-
-    def test_stream_outlives_a_silent_head_that_leaves_and_a_paused_one(
-        self,
-    ) -> None:
-        self.patch(stalls, "STALL_SECONDS", 0.2)
-        requests: list[bytes] = []
-        boards: list[Blackboard] = []
-
-        async def answer(
-            count: int, request: bytes, writer: asyncio.StreamWriter
-        ) -> None:
-            requests.append(request)
-            if len(requests) == 1:
-                writer.write(_STREAM_HEAD + _event(1))
-                await writer.drain()
-                await asyncio.sleep(1.0)
-            elif len(requests) == 2:
-                (board,) = boards
-                for name in ("h0", "h1"):
-                    entry = board.view.get(name)
-                    if entry is not None and not board.loads.total(name):
-                        record_leaving(
-                            board, entry.incarnation, source="answer"
-                        )
-                writer.write(
-                    _complete_response(
-                        503, b"", b"X-Not-Executed: 1\r\nRetry-After: 2\r\n"
-                    )
-                )
-            else:
-                writer.write(_STREAM_HEAD + _event(2) + _STREAM_END)
-
-        got, _ = self._send_request(
-            answer,
-            answer,
-            first_attempts=100,
-            prepare=lambda path: boards.append(path.board),
-        )
-        self.assertEqual(3, len(requests), got)
-        for number in (1, 2):
-            self.assertEqual(1, got.count(b"id: %d\n" % number), got)
-        self.assertTrue(got.endswith(b"0\r\n\r\n"))
-
-    def test_stream_that_left_a_silent_head_waits_for_the_retry_budget(
-        self,
-    ) -> None:
-        self.patch(stalls, "STALL_SECONDS", 0.2)
-        requests: list[bytes] = []
-        boards: list[Blackboard] = []
-
-        def refill_budget() -> None:
-            (board,) = boards
-            for _ in range(100):
-                board.retries.record_first_attempt("cards", board.now())
-
-        async def answer(
-            count: int, request: bytes, writer: asyncio.StreamWriter
-        ) -> None:
-            requests.append(request)
-            if len(requests) == 1:
-                writer.write(_STREAM_HEAD + _event(1))
-                await writer.drain()
-                await asyncio.sleep(3.0)
-            elif len(requests) == 2:
-                asyncio.get_running_loop().call_later(1.2, refill_budget)
-                writer.write(
-                    _complete_response(503, b"", b"X-Not-Executed: 1\r\n")
-                )
-            else:
-                writer.write(_STREAM_HEAD + _event(2) + _STREAM_END)
-
-        got, _ = self._send_request(
-            answer,
-            answer,
-            first_attempts=15,
-            prepare=lambda path: boards.append(path.board),
-        )
-        self.assertEqual(3, len(requests), got)
-        for number in (1, 2):
-            self.assertEqual(1, got.count(b"id: %d\n" % number), got)
-        self.assertTrue(got.endswith(b"0\r\n\r\n"))
-
-    def test_request_without_events_does_not_wait_for_the_retry_budget(
-        self,
-    ) -> None:
-        self.patch(stalls, "FIRST_EVENT_STALL_SECONDS", 0.2)
-        requests: list[bytes] = []
-
-        async def answer(
-            count: int, request: bytes, writer: asyncio.StreamWriter
-        ) -> None:
-            requests.append(request)
-            if len(requests) == 1:
-                await asyncio.sleep(3.0)
-                return
-            writer.write(_complete_response(503, b"", b"X-Not-Executed: 1\r\n"))
-
-        got, _ = self._send_request(answer, answer, first_attempts=15)
-        self.assertEqual(2, len(requests), got)
-        self.assertTrue(got.startswith(b"HTTP/1.1 502"), got)
-
     def test_event_after_a_gap_is_not_forwarded(self) -> None:
         got, _ = self._send_request(
             _answers(_STREAM_HEAD + _event(1) + _event(3) + _STREAM_END)
