--- a/tests/serving/test_silent_heads.py
+++ b/tests/serving/test_silent_heads.py
@@ -9,6 +9,13 @@
 
 from mulberrypaddle.dispatch import stalls, wait_decision
 from mulberrypaddle.serving.announcements import record_leaving
+from tests.serving.test_exchange import (
+    _MODEL,
+    _STREAM_END,
+    _STREAM_HEAD,
+    _complete_response,
+    _event,
+)
 from tests.support.asynchronous import run
 from tests.support.front_end_harness import FrontEndHarness
 from tests.support.raw_runner import RawRunner
@@ -18,21 +25,11 @@
 
     from mulberrypaddle.serving.blackboard import Blackboard
 
-_HEAD = b"HTTP/1.1 %d X\r\nX-Request-Id: q1\r\nX-Response-Seal: s\r\n"
-_REFUSAL = _HEAD % 503 + b"X-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n"
-_STREAM_HEAD = _HEAD % 200 + b"Transfer-Encoding: chunked\r\n\r\n"
-_STREAM_END = b"0\r\n\r\n"
 _HEADS = ("h0", "h1")
 # Time for which a head that falls silent holds its connection, in seconds.
 _SILENCE_SECONDS = 3.0
 
 
-def _event(number: int) -> bytes:
-    """Returns an event as one chunk of a chunked body."""
-    data = b"id: %d\ndata: x\n\n" % number
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 class SilentHeadTest(testtools.TestCase):
     """One of two heads falls silent, and the other refuses the stream."""
 
@@ -79,7 +76,11 @@
                 elif attempts == 2:
                     if on_refusal is not None:
                         on_refusal(board)
-                    writer.write(_REFUSAL % pause)
+                    writer.write(
+                        _complete_response(
+                            503, b"", b"X-Not-Executed: 1\r\n" + pause
+                        )
+                    )
                 else:
                     writer.write(_STREAM_HEAD + _event(2) + _STREAM_END)
 
@@ -90,14 +91,7 @@
                 runners.append(runner)
             if prepare is not None:
                 prepare(board)
-            got = await path.send_request(
-                "/write/1",
-                headers=(
-                    "X-Model: small",
-                    "X-Token-Counts: 100,50",
-                    "X-Deadline-Ms: 3000",
-                ),
-            )
+            got = await path.send_request("/write/1", headers=_MODEL)
             path.close()
             for runner in runners:
                 await runner.stop()
