--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -629,8 +629,8 @@
                 retry_after_seconds=self._default_retry_after_seconds(),
             )
             return _NextStep.DONE
-        self._send_count += 1
         self._record_return(entry)
+        self._send_count += 1
         attempt = self._make_attempt(entry)
         try:
             outcome = await self._run_attempt(attempt, entry, now)
