--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,183 +1,130 @@
-"""The store carries out one heartbeat of a runner some seconds late."""
+"""Runners carry out late some orders that they have left unanswered."""
 
 from __future__ import annotations
 
 import asyncio
-import random
-import time
+import json
 from pathlib import Path
 from typing import Any
 
 from review.support.deployment import (
     HEARTBEAT_SECONDS,
     ZONES,
-    Consumer,
     Deployment,
-    new_id,
+    Exchange,
     run_case,
     trouble,
 )
-from review.support.engine import ENGINE_SERVICE, MODEL, EngineRunner
+from review.support.engine import ENGINE_SERVICE, EngineRunner
+from review.support.streams import add_stream_route, send_streams, wait_for
 
-# Runners at the start, and the one that is added later.
-RUNNERS = 4
-ADDED_RUNNER = "i-0"
-STREAMS_PER_SECOND = 15.0
-# The store carries out a write without an answer 1 to 6 s later.
-LONGEST_DELAY_SECONDS = 6.0
+# Runners at the start, which form a group, and those that are added later.
+RUNNERS = 2
+SPARES = 2
+STREAMS_PER_SECOND = 1.5
+
+# Time after which the unanswered orders are carried out, from 2 to 12 s: the
+# first order to join, the order to leave, the second order to join.
+FIRST_JOIN_SECONDS = 4.7
+LEAVE_SECONDS = 10.0
+SECOND_JOIN_SECONDS = 5.0
 
 
 class LateRunner(EngineRunner):
-    """A runner of which the store may carry out one heartbeat late.
+    """A runner that may leave orders unanswered and carry them out late.
 
     Attributes:
-        loses_next: Whether the next heartbeat gets no answer and is carried out
-            later.
-        late_entry: That heartbeat; None if there is none.
-        sent_at: Monotonic time at which it was sent.
-        beat_at: Monotonic time of the last heartbeat.
+        delays: Seconds after which the next orders are carried out, by
+            operation; other orders are answered.
     """
 
-    loses_next = False
-    late_entry: dict[str, Any] | None = None
-    sent_at = 0.0
-    beat_at = 0.0
-
-    async def _heartbeat(self) -> None:
-        while self.alive:
-            if self.loses_next:
-                self.loses_next = False
-                self._lose()
-            else:
-                self.report()
-            self.beat_at = time.monotonic()
-            await asyncio.sleep(HEARTBEAT_SECONDS)
-
-    def _lose(self) -> None:
-        """Sends a heartbeat that gets no answer and is carried out later."""
-        entry = self.entry()
-        self.late_entry = entry
-        self.sent_at = time.monotonic()
+    def __init__(self, deployment: Deployment, runner_id: str) -> None:
+        super().__init__(deployment, runner_id, domain="d1", zone=ZONES[0])
+        self.delays: dict[str, list[float]] = {}
+
+    async def _handle(
+        self, request: Exchange, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers a request, or leaves an order unanswered."""
+        if request.target != "/order":
+            await super()._handle(request, writer)
+            return
+        order = json.loads(request.body)
         self._deployment.record.write(
-            f"no answer to heartbeat {entry['sequence']} of "
-            f"{self.runner_id}, group {entry['group']}"
+            f"order reaches {self.runner_id}: {order['operation']} "
+            f"{order.get('group', '')}"
         )
-
-    def carry_out_late(self) -> None:
-        """Carries the late heartbeat out."""
-        assert self.late_entry is not None
+        delays = self.delays.get(order["operation"])
+        if not delays:
+            await super()._handle(request, writer)
+            return
+        seconds = delays.pop(0)
         self._deployment.record.write(
-            f"the store carries out heartbeat {self.late_entry['sequence']} "
-            f"of {self.runner_id}, {time.monotonic() - self.sent_at:.1f} s "
-            f"late; its state is {self.state}"
-        )
-        self._deployment.store.put("servers", self.runner_id, self.late_entry)
-
-
-async def send_streams(deployment: Deployment) -> None:
-    """Sends streams to all routers until cancelled."""
-    number = 0
-    pending = set()
-    while True:
-        number += 1
-        router = deployment.routers[number % len(deployment.routers)]
-        consumer = Consumer(deployment, router)
-        task = asyncio.ensure_future(
-            consumer.send(
-                "POST",
-                "/write/1",
-                request_id=new_id(),
-                body=b"x" * 100,
-                headers=(
-                    f"X-Model: {MODEL}",
-                    "X-Token-Counts: 700,60",
-                    f"X-Prompt-Prefix: 5c1e07a2:40,{new_id()}:660",
-                ),
-                deadline_seconds=6.0,
-            )
+            f"{self.runner_id} gives no answer, carries it out in {seconds} s"
         )
-        pending.add(task)
-        task.add_done_callback(pending.discard)
-        task.add_done_callback(lambda _, consumer=consumer: consumer.close())
-        await asyncio.sleep(1.0 / STREAMS_PER_SECOND)
+        self._spawn(self._carry_out_late(order, seconds))
+        await asyncio.sleep(60.0)
 
-
-async def wait_for(condition: Any, seconds: float, what: str) -> None:
-    """Waits until a condition holds; raises TimeoutError if it doesn't."""
-    end = time.monotonic() + seconds
-    while not condition():
-        if time.monotonic() > end:
-            raise TimeoutError(what)
-        await asyncio.sleep(0.01)
+    async def _carry_out_late(
+        self, order: dict[str, Any], seconds: float
+    ) -> None:
+        await asyncio.sleep(seconds)
+        self._order(order)
 
 
 async def case() -> list[str]:
-    """Replaces a lost member while a heartbeat of the survivor is under way."""
+    """Replaces a lost member while some orders are carried out late."""
     deployment = Deployment(
         Path(__file__).parent, routers=3, services=[ENGINE_SERVICE]
     )
     try:
-        deployment.add_route(
-            "write",
-            "streaming",
-            service="cards",
-            timeout_seconds=6.0,
-            sticky=True,
-            resumable=True,
-            gapAimMs=300,
-        )
+        add_stream_route(deployment)
         deployment.put_config()
         runners: list[LateRunner] = []
 
-        async def add_runner(runner_id: str) -> LateRunner:
-            runner = LateRunner(
-                deployment, runner_id, domain="d1", zone=ZONES[0]
-            )
-            deployment.runners[runner_id] = runner
-            runners.append(runner)
-            await runner.start()
-            return runner
-
-        def open_heads() -> list[LateRunner]:
-            return [r for r in runners if r.alive and r.state == "open"]
-
-        for number in range(1, RUNNERS + 1):
-            await add_runner(f"i-{number}")
+        async def add_runners(numbers: range) -> list[LateRunner]:
+            added = []
+            for number in numbers:
+                runner = LateRunner(deployment, f"i-{number}")
+                deployment.runners[runner.runner_id] = runner
+                added.append(runner)
+                await runner.start()
+            runners.extend(added)
+            return added
+
+        await add_runners(range(1, RUNNERS + 1))
         await deployment.start()
-        await wait_for(lambda: len(open_heads()) == 2, 20.0, "two groups")
-        load = asyncio.ensure_future(send_streams(deployment))
+        await wait_for(
+            lambda: any(runner.state == "open" for runner in runners),
+            20.0,
+            "a group",
+        )
+        load = asyncio.ensure_future(
+            send_streams(deployment, STREAMS_PER_SECOND)
+        )
         await asyncio.sleep(1.0)
-        # An empty runner is added, and holds the weights as a spare.
-        spare = await add_runner(ADDED_RUNNER)
-        await wait_for(lambda: bool(spare.staged), 25.0, "a spare")
-        await asyncio.sleep(random.uniform(1.0, 3.0))
-        # The next heartbeat of the spare gets no answer.
+        spares = await add_runners(range(RUNNERS + 1, RUNNERS + SPARES + 1))
+        await wait_for(
+            lambda: all(spare.staged for spare in spares), 30.0, "spares"
+        )
+        await asyncio.sleep(1.0)
+        # The two spares are about to form a group. One of them leaves two
+        # orders to join unanswered, the other the order to leave.
+        first, second = spares
         if trouble():
-            spare.loses_next = True
-            await wait_for(lambda: spare.sent_at > 0, 2.0, "a heartbeat")
-        # A member of a group crashes for good, and the spare takes its place.
-        member = deployment.runners[open_heads()[0].members[1]]
+            first.delays = {"leave": [LEAVE_SECONDS]}
+            second.delays = {"join": [FIRST_JOIN_SECONDS, SECOND_JOIN_SECONDS]}
+        head = next(runner for runner in runners if runner.state == "open")
+        member = deployment.runners[head.members[1]]
         deployment.record.write(f"{member.runner_id} crashes for good")
         member.crash()
-        loop = asyncio.get_running_loop()
-        loop.call_later(
+        asyncio.get_running_loop().call_later(
             3 * HEARTBEAT_SECONDS,
-            lambda: deployment.store.remove("servers", member.runner_id),
+            deployment.store.remove,
+            "servers",
+            member.runner_id,
         )
-        await wait_for(lambda: spare.state == "open", 10.0, "a new group")
-        if trouble():
-            left = LONGEST_DELAY_SECONDS - (time.monotonic() - spare.sent_at)
-            if left < HEARTBEAT_SECONDS:
-                raise TimeoutError("the new group took too long")
-            await asyncio.sleep(random.uniform(0.0, left - HEARTBEAT_SECONDS))
-            # Until its next heartbeat, the entry stays as the late one has it.
-            await wait_for(
-                lambda: 0.05 < time.monotonic() - spare.beat_at < 0.5,
-                HEARTBEAT_SECONDS,
-                "a heartbeat",
-            )
-            spare.carry_out_late()
-        await asyncio.sleep(5.0)
+        await asyncio.sleep(20.0)
         load.cancel()
         return deployment.breaches
     finally:
