--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -36,10 +36,6 @@
 # retried.
 REROUTE_AFTER_TARGETS = 3.0
 
-# HTTP statuses from which callers conclude that a request has not run. They are
-# never forwarded from a runner that may have run it.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
 # Media type of a stream of events.
 EVENT_STREAM = "text/event-stream"
 
@@ -52,8 +48,10 @@
         CALLER_GONE: The caller closed its connection.
         UNSENT: The runner could not be reached; the request did not run.
         NOT_RUN: The runner refused the request; it did not run.
-        FAILED: The runner answered with an error (5xx), or with what doesn't
-            continue the stream that the caller is receiving; it may have run.
+        FAILED: The runner answered with an error (5xx), with a status that
+            tells callers that the request has not run although it may have, or
+            with what doesn't continue the stream that the caller is receiving;
+            it may have run.
         BROKEN: The answer was incomplete or invalid; it may have run.
         STALE: No answer came over a kept connection; it may have run, and the
             runner need not be at fault.
@@ -267,11 +265,7 @@
             or self._body_bytes < 0
         ):
             return False
-        if (
-            head.status < 400
-            or head.status in NOT_RUN_STATUSES
-            or not self.is_complete
-        ):
+        if head.status < 400 or head.promises_not_run or not self.is_complete:
             return False
         self._caller.send_response(
             head.status, head.forwarded_headers, self._take_body()
@@ -407,7 +401,7 @@
                 f"refused, fault attributed to {head.fault_runner or 'nobody'}"
             )
             return AttemptOutcome.NOT_RUN
-        if head.status >= 500:
+        if head.status >= 500 or head.promises_not_run:
             return AttemptOutcome.FAILED
         if 200 <= head.status < 300 and (not head.sealed or head.encoded):
             self.detail = "the answer lacks the runner's seal or is encoded"
--- a/mulberrypaddle/serving/header_codec.py
+++ b/mulberrypaddle/serving/header_codec.py
@@ -15,6 +15,12 @@
     from tornado.httputil import HTTPHeaders
 
 
+# HTTP statuses from which callers conclude that a request has not run and never
+# will. They are never forwarded: a runner may send them after it has run the
+# request, and a request that has not run is sent to another runner or refused.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 class CallerHeaders:
     """Parsed headers of a caller's request.
 
@@ -132,6 +138,11 @@
         self.media_type = media_type
         self.announcement = announcement or RunnerAnnouncement()
 
+    @property
+    def promises_not_run(self) -> bool:
+        """Returns whether callers take the status for "has not run"."""
+        return self.status in NOT_RUN_STATUSES
+
 
 class HeaderCodec(abc.ABC):
     """Parses request and response headers, and builds those for runners."""
