--- a/mulberrypaddle/replicas/group_reconciler.py
+++ b/mulberrypaddle/replicas/group_reconciler.py
@@ -2,9 +2,11 @@
 
 An order is a command to one runner, such as `JoinGroup`. All state here is
 soft: a new owner (the router that may send orders; see `ownership`) derives the
-existing groups from the runners' reports and continues from there. Only
-formations and orders in flight are remembered, so that an order is not issued
-again before its effect could be seen.
+existing groups from the runners' reports and continues from there. Formations
+and orders in flight are remembered, so that an order is not issued again before
+its effect could be seen, and so are orders that runners may carry out late; see
+`order_history`. Late orders of an earlier owner are refused by runners that
+have taken an order of this one, since its fencing token is higher.
 """
 
 from __future__ import annotations
@@ -20,6 +22,7 @@
 from mulberrypaddle.replicas.load_rate_limiter import LoadRateLimiter
 from mulberrypaddle.replicas.loss_detector import LossDetector
 from mulberrypaddle.replicas.loss_rate import LossRate
+from mulberrypaddle.replicas.order_history import OrderHistory
 from mulberrypaddle.replicas.order_tracker import Directive, OrderTracker
 from mulberrypaddle.replicas.orders import (
     CloseGroup,
@@ -42,7 +45,12 @@
     from mulberrypaddle.fleet.runners import RunnerEntry
     from mulberrypaddle.fleet.view import FleetView
 
-# Time beyond the expected end of a formation before it counts as failed.
+# Time beyond the expected end of a formation before it counts as failed. It
+# leaves room to repeat orders to members that don't answer.
+FORMATION_GRACE_SECONDS = 10.0
+
+# Time after which an incomplete group that a previous owner was forming counts
+# as failed.
 GRACE_SECONDS = 3.0
 
 # Fraction of the full load time that a load of weights takes before the first
@@ -70,17 +78,26 @@
 
     Attributes:
         formation: The chosen model and members.
-        key: Name and epoch of its group; None until its members are ordered to
-            join.
-        expires_at_seconds: Monotonic time at which it counts as failed.
+        join: Order to its members to join; None until it was first issued.
+        ready_at_seconds: Monotonic time at which its members should be ready.
     """
 
-    __slots__ = ("formation", "key", "expires_at_seconds")
+    __slots__ = ("formation", "join", "ready_at_seconds")
 
-    def __init__(self, formation: Formation, expires_at_seconds: float) -> None:
+    def __init__(self, formation: Formation, ready_at_seconds: float) -> None:
         self.formation = formation
-        self.key: tuple[str, int] | None = None
-        self.expires_at_seconds = expires_at_seconds
+        self.join: JoinGroup | None = None
+        self.ready_at_seconds = ready_at_seconds
+
+    @property
+    def key(self) -> tuple[str, int] | None:
+        """Returns the name and epoch of its group; None without a join."""
+        return None if self.join is None else self.join.key
+
+    @property
+    def expires_at_seconds(self) -> float:
+        """Returns the monotonic time at which it counts as failed."""
+        return self.ready_at_seconds + FORMATION_GRACE_SECONDS
 
     @property
     def member_ids(self) -> tuple[str, ...]:
@@ -102,6 +119,9 @@
 
     __slots__ = (
         "_transition_since_seconds",
+        "_confirmed",
+        "_formed",
+        "_history",
         "_last_new_runner_seconds",
         "_load_limiter",
         "_loss_rate",
@@ -115,10 +135,29 @@
         "loss_detector",
     )
 
-    def __init__(self, *, load_window_seconds: float) -> None:
+    def __init__(
+        self,
+        *,
+        load_window_seconds: float,
+        history: OrderHistory | None = None,
+    ) -> None:
+        """Creates a reconciler without formations or orders in flight.
+
+        Args:
+            load_window_seconds: Window in seconds over which the rate of loads
+                of weights is limited.
+            history: Orders that this router has sent to the runners of the
+                service; None if there are none.
+        """
         self._load_window_seconds = load_window_seconds
+        self._history = history or OrderHistory()
         self._orders = OrderTracker()
         self._pending: list[_PendingFormation] = []
+        # Groups that were formed by orders of this reconciler.
+        self._formed: set[tuple[str, int]] = set()
+        # Incarnations that have taken an order of this reconciler, so that
+        # they refuse those of earlier owners.
+        self._confirmed: set[tuple[str, int | None]] = set()
         # Models with a complete, ready group that is not reported open yet.
         self._opening_models: set[str] = set()
         # When a group was first seen to be joining without all of its members,
@@ -151,7 +190,7 @@
         if model in self._opening_models:
             return 0.0
         ends = [
-            pending.expires_at_seconds - GRACE_SECONDS
+            pending.ready_at_seconds
             for pending in self._pending
             if pending.formation.spec.name == model
         ]
@@ -160,8 +199,25 @@
 
     def record_refusal(self, directive: Directive, now_seconds: float) -> None:
         """Records that an order was refused or could not be sent."""
+        if isinstance(directive.order, JoinGroup):
+            self._history.record_join_refused(directive.runner, directive.order)
+        elif isinstance(directive.order, OpenGroup):
+            self._history.record_open_answered(directive.order)
         self._orders.record_refusal(directive, now_seconds)
 
+    def record_acceptance(self, directive: Directive) -> None:
+        """Records that a runner carries out an order or has done so."""
+        self._confirmed.add(directive.runner.incarnation)
+        self._orders.record_acceptance(directive)
+        if isinstance(directive.order, JoinGroup):
+            self._history.record_join_taken(directive.runner, directive.order)
+        elif isinstance(directive.order, OpenGroup):
+            self._history.record_open_answered(directive.order)
+
+    def record_unanswered(self, directive: Directive) -> None:
+        """Records that an order got no answer; it is repeated if need be."""
+        self._orders.record_unanswered(directive)
+
     def reconcile(
         self,
         view: FleetView,
@@ -202,6 +258,8 @@
             ]
         runner_fraction = len(entries) / max(1, len(all_entries))
         self._record_runners(entries, now_seconds)
+        for entry in entries:
+            self._history.record_report(entry)
         self._orders.prune(entries, now_seconds)
         live_entries = [
             e for e in entries if e.incarnation not in self.loss_detector.lost
@@ -226,7 +284,9 @@
         free = [
             entry
             for entry in live_entries
-            if entry.runner_id not in busy and view.accepts_new_work(entry)
+            if entry.runner_id not in busy
+            and view.accepts_new_work(entry)
+            and not self._may_return_to_group(entry, snapshots)
         ]
         demands = self._model_demands(traits, snapshots, view, wanted_slots)
         if runner_fraction < 1:
@@ -276,6 +336,7 @@
         if incarnations - self._seen_incarnations:
             self._last_new_runner_seconds = now_seconds
         self._seen_incarnations = incarnations
+        self._confirmed &= incarnations
         self.loss_detector.keep_only(incarnations)
 
     def _reconcile_groups(
@@ -298,6 +359,9 @@
         for snapshot in snapshots.values():
             if snapshot.head_state is MembershipState.BROKEN:
                 continue
+            if self._is_given_up(snapshot):
+                self._disband(snapshot, "the group is given up", now_seconds)
+                continue
             if not snapshot.complete or self._has_lost_member(snapshot):
                 if not self._may_still_complete(snapshot, forming, now_seconds):
                     self._disband(snapshot, "a member is lost", now_seconds)
@@ -308,19 +372,81 @@
                 else:
                     self._disband(snapshot, "a member is leaving", now_seconds)
                 continue
-            if snapshot.all_ready:
+            if snapshot.all_ready and self._confirm_members(
+                snapshot, now_seconds
+            ):
                 head = snapshot.head
                 assert head is not None
-                self._orders.issue(
+                opening = OpenGroup(snapshot.name, epoch=snapshot.epoch)
+                if self._orders.issue(
                     head,
-                    OpenGroup(snapshot.name, epoch=snapshot.epoch),
+                    opening,
                     reason="all members are ready",
                     now_seconds=now_seconds,
-                )
+                ):
+                    self._history.record_open_sent(opening)
         for key in list(self._transition_since_seconds):
             if key not in snapshots:
                 del self._transition_since_seconds[key]
 
+    def _is_given_up(self, snapshot: GroupSnapshot) -> bool:
+        """Returns whether a group must not be opened, or must end.
+
+        A member was ordered to leave it or to join a later group, and may still
+        do so.
+        """
+        if self._history.was_left(snapshot.key):
+            return True
+        return any(
+            self._history.latest_join_epoch(member) > snapshot.epoch
+            for member in snapshot.members.values()
+        )
+
+    def _confirm_members(
+        self, snapshot: GroupSnapshot, now_seconds: float
+    ) -> bool:
+        """Returns whether no order of an earlier owner can take a member away.
+
+        The members of a group that an earlier owner has formed are ordered to
+        join it once more, which changes nothing but the fencing token.
+        """
+        if snapshot.key in self._formed:
+            return True
+        members = [member for _, member in sorted(snapshot.members.items())]
+        unconfirmed = [
+            member
+            for member in members
+            if member.incarnation not in self._confirmed
+        ]
+        assert snapshot.spec is not None
+        join = JoinGroup(
+            snapshot.name,
+            epoch=snapshot.epoch,
+            model=snapshot.spec.name,
+            member_ids=tuple(member.runner_id for member in members),
+        )
+        for member in unconfirmed:
+            self._order_to_join(
+                member, join, "an earlier owner formed the group", now_seconds
+            )
+        return not unconfirmed
+
+    def _may_return_to_group(
+        self,
+        runner: RunnerEntry,
+        snapshots: dict[tuple[str, int], GroupSnapshot],
+    ) -> bool:
+        """Returns whether a late order may take a runner back to its old group.
+
+        That is, while other members are still there, so that its head may
+        serve.
+        """
+        for key in self._history.unanswered_joins(runner):
+            snapshot = snapshots.get(key)
+            if snapshot is not None and not snapshot.releases_members:
+                return True
+        return False
+
     def _may_still_complete(
         self,
         snapshot: GroupSnapshot,
@@ -332,6 +458,8 @@
             return False
         if snapshot.key in forming:
             return True
+        if snapshot.key in self._formed:
+            return False
         joining = all(
             member.group is not None
             and member.group.state is MembershipState.JOINING
@@ -352,18 +480,29 @@
         """Orders every member that is not lost to leave, the head first.
 
         A member must leave before it joins another group, since the old head
-        may still serve although its entry in the store has expired.
+        may still serve although its entry in the store has expired. A head that
+        may still open the group leaves before the other members do.
         """
-        for _, member in sorted(snapshot.members.items()):
+        leave = LeaveGroup(snapshot.name, epoch=snapshot.epoch)
+        for rank, member in sorted(snapshot.members.items()):
             if member.incarnation in self.loss_detector.lost:
                 continue
+            if rank > 0 and self._awaits_end_of_head(snapshot):
+                return
+            self._history.record_leave_sent(leave)
             self._orders.issue(
-                member,
-                LeaveGroup(snapshot.name, epoch=snapshot.epoch),
-                reason=reason,
-                now_seconds=now_seconds,
+                member, leave, reason=reason, now_seconds=now_seconds
             )
 
+    def _awaits_end_of_head(self, snapshot: GroupSnapshot) -> bool:
+        """Returns whether the head is live and may still open its group."""
+        head = snapshot.head
+        return (
+            head is not None
+            and head.incarnation not in self.loss_detector.lost
+            and self._history.may_be_opened(snapshot.key)
+        )
+
     def _has_lost_member(self, snapshot: GroupSnapshot) -> bool:
         """Returns whether some member left its probes unanswered."""
         return any(
@@ -546,11 +685,11 @@
 
         `_advance_formations` then orders them to join.
         """
-        ready_by_seconds = (
-            now_seconds + GRACE_SECONDS + formation.spec.warm_join_seconds
-        )
         self._pending.append(
-            _PendingFormation(formation, ready_by_seconds + load_seconds)
+            _PendingFormation(
+                formation,
+                now_seconds + formation.spec.warm_join_seconds + load_seconds,
+            )
         )
         taken = {member.runner_id for member in formation.members}
         free[:] = [entry for entry in free if entry.runner_id not in taken]
@@ -584,36 +723,43 @@
             ):
                 continue
             pending.formation.members = present
-            key = pending.key
-            if key is None:
+            if pending.join is None:
                 epoch = next_epoch(pending.formation.members[0].data_centre)
-                self._order_join(pending, epoch, now_seconds)
-                still_pending.append(pending)
-            elif not _has_joined(snapshots.get(key)):
-                # Once all members joined, `_reconcile_groups` handles the
-                # group like any other.
-                still_pending.append(pending)
+                pending.join = JoinGroup(
+                    f"g{epoch}",
+                    epoch=epoch,
+                    model=pending.formation.spec.name,
+                    member_ids=pending.member_ids,
+                )
+                self._formed.add(pending.join.key)
+                for member in present:
+                    self._orders.forget(member)
+            elif _has_joined(snapshots.get(pending.join.key)):
+                # `_reconcile_groups` handles the group like any other.
+                continue
+            still_pending.append(pending)
+            for member in present:
+                if _is_released(member, snapshots):
+                    self._order_to_join(
+                        member,
+                        pending.join,
+                        "the group is to be formed",
+                        now_seconds,
+                    )
         self._pending = still_pending
 
-    def _order_join(
-        self, pending: _PendingFormation, epoch: int, now_seconds: float
+    def _order_to_join(
+        self,
+        member: RunnerEntry,
+        join: JoinGroup,
+        reason: str,
+        now_seconds: float,
     ) -> None:
-        """Orders all members of a formation to join a group with this epoch."""
-        pending.key = (f"g{epoch}", epoch)
-        join = JoinGroup(
-            pending.key[0],
-            epoch=epoch,
-            model=pending.formation.spec.name,
-            member_ids=pending.member_ids,
-        )
-        for member in pending.formation.members:
-            self._orders.forget(member)
-            self._orders.issue(
-                member,
-                join,
-                reason="the group is to be formed",
-                now_seconds=now_seconds,
-            )
+        """Orders a runner to join a group, unless it has an order in flight."""
+        if self._orders.issue(
+            member, join, reason=reason, now_seconds=now_seconds
+        ):
+            self._history.record_join_sent(member, join)
 
     def _stage_weights(
         self,
@@ -672,3 +818,13 @@
     if snapshot is None or not snapshot.complete:
         return False
     return snapshot.head_state is not MembershipState.JOINING
+
+
+def _is_released(
+    runner: RunnerEntry, snapshots: dict[tuple[str, int], GroupSnapshot]
+) -> bool:
+    """Returns whether a runner reports no group, or one that is broken."""
+    if runner.group is None:
+        return True
+    snapshot = snapshots.get((runner.group.name, runner.group.epoch))
+    return snapshot is None or snapshot.releases_members
--- a/mulberrypaddle/replicas/order_tracker.py
+++ b/mulberrypaddle/replicas/order_tracker.py
@@ -59,13 +59,22 @@
     Attributes:
         order: The order.
         expires_at_seconds: Monotonic time after which it is no longer awaited.
+        awaits_answer: Whether only its answer ends the wait, as the runner's
+            report already showed the ordered state when it was issued.
     """
 
-    __slots__ = ("order", "expires_at_seconds")
+    __slots__ = ("awaits_answer", "expires_at_seconds", "order")
 
-    def __init__(self, order: GroupOrder, expires_at_seconds: float) -> None:
+    def __init__(
+        self,
+        order: GroupOrder,
+        expires_at_seconds: float,
+        *,
+        awaits_answer: bool,
+    ) -> None:
         self.order = order
         self.expires_at_seconds = expires_at_seconds
+        self.awaits_answer = awaits_answer
 
 
 class OrderTracker:
@@ -101,7 +110,9 @@
         if runner.incarnation in self._in_flight:
             return False
         self._in_flight[runner.incarnation] = _InFlightOrder(
-            order, now_seconds + ORDER_VISIBLE_SECONDS + expected_seconds
+            order,
+            now_seconds + ORDER_VISIBLE_SECONDS + expected_seconds,
+            awaits_answer=_effect_is_visible(runner, order),
         )
         self._undelivered.append(Directive(runner, order, reason=reason))
         return True
@@ -126,6 +137,26 @@
             pause_seconds = REFUSED_STAGE_PAUSE_SECONDS
         in_flight.expires_at_seconds = now_seconds + pause_seconds
 
+    def record_acceptance(self, directive: Directive) -> None:
+        """Ends the wait for an order whose effect showed before it was sent."""
+        in_flight = self._in_flight.get(directive.runner.incarnation)
+        if in_flight is None or in_flight.order is not directive.order:
+            return
+        if in_flight.awaits_answer:
+            self.forget(directive.runner)
+
+    def record_unanswered(self, directive: Directive) -> None:
+        """Ends the wait for an order without an answer, so that it is repeated.
+
+        The runner may have carried it out, or may do so later. A load of
+        weights is not repeated, as it would show only when it is done.
+        """
+        in_flight = self._in_flight.get(directive.runner.incarnation)
+        if in_flight is None or in_flight.order is not directive.order:
+            return
+        if not isinstance(directive.order, StageModel):
+            self.forget(directive.runner)
+
     def prune(self, entries: list[RunnerEntry], now_seconds: float) -> None:
         """Drops orders that took effect, have expired or lost their runner.
 
@@ -139,7 +170,10 @@
             if (
                 entry is None
                 or now_seconds >= in_flight.expires_at_seconds
-                or _effect_is_visible(entry, in_flight.order)
+                or (
+                    not in_flight.awaits_answer
+                    and _effect_is_visible(entry, in_flight.order)
+                )
             ):
                 del self._in_flight[incarnation]
 
--- a/mulberrypaddle/replicas/orders.py
+++ b/mulberrypaddle/replicas/orders.py
@@ -36,6 +36,11 @@
         self.group = group
         self.epoch = epoch
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Returns the name and epoch, which identify the group."""
+        return (self.group, self.epoch)
+
 
 class JoinGroup(MembershipOrder):
     """Orders the runner to become a member of a group.
--- a/mulberrypaddle/serving/group_controller.py
+++ b/mulberrypaddle/serving/group_controller.py
@@ -15,9 +15,11 @@
 
 from returns.result import Success
 
+from mulberrypaddle.core.errors import Ran
 from mulberrypaddle.fleet.runners import MembershipState
 from mulberrypaddle.replicas.group_reconciler import GroupReconciler
 from mulberrypaddle.replicas.group_snapshot import snapshot_groups
+from mulberrypaddle.replicas.order_history import OrderHistory
 from mulberrypaddle.replicas.placement import relative_slots_by_model
 from mulberrypaddle.serving.decision_log import log_state_change
 from mulberrypaddle.serving.metrics import OPEN_GROUPS, ORDERS
@@ -75,8 +77,9 @@
         self._board = board
         self._runner_control = control
         self._duty_manager = duty_manager
-        # Reconcilers by name of the service.
+        # Reconcilers, and what they have ordered, by name of the service.
         self._reconcilers: dict[str, GroupReconciler] = {}
+        self._histories: dict[str, OrderHistory] = {}
         # Fencing tokens of the leases for which the reconcilers were created,
         # by data centre.
         self._fences: dict[str, int] = {}
@@ -177,7 +180,10 @@
         if reconciler is None:
             bounds = board.settings.bounds
             reconciler = GroupReconciler(
-                load_window_seconds=bounds.load_window_seconds
+                load_window_seconds=bounds.load_window_seconds,
+                history=self._histories.setdefault(
+                    service.name, OrderHistory()
+                ),
             )
             self._reconcilers[service.name] = reconciler
         self._probe_suspects(service, reconciler, now)
@@ -280,9 +286,8 @@
     ) -> None:
         """Sends an order to a runner, unless the lease has ended.
 
-        The reconciler is notified if the order was not sent or the runner
-        refused it, but not if no answer came, since the order may be in effect
-        then.
+        The reconciler is notified of the outcome. Without an answer the order
+        may be in effect, or the runner may carry it out later.
         """
         runner = directive.runner
         fence = self._fences.get(runner.data_centre, 0)
@@ -318,12 +323,18 @@
             outcome=outcome,
         )
         if not isinstance(result, Success):
+            if result.failure().ran is Ran.NOT_RUN:
+                ORDERS.labels(name, "unsent").inc()
+                reconciler.record_refusal(directive, self._board.now())
+                return
             ORDERS.labels(name, "unanswered").inc()
+            reconciler.record_unanswered(directive)
             return
         ORDERS.labels(name, outcome).inc()
         if result.unwrap() in (
             OrderOutcome.STARTED,
             OrderOutcome.ALREADY_IN_EFFECT,
         ):
+            reconciler.record_acceptance(directive)
             return
         reconciler.record_refusal(directive, self._board.now())
--- a/tests/support/group_fleet.py
+++ b/tests/support/group_fleet.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import math
 import random
+from typing import TYPE_CHECKING
 
 from mulberrypaddle.fleet import (
     EngineTraits,
@@ -18,6 +20,7 @@
     ServiceSpec,
 )
 from mulberrypaddle.replicas.group_reconciler import GroupReconciler
+from mulberrypaddle.replicas.order_history import OrderHistory
 from mulberrypaddle.replicas.orders import (
     CloseGroup,
     GroupOrder,
@@ -28,10 +31,14 @@
 )
 from mulberrypaddle.replicas.placement import relative_slots_by_model
 
+if TYPE_CHECKING:
+    from mulberrypaddle.replicas.order_tracker import Directive
+
 STEP_SECONDS = 0.1
 STALL_SECONDS = 4.0
 LAPSE_SECONDS = 3.6
 REJOIN_SECONDS = 0.2
+ORDER_TIMEOUT_SECONDS = 0.6
 JOIN_LIKE_STATES = (MembershipState.OPEN, MembershipState.CLOSING)
 
 
@@ -107,6 +114,7 @@
         self.ready_at = 0.0
         self.lost_member_at: float | None = None
         self.top_epoch = 0
+        self.top_fence = 0
 
     @property
     def is_head(self) -> bool:
@@ -119,6 +127,14 @@
 
     Attributes:
         demand: Slots that the requests of each model keep busy.
+        lost_orders: Share of the orders without an answer, of which half are
+            carried out late.
+        late_orders: Share of the further orders without an answer, all of which
+            are carried out late.
+        delays: Seconds after which a runner carries out its next orders of a
+            type, without an answer, by id of the runner and type.
+        order_count: Number of orders sent.
+        breaches: What must not happen and did.
     """
 
     def __init__(
@@ -141,11 +157,17 @@
         )
         self.now = 0.0
         self.view = FleetView()
-        self.reconciler = GroupReconciler(load_window_seconds=5.0)
+        self.history = OrderHistory()
+        self.reconciler = self._make_reconciler()
         self.runners: dict[str, PlayedRunner] = {}
         self.breaches: list[str] = []
         self.lost_orders = 0.0
-        self.late: list[tuple[float, str, int, GroupOrder]] = []
+        self.late_orders = 0.0
+        self.delays: dict[tuple[str, type[GroupOrder]], list[float]] = {}
+        self.order_count = 0
+        self._fence = 1
+        self._late: list[tuple[float, Directive, int]] = []
+        self._timeouts: list[tuple[float, GroupReconciler, Directive]] = []
         self.traffic = False
         self._epoch = 1000
         self._born = 1
@@ -201,43 +223,79 @@
                 now_seconds=self.now,
             )
             for directive in directives:
-                self._send(directive.runner, directive.order)
+                self._send(directive)
 
     def _next_epoch(self, data_centre: str) -> int:
         self._epoch += 1
         return self._epoch
 
-    def _send(self, entry: RunnerEntry, order: GroupOrder) -> None:
-        chance = self.rng.random()
-        if chance < self.lost_orders / 2:
+    def _make_reconciler(self) -> GroupReconciler:
+        return GroupReconciler(load_window_seconds=5.0, history=self.history)
+
+    def change_owner(self, *, same_router: bool = False) -> None:
+        """Hands the duty over to another router, or to the same one again.
+
+        Args:
+            same_router: Whether the next owner is the same router, which
+                remembers the orders that it has sent.
+        """
+        self._fence += 1
+        if not same_router:
+            self.history = OrderHistory()
+        self.reconciler = self._make_reconciler()
+
+    def _send(self, directive: Directive) -> None:
+        """Plays an order, and its answer or the end of the wait for one."""
+        self.order_count += 1
+        entry = directive.runner
+        delays = self.delays.get((entry.runner_id, type(directive.order)))
+        delay_seconds = delays.pop(0) if delays else self._draw_delay()
+        if delay_seconds is None:
+            if self._take(entry, directive.order, self._fence):
+                self.reconciler.record_acceptance(directive)
+            else:
+                self.reconciler.record_refusal(directive, self.now)
             return
-        if chance < self.lost_orders:
-            at = self.now + self.rng.uniform(2.0, 12.0)
-            started_at_ms = entry.started_at_ms or 0
-            self.late.append((at, entry.runner_id, started_at_ms, order))
-            return
-        self._take(entry.runner_id, entry.started_at_ms or 0, order)
+        self._timeouts.append(
+            (self.now + ORDER_TIMEOUT_SECONDS, self.reconciler, directive)
+        )
+        if math.isfinite(delay_seconds):
+            self._late.append(
+                (self.now + delay_seconds, directive, self._fence)
+            )
 
-    def _take(
-        self, runner_id: str, started_at_ms: int, order: GroupOrder
-    ) -> None:
-        runner = self.runners.get(runner_id)
+    def _draw_delay(self) -> float | None:
+        """Returns the delay of an order without an answer.
+
+        None if it is answered, infinity if it is lost.
+        """
+        chance = self.rng.random()
+        if chance < self.lost_orders / 2:
+            return math.inf
+        if chance < self.lost_orders + self.late_orders:
+            return self.rng.uniform(2.0, 12.0)
+        return None
+
+    def _take(self, entry: RunnerEntry, order: GroupOrder, fence: int) -> bool:
+        """Plays an order at a runner; returns whether it was accepted."""
+        runner = self.runners.get(entry.runner_id)
         if (
             runner is None
             or not runner.alive
-            or runner.started_at_ms != started_at_ms
+            or runner.started_at_ms != entry.started_at_ms
+            or fence < runner.top_fence
         ):
-            return
+            return False
+        runner.top_fence = fence
         if isinstance(order, StageModel):
             if order.model not in runner.staged and runner.loading is None:
                 runner.loading = (order.model, self.now + self._load(order))
-            return
+            return True
         if isinstance(order, JoinGroup):
-            self._join(runner, order)
-            return
+            return self._join(runner, order)
         assert isinstance(order, OpenGroup | CloseGroup | LeaveGroup)
-        if runner.group != (order.group, order.epoch):
-            return
+        if runner.group != order.key:
+            return isinstance(order, LeaveGroup)
         if isinstance(order, LeaveGroup):
             runner.group = None
             runner.members = ()
@@ -247,19 +305,19 @@
                 self._open(runner)
         elif runner.state is MembershipState.OPEN:
             runner.state = MembershipState.READY
+        return True
 
     def _load(self, order: StageModel) -> float:
         seconds = self.traits.models[order.model].load_seconds
         return seconds if self.traffic else seconds / 10
 
-    def _join(self, runner: PlayedRunner, order: JoinGroup) -> None:
+    def _join(self, runner: PlayedRunner, order: JoinGroup) -> bool:
         if order.epoch < runner.top_epoch:
-            return
+            return False
+        if runner.group == order.key:
+            return runner.members == order.member_ids
         head = self._head_of(runner)
-        other = runner.group is not None and runner.group != (
-            order.group,
-            order.epoch,
-        )
+        other = runner.group is not None
         if other and head is not None and head.alive:
             stands_still = head.state is not MembershipState.BROKEN and (
                 head.state in JOIN_LIKE_STATES
@@ -276,12 +334,13 @@
             if order.model not in runner.staged:
                 seconds += spec.load_seconds * (1.0 if self.traffic else 0.1)
         runner.top_epoch = order.epoch
-        runner.group = (order.group, order.epoch)
+        runner.group = order.key
         runner.members = order.member_ids
         runner.model = order.model
         runner.state = MembershipState.JOINING
         runner.ready_at = self.now + seconds
         runner.lost_member_at = None
+        return True
 
     def _open(self, runner: PlayedRunner) -> None:
         for member_id in runner.members:
@@ -316,10 +375,14 @@
         )
 
     def _live(self) -> None:
-        due = [late for late in self.late if late[0] <= self.now]
-        self.late = [late for late in self.late if late[0] > self.now]
-        for _, runner_id, started_at_ms, order in due:
-            self._take(runner_id, started_at_ms, order)
+        due = [late for late in self._late if late[0] <= self.now]
+        self._late = [late for late in self._late if late[0] > self.now]
+        for _, directive, fence in due:
+            self._take(directive.runner, directive.order, fence)
+        expired = [wait for wait in self._timeouts if wait[0] <= self.now]
+        self._timeouts = [wait for wait in self._timeouts if wait[0] > self.now]
+        for _, reconciler, directive in expired:
+            reconciler.record_unanswered(directive)
         for runner in self.runners.values():
             if not runner.alive:
                 continue
