--- a/mulberrypaddle/dispatch/crash_records.py
+++ b/mulberrypaddle/dispatch/crash_records.py
@@ -63,8 +63,8 @@
 class CrashRecords:
     """Records the runners that were lost while they processed a request.
 
-    Losses are kept by fingerprint of the request and id of the runner, with the
-    monotonic time at which each was recorded.
+    Losses are kept by fingerprint of the request and incarnation of the runner,
+    with the monotonic time at which each was recorded.
     """
 
     __slots__ = ("_losses", "_suspected_crashes")
@@ -99,9 +99,10 @@
         kept: list[_SuspectedCrash] = []
         for suspect in self._suspected_crashes:
             if suspect.incarnation not in incarnations:
+                runner_id, started_at_ms = suspect.incarnation
                 self.record_loss(
                     suspect.request_fingerprint,
-                    suspect.incarnation[0],
+                    f"{runner_id}@{started_at_ms or 0}",
                     now_seconds,
                 )
             elif now_seconds - suspect.at_seconds < CRASH_CONFIRMATION_SECONDS:
@@ -109,10 +110,13 @@
         self._suspected_crashes = kept
 
     def record_loss(
-        self, request_fingerprint: str, runner_id: str, now_seconds: float
+        self, request_fingerprint: str, runner: str, now_seconds: float
     ) -> None:
         """Records that a runner was lost while it processed a request.
 
+        A runner that restarts under its id may be lost again, so that it is
+        named by id and start time.
+
         Once `MAX_FINGERPRINTS` are kept, evicts the one that was added first.
         """
         if (
@@ -120,9 +124,7 @@
             and len(self._losses) >= MAX_FINGERPRINTS
         ):
             del self._losses[next(iter(self._losses))]
-        self._losses.setdefault(request_fingerprint, {})[runner_id] = (
-            now_seconds
-        )
+        self._losses.setdefault(request_fingerprint, {})[runner] = now_seconds
 
     def apply_peer_report(
         self, losses: dict[str, list[str]], now_seconds: float
--- a/tests/dispatch/test_crash_records.py
+++ b/tests/dispatch/test_crash_records.py
@@ -37,9 +37,19 @@
         # A runner with the same id has started again.
         records.confirm_crashes({("r1", 2)}, 1.0)
         self.assertEqual(
-            {"m": ["r1"]}, records.losses_within(1.0, since_seconds=9.0)
+            {"m": ["r1@1"]}, records.losses_within(1.0, since_seconds=9.0)
         )
 
+    def test_runners_that_restart_under_their_ids_are_counted_each_time(
+        self,
+    ) -> None:
+        records = CrashRecords()
+        for start in range(MAX_LOST_RUNNERS):
+            self.assertFalse(records.is_refused("m", 0.0))
+            records.record_interrupted_answer("m", ("r1", start), 0.0)
+            records.confirm_crashes({("r1", start + 1)}, 0.0)
+        self.assertTrue(records.is_refused("m", 0.0))
+
     def test_losses_of_other_routers_are_counted(self) -> None:
         records = CrashRecords()
         records.record_loss("m", "r1", 0.0)
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -595,7 +595,7 @@
             await runner.stop()
             return list(crashes.losses_within(1.0, since_seconds=1.0).values())
 
-        self.assertEqual([["r0"]], run(scenario()))
+        self.assertEqual([["r0@1"]], run(scenario()))
 
     def test_answer_of_another_request_ends_the_connection(self) -> None:
         late_copy = _complete_response(200, b"old").replace(b"q1", b"q0")
