--- a/mulberrypaddle/dispatch/crash_records.py
+++ b/mulberrypaddle/dispatch/crash_records.py
@@ -3,27 +3,60 @@
 Callers retry such a request again and again, at any router. It is identified by
 a fingerprint of organisation, path and body. Routers report to one another the
 runners that were lost with it, and refuse it after `MAX_LOST_RUNNERS` losses.
+
+A request is refused for as long as it keeps coming, and its losses are reported
+as long, since routers that start know none. It is served again once some router
+has seen it answered. If its losses lie close together, they may have another
+cause, such as a loss of power. One request is then let through as a trial.
 """
 
 from __future__ import annotations
 
 import hashlib
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 # Runners lost while processing the same request after which it is refused.
 MAX_LOST_RUNNERS = 3
 
-# How long a loss counts against a request. Callers retry such requests within
-# seconds, and lost runners are back some seconds later.
-LOSS_RETENTION_SECONDS = 60.0
+# Time after which the losses with a request that no longer comes are forgotten.
+LOSS_RETENTION_SECONDS = 600.0
+
+# Time without a loss or a trial after which a trial is let through, the longest
+# time between the first and the last loss for which there is one, and the most
+# trials of a request. A trial that crashes a runner is the last one.
+TRIAL_PAUSE_SECONDS = 30.0
+MAX_TRIAL_SPAN_SECONDS = 2.0
+MAX_TRIALS = 2
 
 # Time after an interrupted answer within which the disappearance of its runner
 # confirms a crash: entries expire after three heartbeats of 1.2 s and are read
 # a little later.
 CRASH_CONFIRMATION_SECONDS = 6.0
 
+# How much later than a loss an answer must be that another router reports, as
+# reports are delayed.
+PEER_REPORT_MARGIN_SECONDS = 0.5
+
 # Maximum number of fingerprints kept, many times the losses of a day.
 MAX_FINGERPRINTS = 2_000
 
+# Time for which a loss or an answer is part of every report. Older losses take
+# turns, `MAX_OLDER_IN_REPORT` fingerprints in each.
+REPORT_SECONDS = 3.0
+MAX_OLDER_IN_REPORT = 8
+
+# Most fingerprints in a report, and most losses of each: a report is part of a
+# datagram.
+MAX_IN_REPORT = 48
+MAX_LOSSES_IN_REPORT = 5
+
+# Separates the name of a lost runner from two ages in seconds in a report.
+_AGE_SEPARATOR = "/"
+
 
 def fingerprint(organisation: str, path: str, body: bytes) -> str:
     """Returns a hash that is the same for every retry of a request.
@@ -60,18 +93,105 @@
         self.at_seconds = at_seconds
 
 
+class _CrashingRequest:
+    """Losses of runners while they processed one request.
+
+    Times are monotonic, in seconds.
+
+    Attributes:
+        losses: When each runner was lost, by name of its incarnation.
+        seen_at_seconds: When the request last crashed a runner or was refused.
+        recorded_at_seconds: When the last loss was recorded.
+        answered_at_seconds: When it was last answered; minus infinity if it
+            never was.
+        tried_at_seconds: When this router last let it through as a trial; minus
+            infinity if it never did.
+        trials: How often this router let it through as a trial.
+    """
+
+    __slots__ = (
+        "answered_at_seconds",
+        "losses",
+        "recorded_at_seconds",
+        "seen_at_seconds",
+        "trials",
+        "tried_at_seconds",
+    )
+
+    def __init__(self) -> None:
+        self.losses: dict[str, float] = {}
+        self.seen_at_seconds = 0.0
+        self.recorded_at_seconds = 0.0
+        self.answered_at_seconds = -math.inf
+        self.tried_at_seconds = -math.inf
+        self.trials = 0
+
+    @property
+    def is_refused(self) -> bool:
+        """Returns whether it has crashed too many runners to be served."""
+        return len(self.losses) >= MAX_LOST_RUNNERS
+
+    def record_loss(
+        self, name: str, *, at_seconds: float, now_seconds: float
+    ) -> None:
+        """Records a loss unless it is known or was followed by an answer."""
+        if name in self.losses:
+            self.losses[name] = min(self.losses[name], at_seconds)
+        elif at_seconds > self.answered_at_seconds:
+            self.losses[name] = at_seconds
+            self.recorded_at_seconds = now_seconds
+
+    def record_answer(
+        self, at_seconds: float, *, margin_seconds: float
+    ) -> None:
+        """Forgets the losses that happened before an answer.
+
+        Args:
+            at_seconds: When the request was answered.
+            margin_seconds: How much later than a loss the answer must be.
+        """
+        latest_seconds = at_seconds - margin_seconds
+        self.answered_at_seconds = max(self.answered_at_seconds, latest_seconds)
+        for name, lost_at_seconds in list(self.losses.items()):
+            if lost_at_seconds <= latest_seconds:
+                del self.losses[name]
+
+    def may_be_tried(self, now_seconds: float) -> bool:
+        """Returns whether its losses allow a trial now."""
+        first, last = min(self.losses.values()), max(self.losses.values())
+        if last - first > MAX_TRIAL_SPAN_SECONDS or self.trials >= MAX_TRIALS:
+            return False
+        pause_seconds = now_seconds - max(last, self.tried_at_seconds)
+        return pause_seconds >= TRIAL_PAUSE_SECONDS
+
+
 class CrashRecords:
     """Records the runners that were lost while they processed a request.
 
-    Losses are kept by fingerprint of the request and incarnation of the runner,
-    with the monotonic time at which each was recorded.
+    Runners are counted by incarnation: one that restarts under its id may be
+    lost again.
+
+    Attributes:
+        may_try: Whether this router may let trials through. Only one router of
+            the fleet should, so that a trial costs one runner.
     """
 
-    __slots__ = ("_losses", "_suspected_crashes")
+    __slots__ = (
+        "_reported_after",
+        "_requests",
+        "_suspected_crashes",
+        "may_try",
+    )
 
     def __init__(self) -> None:
-        self._losses: dict[str, dict[str, float]] = {}
+        # By fingerprint, the one that was seen last at the end.
+        self._requests: dict[str, _CrashingRequest] = {}
         self._suspected_crashes: list[_SuspectedCrash] = []
+        # Fingerprint after which the next report of older losses begins.
+        self._reported_after = ""
+        self.may_try = False
+
+    # Evidence.
 
     def record_interrupted_answer(
         self,
@@ -99,76 +219,240 @@
         kept: list[_SuspectedCrash] = []
         for suspect in self._suspected_crashes:
             if suspect.incarnation not in incarnations:
-                runner_id, started_at_ms = suspect.incarnation
                 self.record_loss(
                     suspect.request_fingerprint,
-                    f"{runner_id}@{started_at_ms or 0}",
-                    now_seconds,
+                    suspect.incarnation,
+                    at_seconds=suspect.at_seconds,
+                    now_seconds=now_seconds,
                 )
             elif now_seconds - suspect.at_seconds < CRASH_CONFIRMATION_SECONDS:
                 kept.append(suspect)
         self._suspected_crashes = kept
 
     def record_loss(
-        self, request_fingerprint: str, runner: str, now_seconds: float
+        self,
+        request_fingerprint: str,
+        incarnation: tuple[str, int | None],
+        *,
+        at_seconds: float,
+        now_seconds: float,
     ) -> None:
         """Records that a runner was lost while it processed a request.
 
-        A runner that restarts under its id may be lost again, so that it is
-        named by id and start time.
+        Args:
+            request_fingerprint: Fingerprint of the request.
+            incarnation: Id and start time of the runner; see `RunnerEntry`.
+            at_seconds: Monotonic time at which its answer was interrupted.
+            now_seconds: Monotonic time.
+        """
+        runner_id, started_at_ms = incarnation
+        request = self._touch(request_fingerprint, now_seconds)
+        request.seen_at_seconds = max(request.seen_at_seconds, at_seconds)
+        request.record_loss(
+            f"{runner_id}@{started_at_ms or 0}",
+            at_seconds=at_seconds,
+            now_seconds=now_seconds,
+        )
 
-        Once `MAX_FINGERPRINTS` are kept, evicts the one that was added first.
+    def record_answer(
+        self, request_fingerprint: str, now_seconds: float
+    ) -> None:
+        """Records that a runner answered a request, so that it is served."""
+        request = self._requests.get(request_fingerprint)
+        if request is not None:
+            request.record_answer(now_seconds, margin_seconds=0.0)
+
+    def _touch(
+        self, request_fingerprint: str, now_seconds: float
+    ) -> _CrashingRequest:
+        """Returns a request and marks it as the last to be forgotten.
+
+        Once `MAX_FINGERPRINTS` are kept, a new one replaces the one that was
+        seen first, if possible one that is not refused.
         """
-        if (
-            request_fingerprint not in self._losses
-            and len(self._losses) >= MAX_FINGERPRINTS
-        ):
-            del self._losses[next(iter(self._losses))]
-        self._losses.setdefault(request_fingerprint, {})[runner] = now_seconds
+        request = self._requests.pop(request_fingerprint, None)
+        if request is None:
+            self._expire(now_seconds)
+            if len(self._requests) >= MAX_FINGERPRINTS:
+                served = (
+                    known
+                    for known, other in self._requests.items()
+                    if not other.is_refused
+                )
+                del self._requests[next(served, next(iter(self._requests)))]
+            request = _CrashingRequest()
+        self._requests[request_fingerprint] = request
+        return request
+
+    def _expire(self, now_seconds: float) -> None:
+        """Forgets the requests that no longer come."""
+        for known, request in list(self._requests.items()):
+            age_seconds = now_seconds - request.seen_at_seconds
+            if age_seconds >= LOSS_RETENTION_SECONDS:
+                del self._requests[known]
+
+    # Decisions.
+
+    def is_refused(self, request_fingerprint: str, now_seconds: float) -> bool:
+        """Returns whether a request crashed too many runners to be served."""
+        request = self._requests.get(request_fingerprint)
+        if request is None or not request.is_refused:
+            return False
+        age_seconds = now_seconds - request.seen_at_seconds
+        return age_seconds < LOSS_RETENTION_SECONDS
+
+    def record_refusal(
+        self, request_fingerprint: str, now_seconds: float
+    ) -> None:
+        """Records that a request came again and was refused."""
+        if request_fingerprint in self._requests:
+            request = self._touch(request_fingerprint, now_seconds)
+            request.seen_at_seconds = now_seconds
+
+    def try_acquire_trial(
+        self, request_fingerprint: str, now_seconds: float
+    ) -> bool:
+        """Returns whether a refused request may be sent as a trial."""
+        request = self._requests.get(request_fingerprint)
+        if request is None or not request.losses or not self.may_try:
+            return False
+        if not request.may_be_tried(now_seconds):
+            return False
+        request.tried_at_seconds = now_seconds
+        request.trials += 1
+        return True
+
+    # Reports of routers to one another.
+
+    def loss_reports(self, now_seconds: float) -> dict[str, list[str]]:
+        """Returns the losses to be reported to other routers.
+
+        Returns:
+            By fingerprint: the names of the lost incarnations, each with the
+            seconds since it was lost and since the request last came.
+        """
+        self._expire(now_seconds)
+        older = sorted(
+            known
+            for known, request in self._requests.items()
+            if request.losses
+            and now_seconds - request.recorded_at_seconds > REPORT_SECONDS
+        )
+        turn = [known for known in older if known > self._reported_after]
+        turn = (turn + older)[: min(MAX_OLDER_IN_REPORT, len(older))]
+        if turn:
+            self._reported_after = turn[-1]
+        recent = [
+            known
+            for known, request in self._requests.items()
+            if request.losses
+            and now_seconds - request.recorded_at_seconds <= REPORT_SECONDS
+        ]
+        room = MAX_IN_REPORT - len(turn)
+        reports = {}
+        for known in recent[-room:] + turn:
+            request = self._requests[known]
+            seen_seconds = int(now_seconds - request.seen_at_seconds)
+            names = list(request.losses.items())[:MAX_LOSSES_IN_REPORT]
+            reports[known] = [
+                _AGE_SEPARATOR.join(
+                    (name, str(int(now_seconds - at)), str(seen_seconds))
+                )
+                for name, at in names
+            ]
+        return reports
+
+    def answered_ages(self, now_seconds: float) -> dict[str, float]:
+        """Returns the time since requests with losses were answered.
+
+        Returns:
+            Seconds by fingerprint, up to `REPORT_SECONDS`.
+        """
+        return {
+            known: now_seconds - request.answered_at_seconds
+            for known, request in self._requests.items()
+            if now_seconds - request.answered_at_seconds <= REPORT_SECONDS
+        }
 
     def apply_peer_report(
-        self, losses: dict[str, list[str]], now_seconds: float
+        self,
+        losses: dict[str, list[str]],
+        answered_ages_seconds: dict[str, float],
+        now_seconds: float,
     ) -> None:
-        """Merges losses reported by another router.
+        """Merges what another router reports.
 
         Args:
-            losses: Ids of the lost runners, by fingerprint.
+            losses: What its `loss_reports` returned.
+            answered_ages_seconds: Time since it saw a request answered, by
+                fingerprint.
             now_seconds: Monotonic time.
         """
-        for request_fingerprint, runner_ids in losses.items():
-            for runner_id in runner_ids:
-                if runner_id not in self._losses.get(request_fingerprint, {}):
-                    self.record_loss(
-                        request_fingerprint, runner_id, now_seconds
-                    )
-
-    def losses_within(
-        self, now_seconds: float, *, since_seconds: float
-    ) -> dict[str, list[str]]:
-        """Returns the losses recorded in the last `since_seconds`.
+        for known, reports in losses.items():
+            for report in reports:
+                name, lost_seconds, seen_seconds = _parse_report(report)
+                if seen_seconds >= LOSS_RETENTION_SECONDS:
+                    continue
+                request = self._requests.get(known)
+                if request is None:
+                    request = self._touch(known, now_seconds)
+                request.seen_at_seconds = max(
+                    request.seen_at_seconds, now_seconds - seen_seconds
+                )
+                request.record_loss(
+                    name,
+                    at_seconds=now_seconds - lost_seconds,
+                    now_seconds=now_seconds,
+                )
+        for known, age_seconds in answered_ages_seconds.items():
+            request = self._requests.get(known)
+            if request is not None:
+                request.record_answer(
+                    now_seconds - age_seconds,
+                    margin_seconds=PEER_REPORT_MARGIN_SECONDS,
+                )
 
-        Returns:
-            Ids of the lost runners, by fingerprint.
-        """
-        found: dict[str, list[str]] = {}
-        for request_fingerprint, runners in self._losses.items():
-            fresh = [
-                runner_id
-                for runner_id, at_seconds in runners.items()
-                if now_seconds - at_seconds <= since_seconds
-            ]
-            if fresh:
-                found[request_fingerprint] = fresh
-        return found
 
-    def is_refused(self, request_fingerprint: str, now_seconds: float) -> bool:
-        """Returns whether a request crashed too many runners to be served."""
-        runners = self._losses.get(request_fingerprint)
-        if runners is None:
-            return False
-        recent_losses = [
-            at_seconds
-            for at_seconds in runners.values()
-            if now_seconds - at_seconds <= LOSS_RETENTION_SECONDS
-        ]
-        return len(recent_losses) >= MAX_LOST_RUNNERS
+def merge_loss_reports(
+    reports: Iterable[dict[str, list[str]]],
+) -> dict[str, list[str]]:
+    """Merges reports of several routers, up to `MAX_IN_REPORT` fingerprints.
+
+    Of each runner lost with a request, the report is kept by which that request
+    came last.
+
+    Args:
+        reports: What `CrashRecords.loss_reports` returned, the most important
+            first.
+    """
+    merged: dict[str, dict[str, str]] = {}
+    for report in reports:
+        for known, losses in report.items():
+            if known not in merged and len(merged) >= MAX_IN_REPORT:
+                continue
+            by_name = merged.setdefault(known, {})
+            for loss in losses:
+                name, _, seen_seconds = _parse_report(loss)
+                kept = by_name.get(name)
+                if kept is None or seen_seconds < _parse_report(kept)[2]:
+                    by_name[name] = loss
+    return {
+        known: sorted(by_name.values()) for known, by_name in merged.items()
+    }
+
+
+def _parse_report(report: str) -> tuple[str, int, int]:
+    """Parses one loss of a report.
+
+    Earlier versions report the runner's id alone.
+
+    Returns:
+        Name of the incarnation, and the seconds since it was lost and since
+        the request last came.
+    """
+    name, *ages = report.rsplit(_AGE_SEPARATOR, 2)
+    if len(ages) != 2 or not all(
+        age.isascii() and age.isdigit() and len(age) < 10 for age in ages
+    ):
+        return report, 0, 0
+    return name, int(ages[0]), int(ages[1])
--- a/mulberrypaddle/serving/crash_monitor.py
+++ b/mulberrypaddle/serving/crash_monitor.py
@@ -34,12 +34,13 @@
         """Starts due probes; called at short intervals.
 
         Args:
-            may_try: Whether this router is the one that may let requests with
-                quarantined parts through as a trial.
+            may_try: Whether this router is the one that may let refused
+                requests through as a trial.
         """
         board = self._board
         attribution = board.crash_attribution
         attribution.may_try = may_try
+        board.crashes.may_try = may_try
         for interruption in attribution.interruptions(board.now()):
             incarnation = interruption.incarnation
             entry = board.view.get(incarnation[0])
--- a/mulberrypaddle/serving/digest.py
+++ b/mulberrypaddle/serving/digest.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from mulberrypaddle.dispatch.crash_attribution import latest_ages
+from mulberrypaddle.dispatch.crash_records import merge_loss_reports
 from mulberrypaddle.dispatch.retry_budget import RetryCounts
 from mulberrypaddle.serving.heartbeat import SCOPE_DATA_CENTRE, SCOPE_FLEET
 
@@ -122,10 +123,7 @@
     }
     failing = set(relay_heartbeat.failing)
     silent = set(relay_heartbeat.silent)
-    losses = {
-        fingerprint: set(runners)
-        for fingerprint, runners in relay_heartbeat.losses.items()
-    }
+    losses = [relay_heartbeat.losses]
     routers = relay_heartbeat.routers
     for heartbeat in others:
         routers += heartbeat.routers
@@ -144,8 +142,7 @@
                 known[duty] = max(revision, known.get(duty, 0))
         failing.update(heartbeat.failing)
         silent.update(heartbeat.silent)
-        for fingerprint, runners in heartbeat.losses.items():
-            losses.setdefault(fingerprint, set()).update(runners)
+        losses.append(heartbeat.losses)
     relay_heartbeat.loads = loads
     relay_heartbeat.waiting = waiting
     relay_heartbeat.demand = demand
@@ -156,9 +153,7 @@
     relay_heartbeat.resigned = resigned
     relay_heartbeat.failing = sorted(failing)
     relay_heartbeat.silent = sorted(silent)
-    relay_heartbeat.losses = {
-        fingerprint: sorted(runners) for fingerprint, runners in losses.items()
-    }
+    relay_heartbeat.losses = merge_loss_reports(losses)
     relay_heartbeat.routers = routers
     relay_heartbeat.scope = scope
     return relay_heartbeat
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -133,8 +133,10 @@
         self._waiter: Waiter | None = None
         self._send_count = 0
         self._first_send_counted = False
-        # Whether it may be sent although parts of its prompt are quarantined.
+        # Whether it may be sent although parts of its prompt are quarantined,
+        # or although such requests have crashed several runners.
         self._is_trial = False
+        self._is_crash_trial = False
         # Whether the process ends, so that nothing more is sent.
         self._ended = False
         # Whether the retry budget has already been charged for the next send.
@@ -155,13 +157,8 @@
         self._caller.set_disconnect_callback(self._on_caller_disconnect)
         if not self._admit():
             return
-        if self._board.crashes.is_refused(
-            self._terms.request_fingerprint, self._arrived_at
-        ):
-            self._refuse(
-                ErrorKind.QUARANTINED,
-                "it has ended several runners",
-            )
+        if self._is_known_to_crash():
+            self._refuse_known_to_crash()
             return
         if self._is_quarantined():
             self._refuse_quarantined()
@@ -602,11 +599,16 @@
             board.loads.remove_request(entry.runner_id)
             self._refuse_shutting_down()
             return _NextStep.DONE
-        if self._is_quarantined():
+        for is_withheld, refuse in (
+            (self._is_known_to_crash, self._refuse_known_to_crash),
+            (self._is_quarantined, self._refuse_quarantined),
+        ):
+            if not is_withheld():
+                continue
             board.loads.remove_request(entry.runner_id)
             if self._may_have_run:
                 return _NextStep.OUTCOME_UNKNOWN
-            self._refuse_quarantined()
+            refuse()
             return _NextStep.DONE
         if not self._first_send_counted:
             self._first_send_counted = True
@@ -799,6 +801,10 @@
         ATTEMPTS.labels(self._terms.service.name, outcome.value).inc()
         if outcome is AttemptOutcome.DELIVERED:
             board.runner_health.record_success(runner_id)
+            if 200 <= attempt.status < 300:
+                board.crashes.record_answer(
+                    self._terms.request_fingerprint, now
+                )
             REQUESTS.labels(self._terms.service.name, "answered").inc()
             ANSWER_SECONDS.labels(self._terms.service.name).observe(
                 now - self._arrived_at
@@ -924,6 +930,27 @@
             return False
         return attempt.event_count <= MAX_STARTING_EVENTS
 
+    def _is_known_to_crash(self) -> bool:
+        """Returns whether the request has crashed too many runners to be sent.
+
+        One request may be let through as a trial.
+        """
+        crashes = self._board.crashes
+        known = self._terms.request_fingerprint
+        now = self._board.now()
+        if self._is_crash_trial or not crashes.is_refused(known, now):
+            return False
+        if not crashes.try_acquire_trial(known, now):
+            crashes.record_refusal(known, now)
+            return True
+        self._is_crash_trial = True
+        log_request(
+            "crashing_request_trial",
+            request_id=self._fields.request_id,
+            fingerprint=known,
+        )
+        return False
+
     def _is_quarantined(self) -> bool:
         """Returns whether parts of the prompt forbid to send the request.
 
@@ -959,6 +986,10 @@
             deadline_seconds=self._terms.deadline_seconds,
         )
 
+    def _refuse_known_to_crash(self) -> None:
+        """Refuses a request that has crashed several runners."""
+        self._refuse(ErrorKind.QUARANTINED, "it has ended several runners")
+
     def _refuse_quarantined(self) -> None:
         """Refuses a request whose prompt has quarantined parts.
 
--- a/mulberrypaddle/serving/heartbeat.py
+++ b/mulberrypaddle/serving/heartbeat.py
@@ -215,12 +215,13 @@
         silent: Runners that could not be reached.
         stalled: Milliseconds since stalled streams were last observed, by
             group head.
-        losses: Runners that were recently lost while they ran a request, by
-            fingerprint of the request.
+        losses: Runners that were lost while they ran a request, by fingerprint
+            of the request; see `CrashRecords.loss_reports`.
         crashes: Runners that crashed when answers began: the milliseconds
             since and the parts of prompts that may be the cause, by
             incarnation of the runner.
-        cleared: Milliseconds since the last answer with such a part, by part.
+        cleared: Milliseconds since the last answer with such a part, or to a
+            request with losses, by part or fingerprint.
         waiting: Number of queued requests, by model, or by service if it has no
             models.
         retries: Numbers of first attempts and of retries within the window of
--- a/mulberrypaddle/serving/local_heartbeat.py
+++ b/mulberrypaddle/serving/local_heartbeat.py
@@ -11,9 +11,6 @@
     from mulberrypaddle.serving.blackboard import Blackboard
     from mulberrypaddle.serving.peer import DutyStatus
 
-# Time for which heartbeats go on reporting that a runner was lost.
-REPORT_LOSSES_SECONDS = 3.0
-
 # Most leaving runners that a heartbeat reports. Their entries soon say that
 # they are draining, or are removed; then they aren't reported any more.
 MAX_REPORTED_LEAVING = 64
@@ -61,17 +58,16 @@
             runner_id: int(age_seconds * 1000)
             for runner_id, age_seconds in suspects.items()
         },
-        losses=board.crashes.losses_within(
-            now_seconds, since_seconds=REPORT_LOSSES_SECONDS
-        ),
+        losses=board.crashes.loss_reports(now_seconds),
         crashes={
             report.name: (int(report.age_seconds * 1000), sorted(report.parts))
             for report in board.crash_attribution.crash_reports(now_seconds)
         },
         cleared={
-            part: int(age_seconds * 1000)
-            for part, age_seconds in board.crash_attribution.cleared_ages(
-                now_seconds
+            name: int(age_seconds * 1000)
+            for name, age_seconds in (
+                board.crash_attribution.cleared_ages(now_seconds)
+                | board.crashes.answered_ages(now_seconds)
             ).items()
         },
         waiting=board.waiting(),
--- a/mulberrypaddle/serving/peer_exchange.py
+++ b/mulberrypaddle/serving/peer_exchange.py
@@ -365,13 +365,18 @@
         board.runner_health.apply_peer_report(
             failing=heartbeat.failing, silent=heartbeat.silent, now_seconds=now
         )
-        board.crashes.apply_peer_report(heartbeat.losses, now)
+        answered_ages_seconds = {
+            name: age_ms / 1000 for name, age_ms in heartbeat.cleared.items()
+        }
+        board.crashes.apply_peer_report(
+            heartbeat.losses, answered_ages_seconds, now
+        )
         board.crash_attribution.apply_peer_report(
             [
                 CrashReport(name, age_seconds=age_ms / 1000, parts=parts)
                 for name, (age_ms, parts) in heartbeat.crashes.items()
             ],
-            {part: age_ms / 1000 for part, age_ms in heartbeat.cleared.items()},
+            answered_ages_seconds,
             now,
         )
         for runner_id, started_at_ms in heartbeat.leaving.items():
--- a/tests/serving/test_digest.py
+++ b/tests/serving/test_digest.py
@@ -96,6 +96,17 @@
         self.assertEqual({"h": 100}, digest.stalled)
         self.assertEqual({"m": ["r1", "r2"]}, digest.losses)
 
+    def test_loss_is_reported_once_whatever_its_ages(self) -> None:
+        digest = merge_heartbeats(
+            make_heartbeat("a", loads={}, losses={"m": ["r1@1/40/7"]}),
+            [
+                make_heartbeat("b", loads={}, losses={"m": ["r1@1/41/2"]}),
+                make_heartbeat("c", loads={}, losses={"m": ["r1@1/40/9"]}),
+            ],
+            scope=SCOPE_FLEET,
+        )
+        self.assertEqual({"m": ["r1@1/41/2"]}, digest.losses)
+
     def test_local_counts_are_subtracted(self) -> None:
         self.assertEqual(
             {"r1": 2}, subtract_local({"r1": 3, "r2": 1}, {"r1": 1, "r2": 1})
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -593,7 +593,11 @@
             crashes.confirm_crashes(set(), 1.0)
             path_under_test.close()
             await runner.stop()
-            return list(crashes.losses_within(1.0, since_seconds=1.0).values())
+            reports = crashes.loss_reports(path_under_test.board.now())
+            return [
+                [loss.split("/")[0] for loss in losses]
+                for losses in reports.values()
+            ]
 
         self.assertEqual([["r0@1"]], run(scenario()))
 
