--- a/tests/serving/test_leaving_runners.py
+++ b/tests/serving/test_leaving_runners.py
@@ -328,25 +328,30 @@
         self.assertEqual(1, resumed)
 
     def test_queued_requests_do_not_reach_it(self) -> None:
-        async def slowly(
-            count: int, request: bytes, writer: asyncio.StreamWriter
-        ) -> None:
-            await asyncio.sleep(0.12)
-            writer.write(_complete_response(200, b"done", _LEAVING))
-
         async def scenario() -> tuple[int, int, list[bytes]]:
+            may_answer = asyncio.Event()
+
+            async def later(
+                count: int, request: bytes, writer: asyncio.StreamWriter
+            ) -> None:
+                await may_answer.wait()
+                writer.write(_complete_response(200, b"done", _LEAVING))
+
             fleet = _Fleet()
-            await fleet.add("r1", slowly)
+            await fleet.add("r1", later)
             # A runner of 6 slots accepts 12 requests, the others are queued.
             tasks = [
                 asyncio.ensure_future(fleet.send("/pay/1")) for _ in range(16)
             ]
+            while fleet.arrivals("r1") < 12:
+                await asyncio.sleep(0.01)
             await asyncio.sleep(0.06)
             seen = fleet.arrivals("r1")
             await fleet.add("r2", _answer(_OK))
             loads = fleet.harness.board.loads
             for _ in range(12):
                 loads.add_request("r2")
+            may_answer.set()
             pending = asyncio.gather(*tasks)
             asyncio.get_running_loop().call_later(
                 0.2, loads.remove_request, "r2"
