--- a/mulberrypaddle/dispatch/crash_records.py
+++ b/mulberrypaddle/dispatch/crash_records.py
@@ -275,8 +275,8 @@
             self._expire(now_seconds)
             if len(self._requests) >= MAX_FINGERPRINTS:
                 served = (
-                    known
-                    for known, other in self._requests.items()
+                    key
+                    for key, other in self._requests.items()
                     if not other.is_refused
                 )
                 del self._requests[next(served, next(iter(self._requests)))]
@@ -286,10 +286,10 @@
 
     def _expire(self, now_seconds: float) -> None:
         """Forgets the requests that no longer come."""
-        for known, request in list(self._requests.items()):
+        for key, request in list(self._requests.items()):
             age_seconds = now_seconds - request.seen_at_seconds
             if age_seconds >= LOSS_RETENTION_SECONDS:
-                del self._requests[known]
+                del self._requests[key]
 
     # Decisions.
 
@@ -333,28 +333,28 @@
         """
         self._expire(now_seconds)
         older = sorted(
-            known
-            for known, request in self._requests.items()
+            key
+            for key, request in self._requests.items()
             if request.losses
             and now_seconds - request.recorded_at_seconds > REPORT_SECONDS
         )
-        turn = [known for known in older if known > self._reported_after]
+        turn = [key for key in older if key > self._reported_after]
         turn = (turn + older)[: min(MAX_OLDER_IN_REPORT, len(older))]
         if turn:
             self._reported_after = turn[-1]
         recent = [
-            known
-            for known, request in self._requests.items()
+            key
+            for key, request in self._requests.items()
             if request.losses
             and now_seconds - request.recorded_at_seconds <= REPORT_SECONDS
         ]
         room = MAX_IN_REPORT - len(turn)
         reports = {}
-        for known in recent[-room:] + turn:
-            request = self._requests[known]
+        for key in recent[-room:] + turn:
+            request = self._requests[key]
             seen_seconds = int(now_seconds - request.seen_at_seconds)
             names = list(request.losses.items())[:MAX_LOSSES_IN_REPORT]
-            reports[known] = [
+            reports[key] = [
                 _AGE_SEPARATOR.join(
                     (name, str(int(now_seconds - at)), str(seen_seconds))
                 )
@@ -369,8 +369,8 @@
             Seconds by fingerprint, up to `REPORT_SECONDS`.
         """
         return {
-            known: now_seconds - request.answered_at_seconds
-            for known, request in self._requests.items()
+            key: now_seconds - request.answered_at_seconds
+            for key, request in self._requests.items()
             if now_seconds - request.answered_at_seconds <= REPORT_SECONDS
         }
 
@@ -388,14 +388,14 @@
                 fingerprint.
             now_seconds: Monotonic time.
         """
-        for known, reports in losses.items():
+        for key, reports in losses.items():
             for report in reports:
                 name, lost_seconds, seen_seconds = _parse_report(report)
                 if seen_seconds >= LOSS_RETENTION_SECONDS:
                     continue
-                request = self._requests.get(known)
+                request = self._requests.get(key)
                 if request is None:
-                    request = self._touch(known, now_seconds)
+                    request = self._touch(key, now_seconds)
                 request.seen_at_seconds = max(
                     request.seen_at_seconds, now_seconds - seen_seconds
                 )
@@ -404,8 +404,8 @@
                     at_seconds=now_seconds - lost_seconds,
                     now_seconds=now_seconds,
                 )
-        for known, age_seconds in answered_ages_seconds.items():
-            request = self._requests.get(known)
+        for key, age_seconds in answered_ages_seconds.items():
+            request = self._requests.get(key)
             if request is not None:
                 request.record_answer(
                     now_seconds - age_seconds,
@@ -427,18 +427,16 @@
     """
     merged: dict[str, dict[str, str]] = {}
     for report in reports:
-        for known, losses in report.items():
-            if known not in merged and len(merged) >= MAX_IN_REPORT:
+        for key, losses in report.items():
+            if key not in merged and len(merged) >= MAX_IN_REPORT:
                 continue
-            by_name = merged.setdefault(known, {})
+            by_name = merged.setdefault(key, {})
             for loss in losses:
                 name, _, seen_seconds = _parse_report(loss)
                 kept = by_name.get(name)
                 if kept is None or seen_seconds < _parse_report(kept)[2]:
                     by_name[name] = loss
-    return {
-        known: sorted(by_name.values()) for known, by_name in merged.items()
-    }
+    return {key: sorted(by_name.values()) for key, by_name in merged.items()}
 
 
 def _parse_report(report: str) -> tuple[str, int, int]:
--- a/mulberrypaddle/replicas/group_reconciler.py
+++ b/mulberrypaddle/replicas/group_reconciler.py
@@ -51,7 +51,7 @@
 
 # Time after which an incomplete group that a previous owner was forming counts
 # as failed.
-GRACE_SECONDS = 3.0
+TAKEOVER_GRACE_SECONDS = 3.0
 
 # Fraction of the full load time that a load of weights takes before the first
 # request.
@@ -119,8 +119,8 @@
 
     __slots__ = (
         "_transition_since_seconds",
-        "_confirmed",
-        "_formed",
+        "_confirmed_runners",
+        "_formed_groups",
         "_history",
         "_last_new_runner_seconds",
         "_load_limiter",
@@ -154,10 +154,10 @@
         self._orders = OrderTracker()
         self._pending: list[_PendingFormation] = []
         # Groups that were formed by orders of this reconciler.
-        self._formed: set[tuple[str, int]] = set()
+        self._formed_groups: set[tuple[str, int]] = set()
         # Incarnations that have taken an order of this reconciler, so that
         # they refuse those of earlier owners.
-        self._confirmed: set[tuple[str, int | None]] = set()
+        self._confirmed_runners: set[tuple[str, int | None]] = set()
         # Models with a complete, ready group that is not reported open yet.
         self._opening_models: set[str] = set()
         # When a group was first seen to be joining without all of its members,
@@ -207,7 +207,7 @@
 
     def record_acceptance(self, directive: Directive) -> None:
         """Records that a runner carries out an order or has done so."""
-        self._confirmed.add(directive.runner.incarnation)
+        self._confirmed_runners.add(directive.runner.incarnation)
         self._orders.record_acceptance(directive)
         if isinstance(directive.order, JoinGroup):
             self._history.record_join_taken(directive.runner, directive.order)
@@ -336,7 +336,7 @@
         if incarnations - self._seen_incarnations:
             self._last_new_runner_seconds = now_seconds
         self._seen_incarnations = incarnations
-        self._confirmed &= incarnations
+        self._confirmed_runners &= incarnations
         self.loss_detector.keep_only(incarnations)
 
     def _reconcile_groups(
@@ -410,13 +410,13 @@
         The members of a group that an earlier owner has formed are ordered to
         join it once more, which changes nothing but the fencing token.
         """
-        if snapshot.key in self._formed:
+        if snapshot.key in self._formed_groups:
             return True
         members = [member for _, member in sorted(snapshot.members.items())]
         unconfirmed = [
             member
             for member in members
-            if member.incarnation not in self._confirmed
+            if member.incarnation not in self._confirmed_runners
         ]
         assert snapshot.spec is not None
         join = JoinGroup(
@@ -458,7 +458,7 @@
             return False
         if snapshot.key in forming:
             return True
-        if snapshot.key in self._formed:
+        if snapshot.key in self._formed_groups:
             return False
         joining = all(
             member.group is not None
@@ -472,7 +472,7 @@
         since = self._transition_since_seconds.setdefault(
             snapshot.key, now_seconds
         )
-        return now_seconds - since <= GRACE_SECONDS
+        return now_seconds - since <= TAKEOVER_GRACE_SECONDS
 
     def _disband(
         self, snapshot: GroupSnapshot, reason: str, now_seconds: float
@@ -489,10 +489,10 @@
                 continue
             if rank > 0 and self._awaits_end_of_head(snapshot):
                 return
-            self._history.record_leave_sent(leave)
-            self._orders.issue(
+            if self._orders.issue(
                 member, leave, reason=reason, now_seconds=now_seconds
-            )
+            ):
+                self._history.record_leave_sent(leave)
 
     def _awaits_end_of_head(self, snapshot: GroupSnapshot) -> bool:
         """Returns whether the head is live and may still open its group."""
@@ -731,7 +731,7 @@
                     model=pending.formation.spec.name,
                     member_ids=pending.member_ids,
                 )
-                self._formed.add(pending.join.key)
+                self._formed_groups.add(pending.join.key)
                 for member in present:
                     self._orders.forget(member)
             elif _has_joined(snapshots.get(pending.join.key)):
@@ -747,6 +747,10 @@
                         now_seconds,
                     )
         self._pending = still_pending
+        self._formed_groups &= {
+            *snapshots,
+            *(pending.join.key for pending in still_pending if pending.join),
+        }
 
     def _order_to_join(
         self,
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -936,18 +936,18 @@
         One request may be let through as a trial.
         """
         crashes = self._board.crashes
-        known = self._terms.request_fingerprint
+        fingerprint = self._terms.request_fingerprint
         now = self._board.now()
-        if self._is_crash_trial or not crashes.is_refused(known, now):
+        if self._is_crash_trial or not crashes.is_refused(fingerprint, now):
             return False
-        if not crashes.try_acquire_trial(known, now):
-            crashes.record_refusal(known, now)
+        if not crashes.try_acquire_trial(fingerprint, now):
+            crashes.record_refusal(fingerprint, now)
             return True
         self._is_crash_trial = True
         log_request(
             "crashing_request_trial",
             request_id=self._fields.request_id,
-            fingerprint=known,
+            fingerprint=fingerprint,
         )
         return False
 
