--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -27,6 +27,11 @@
 MAX_REMOVED = 8_192
 
 
+# How far the number of a late write may be behind that of the known entry. An
+# entry further behind is taken as one of a runner that counts anew.
+MAX_LATE_WRITES = 50
+
+
 class FleetView:
     """Current entries of all runners, updated by snapshots and watch events.
 
@@ -35,8 +40,8 @@
         generation: Number of changes so far. Results computed from the view
             stay valid as long as it is the same.
         evacuated_revision: Revision of the store at which `evacuated` was read.
-        held_back: Runners of which the last snapshot held an entry that was
-            not taken over, since the known one is newer.
+        held_back: Runners of which the last snapshot or change held an entry
+            that was not taken over, since the known one is newer.
         silence_seconds: Time after which the entry of a runner that doesn't
             write it is certainly known to be removed.
     """
@@ -279,7 +284,7 @@
             if runner_id not in fresh:
                 self._remove_or_defer(runner_id, now_seconds)
         for entry in fresh.values():
-            if self._is_superseded(entry):
+            if self._is_superseded(entry) or self._is_outdated(entry):
                 if self._entries[entry.runner_id].is_newer_than(entry):
                     self.held_back.append(entry.runner_id)
                 self._removal_due_seconds.pop(entry.runner_id, None)
@@ -307,6 +312,9 @@
     ) -> bool:
         """Applies the changes between the view's revision and a newer one.
 
+        An entry that its runner wrote before the known one is held back: the
+        store may carry out a write late.
+
         Args:
             changed: Runners that were added or changed.
             removed: Ids of the runners that were removed.
@@ -320,7 +328,12 @@
             return False
         for runner_id in removed:
             self._remove_or_defer(runner_id, now_seconds)
+        self.held_back = []
         for entry in changed:
+            if self._is_outdated(entry):
+                self.held_back.append(entry.runner_id)
+                self._removal_due_seconds.pop(entry.runner_id, None)
+                continue
             self._put(entry)
         self.revision = revision
         self._record_change()
@@ -397,6 +410,15 @@
             and not self._is_newer_than_known(entry)
         )
 
+    def _is_outdated(self, entry: RunnerEntry) -> bool:
+        """Returns whether the same process wrote the known entry later."""
+        known = self._entries.get(entry.runner_id)
+        if known is None or known.incarnation != entry.incarnation:
+            return False
+        if known.sequence is None or entry.sequence is None:
+            return False
+        return 0 < known.sequence - entry.sequence <= MAX_LATE_WRITES
+
     def _put(self, entry: RunnerEntry) -> None:
         """Adds or replaces an entry and cancels its pending removal."""
         self._unconfirmed.discard(entry.runner_id)
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -718,13 +718,6 @@
                 now_seconds=now,
                 restored=update.restored,
             )
-            if board.view.held_back:
-                log_state_change(
-                    "older_runners_held_back",
-                    revision=update.revision,
-                    count=len(board.view.held_back),
-                    runners=board.view.held_back[:MAX_LOGGED_RUNNERS],
-                )
             unproven = board.view.unproven
             if update.restored and unproven:
                 log_state_change(
@@ -740,6 +733,13 @@
                 revision=update.revision,
                 now_seconds=now,
             )
+        if board.view.held_back:
+            log_state_change(
+                "older_runners_held_back",
+                revision=update.revision,
+                count=len(board.view.held_back),
+                runners=board.view.held_back[:MAX_LOGGED_RUNNERS],
+            )
         board.crashes.confirm_crashes(
             {entry.incarnation for entry in board.view}, now
         )
