--- a/mulberrypaddle/dispatch/crash_attribution.py
+++ b/mulberrypaddle/dispatch/crash_attribution.py
@@ -253,7 +253,7 @@
             parts: Shared parts of the prompt.
             now_seconds: Monotonic time.
         """
-        crash = self._crashes.get(_name(incarnation))
+        crash = self._crashes.get(incarnation_name(incarnation))
         if crash is not None:
             self._add_suspects(crash, parts)
             return
@@ -288,7 +288,7 @@
         if interruption is None:
             return
         self._record_crash(
-            _name(incarnation),
+            incarnation_name(incarnation),
             interruption.parts,
             at_seconds=interruption.at_seconds,
             now_seconds=now_seconds,
@@ -629,7 +629,7 @@
     return kept
 
 
-def _name(incarnation: Incarnation) -> str:
+def incarnation_name(incarnation: Incarnation) -> str:
     """Returns the name of an incarnation in reports to other routers."""
     runner_id, started_at_ms = incarnation
     return f"{runner_id}@{started_at_ms or 0}"
--- a/mulberrypaddle/dispatch/crash_records.py
+++ b/mulberrypaddle/dispatch/crash_records.py
@@ -16,6 +16,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from mulberrypaddle.dispatch.crash_attribution import incarnation_name
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -245,11 +247,10 @@
             at_seconds: Monotonic time at which its answer was interrupted.
             now_seconds: Monotonic time.
         """
-        runner_id, started_at_ms = incarnation
         request = self._touch(request_fingerprint, now_seconds)
         request.seen_at_seconds = max(request.seen_at_seconds, at_seconds)
         request.record_loss(
-            f"{runner_id}@{started_at_ms or 0}",
+            incarnation_name(incarnation),
             at_seconds=at_seconds,
             now_seconds=now_seconds,
         )
--- a/tests/replicas/test_late_orders.py
+++ b/tests/replicas/test_late_orders.py
@@ -42,6 +42,14 @@
     ]
 
 
+def _form_unopened_group(fleet: GroupFleet) -> None:
+    """Lets the spares form a group whose head leaves orders to open late."""
+    fleet.delays = {
+        (runner.runner_id, OpenGroup): [5.0] * 2 for runner in _spares(fleet)
+    }
+    fleet.play(1.6)
+
+
 class LateJoinTest(testtools.TestCase):
     """Orders to join that are carried out after newer ones."""
 
@@ -92,11 +100,7 @@
     ) -> None:
         fleet = _small_fleet(4)
         first, second = _spares(fleet)
-        fleet.delays = {
-            (runner.runner_id, OpenGroup): [5.0] * 2
-            for runner in (first, second)
-        }
-        fleet.play(1.6)
+        _form_unopened_group(fleet)
         self.assertEqual(1, fleet.open_groups()["small"])
         fleet.change_owner()
         self.assertEqual((1, 1), (first.top_fence, second.top_fence))
@@ -114,12 +118,7 @@
         self,
     ) -> None:
         fleet = _small_fleet(4)
-        first, second = _spares(fleet)
-        fleet.delays = {
-            (runner.runner_id, OpenGroup): [5.0] * 2
-            for runner in (first, second)
-        }
-        fleet.play(1.6)
+        _form_unopened_group(fleet)
         fleet.change_owner()
         fleet.delays = {}
         before = fleet.order_count
