--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -169,28 +169,39 @@
         revision: Revision of the last change.
         port: Port at which it listens.
         is_down: Whether it answers 503 to every call.
+        calls_by_port: Number of calls that came, by port.
     """
 
     def __init__(self) -> None:
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
+        self._servers: dict[int, asyncio.Server] = {}
+        # Open connections, by the port that they were made to.
+        self._writers: dict[int, set[asyncio.StreamWriter]] = {}
         self.revision = 100
         self.port = 0
         self.is_down = False
+        self.calls_by_port: dict[int, int] = {}
 
     async def start(self) -> None:
-        """Starts to listen."""
-        self._server = await asyncio.start_server(
+        """Starts to listen, at a new port each time."""
+        server = await asyncio.start_server(
             self._serve, "127.0.0.1", 0, limit=2**21
         )
-        self.port = self._server.sockets[0].getsockname()[1]
+        self.port = server.sockets[0].getsockname()[1]
+        self._servers[self.port] = server
 
     def close(self) -> None:
         """Stops listening."""
-        if self._server is not None:
-            self._server.close()
+        for port in list(self._servers):
+            self.close_port(port)
+
+    def close_port(self, port: int) -> None:
+        """Stops listening at one port, and closes its connections."""
+        self._servers.pop(port).close()
+        for writer in self._writers.pop(port, set()):
+            writer.transport.abort()
 
     def put(self, kind: str, name: str, spec: Any) -> int:
         """Writes an object; returns the revision at which it is written."""
@@ -247,11 +258,14 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        port = writer.get_extra_info("sockname")[1]
+        self._writers.setdefault(port, set()).add(writer)
         try:
             while True:
                 request = await read_request(reader)
                 if request is None:
                     break
+                self.calls_by_port[port] = self.calls_by_port.get(port, 0) + 1
                 status, value = await self._answer(request)
                 body = b"" if value is None else json.dumps(value).encode()
                 writer.write(
@@ -260,9 +274,10 @@
                     )
                 )
                 await writer.drain()
-        except ConnectionError:
+        except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.get(port, set()).discard(writer)
             writer.close()
 
     async def _answer(self, request: HttpRequest) -> tuple[int, Any]:
