--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,10 +14,10 @@
 from typing import Any
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "support-2"))
+sys.path.insert(0, str(FOLDER.parent))
 
-import engine  # noqa: E402
-import fleet  # noqa: E402
+import engine_2 as engine  # noqa: E402
+import fleet_2 as fleet  # noqa: E402
 
 # Share of the runners that lose answers, and of the answers that these lose:
 # the largest dose of `answer_lost` in the site file.
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # interpreter reads them.
 set -eu
 cd "$(dirname "$0")"
-for file in support-2/*.py 6/*.py 7/*.py 8/*.py 9/*.py 10/*.py; do
+for file in *_2.py 6/*.py 7/*.py 8/*.py 9/*.py 10/*.py; do
   [ -e "$file" ] || continue
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
--- a/review/support-2/crashing.py
+++ b/review/crashing_2.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-import fleet
+import fleet_2 as fleet
 
 if TYPE_CHECKING:
     import pathlib
--- a/review/support-2/engine.py
+++ b/review/engine_2.py
@@ -7,7 +7,7 @@
 import time
 from typing import Any
 
-from fleet import HttpRequest, Record, Runner, Store, answer_bytes
+from fleet_2 import HttpRequest, Record, Runner, Store, answer_bytes
 
 TOKENS_PER_EVENT = 5
 JOIN_SECONDS = 0.2
--- a/review/support-2/fleet.py
+++ b/review/fleet_2.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 DEPLOY_FILE = ROOT / "deploy" / "system.toml"
 HEARTBEAT_SECONDS = 1.2
 SILENT_INTERVALS = 3
