End a resumed stream where the next runner has nothing left to send

What callers saw: a stream came with all its events, and its connection was closed without the end. That happened whenever the connection to the runner was reset behind the last event: the router resumed the stream at another runner, which ended it at once, and took that end for a failure ("the stream ended at event None, 5 was forwarded").

Cause: a stream counted as complete only if the attempt that ended had itself sent the last forwarded event. An attempt that is sent with the id of that event doesn't send it again. The runner that had ended the stream was also recorded as failing.

Change: the end of an answer without events ends the caller's stream if the attempt was to go on behind the last forwarded event, the answer has a length or comes in chunks, and it holds nothing but comments. Without a length or chunks the end may be that of a crash. The first-byte time of such a stream is that of its first event.

--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -442,6 +442,11 @@
             self._progress: StreamProgress = previous._progress
         else:
             self._progress = StreamProgress()
+        # Id of the event behind which the runner is to go on; None if it is to
+        # start from the beginning.
+        self._resumes_after = self._progress.last_event_id
+        # Whether the runner sent an event without an id, other than comments.
+        self._has_events_without_id = False
         self._caller.set_drained_callback(self._on_caller_drained)
 
     @property
@@ -599,6 +604,8 @@
         Returns:
             Whether the caller keeps up.
         """
+        if not event.is_comment:
+            self._has_events_without_id = True
         if (
             self._abandoned_outcome is not None
             or not self._caller.response_started
@@ -611,6 +618,22 @@
         """Returns whether this attempt has sent the last forwarded event."""
         return self._latest_event_id == self._progress.last_event_id
 
+    def _ends_stream(self) -> bool:
+        """Returns whether the end of the answer is that of the whole stream.
+
+        A shorter stream than the one that was forwarded isn't. A runner that
+        was to go on behind the last forwarded event may have nothing left to
+        send; its end counts unless it may be that of a crash.
+        """
+        if self._event_count:
+            return self._has_caught_up()
+        return (
+            self._resumes_after is not None
+            and self._resumes_after == self._progress.last_event_id
+            and self._call.has_marked_end
+            and not self._has_events_without_id
+        )
+
     def _record_head_progress(self) -> None:
         """Records that the head has sent an event of this attempt."""
         now = self._board.now()
@@ -643,8 +666,8 @@
         """Ends the caller's response, if the answer completes it.
 
         Once the response has started, other answers than streams can't be
-        delivered, and a stream completes it only if it sent the last event that
-        was forwarded: a shorter one is not the rest of the same stream.
+        delivered, and a stream completes it only if it is the rest of the same
+        stream.
         """
         started = self._caller.response_started
         if not self._is_event_stream(head):
@@ -660,7 +683,7 @@
             # first event looks like the end of an empty stream.
             self.detail = "the stream ended before its first event"
             return AttemptOutcome.BROKEN
-        if started and not self._has_caught_up():
+        if started and not self._ends_stream():
             self.detail = (
                 f"the stream ended at event {self._latest_event_id}, "
                 f"{self._progress.last_event_id} was forwarded"
@@ -668,6 +691,7 @@
             return AttemptOutcome.FAILED
         self._start_answer(head)
         self._caller.finish()
+        self.first_byte_at = self._progress.first_event_at
         if self._event_count:
             self._clear_prompt_parts()
         return AttemptOutcome.DELIVERED
--- a/mulberrypaddle/serving/event_parser.py
+++ b/mulberrypaddle/serving/event_parser.py
@@ -29,6 +29,13 @@
         self.event_id = event_id
         self.data = data
 
+    @property
+    def is_comment(self) -> bool:
+        """Returns whether it consists of comments, which clients ignore."""
+        return all(
+            line.startswith(b":") for line in self.data.splitlines() if line
+        )
+
 
 class EventParser:
     """Splits chunks of bytes into events; buffers an incomplete event."""
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -223,6 +223,15 @@
             return CallOutcome.BROKEN
         return CallOutcome.COMPLETE
 
+    @property
+    def has_marked_end(self) -> bool:
+        """Returns whether the answer has a length or comes in chunks.
+
+        The body of any other answer ends with its connection, so that its end
+        looks like that of a connection on which the runner crashed.
+        """
+        return _has_marked_end(self._headers)
+
     @property
     def has_ended(self) -> bool:
         """Returns whether the call has ended, in whatever way."""
@@ -415,6 +424,16 @@
     return timeout_seconds
 
 
+def _has_marked_end(headers: list[tuple[str, str]]) -> bool:
+    """Returns whether the headers of an answer tell where its body ends."""
+    for name, value in headers:
+        if name.lower() == "content-length":
+            return True
+        if name.lower() == "transfer-encoding" and "chunked" in value.lower():
+            return True
+    return False
+
+
 def _header_lines(headers: list[tuple[str, str]]) -> list[str]:
     """Returns headers in curl's format, with curl's defaults suppressed."""
     given = {name.lower() for name, _ in headers}
--- a/tests/serving/test_broken_streams.py
+++ b/tests/serving/test_broken_streams.py
@@ -29,6 +29,7 @@
 _HTTP_HEAD = b"HTTP/1.1 503 X\r\nX-Reason: " + _FAULT + b"\r\n\r\n"
 _UNSEALED = b"HTTP/1.1 200 X\r\nX-Request-Id: q1\r\n"
 _NO_LENGTH = _HEAD % 200 + b"Connection: close\r\n\r\n"
+_COMMENT = b": alive\n\n"
 
 
 class _Fleet:
@@ -182,14 +183,21 @@
     def test_error_event_without_an_id(self) -> None:
         self._assert_cut(_complete_response(200, _ERROR_EVENT, _EVENTS_TYPE))
 
-    def test_stream_without_events(self) -> None:
-        self._assert_cut(_STREAM_HEAD + _STREAM_END)
+    def test_stream_without_events_that_is_cut_off(self) -> None:
+        self._assert_cut(_STREAM_HEAD)
+        self._assert_cut(_STREAM_HEAD + b"0")
+        self._assert_cut(_STREAM_HEAD + b"0\r\n")
 
     def test_stream_without_events_that_ends_with_its_connection(self) -> None:
         self._assert_cut(_NO_LENGTH)
 
-    def test_stream_of_comments_only(self) -> None:
-        body = b": alive\n\n"
+    def test_comments_that_end_with_their_connection(self) -> None:
+        self._assert_cut(_NO_LENGTH + _COMMENT)
+
+    def test_comments_beside_other_events_without_an_id(self) -> None:
+        body = _COMMENT + _ERROR_EVENT
+        self._assert_cut(_complete_response(200, body, _EVENTS_TYPE))
+        body = _COMMENT + b"event: ping\n\n"
         self._assert_cut(_complete_response(200, body, _EVENTS_TYPE))
 
     def test_error_event_after_a_repeated_event(self) -> None:
@@ -264,6 +272,41 @@
         )
         self._assert_whole(got, 3)
 
+    def test_runner_without_further_events_ends_the_stream(self) -> None:
+        # Guards against streams that broke off behind their last event, at any
+        # byte of the end, and never end although the next runner ends them.
+        ends = (
+            _STREAM_HEAD + _STREAM_END,
+            _complete_response(200, b"", _EVENTS_TYPE),
+            _complete_response(200, _COMMENT, _EVENTS_TYPE),
+        )
+        for cut in (b"", b"0", b"0\r\n", b"0\r\n\r"):
+            for end in ends:
+                got, requests = _request_stream(_BROKEN_STREAM + cut, end)
+                self._assert_whole(got, 2)
+                self.assertEqual(2, len(requests))
+                self.assertIn(b"Last-Event-Id: 2", requests[1])
+
+    def test_runner_that_repeats_events_ends_the_stream(self) -> None:
+        for repeated in (_event(2), _event(1) + _event(2)):
+            got, _ = _request_stream(
+                _BROKEN_STREAM, _STREAM_HEAD + repeated + _STREAM_END
+            )
+            self._assert_whole(got, 2)
+
+    def test_third_runner_ends_the_stream(self) -> None:
+        end = _STREAM_HEAD + _STREAM_END
+        for second, last in (
+            (_STREAM_HEAD, 2),
+            (_complete_response(500, _FAULT), 2),
+            (_STREAM_HEAD + _event(3), 3),
+        ):
+            got, requests = _request_stream(
+                _BROKEN_STREAM, second, end, max_runners=3
+            )
+            self._assert_whole(got, last)
+            self.assertIn(b"Last-Event-Id: %d" % last, requests[2])
+
 
 class FirstAnswerTest(testtools.TestCase):
     """Answers on the route of a stream before any event was forwarded."""
@@ -281,6 +324,10 @@
         self.assertIn(b"X-Response-Seal: s", got)
         self.assertTrue(got.endswith(b"\r\n\r\n"))
 
+    def test_stream_without_events_is_no_end(self) -> None:
+        got, _ = _request_stream(_STREAM_HEAD, _STREAM_HEAD + _STREAM_END)
+        self.assertTrue(got.startswith(b"HTTP/1.1 502"))
+
     def test_bytes_that_are_no_events_are_no_empty_stream(self) -> None:
         got, _ = _request_stream(
             _complete_response(200, _HTTP_HEAD, _EVENTS_TYPE),
