Don't end a stream that a caller resumes by what may be a crash

What callers saw: a caller that resumed its stream with Last-Event-Id could get an answer without events that looked complete, although events were missing. The runner had answered with neither length nor chunks and crashed before the next event, or had sent an error event without an id.

Cause: an answer without events counts as broken, but for a stream that the caller resumes, which may have nothing left. That exception asked neither whether the answer marks its end nor what else it held.

Change: one condition decides for streams that the caller or the router resumes. Attempts get the id that the caller resumes after in place of a flag.

Tests: of CallerResumesTest in tests/serving/test_broken_streams.py test_end_that_may_be_a_crash_is_not_passed_on and test_next_runner_goes_on_after_such_an_end failed before and pass now; test_confirmed_end_is_passed_on holds before and after. test_broken_streams, test_plain_attempt, test_hedged_attempts, test_statuses_that_are_none and test_exchange pass.

--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -102,7 +102,7 @@
         route: Route,
         deadline_seconds: float,
         prompt_parts: tuple[str, ...],
-        resumed: bool,
+        resumes_after: int | None,
         previous: Attempt | None,
         reserve_reroute: Callable[[str], bool],
     ) -> None:
@@ -116,7 +116,8 @@
             route: Route of the request.
             deadline_seconds: Loop time at which the attempt times out.
             prompt_parts: Parts of its prompt that other requests may share.
-            resumed: Whether the caller resumes a stream of an earlier request.
+            resumes_after: Id of the last event of the stream that the caller
+                resumes; None if it starts a new one.
             previous: The attempt at the same request before this one; None
                 for the first.
             reserve_reroute: Returns whether the request may leave the given
@@ -129,7 +130,7 @@
         self._route = route
         self._deadline = deadline_seconds
         self._prompt_parts = prompt_parts
-        self._resumed = resumed
+        self._caller_resumes_after = resumes_after
         self._reserve_reroute = reserve_reroute
         self._head: RunnerResponseHead | None = None
         self._body: list[bytes] = []
@@ -444,7 +445,7 @@
             self._progress = StreamProgress()
         # Id of the event behind which the runner is to go on; None if it is to
         # start from the beginning.
-        self._resumes_after = self._progress.last_event_id
+        self._resumes_after = self.last_received_event_id
         # Whether the runner sent an event without an id, other than comments.
         self._has_events_without_id = False
         self._caller.set_drained_callback(self._on_caller_drained)
@@ -468,16 +469,12 @@
         """Returns the loop time of the last forwarded event; 0 if none."""
         return self._progress.last_event_at
 
-    def last_received_event_id(self, requested: int | None) -> int | None:
-        """Returns the id of the last event that the caller has received.
-
-        Args:
-            requested: Id that the caller sent to resume its stream; None if
-                it started a new one.
-        """
+    @property
+    def last_received_event_id(self) -> int | None:
+        """Returns the id of the last event that the caller has received."""
         if self._progress.last_event_id is not None:
             return self._progress.last_event_id
-        return requested
+        return self._caller_resumes_after
 
     def _check_limits(self) -> None:
         """Abandons the attempt at the deadline, or if the stream has stalled.
@@ -622,14 +619,14 @@
         """Returns whether the end of the answer is that of the whole stream.
 
         A shorter stream than the one that was forwarded isn't. A runner that
-        was to go on behind the last forwarded event may have nothing left to
-        send; its end counts unless it may be that of a crash.
+        was to go on behind the last event that the caller has may have nothing
+        left to send; its end counts unless it may be that of a crash.
         """
         if self._event_count:
             return self._has_caught_up()
         return (
             self._resumes_after is not None
-            and self._resumes_after == self._progress.last_event_id
+            and self._resumes_after == self.last_received_event_id
             and self._call.has_marked_end
             and not self._has_events_without_id
         )
@@ -678,12 +675,10 @@
         if self._parser.has_partial_event:
             self.detail = "the stream ended in the middle of an event"
             return AttemptOutcome.BROKEN
-        if not self._event_count and not started and not self._resumed:
-            # Without a length, the end of a runner that crashed before its
-            # first event looks like the end of an empty stream.
-            self.detail = "the stream ended before its first event"
-            return AttemptOutcome.BROKEN
-        if started and not self._ends_stream():
+        if not self._ends_stream():
+            if not started:
+                self.detail = "the stream ended before its first event"
+                return AttemptOutcome.BROKEN
             self.detail = (
                 f"the stream ended at event {self._latest_event_id}, "
                 f"{self._progress.last_event_id} was forwarded"
--- a/mulberrypaddle/serving/exchange.py
+++ b/mulberrypaddle/serving/exchange.py
@@ -746,7 +746,7 @@
             route=self._terms.route,
             deadline_seconds=board.now() + self._remaining_seconds(board.now()),
             prompt_parts=self._fields.prompt_parts,
-            resumed=self._fields.last_event_id is not None,
+            resumes_after=self._fields.last_event_id,
             previous=self._attempt,
             reserve_reroute=self._reserve_reroute,
         )
@@ -762,7 +762,7 @@
         """Returns the headers of the next attempt at a runner."""
         last_event_id = self._fields.last_event_id
         if isinstance(self._attempt, StreamAttempt):
-            last_event_id = self._attempt.last_received_event_id(last_event_id)
+            last_event_id = self._attempt.last_received_event_id
         urgency = RETRY_URGENCY
         if self._send_count == 1 or (self._hedged and self._hedged.both_run):
             # In a head's queue, too, requests that can still be in time have
--- a/tests/serving/test_broken_streams.py
+++ b/tests/serving/test_broken_streams.py
@@ -59,13 +59,15 @@
 
 
 def _request_stream(
-    *answers: bytes, max_runners: int = 2
+    *answers: bytes, max_runners: int = 2, resumes_after: int | None = None
 ) -> tuple[bytes, list[bytes]]:
     """Requests a stream that three heads may answer.
 
     Args:
         *answers: Bytes of the answers, in order of the attempts.
         max_runners: Number of runners that the route allows.
+        resumes_after: Id of the last event that the caller has; None if it
+            starts a new stream.
 
     Returns:
         The bytes that the caller received until its connection closed, and
@@ -87,7 +89,10 @@
             runner = RawRunner(fleet.answer)
             path.add_open_group(f"h{number}", await runner.start())
             runners.append(runner)
-        got = await path.send_request("/write/1", headers=_MODEL)
+        headers = _MODEL
+        if resumes_after is not None:
+            headers = (*_MODEL, f"Last-Event-Id: {resumes_after}")
+        got = await path.send_request("/write/1", headers=headers)
         path.close()
         for runner in runners:
             await runner.stop()
@@ -341,3 +346,37 @@
         got, _ = _request_stream(stream + _HTTP_HEAD, stream + _HTTP_HEAD)
         self.assertNotIn(_FAULT, got)
         self.assertFalse(got.endswith(_STREAM_END))
+
+
+class CallerResumesTest(testtools.TestCase):
+    """A caller resumes its stream, and the runner sends no further event."""
+
+    def test_confirmed_end_is_passed_on(self) -> None:
+        for end in (
+            _STREAM_HEAD + _STREAM_END,
+            _complete_response(200, b"", _EVENTS_TYPE),
+            _complete_response(200, _COMMENT, _EVENTS_TYPE),
+        ):
+            got, requests = _request_stream(end, resumes_after=2)
+            self.assertTrue(got.startswith(b"HTTP/1.1 200"))
+            self.assertEqual((b"", True), _decode_chunks(got))
+            self.assertEqual(1, len(requests))
+
+    def test_end_that_may_be_a_crash_is_not_passed_on(self) -> None:
+        # Guards against a stream that looks complete although a runner crashed
+        # or reported an error before it sent the next event.
+        for end in (
+            _NO_LENGTH,
+            _NO_LENGTH + _COMMENT,
+            _complete_response(200, _ERROR_EVENT, _EVENTS_TYPE),
+        ):
+            got, requests = _request_stream(end, end, resumes_after=2)
+            self.assertTrue(got.startswith(b"HTTP/1.1 502"), got)
+            self.assertNotIn(_FAULT, got)
+            self.assertEqual(2, len(requests))
+
+    def test_next_runner_goes_on_after_such_an_end(self) -> None:
+        rest = _STREAM_HEAD + _event(3) + _STREAM_END
+        got, requests = _request_stream(_NO_LENGTH, rest, resumes_after=2)
+        self.assertEqual((_plain_event(3), True), _decode_chunks(got))
+        self.assertIn(b"Last-Event-Id: 2", requests[1])
--- a/tests/serving/test_plain_attempt.py
+++ b/tests/serving/test_plain_attempt.py
@@ -66,7 +66,7 @@
                 route=route,
                 deadline_seconds=began_at + 60.0,
                 prompt_parts=(),
-                resumed=False,
+                resumes_after=None,
                 previous=None,
                 reserve_reroute=lambda runner: False,
             )
