Order the entries of a runner also across restarts and removals

What callers saw: nothing that was reported. Where the store carried out a heartbeat late, of a runner's life before a restart under its id, the runner counted as free while it was the head of an open group: the owner ended the group, cut its streams and ordered the head into another one (TWO).

Cause: entries were compared by number within one life, with the listed entry, and within 50 writes. An entry with an earlier start time was believed at once, as a clock might have been set back; one of a removed runner listed it again; one that was further behind was taken as that of a count that had started anew.

Change: entries are ordered by start time and then by number, and compared with the last entry before a removal too. An outdated entry is held back, and taken once no newer one has come for as long as the store keeps the entry of a silent runner; a live runner writes a newer one by then.

--- a/mulberrypaddle/fleet/runners.py
+++ b/mulberrypaddle/fleet/runners.py
@@ -136,6 +136,11 @@
         """
         return (self.runner_id, self.started_at_ms)
 
+    @property
+    def write_label(self) -> str:
+        """Returns, for logs, the start time and number of its write."""
+        return f"{self.started_at_ms}/{self.sequence}"
+
     def is_newer_than(self, other: RunnerEntry) -> bool:
         """Returns whether it was certainly written after another entry.
 
--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -27,11 +27,6 @@
 MAX_REMOVED = 8_192
 
 
-# How far the number of a late write may be behind that of the known entry. An
-# entry further behind is taken as one of a runner that counts anew.
-MAX_LATE_WRITES = 50
-
-
 class FleetView:
     """Current entries of all runners, updated by snapshots and watch events.
 
@@ -41,7 +36,9 @@
             stay valid as long as it is the same.
         evacuated_revision: Revision of the store at which `evacuated` was read.
         held_back: Runners of which the last snapshot or change held an entry
-            that was not taken over, since the known one is newer.
+            that was not taken over, since a known one is newer.
+        outdated: Entries in the store that are held back since their runner
+            wrote a known one later, by runner.
         silence_seconds: Time after which the entry of a runner that doesn't
             write it is certainly known to be removed.
     """
@@ -54,6 +51,7 @@
         "_last_start_ms",
         "_leaving",
         "_leaving_by_time",
+        "_outdated_since_seconds",
         "_removal_due_seconds",
         "_removed",
         "_unconfirmed",
@@ -61,6 +59,7 @@
         "evacuated_revision",
         "generation",
         "held_back",
+        "outdated",
         "revision",
         "silence_seconds",
     )
@@ -86,6 +85,10 @@
         # was restored, with the monotonic time from which on they count as
         # alive if the store still has it.
         self._unproven_until_seconds: dict[str, float] = {}
+        # Monotonic time since which an entry of a runner is held back as
+        # outdated, without a newer one.
+        self._outdated_since_seconds: dict[str, float] = {}
+        self.outdated: dict[str, RunnerEntry] = {}
         self.revision = 0
         self.generation = 0
         self._evacuated: frozenset[str] = frozenset()
@@ -280,15 +283,18 @@
                 )
         fresh = {entry.runner_id: entry for entry in entries}
         self.held_back = []
-        for runner_id in list(self._entries):
+        for runner_id in [*self._entries, *self.outdated]:
             if runner_id not in fresh:
                 self._remove_or_defer(runner_id, now_seconds)
         for entry in fresh.values():
-            if self._is_superseded(entry) or self._is_outdated(entry):
+            if self._is_superseded(entry):
                 if self._entries[entry.runner_id].is_newer_than(entry):
                     self.held_back.append(entry.runner_id)
                 self._removal_due_seconds.pop(entry.runner_id, None)
                 continue
+            if self._is_outdated(entry, restored=restored):
+                self._hold_back(entry, now_seconds)
+                continue
             until_seconds = self._unproven_until_seconds.get(entry.runner_id)
             if restored and self._is_past(entry):
                 until_seconds = now_seconds + self.silence_seconds
@@ -313,7 +319,7 @@
         """Applies the changes between the view's revision and a newer one.
 
         An entry that its runner wrote before the known one is held back: the
-        store may carry out a write late.
+        store may carry out a write late. See `take_outdated`.
 
         Args:
             changed: Runners that were added or changed.
@@ -331,14 +337,34 @@
         self.held_back = []
         for entry in changed:
             if self._is_outdated(entry):
-                self.held_back.append(entry.runner_id)
-                self._removal_due_seconds.pop(entry.runner_id, None)
+                self._hold_back(entry, now_seconds)
                 continue
             self._put(entry)
         self.revision = revision
         self._record_change()
         return True
 
+    def take_outdated(self, now_seconds: float) -> list[str]:
+        """Takes over held back entries that no newer one has followed.
+
+        A runner that lives writes a newer entry in that time, and the store
+        removes that of any other. So the known entry was odd, or the clock of
+        the runner's VM was set back before the runner started again.
+
+        Returns:
+            Ids of the runners whose entries were taken over.
+        """
+        taken = [
+            runner_id
+            for runner_id, since in self._outdated_since_seconds.items()
+            if now_seconds - since >= self.silence_seconds
+        ]
+        for runner_id in taken:
+            self._put(self.outdated[runner_id])
+        if taken:
+            self._record_change()
+        return taken
+
     def remove_expired(self, now_seconds: float) -> list[str]:
         """Removes entries that were not written again in the grace period.
 
@@ -410,17 +436,46 @@
             and not self._is_newer_than_known(entry)
         )
 
-    def _is_outdated(self, entry: RunnerEntry) -> bool:
-        """Returns whether the same process wrote the known entry later."""
+    def _is_outdated(
+        self, entry: RunnerEntry, *, restored: bool = False
+    ) -> bool:
+        """Returns whether its runner certainly wrote a known entry later.
+
+        That is the listed one, or the last one before the runner was removed.
+        The latter doesn't count in a restored copy; see `unproven`.
+
+        Args:
+            entry: An entry in the store.
+            restored: Whether it is from a copy that the store was restored
+                from.
+        """
         known = self._entries.get(entry.runner_id)
-        if known is None or known.incarnation != entry.incarnation:
+        if known is None and not restored:
+            known = self._removed.get(entry.runner_id)
+        if known is None:
             return False
-        if known.sequence is None or entry.sequence is None:
+        if known.incarnation == entry.incarnation and (
+            known.sequence is None or entry.sequence is None
+        ):
             return False
-        return 0 < known.sequence - entry.sequence <= MAX_LATE_WRITES
+        return known.is_newer_than(entry)
+
+    def _hold_back(self, entry: RunnerEntry, now_seconds: float) -> None:
+        """Records an outdated entry, which shows that its runner is listed."""
+        runner_id = entry.runner_id
+        self.held_back.append(runner_id)
+        self.outdated[runner_id] = entry
+        self._outdated_since_seconds.setdefault(runner_id, now_seconds)
+        self._removal_due_seconds.pop(runner_id, None)
+
+    def _forget_outdated(self, runner_id: str) -> None:
+        """Forgets the held back entry of a runner, if there is one."""
+        self.outdated.pop(runner_id, None)
+        self._outdated_since_seconds.pop(runner_id, None)
 
     def _put(self, entry: RunnerEntry) -> None:
         """Adds or replaces an entry and cancels its pending removal."""
+        self._forget_outdated(entry.runner_id)
         self._unconfirmed.discard(entry.runner_id)
         self._unproven_until_seconds.pop(entry.runner_id, None)
         self._removed.pop(entry.runner_id, None)
@@ -456,6 +511,7 @@
 
         One that was back only since a restore of the store is removed now.
         """
+        self._forget_outdated(runner_id)
         if runner_id not in self._entries:
             return
         is_unproven = runner_id in self._unproven_until_seconds
--- a/mulberrypaddle/serving/router.py
+++ b/mulberrypaddle/serving/router.py
@@ -48,7 +48,7 @@
     from collections.abc import Callable
 
     from mulberrypaddle.duties import PlatformApi
-    from mulberrypaddle.fleet import NodeSettings, ServingConfig
+    from mulberrypaddle.fleet import NodeSettings, RunnerEntry, ServingConfig
     from mulberrypaddle.serving.decoder import Decoder
     from mulberrypaddle.serving.header_codec import HeaderCodec
     from mulberrypaddle.serving.runner_control import RunnerControl
@@ -442,9 +442,16 @@
         """Removes runners that did not write their entries again in time.
 
         Also admits those that a restore of the store has brought back and that
-        the store has kept.
+        the store has kept, and takes over entries that were held back and that
+        no newer one has followed.
         """
         board = self.board
+        taken = board.view.take_outdated(board.now())
+        if taken:
+            log_state_change(
+                "older_runners_taken", runners=taken[:MAX_LOGGED_RUNNERS]
+            )
+            board.dispatch_waiting()
         admitted = board.view.admit_proven(board.now())
         if admitted:
             log_state_change("returned_runners_admitted", count=len(admitted))
@@ -746,13 +753,7 @@
                 revision=update.revision,
                 now_seconds=now,
             )
-        if board.view.held_back:
-            log_state_change(
-                "older_runners_held_back",
-                revision=update.revision,
-                count=len(board.view.held_back),
-                runners=board.view.held_back[:MAX_LOGGED_RUNNERS],
-            )
+        self._log_held_back(update)
         board.crashes.confirm_crashes(
             {entry.incarnation for entry in board.view}, now
         )
@@ -760,6 +761,28 @@
         board.head_progress.retain_only(entry.runner_id for entry in board.view)
         self.board.dispatch_waiting()
 
+    def _log_held_back(self, update: FeedUpdate) -> None:
+        """Logs the entries that the last update of the runners held back."""
+        view = self.board.view
+        if not view.held_back:
+            return
+        log_state_change(
+            "older_runners_held_back",
+            revision=update.revision,
+            source=update.source.value,
+            count=len(view.held_back),
+            writes=[
+                f"{runner_id} {_write_label(view.outdated.get(runner_id))}"
+                f" before {_write_label(view.get(runner_id))}"
+                for runner_id in view.held_back[:MAX_LOGGED_RUNNERS]
+            ],
+        )
+
+
+def _write_label(entry: RunnerEntry | None) -> str:
+    """Returns, for logs, which write of its runner an entry is."""
+    return "?" if entry is None else entry.write_label
+
 
 def _urgent_pause_seconds() -> float:
     """Returns the pause between two watches of urgent collections."""
--- a/tests/serving/test_restored_runners.py
+++ b/tests/serving/test_restored_runners.py
@@ -94,3 +94,18 @@
             [{}, {"a": RUNNER_FIELDS["born"]}, {}], with_router(scenario)
         )
         self.assertFalse(with_router(starting))
+
+    def test_late_entry_is_taken_only_once_no_newer_one_follows(self) -> None:
+        # Guards against entries that are held back for good.
+        def scenario(router: ServingRouter) -> list[tuple[bool, int]]:
+            states = []
+            view = router.board.view
+            _list_runner(router, revision=9, state="draining", sequence=5)
+            _list_runner(router, revision=10, state="ready", sequence=4)
+            for silence_seconds in (60.0, 0.0):
+                view.silence_seconds = silence_seconds
+                router._remove_expired_runners()
+                states.append((_accepts(router), len(view.outdated)))
+            return states
+
+        self.assertEqual([(False, 1), (True, 0)], with_router(scenario))
