Hold outdated entries back while several heartbeats may be late

What callers saw: nothing that was reported. An entry that is held back was taken after the time for which a silent runner stays listed.

Cause: the time allowed for three missing heartbeats, but not for late ones.

Change: three times that time. A runner whose clock was set back before it started again, or whose known entry is odd, is used that much later.

--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -23,6 +23,11 @@
 # Time in which the removal of an entry reaches all routers.
 REMOVAL_LAG_SECONDS = 0.5
 
+# How many times as long as a silent runner stays listed an outdated entry is
+# held back. A live runner writes a newer entry in that time, even if the store
+# carries out some of its writes late.
+OUTDATED_SILENCES = 3
+
 # Removed entries that are remembered: several times those of a large fleet.
 MAX_REMOVED = 8_192
 
@@ -96,6 +101,11 @@
         self.held_back: list[str] = []
         self.silence_seconds = silence_seconds
 
+    @property
+    def outdated_limit_seconds(self) -> float:
+        """Returns for how long an outdated entry is held back."""
+        return OUTDATED_SILENCES * self.silence_seconds
+
     @property
     def unproven(self) -> list[str]:
         """Returns runners that are back only since the store was restored."""
@@ -347,7 +357,7 @@
     def take_outdated(self, now_seconds: float) -> list[str]:
         """Takes over held back entries that no newer one has followed.
 
-        A runner that lives writes a newer entry in that time, and the store
+        A runner that lives writes a newer entry in the meantime, and the store
         removes that of any other. So the known entry was odd, or the clock of
         the runner's VM was set back before the runner started again.
 
@@ -357,7 +367,7 @@
         taken = [
             runner_id
             for runner_id, since in self._outdated_since_seconds.items()
-            if now_seconds - since >= self.silence_seconds
+            if now_seconds - since >= self.outdated_limit_seconds
         ]
         for runner_id in taken:
             self._put(self.outdated[runner_id])
--- a/tests/fleet/test_late_entries.py
+++ b/tests/fleet/test_late_entries.py
@@ -127,12 +127,10 @@
         ):
             for view in _views(known, other):
                 generation = view.generation
-                too_early = 1.0 + _SILENCE_SECONDS - 0.1
-                self.assertEqual([], view.take_outdated(too_early))
+                due_seconds = 1.0 + view.outdated_limit_seconds
+                self.assertEqual([], view.take_outdated(due_seconds - 0.1))
                 self.assertIs(known, view.get("a"))
-                self.assertEqual(
-                    ["a"], view.take_outdated(1.0 + _SILENCE_SECONDS)
-                )
+                self.assertEqual(["a"], view.take_outdated(due_seconds))
                 self.assertIs(other, view.get("a"))
                 self.assertTrue(view.generation > generation)
 
@@ -143,7 +141,8 @@
             view.apply(
                 [_entry(sequence=8)], removed=[], revision=8, now_seconds=3.0
             )
-            self.assertEqual([], view.take_outdated(1.0 + _SILENCE_SECONDS))
+            due_seconds = 1.0 + view.outdated_limit_seconds
+            self.assertEqual([], view.take_outdated(due_seconds))
             self.assertIs(later, view.get("a"))
 
     def test_late_heartbeat_keeps_an_entry_that_lapsed_in_an_outage(
--- a/tests/fleet/test_undone_entries.py
+++ b/tests/fleet/test_undone_entries.py
@@ -146,8 +146,9 @@
             [written], removed=[], revision=_RESTORED + 3, now_seconds=2.0
         )
         self.assertFalse(_accepts(view))
-        self.assertEqual([], view.take_outdated(1.9 + view.silence_seconds))
-        self.assertEqual(["a"], view.take_outdated(2.0 + view.silence_seconds))
+        due_seconds = 2.0 + view.outdated_limit_seconds
+        self.assertEqual([], view.take_outdated(due_seconds - 0.1))
+        self.assertEqual(["a"], view.take_outdated(due_seconds))
         self.assertIs(written, view.get("a"))
 
     def test_earlier_start_in_a_list_is_taken_unless_it_is_a_late_one(
@@ -159,6 +160,7 @@
         listed = _entry(sequence=1, started_at_ms=3)
         view.replace_all([listed], revision=_BEFORE + 1, now_seconds=1.0)
         self.assertIs(known, view.get("a"))
-        self.assertEqual([], view.take_outdated(0.9 + view.silence_seconds))
-        self.assertEqual(["a"], view.take_outdated(1.0 + view.silence_seconds))
+        due_seconds = 1.0 + view.outdated_limit_seconds
+        self.assertEqual([], view.take_outdated(due_seconds - 0.1))
+        self.assertEqual(["a"], view.take_outdated(due_seconds))
         self.assertIs(listed, view.get("a"))
