Ask a runner for its group before it is ordered into one

What callers saw: nothing that was reported. If a router that had just started became the owner of the groups while an old entry stood, which the store had carried out late, a member of an open group was free to it: its group was ended, its streams were cut, and it was ordered into another group while its head served (TWO).

Cause: an entry is known to be old only by a newer one, which such a router has never seen.

Change: before an order to join, the runner is asked for its report, which names its group. If it is ready or serves in another group than its entry and the orders of this router say, the order is not sent, its formation is given up, and the runner is left alone until its next heartbeat. A runner that can't be asked gets no order; one whose report names no group is ordered as before. Until live runners have written once since the view began, no group is ended because a member is missing. Orders are logged with the write that they rest on.

--- a/mulberrypaddle/fleet/runners.py
+++ b/mulberrypaddle/fleet/runners.py
@@ -44,6 +44,14 @@
         self.rank = rank
         self.state = state
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Returns the name and epoch, which identify the group."""
+        return (self.name, self.epoch)
+
+    def __str__(self) -> str:
+        return f"{self.name}/{self.rank}/{self.state.value}"
+
 
 class RunnerEntry:
     """A runner's entry in the store: its state as it last reported it.
--- a/mulberrypaddle/fleet/view.py
+++ b/mulberrypaddle/fleet/view.py
@@ -49,6 +49,7 @@
     """
 
     __slots__ = (
+        "_began_at_seconds",
         "_by_service",
         "_entries",
         "_evacuated",
@@ -99,8 +100,19 @@
         self._evacuated: frozenset[str] = frozenset()
         self.evacuated_revision = 0
         self.held_back: list[str] = []
+        self._began_at_seconds: float | None = None
         self.silence_seconds = silence_seconds
 
+    def age_seconds(self, now_seconds: float) -> float:
+        """Returns for how long the view has followed the store.
+
+        Args:
+            now_seconds: Monotonic time.
+        """
+        if self._began_at_seconds is None:
+            return 0.0
+        return now_seconds - self._began_at_seconds
+
     @property
     def outdated_limit_seconds(self) -> float:
         """Returns for how long an outdated entry is held back."""
@@ -280,6 +292,8 @@
         """
         if revision < self.revision:
             return False
+        if self._began_at_seconds is None:
+            self._began_at_seconds = now_seconds
         if restored:
             self._grace_until_seconds = max(
                 self._grace_until_seconds, now_seconds + RETURN_GRACE_SECONDS
--- a/mulberrypaddle/platform/decoder.py
+++ b/mulberrypaddle/platform/decoder.py
@@ -48,7 +48,7 @@
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 # Exceptions raised when a document does not have the expected form.
-_DECODE_ERRORS = (
+DECODE_ERRORS = (
     ArithmeticError,
     AttributeError,
     LookupError,
@@ -111,7 +111,7 @@
         config = None
         try:
             config = _read_config(item.content["spec"], item.revision)
-        except _DECODE_ERRORS as error:
+        except DECODE_ERRORS as error:
             _LOGGER.exception(
                 "unreadable_configuration",
                 extra={"revision": item.revision, "reason": str(error)},
@@ -128,7 +128,7 @@
             return _read_runner_entry(
                 item.name, item.content["spec"], now_seconds=now_seconds
             )
-        except _DECODE_ERRORS as error:
+        except DECODE_ERRORS as error:
             if self._reported_runners.is_new(item.name, item.revision):
                 _LOGGER.warning(
                     "unreadable_runner",
@@ -188,7 +188,7 @@
         models=_read_loaded_models(fields),
         domain="" if domain is None else require_str(domain),
         staged=_read_staged_models(fields),
-        group=_read_membership(fields.get("group")),
+        group=read_membership(fields.get("group")),
         sequence=_read_sequence(fields.get("sequence")),
     )
 
@@ -222,8 +222,17 @@
     )
 
 
-def _read_membership(fields: Any) -> GroupMembership | None:
-    """Returns the runner's group membership, or None if it is in no group."""
+def read_membership(fields: Any) -> GroupMembership | None:
+    """Returns a runner's group membership, or None if it is in no group.
+
+    Args:
+        fields: What the runner says of its group, in its entry or its report.
+
+    Raises:
+        KeyError: If a field is missing.
+        TypeError: If it is no mapping.
+        ValueError: If a field has another type or an unknown value.
+    """
     if not fields:
         return None
     return GroupMembership(
@@ -369,7 +378,7 @@
             raise ValueError(
                 f"got min {limits.min_runners} over max {limits.max_runners}"
             )
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         _LOGGER.error(
             "invalid_scaling",
             extra={
--- a/mulberrypaddle/platform/runner_control.py
+++ b/mulberrypaddle/platform/runner_control.py
@@ -19,6 +19,7 @@
     proves_unsent,
 )
 from mulberrypaddle.core.errors import ErrorKind, Problem, Ran
+from mulberrypaddle.platform.decoder import DECODE_ERRORS, read_membership
 from mulberrypaddle.platform.headers import encode_name, parse_announcement
 from mulberrypaddle.replicas.orders import (
     CloseGroup,
@@ -34,7 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from mulberrypaddle.fleet import RunnerEntry
+    from mulberrypaddle.fleet import GroupMembership, RunnerEntry
 
 # Timeout of an order; runners usually answer within a few milliseconds.
 ORDER_TIMEOUT_SECONDS = 0.6
@@ -123,6 +124,24 @@
                 )
             )
 
+    async def fetch_membership(
+        self, entry: RunnerEntry, *, limit_seconds: float
+    ) -> Result[GroupMembership | None, Problem]:
+        """Fetches a runner's status report and returns its group membership."""
+        result = await self.fetch_report(entry, limit_seconds=limit_seconds)
+        if not isinstance(result, Success):
+            return Failure(result.failure())
+        try:
+            return Success(read_membership(result.unwrap().get("group")))
+        except DECODE_ERRORS as error:
+            return Failure(
+                Problem(
+                    ErrorKind.RUNNER_REFUSED,
+                    f"{entry.runner_id}: report has an unreadable group: "
+                    f"{type(error).__name__}: {error}",
+                )
+            )
+
     async def _fetch(
         self,
         entry: RunnerEntry,
--- a/mulberrypaddle/replicas/group_reconciler.py
+++ b/mulberrypaddle/replicas/group_reconciler.py
@@ -43,7 +43,7 @@
     from collections.abc import Callable
 
     from mulberrypaddle.fleet.config import EngineTraits, ServiceSpec
-    from mulberrypaddle.fleet.runners import RunnerEntry
+    from mulberrypaddle.fleet.runners import GroupMembership, RunnerEntry
 
 # Time beyond the expected end of a formation before it counts as failed. It
 # leaves room to repeat orders to members that don't answer.
@@ -64,6 +64,9 @@
 # Maximum number of groups that are formed at once.
 MAX_FORMATIONS = 16
 
+# States of a member whose group is not open yet, or not any more.
+_UNOPENED_STATES = (MembershipState.JOINING, MembershipState.BROKEN)
+
 # Interval between two counts of the groups in data centres that other routers
 # maintain.
 REMOTE_COUNT_INTERVAL_SECONDS = 1.0
@@ -197,6 +200,46 @@
         ends += self._orders.expected_load_ends(model)
         return max(0.0, min(ends) - now_seconds) if ends else None
 
+    def is_contradicted(
+        self, directive: Directive, reported: GroupMembership | None
+    ) -> bool:
+        """Returns whether a runner that is to join a group serves in another.
+
+        Its entry in the store may be an old one that was written late. The
+        report may be older than the entry too, but then it shows the group of
+        the entry, or the one that this router has ordered the runner to leave.
+
+        Args:
+            directive: An order to join a group.
+            reported: Membership in the runner's own report; None if it is in no
+                group.
+        """
+        join = directive.order
+        assert isinstance(join, JoinGroup)
+        if reported is None or reported.state in _UNOPENED_STATES:
+            return False
+        known = directive.runner.group
+        return reported.key not in (
+            join.key,
+            None if known is None else known.key,
+            self._history.last_left(directive.runner),
+        )
+
+    def record_contradiction(
+        self, directive: Directive, now_seconds: float
+    ) -> None:
+        """Records that an order to join was not sent; see `is_contradicted`.
+
+        Its formation is given up, so that the other members are free again.
+        """
+        join = directive.order
+        assert isinstance(join, JoinGroup)
+        self._history.record_join_refused(directive.runner, join)
+        self._orders.record_contradiction(directive, now_seconds)
+        self._pending = [
+            pending for pending in self._pending if pending.key != join.key
+        ]
+
     def record_refusal(self, directive: Directive, now_seconds: float) -> None:
         """Records that an order was refused or could not be sent."""
         if isinstance(directive.order, JoinGroup):
@@ -229,6 +272,7 @@
         next_epoch: Callable[[str], int],
         now_seconds: float,
         data_centres: frozenset[str] | None = None,
+        is_view_settled: bool = True,
     ) -> list[Directive]:
         """Runs one reconciliation step and returns the orders to send now.
 
@@ -245,6 +289,9 @@
             now_seconds: Monotonic time.
             data_centres: Data centres whose groups are maintained here; None
                 for all.
+            is_view_settled: Whether live runners have written their entries
+                since the view began. Until then an old entry may hide a member
+                of a group, so that no group is ended for a missing one.
         """
         traits = service.engine
         assert traits is not None
@@ -279,7 +326,9 @@
             ),
             now_seconds=now_seconds,
         )
-        self._reconcile_groups(snapshots, now_seconds)
+        self._reconcile_groups(
+            snapshots, now_seconds, is_view_settled=is_view_settled
+        )
         busy = self._busy_runners(snapshots)
         free = [
             entry
@@ -343,6 +392,8 @@
         self,
         snapshots: dict[tuple[str, int], GroupSnapshot],
         now_seconds: float,
+        *,
+        is_view_settled: bool,
     ) -> None:
         """Issues orders that open ready groups and end groups that can't serve.
 
@@ -363,7 +414,11 @@
                 self._disband(snapshot, "the group is given up", now_seconds)
                 continue
             if not snapshot.complete or self._has_lost_member(snapshot):
-                if not self._may_still_complete(snapshot, forming, now_seconds):
+                if (
+                    is_view_settled or self._has_lost_member(snapshot)
+                ) and not self._may_still_complete(
+                    snapshot, forming, now_seconds
+                ):
                     self._disband(snapshot, "a member is lost", now_seconds)
                 continue
             if snapshot.has_leaving_member:
@@ -492,7 +547,7 @@
             if self._orders.issue(
                 member, leave, reason=reason, now_seconds=now_seconds
             ):
-                self._history.record_leave_sent(leave)
+                self._history.record_leave_sent(member, leave)
 
     def _awaits_end_of_head(self, snapshot: GroupSnapshot) -> bool:
         """Returns whether the head is live and may still open its group."""
@@ -830,5 +885,5 @@
     """Returns whether a runner reports no group, or one that is broken."""
     if runner.group is None:
         return True
-    snapshot = snapshots.get((runner.group.name, runner.group.epoch))
+    snapshot = snapshots.get(runner.group.key)
     return snapshot is None or snapshot.releases_members
--- a/mulberrypaddle/replicas/group_snapshot.py
+++ b/mulberrypaddle/replicas/group_snapshot.py
@@ -119,7 +119,7 @@
     for entry in entries:
         if entry.group is None:
             continue
-        key = (entry.group.name, entry.group.epoch)
+        key = entry.group.key
         snapshot = snapshots.get(key)
         if snapshot is None:
             snapshot = GroupSnapshot(key[0], epoch=key[1])
--- a/mulberrypaddle/replicas/order_history.py
+++ b/mulberrypaddle/replicas/order_history.py
@@ -62,10 +62,12 @@
     it lost a lease and acquired it again may still be carried out.
     """
 
-    __slots__ = ("_joins", "_left_groups", "_unanswered_opens")
+    __slots__ = ("_joins", "_last_left", "_left_groups", "_unanswered_opens")
 
     def __init__(self) -> None:
         self._joins: dict[Incarnation, _SentJoins] = {}
+        # Group that a runner was last ordered to leave.
+        self._last_left: dict[Incarnation, GroupKey] = {}
         # Groups that some member was ordered to leave.
         self._left_groups: dict[GroupKey, None] = {}
         # Number of orders to open a group without an answer, by group.
@@ -93,8 +95,12 @@
         if joins is not None:
             _remove_one(joins.unanswered, join.key)
 
-    def record_leave_sent(self, leave: LeaveGroup) -> None:
+    def record_leave_sent(self, runner: RunnerEntry, leave: LeaveGroup) -> None:
         """Records that a member is about to be ordered to leave its group."""
+        self._last_left.pop(runner.incarnation, None)
+        self._last_left[runner.incarnation] = leave.key
+        while len(self._last_left) > MAX_RUNNERS:
+            del self._last_left[next(iter(self._last_left))]
         self._left_groups[leave.key] = None
         while len(self._left_groups) > MAX_GROUPS:
             del self._left_groups[next(iter(self._left_groups))]
@@ -134,6 +140,10 @@
         """Returns whether an unanswered order may still open a group."""
         return group in self._unanswered_opens
 
+    def last_left(self, runner: RunnerEntry) -> GroupKey | None:
+        """Returns the group that a runner was last ordered to leave, if any."""
+        return self._last_left.get(runner.incarnation)
+
     def was_left(self, group: GroupKey) -> bool:
         """Returns whether some member was ordered to leave a group."""
         return group in self._left_groups
--- a/mulberrypaddle/replicas/order_tracker.py
+++ b/mulberrypaddle/replicas/order_tracker.py
@@ -30,6 +30,10 @@
 # arrive.
 REFUSED_PAUSE_SECONDS = 0.3
 
+# Pause after an order that the runner's own report contradicts: its next
+# heartbeat corrects the entry that the order was based on.
+CONTRADICTED_PAUSE_SECONDS = 1.2
+
 # Pause after a refused load of weights; loads take ten seconds and more.
 REFUSED_STAGE_PAUSE_SECONDS = 2.0
 
@@ -137,6 +141,15 @@
             pause_seconds = REFUSED_STAGE_PAUSE_SECONDS
         in_flight.expires_at_seconds = now_seconds + pause_seconds
 
+    def record_contradiction(
+        self, directive: Directive, now_seconds: float
+    ) -> None:
+        """Ends the wait for an order that was not sent, after a pause."""
+        in_flight = self._in_flight.get(directive.runner.incarnation)
+        if in_flight is None or in_flight.order is not directive.order:
+            return
+        in_flight.expires_at_seconds = now_seconds + CONTRADICTED_PAUSE_SECONDS
+
     def record_acceptance(self, directive: Directive) -> None:
         """Ends the wait for an order whose effect showed before it was sent."""
         in_flight = self._in_flight.get(directive.runner.incarnation)
--- a/mulberrypaddle/serving/group_controller.py
+++ b/mulberrypaddle/serving/group_controller.py
@@ -15,11 +15,13 @@
 
 from returns.result import Success
 
-from mulberrypaddle.core.errors import Ran
+from mulberrypaddle.core.errors import ErrorKind, Ran
 from mulberrypaddle.fleet.runners import MembershipState
+from mulberrypaddle.fleet.view import REMOVAL_LAG_SECONDS
 from mulberrypaddle.replicas.group_reconciler import GroupReconciler
 from mulberrypaddle.replicas.group_snapshot import snapshot_groups
 from mulberrypaddle.replicas.order_history import OrderHistory
+from mulberrypaddle.replicas.orders import JoinGroup
 from mulberrypaddle.replicas.placement import relative_slots_by_model
 from mulberrypaddle.serving.decision_log import log_state_change
 from mulberrypaddle.serving.metrics import OPEN_GROUPS, ORDERS
@@ -207,6 +209,8 @@
             next_epoch=self._duty_manager.next_epoch,
             now_seconds=now,
             data_centres=frozenset(self._fences),
+            is_view_settled=board.view.age_seconds(now)
+            >= board.settings.bounds.heartbeat_seconds + REMOVAL_LAG_SECONDS,
         )
         for directive in directives:
             board.supervisor.start(
@@ -309,6 +313,10 @@
         if not may_send or not still_holds_lease():
             reconciler.record_refusal(directive, self._board.now())
             return
+        if isinstance(directive.order, JoinGroup) and not (
+            await self._may_join(reconciler, directive)
+        ):
+            return
         name = type(directive.order).__name__
         result = await self._runner_control.send_order(
             runner, directive.order, fence=fence, may_send=still_holds_lease
@@ -326,6 +334,8 @@
             model=getattr(directive.order, "model", ""),
             reason=directive.reason,
             fleet=self._board.view.revision,
+            entry=runner.write_label,
+            known=str(runner.group or ""),
             outcome=outcome,
         )
         if not isinstance(result, Success):
@@ -344,3 +354,42 @@
             reconciler.record_acceptance(directive)
             return
         reconciler.record_refusal(directive, self._board.now())
+
+    async def _may_join(
+        self, reconciler: GroupReconciler, directive: Directive
+    ) -> bool:
+        """Returns whether a runner may be ordered to join a group.
+
+        Its entry may be an old one that the store has written late, so the
+        runner itself is asked. One that can't be asked can't be ordered either.
+        """
+        runner = directive.runner
+        result = await self._runner_control.fetch_membership(
+            runner, limit_seconds=REPORT_TIMEOUT_SECONDS
+        )
+        now = self._board.now()
+        if not isinstance(result, Success):
+            problem = result.failure()
+            if problem.kind is ErrorKind.RUNNER_REFUSED:
+                return True
+            log_state_change(
+                "join_not_sent",
+                runner=runner.runner_id,
+                entry=runner.write_label,
+                reason=problem.detail,
+            )
+            reconciler.record_refusal(directive, now)
+            return False
+        reported = result.unwrap()
+        if not reconciler.is_contradicted(directive, reported):
+            return True
+        log_state_change(
+            "join_contradicted",
+            runner=runner.runner_id,
+            group=getattr(directive.order, "group", ""),
+            entry=runner.write_label,
+            known=str(runner.group or ""),
+            reported=str(reported or ""),
+        )
+        reconciler.record_contradiction(directive, now)
+        return False
--- a/mulberrypaddle/serving/runner_control.py
+++ b/mulberrypaddle/serving/runner_control.py
@@ -16,7 +16,7 @@
     from returns.result import Result
 
     from mulberrypaddle.core.errors import Problem
-    from mulberrypaddle.fleet import RunnerEntry
+    from mulberrypaddle.fleet import GroupMembership, RunnerEntry
     from mulberrypaddle.fleet.announcement import RunnerAnnouncement
     from mulberrypaddle.replicas.orders import GroupOrder
 
@@ -87,3 +87,19 @@
             entry: The runner.
             limit_seconds: Timeout of the whole call.
         """
+
+    @abc.abstractmethod
+    async def fetch_membership(
+        self, entry: RunnerEntry, *, limit_seconds: float
+    ) -> Result[GroupMembership | None, Problem]:
+        """Asks a runner which group it is in.
+
+        Args:
+            entry: The runner.
+            limit_seconds: Timeout of the whole call.
+
+        Returns:
+            Its membership, which may be some hundred milliseconds old; None if
+            it is in no group. The problem is `RUNNER_REFUSED` if it answered
+            otherwise.
+        """
--- a/tests/serving/test_group_controller.py
+++ b/tests/serving/test_group_controller.py
@@ -5,11 +5,18 @@
 from typing import TYPE_CHECKING, Any
 
 import testtools
-from returns.result import Success
+from returns.result import Failure, Success
 
+from mulberrypaddle.core.errors import ErrorKind, Problem
+from mulberrypaddle.fleet import GroupMembership, MembershipState
 from mulberrypaddle.replicas.group_reconciler import GroupReconciler
 from mulberrypaddle.replicas.order_tracker import Directive
-from mulberrypaddle.replicas.orders import OpenGroup
+from mulberrypaddle.replicas.orders import (
+    GroupOrder,
+    JoinGroup,
+    LeaveGroup,
+    OpenGroup,
+)
 from mulberrypaddle.serving.group_controller import GroupController
 from mulberrypaddle.serving.runner_control import OrderOutcome
 from tests.support.asynchronous import run
@@ -54,6 +61,107 @@
         return Success(OrderOutcome.STARTED)
 
 
+class _AskedControl:
+    """Answers what a runner is asked, and records the orders to it.
+
+    Attributes:
+        orders: Orders that were sent.
+    """
+
+    def __init__(self, membership: Any) -> None:
+        self._membership = membership
+        self.orders: list[GroupOrder] = []
+
+    async def fetch_membership(self, entry: object, **options: object) -> Any:
+        return self._membership
+
+    async def send_order(
+        self, entry: object, order: GroupOrder, **options: object
+    ) -> Any:
+        self.orders.append(order)
+        return Success(OrderOutcome.STARTED)
+
+
+def _reported(name: str, state: MembershipState) -> Any:
+    """Returns the answer of a runner that is in a group of epoch 3."""
+    return Success(GroupMembership(name, epoch=3, rank=0, state=state))
+
+
+_JOIN = JoinGroup("g4", epoch=4, model="m1", member_ids=("r0", "r1"))
+
+
+def _orders_after_answer(
+    membership: Any, *, left: LeaveGroup | None = None
+) -> list[GroupOrder]:
+    """Orders a runner whose entry shows no group to join one.
+
+    Args:
+        membership: What it answers when it is asked for its group.
+        left: An order to leave that the reconciler has sent it before.
+
+    Returns:
+        The orders that were sent.
+    """
+
+    async def scenario() -> list[GroupOrder]:
+        path = FrontEndHarness()
+        path.add_runner("r0", "127.0.0.1:1")
+        entry = path.board.view.get("r0")
+        assert entry is not None
+        control = _AskedControl(membership)
+        controller = GroupController(
+            path.board,
+            control=control,  # type: ignore[arg-type]
+            duty_manager=_DutyManager(),  # type: ignore[arg-type]
+        )
+        controller._fences = {"south": 7}
+        reconciler = GroupReconciler(load_window_seconds=5.0)
+        if left is not None:
+            reconciler._history.record_leave_sent(entry, left)
+        await controller._send_order(
+            reconciler, Directive(entry, _JOIN, reason="test")
+        )
+        path.close()
+        return control.orders
+
+    return run(scenario())
+
+
+class AskedRunnerTest(testtools.TestCase):
+    """A runner is asked for its group before it is ordered into another one."""
+
+    def test_runner_that_serves_in_another_group_is_not_ordered(self) -> None:
+        # Guards against a join of a member of an open group, whose entry the
+        # store has written late.
+        for state in MembershipState:
+            orders = _orders_after_answer(_reported("g3", state))
+            is_sent = state in (MembershipState.JOINING, MembershipState.BROKEN)
+            self.assertEqual([_JOIN] if is_sent else [], orders, state)
+
+    def test_runner_in_no_other_group_is_ordered(self) -> None:
+        joining = GroupMembership(
+            "g4", epoch=4, rank=0, state=MembershipState.JOINING
+        )
+        for membership in (Success(None), Success(joining)):
+            self.assertEqual([_JOIN], _orders_after_answer(membership))
+
+    def test_old_report_of_the_group_that_it_left_does_not_matter(self) -> None:
+        membership = _reported("g3", MembershipState.READY)
+        for name, is_sent in (("g3", True), ("g2", False)):
+            orders = _orders_after_answer(
+                membership, left=LeaveGroup(name, epoch=3)
+            )
+            self.assertEqual([_JOIN] if is_sent else [], orders)
+
+    def test_runner_that_can_not_be_asked_is_not_ordered(self) -> None:
+        for kind, is_sent in (
+            (ErrorKind.RUNNER_UNREACHABLE, False),
+            (ErrorKind.RUNNER_REFUSED, True),
+        ):
+            orders = _orders_after_answer(Failure(Problem(kind, "test")))
+            self.assertEqual([_JOIN] if is_sent else [], orders)
+
+
 class LeaseTest(testtools.TestCase):
     """A lease that ends between the decision on an order and its sending."""
 
--- a/tests/support/group_fleet.py
+++ b/tests/support/group_fleet.py
@@ -36,6 +36,10 @@
 
 STEP_SECONDS = 0.1
 STALL_SECONDS = 4.0
+# Age of what a runner reports if it is asked.
+REPORT_LAG_SECONDS = 0.3
+# Age of a view in which live runners have written their entries.
+SETTLED_SECONDS = 1.7
 LAPSE_SECONDS = 3.6
 REJOIN_SECONDS = 0.2
 ORDER_TIMEOUT_SECONDS = 0.6
@@ -170,6 +174,10 @@
         self._timeouts: list[tuple[float, GroupReconciler, Directive]] = []
         # Start time of the life that was ready, by runner and group.
         self._ready_lives: dict[tuple[str, tuple[str, int] | None], int] = {}
+        # When each runner's membership changed, and to what.
+        self._memberships: dict[
+            str, list[tuple[float, GroupMembership | None]]
+        ] = {}
         self.traffic = False
         self._epoch = 1000
         self._born = 1
@@ -218,6 +226,7 @@
         while self.now < end:
             self.now += STEP_SECONDS
             self._live()
+            self._record_memberships()
             self._report()
             directives = self.reconciler.reconcile(
                 self.view,
@@ -231,6 +240,8 @@
                 first_start=True,
                 next_epoch=self._next_epoch,
                 now_seconds=self.now,
+                is_view_settled=self.view.age_seconds(self.now)
+                >= SETTLED_SECONDS,
             )
             for directive in directives:
                 self._send(directive)
@@ -256,8 +267,15 @@
 
     def _send(self, directive: Directive) -> None:
         """Plays an order, and its answer or the end of the wait for one."""
-        self.order_count += 1
         entry = directive.runner
+        if isinstance(
+            directive.order, JoinGroup
+        ) and self.reconciler.is_contradicted(
+            directive, self._reported_group(entry.runner_id)
+        ):
+            self.reconciler.record_contradiction(directive, self.now)
+            return
+        self.order_count += 1
         delays = self.delays.get((entry.runner_id, type(directive.order)))
         delay_seconds = delays.pop(0) if delays else self._draw_delay()
         if delay_seconds is None:
@@ -274,6 +292,14 @@
                 (self.now + delay_seconds, directive, self._fence)
             )
 
+    def _reported_group(self, runner_id: str) -> GroupMembership | None:
+        """Returns the membership that a runner reports if it is asked."""
+        reported = None
+        for at_seconds, group in self._memberships.get(runner_id, ()):
+            if at_seconds <= self.now - REPORT_LAG_SECONDS:
+                reported = group
+        return reported
+
     def _draw_delay(self) -> float | None:
         """Returns the delay of an order without an answer.
 
@@ -440,15 +466,14 @@
             entries, revision=self.view.revision + 1, now_seconds=self.now
         )
 
+    def _record_memberships(self) -> None:
+        for runner_id, runner in self.runners.items():
+            memberships = self._memberships.setdefault(runner_id, [])
+            memberships.append((self.now, _membership(runner)))
+            # As many steps as a report may be old, and some more.
+            del memberships[:-8]
+
     def _entry(self, runner: PlayedRunner) -> RunnerEntry:
-        group = None
-        if runner.group is not None:
-            group = GroupMembership(
-                runner.group[0],
-                epoch=runner.group[1],
-                rank=runner.members.index(runner.runner_id),
-                state=runner.state,
-            )
         joined = runner.group and runner.state is not MembershipState.JOINING
         return RunnerEntry(
             runner.runner_id,
@@ -461,10 +486,22 @@
             models=(runner.model,) if joined else (),
             domain=runner.domain,
             staged=runner.staged,
-            group=group,
+            group=_membership(runner),
         )
 
 
+def _membership(runner: PlayedRunner) -> GroupMembership | None:
+    """Returns the membership of a runner."""
+    if runner.group is None:
+        return None
+    return GroupMembership(
+        runner.group[0],
+        epoch=runner.group[1],
+        rank=runner.members.index(runner.runner_id),
+        state=runner.state,
+    )
+
+
 _FleetT = TypeVar("_FleetT", bound=GroupFleet)
 
 
--- a/tests/support/reporting_fleet.py
+++ b/tests/support/reporting_fleet.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from mulberrypaddle.fleet import FleetView
 from tests.support.group_fleet import LAPSE_SECONDS, GroupFleet
 
 if TYPE_CHECKING:
@@ -35,7 +36,11 @@
         self._delayed: list[tuple[float, RunnerEntry]] = []
         super().__init__(**options)
 
-    def restart(self, runner_id: str) -> None:
+    def stored(self, runner_id: str) -> RunnerEntry:
+        """Returns the entry of a runner that the store has now."""
+        return self._stored[runner_id]
+
+    def restart(self, runner_id: str) -> PlayedRunner:
         """Ends a runner and starts it again under the same id."""
         old = self.runners[runner_id]
         self._born += 1
@@ -45,6 +50,22 @@
         runner.staged = old.staged
         self.runners[runner_id] = runner
         self._written.pop(runner_id, None)
+        return runner
+
+    def change_owner(
+        self, *, same_router: bool = False, has_just_started: bool = False
+    ) -> None:
+        """Hands the duty over to another router, or to the same one again.
+
+        Args:
+            same_router: Whether the next owner is the same router, which
+                remembers the orders that it has sent.
+            has_just_started: Whether the next owner knows no entry but those
+                that the store has now.
+        """
+        super().change_owner(same_router=same_router)
+        if has_just_started:
+            self.view = FleetView()
 
     def delay_next_write(self, runner_id: str, seconds: float) -> None:
         """Lets a runner write now what the store carries out later."""
--- a/tests/support/simulated_deployment.py
+++ b/tests/support/simulated_deployment.py
@@ -763,13 +763,15 @@
             "sequence": self._sequence,
         }
         if self.domain:
-            group = None
-            if self.group is not None:
-                group = {**self.group, "state": self.state}
             spec |= {"domain": self.domain, "staged": self.staged}
-            spec |= {"group": group, "models": self._models()}
+            spec |= {"group": self._membership(), "models": self._models()}
         self._deployment.store.put("servers", self.runner_id, spec)
 
+    def _membership(self) -> dict[str, Any] | None:
+        if self.group is None:
+            return None
+        return {**self.group, "state": self.state}
+
     def _models(self) -> list[dict[str, Any]]:
         if self.group is None or self.state == "joining":
             return []
@@ -808,7 +810,8 @@
             self.report()
             _respond(request, status, headers=headers)
         elif request.path == "/report":
-            _respond(request, 200, {"busy": False}, headers)
+            report = {"busy": False, "group": self._membership()}
+            _respond(request, 200, report, headers)
         else:
             self._spawn(self._serve(request, headers))
 
