Refuse answers whose heads hold names with blanks or control bytes

Callers got an answer with a line such as "X-A : 1" as a complete 200, with the name trimmed; with "Transfer-Encoding : chunked" the body they got held the sizes of the chunks. Cause: the router trimmed names with str.strip, which also removes 0x1c to 0x1f, 0x85 and 0xa0, and then took them for valid; curl didn't trim and saw neither length nor coding there. The same strip shortened values that end with 0x85 or 0xa0.

response_head.py now decides whether a head is sound, whatever curl accepts: status line, then lines of a token, a colon and a value without control bytes. Interim heads and trailers are checked too, and nothing of an answer is used before all of its head was read. Otherwise the answer is broken: another runner, or 502. It works since a name that is no token ends the call at its line, before anyone interprets it.

The test that fed arbitrary status lines feeds them to the new parser, and now accepts no status above 599.

--- /dev/null
+++ b/mulberrypaddle/backends/response_head.py
@@ -0,0 +1,169 @@
+"""Heads of HTTP answers: which of them are sound, and what they say.
+
+The HTTP library tolerates heads that violate HTTP, each of its versions others,
+and reads the length of the body by rules of its own. An answer is therefore
+used only if its head is sound by the rules here, which leave one way to read
+it: those of RFC 9112, without what it allows a lenient reader.
+"""
+
+from __future__ import annotations
+
+import re
+
+from mulberrypaddle.core.value_checks import shorten
+
+# Statuses of HTTP are 100 to 599.
+_STATUS_LINE = re.compile(
+    rb"HTTP/1\.[01] (?P<status>[1-5][0-9]{2})"
+    rb"(?: [\t\x20-\x7e\x80-\xff]*)?"
+)
+
+# A token, a colon, and a value without control bytes.
+_FIELD_LINE = re.compile(
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)"
+)
+
+_BLANKS = " \t"
+
+# Memory that a header takes beside its bytes.
+HEADER_OVERHEAD_BYTES = 200
+
+# No request asks for another protocol.
+_SWITCHING_PROTOCOLS = 101
+
+
+class InvalidHeadError(ValueError):
+    """A head violates HTTP, so that nothing of its answer can be used."""
+
+
+class ResponseHead:
+    """A sound head of an answer.
+
+    Attributes:
+        status: HTTP status, from 200 to 599.
+        fields: Names and values of the headers, in order.
+    """
+
+    __slots__ = ("fields", "status")
+
+    def __init__(self, status: int, fields: list[tuple[str, str]]) -> None:
+        self.status = status
+        self.fields = fields
+
+    @property
+    def has_marked_end(self) -> bool:
+        """Returns whether the answer has a length or comes in chunks.
+
+        The body of any other answer ends with its connection, so that its end
+        looks like that of a connection on which the runner crashed.
+        """
+        for name, value in self.fields:
+            if name.lower() == "content-length":
+                return True
+            if name.lower() == "transfer-encoding" and (
+                "chunked" in value.lower()
+            ):
+                return True
+        return False
+
+
+class HeadParser:
+    """Parses the heads of one answer, line by line.
+
+    These are any interim heads (status below 200), the head, and trailers.
+
+    Attributes:
+        held_bytes: Memory that the fields of the present head take.
+    """
+
+    __slots__ = (
+        "_fields",
+        "_head",
+        "_status",
+        "held_bytes",
+    )
+
+    def __init__(self) -> None:
+        self._head: ResponseHead | None = None
+        # Zero before a status line.
+        self._status = 0
+        self._fields: list[tuple[str, str]] = []
+        self.held_bytes = 0
+
+    @property
+    def head(self) -> ResponseHead | None:
+        """Returns the head; None before its last line."""
+        return self._head
+
+    def feed(self, line: bytes) -> ResponseHead | None:
+        """Parses the next line.
+
+        Args:
+            line: The line with its end. It has none if the connection closed
+                before.
+
+        Returns:
+            The head if this line completes it; None for all other lines.
+
+        Raises:
+            InvalidHeadError: If the line is none of a sound head.
+        """
+        if not line.endswith(b"\n"):
+            raise InvalidHeadError("the answer was cut off within its head")
+        text = line[:-1].removesuffix(b"\r")
+        if self._head is not None:
+            # A trailer; what it says is not used.
+            if text:
+                _parse_field(text)
+            return None
+        if not self._status:
+            self._parse_status_line(text)
+            return None
+        if text:
+            self._fields.append(_parse_field(text))
+            self.held_bytes += len(line) + HEADER_OVERHEAD_BYTES
+            return None
+        return self._end_head()
+
+    def _parse_status_line(self, text: bytes) -> None:
+        """Parses the first line of a head."""
+        found = _STATUS_LINE.fullmatch(text)
+        if found is None:
+            raise InvalidHeadError(
+                f"got {_show(text)}, expected a status line of HTTP/1.1 with "
+                "a status from 100 to 599"
+            )
+        self._status = int(found["status"])
+        self._fields = []
+        self.held_bytes = 0
+        if self._status == _SWITCHING_PROTOCOLS:
+            raise InvalidHeadError(f"got the status {_SWITCHING_PROTOCOLS}")
+
+    def _end_head(self) -> ResponseHead | None:
+        """Returns the head that the empty line ends; None for interim ones."""
+        status = self._status
+        if status < 200:
+            self._status = 0
+            return None
+        self._head = ResponseHead(status, self._fields)
+        return self._head
+
+
+def _parse_field(text: bytes) -> tuple[str, str]:
+    """Returns the name and the value of a line, without its end.
+
+    Raises:
+        InvalidHeadError: If the line is no field.
+    """
+    found = _FIELD_LINE.fullmatch(text)
+    if found is None:
+        raise InvalidHeadError(f"got {_show(text)}, expected a field")
+    name, value = found.groups()
+    # The value may hold any bytes above 0x7f. `strip` alone would also remove
+    # some of these.
+    return name.decode("ascii"), value.decode("latin-1").strip(_BLANKS)
+
+
+def _show(text: bytes) -> str:
+    """Returns a line as a short text for messages."""
+    return shorten(text.decode("latin-1"))
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -17,9 +17,8 @@
 
 import pycurl
 import tornado.httpclient
-from tornado import httputil
 
-from mulberrypaddle.core.value_checks import shorten
+from mulberrypaddle.backends.head_reader import HeadReader
 from mulberrypaddle.serving.socket_options import enable_keepalive_probes
 from mulberrypaddle.serving.suspension import SuspensionMark
 
@@ -27,6 +26,7 @@
     from collections.abc import Callable
 
     from mulberrypaddle.backends.curl import CurlClient
+    from mulberrypaddle.backends.response_head import ResponseHead
 
 # Timeout for connecting. A healthy VM accepts within a few milliseconds, a dead
 # one never; with an overloaded runner, or a saturated link of this router, it
@@ -40,12 +40,7 @@
 # Size of curl's receive buffer for one answer.
 RECEIVE_BUFFER_BYTES = 16_384
 
-# Memory that a header takes beside its bytes.
-HEADER_OVERHEAD_BYTES = 200
-
-# A status code, and the idle timeout that a runner may announce in seconds.
-# curl also accepts codes from 600 to 999, which HTTP does not have.
-_STATUS = re.compile("[1-5][0-9]{2}")
+# Idle timeout that a runner may announce, in seconds.
 _IDLE_SECONDS = re.compile("[0-9]{1,6}")
 
 # Headers that curl adds by default, and that must be suppressed.
@@ -97,19 +92,15 @@
         "_client",
         "_curl",
         "_ended",
-        "_answer_begun",
-        "_head_complete",
-        "_headers",
+        "_head_reader",
         "_handle_info",
         "_loop",
         "_may_send",
         "_suspension",
-        "_head_bytes",
+        "_is_head_accepted",
         "_on_body",
         "_on_head",
-        "_on_head_bytes",
         "_paused",
-        "_status",
         "uses_kept_connection",
         "error",
         "keep_alive_seconds",
@@ -148,17 +139,14 @@
         self._on_head = on_head
         self._on_body = on_body
         self._may_send = may_send
-        self._on_head_bytes = on_head_bytes
-        self._head_bytes = 0
+        self._head_reader = HeadReader(self._handle_head, on_size=on_head_bytes)
         self._loop = asyncio.get_running_loop()
         self._suspension = SuspensionMark()
         self._curl: pycurl.Curl | None = None
         self._handle_info: object = None
-        self._headers: list[tuple[str, str]] = []
         self.uses_kept_connection = uses_kept_connection
-        self._status = 0
-        self._answer_begun = False
-        self._head_complete = False
+        # Whether the head was received and belongs to this call.
+        self._is_head_accepted = False
         self._paused = False
         self._cancelled = False
         self._ended = False
@@ -205,32 +193,32 @@
             request_timeout=0,
             prepare_curl_callback=prepare,
         )
+        failure = ""
         try:
             await self._client.fetch(request, raise_error=False)
         except (tornado.httpclient.HTTPError, OSError) as error:
-            self.error = self.error or str(error)
+            failure = str(error)
         finally:
             self._ended = True
             self._curl = None
+        self.error = self.error or self._head_reader.error or failure
         if self._cancelled:
             return CallOutcome.CANCELLED
         if not self.sent:
             return CallOutcome.UNSENT
-        if self.error or not self._head_complete:
+        if self.error or not self._is_head_accepted:
             self.keep_alive_seconds = None
-            if self.uses_kept_connection and not self._answer_begun:
+            has_begun = self._head_reader.received_bytes > 0
+            if self.uses_kept_connection and not has_begun:
                 return CallOutcome.STALE
             return CallOutcome.BROKEN
         return CallOutcome.COMPLETE
 
     @property
     def has_marked_end(self) -> bool:
-        """Returns whether the answer has a length or comes in chunks.
-
-        The body of any other answer ends with its connection, so that its end
-        looks like that of a connection on which the runner crashed.
-        """
-        return _has_marked_end(self._headers)
+        """Returns whether the answer has a length or comes in chunks."""
+        head = self._head_reader.head
+        return head is not None and head.has_marked_end
 
     @property
     def has_ended(self) -> bool:
@@ -295,7 +283,7 @@
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MILLISECONDS)
         curl.setopt(pycurl.SOCKOPTFUNCTION, enable_keepalive_probes)
         curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
-        curl.setopt(pycurl.HEADERFUNCTION, self._handle_header_line)
+        curl.setopt(pycurl.HEADERFUNCTION, self._head_reader.read_line)
         curl.setopt(pycurl.WRITEFUNCTION, self._handle_body)
 
     def _on_connected(self, *_: object) -> int:
@@ -323,59 +311,20 @@
         self.last_progress_at_seconds = self._loop.time()
         return int(pycurl.PREREQFUNC_OK)
 
-    def _handle_header_line(self, line: bytes) -> int | None:
-        """Collects header lines and reports the head after the last one.
-
-        Interim responses (status below 200) are skipped. An invalid status, or
-        a header that can't be forwarded, makes the answer invalid. When a
-        connection closes behind a carriage return, curl passes on the line
-        without its end; even an empty one then doesn't end the head.
-
-        Returns:
-            None to go on, or 0 to end the transfer: curl's HEADERFUNCTION.
-        """
-        self._answer_begun = True
-        if not line.endswith(b"\n"):
-            self.error = "the answer was cut off within its head"
-            return 0
-        text = line.decode("latin-1").rstrip("\r\n")
-        if self._head_complete:
-            # Trailers are ignored.
-            return None
-        if text.startswith("HTTP/"):
-            self._status = _parse_status(text)
-            if not self._status:
-                self.error = f"the answer has no valid status: {shorten(text)}"
-                return 0
-            self._headers = []
-            self._head_bytes = 0
-            return None
-        if text:
-            name, _, value = text.partition(":")
-            name, value = name.strip(), value.strip()
-            if not _is_valid_header(name, value):
-                self.error = "the answer has an invalid header"
-                return 0
-            self._headers.append((name, value))
-            self._head_bytes += len(line) + HEADER_OVERHEAD_BYTES
-            if not self._on_head_bytes(self._head_bytes):
-                self.error = "too many bytes are buffered"
-                return 0
-            return None
-        if self._status < 200:
-            return None
+    def _handle_head(self, head: ResponseHead) -> bool:
+        """Reports the head; returns whether it belongs to this call."""
         self.last_progress_at_seconds = self._loop.time()
-        if not self._on_head(self._status, self._headers):
-            return 0
-        self._head_complete = True
-        self.keep_alive_seconds = _parse_keep_alive(self._headers)
-        return None
+        if not self._on_head(head.status, head.fields):
+            return False
+        self._is_head_accepted = True
+        self.keep_alive_seconds = _parse_keep_alive(head.fields)
+        return True
 
     def _handle_body(self, data: bytes) -> int | None:
         """Passes a chunk to `on_body`, or pauses; curl's WRITEFUNCTION."""
         if self._cancelled:
             return None
-        if not self._head_complete:
+        if not self._is_head_accepted:
             self.error = "the answer has a body without a head"
             return 0
         if self._paused:
@@ -386,23 +335,6 @@
         return None
 
 
-def _is_valid_header(name: str, value: str) -> bool:
-    """Returns whether a header can be forwarded to a caller."""
-    try:
-        httputil.HTTPHeaders().add(name, value)
-    except httputil.HTTPInputError:
-        return False
-    return True
-
-
-def _parse_status(line: str) -> int:
-    """Returns the status code of a status line, or 0 if it has no valid one."""
-    parts = line.split(" ", 2)
-    if len(parts) > 1 and _STATUS.fullmatch(parts[1]) is not None:
-        return int(parts[1])
-    return 0
-
-
 def _parse_keep_alive(headers: list[tuple[str, str]]) -> float | None:
     """Returns the announced idle timeout of a connection in seconds, or None.
 
@@ -424,16 +356,6 @@
     return timeout_seconds
 
 
-def _has_marked_end(headers: list[tuple[str, str]]) -> bool:
-    """Returns whether the headers of an answer tell where its body ends."""
-    for name, value in headers:
-        if name.lower() == "content-length":
-            return True
-        if name.lower() == "transfer-encoding" and "chunked" in value.lower():
-            return True
-    return False
-
-
 def _header_lines(headers: list[tuple[str, str]]) -> list[str]:
     """Returns headers in curl's format, with curl's defaults suppressed."""
     given = {name.lower() for name, _ in headers}
--- a/tests/platform/test_fuzzed_documents.py
+++ b/tests/platform/test_fuzzed_documents.py
@@ -15,6 +15,10 @@
 from returns.result import Failure, Success
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
+from mulberrypaddle.backends.response_head import (
+    HeadParser,
+    InvalidHeadError,
+)
 from mulberrypaddle.observe.logs import KeyValueFormatter
 from mulberrypaddle.platform import store as platform_store
 from mulberrypaddle.platform.decoder import PlatformDecoder
@@ -23,10 +27,7 @@
 from mulberrypaddle.replicas.ownership import OwnerRecord
 from mulberrypaddle.serving.event_parser import EventParser
 from mulberrypaddle.serving.heartbeat import Heartbeat
-from mulberrypaddle.serving.runner_call import (
-    _parse_keep_alive,
-    _parse_status,
-)
+from mulberrypaddle.serving.runner_call import _parse_keep_alive
 from mulberrypaddle.serving.store import StoredItem
 from tests.platform.test_documents import _RUNNER_FIELDS, _config
 from tests.serving.test_digest import make_heartbeat
@@ -468,7 +469,14 @@
         | st.text(alphabet="0123456789,=timeout .e-+\u00b2\u00b3")
     )
     def test_runners_headers_are_in_range(self, value: str) -> None:
-        assert 0 <= _parse_status(f"HTTP/1.1 {value} OK") <= 999
+        parser = HeadParser()
+        status_line = f"HTTP/1.1 {value} OK\r\n".encode("utf-8", "replace")
+        try:
+            parser.feed(status_line)
+            head = parser.feed(b"\r\n")
+        except InvalidHeadError:
+            head = None
+        assert head is None or 200 <= head.status <= 599
         for text in (value, f"timeout={value}"):
             seconds = _parse_keep_alive([("Keep-Alive", text)])
             assert seconds is None or 0 <= seconds <= 1e6
--- a/tests/serving/test_statuses_that_are_none.py
+++ b/tests/serving/test_statuses_that_are_none.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import testtools
 from testtools.matchers import Contains, Equals, Not
 
@@ -18,12 +16,7 @@
     _complete_response,
     _event,
 )
-from tests.support.asynchronous import run
-from tests.support.front_end_harness import FrontEndHarness
-from tests.support.raw_runner import RawRunner
-
-if TYPE_CHECKING:
-    import asyncio
+from tests.support.scripted_runners import send_to_runners
 
 # What stands in the place of the status. A runner that ends an answer with an
 # interim status (100 to 199) sends no final one.
@@ -56,94 +49,6 @@
     return good.replace(b"HTTP/1.1 200 X", b"HTTP/1.1 " + status + b" X")
 
 
-class _Answered:
-    """What became of one request.
-
-    Attributes:
-        got: Bytes that the caller received.
-        requests: Requests that runners received.
-        reports: Losses of runners that the crash records would report if the
-            runners were gone.
-    """
-
-    __slots__ = ("got", "reports", "requests")
-
-    def __init__(
-        self, got: bytes, requests: list[bytes], reports: dict[str, list[str]]
-    ) -> None:
-        self.got = got
-        self.requests = requests
-        self.reports = reports
-
-
-def _send(
-    path: str,
-    *answers: bytes,
-    method: str = "POST",
-    headers: tuple[str, ...] = (),
-    before: bytes | None = None,
-    closes: bool = True,
-) -> _Answered:
-    """Sends a request to three runners that share a list of answers.
-
-    Args:
-        path: Path of the request.
-        *answers: Answers in order of arrival; then connections are closed.
-        method: HTTP method.
-        headers: Further headers of the request.
-        before: Answer to a request that is sent before, over a connection that
-            is kept; None for no such request.
-        closes: Whether runners close the connection behind an answer.
-    """
-
-    async def scenario() -> _Answered:
-        harness = FrontEndHarness()
-        service = "cards" if path.startswith("/write/") else "stock"
-        for _ in range(100):
-            # The retry budget of a new process allows no second attempt.
-            harness.board.retries.record_first_attempt(
-                service, harness.board.now()
-            )
-        left = list(answers) if before is None else [before, *answers]
-        requests: list[bytes] = []
-
-        async def answer(
-            count: int, request: bytes, writer: asyncio.StreamWriter
-        ) -> None:
-            requests.append(request)
-            if not left:
-                writer.close()
-                return
-            is_kept = before is not None and len(requests) == 1
-            writer.write(left.pop(0))
-            await writer.drain()
-            if closes and not is_kept:
-                writer.close()
-
-        runners = []
-        for number in range(3):
-            runner = RawRunner(answer)
-            address = await runner.start()
-            if service == "cards":
-                harness.add_open_group(f"h{number}", address)
-            else:
-                harness.add_runner(f"r{number}", address)
-            runners.append(runner)
-        if before is not None:
-            await harness.send_request(path, method=method)
-            requests.clear()
-        got = await harness.send_request(path, method=method, headers=headers)
-        now = harness.board.now()
-        harness.board.crashes.confirm_crashes(set(), now)
-        reports = harness.board.crashes.loss_reports(now)
-        harness.close()
-        for runner in runners:
-            await runner.stop()
-        return _Answered(got, requests, reports)
-
-    return run(scenario())
-
-
 class PlainTest(testtools.TestCase):
     """Answers to requests to plain services."""
 
@@ -156,7 +61,7 @@
         # It may have run, so that 503 or 429 would promise too much.
         for method in ("POST", "GET"):
             for status in _STATUSES:
-                answered = _send(
+                answered = send_to_runners(
                     "/pay/1", _invalid_answer(status), method=method
                 )
                 self._check(answered.got, b"502", status)
@@ -166,7 +71,7 @@
         good = _complete_response(200, b"done")
         for method in ("POST", "GET"):
             for status in _STATUSES:
-                answered = _send(
+                answered = send_to_runners(
                     "/safe/1", _invalid_answer(status), good, method=method
                 )
                 self._check(answered.got, b"200", status)
@@ -176,13 +81,13 @@
     def test_two_invalid_answers_give_502(self) -> None:
         for status in _STATUSES:
             invalid = _invalid_answer(status)
-            answered = _send("/safe/1", invalid, invalid)
+            answered = send_to_runners("/safe/1", invalid, invalid)
             self._check(answered.got, b"502", status)
             self.expectThat(len(answered.requests), Equals(2), repr(status))
 
     def test_invalid_answer_is_not_passed_on_as_an_error_answer(self) -> None:
         for status in _STATUSES:
-            answered = _send(
+            answered = send_to_runners(
                 "/safe/1",
                 _complete_response(500, b"first"),
                 _invalid_answer(status),
@@ -194,7 +99,7 @@
     ) -> None:
         # Nothing else in such an answer can be relied on.
         for status in _STATUSES:
-            answered = _send(
+            answered = send_to_runners(
                 "/pay/1",
                 _invalid_answer(status, extra=b"X-Not-Executed: 1\r\n"),
                 _complete_response(200, b"done"),
@@ -209,7 +114,7 @@
             if status[:1] == b"1" and len(status) == 3:
                 # An interim answer, behind which the final one may come.
                 continue
-            answered = _send(
+            answered = send_to_runners(
                 "/safe/1", _invalid_answer(status), good, closes=False
             )
             self._check(answered.got, b"200", status)
@@ -221,7 +126,7 @@
             invalid = _invalid_answer(
                 status, extra=b"Keep-Alive: timeout=5\r\n"
             )
-            answered = _send("/safe/1", invalid, good, before=kept)
+            answered = send_to_runners("/safe/1", invalid, good, before=kept)
             self._check(answered.got, b"200", status)
             self.expectThat(answered.got[-4:], Equals(b"done"), repr(status))
             self.expectThat(len(answered.requests), Equals(2), repr(status))
@@ -230,24 +135,30 @@
         for status in (b"100", b"102", b"103", b"199"):
             interim = b"HTTP/1.1 " + status + b" X\r\n\r\n"
             good = _complete_response(200, b"done")
-            answered = _send("/pay/1", interim + good)
+            answered = send_to_runners("/pay/1", interim + good)
             self._check(answered.got, b"200", status)
 
     def test_invalid_status_behind_an_interim_answer(self) -> None:
         for status in _STATUSES:
             interim = b"HTTP/1.1 100 X\r\n\r\n"
-            answered = _send("/pay/1", interim + _invalid_answer(status))
+            answered = send_to_runners(
+                "/pay/1", interim + _invalid_answer(status)
+            )
             self._check(answered.got, b"502", status)
 
     def test_101_is_no_answer(self) -> None:
         # No request asks for another protocol.
         for method in ("POST", "GET"):
-            answered = _send("/pay/1", _invalid_answer(b"101"), method=method)
+            answered = send_to_runners(
+                "/pay/1", _invalid_answer(b"101"), method=method
+            )
             self._check(answered.got, b"502", b"101")
 
     def test_statuses_at_the_bounds_are_answers(self) -> None:
         for status in (200, 299, 404, 499, 500, 599):
-            answered = _send("/pay/1", _complete_response(status, b"done"))
+            answered = send_to_runners(
+                "/pay/1", _complete_response(status, b"done")
+            )
             self._check(answered.got, b"%d" % status, b"%d" % status)
 
 
@@ -263,7 +174,9 @@
                     b"data: x", b"data: z"
                 ),
             ):
-                answered = _send("/write/1", invalid, good, headers=_MODEL)
+                answered = send_to_runners(
+                    "/write/1", invalid, good, headers=_MODEL
+                )
                 got = answered.got
                 self.expectThat(got[:12], Equals(b"HTTP/1.1 200"), repr(status))
                 self.expectThat(got.count(b"data: x"), Equals(2), repr(status))
@@ -273,7 +186,9 @@
     def test_invalid_statuses_at_both_runners_give_502(self) -> None:
         for status in _STATUSES:
             invalid = _invalid_answer(status)
-            answered = _send("/write/1", invalid, invalid, headers=_MODEL)
+            answered = send_to_runners(
+                "/write/1", invalid, invalid, headers=_MODEL
+            )
             self.expectThat(
                 answered.got[:12], Equals(b"HTTP/1.1 502"), repr(status)
             )
@@ -287,7 +202,9 @@
                 _invalid_answer(status),
                 rest.replace(b"HTTP/1.1 200", b"HTTP/1.1 " + status),
             ):
-                answered = _send("/write/1", begun, invalid, headers=_MODEL)
+                answered = send_to_runners(
+                    "/write/1", begun, invalid, headers=_MODEL
+                )
                 got = answered.got
                 self.expectThat(got[:12], Equals(b"HTTP/1.1 200"), repr(status))
                 self.expectThat(got.count(b"id: "), Equals(1), repr(status))
@@ -299,7 +216,7 @@
     def test_stream_that_a_caller_resumes(self) -> None:
         good = _STREAM_HEAD + _event(6) + _STREAM_END
         for status in _STATUSES:
-            answered = _send(
+            answered = send_to_runners(
                 "/write/1",
                 _invalid_answer(status),
                 good,
@@ -316,5 +233,5 @@
 
     def test_it_counts_as_a_broken_answer(self) -> None:
         for status in _STATUSES:
-            answered = _send("/pay/1", _invalid_answer(status))
+            answered = send_to_runners("/pay/1", _invalid_answer(status))
             self.expectThat(len(answered.reports), Equals(1), repr(status))
