Refuse answers whose length or coding is not one

Callers got a complete 200 for answers with a length beyond 64 bits, with a length and chunks, with "chunked" twice, with an empty Transfer-Encoding, or with chunks in HTTP/1.0. Cause: the router left the framing to curl, which ignores such a length, prefers chunks to a length and skips an empty coding; without a length a broken-off body looks whole.

A head now has one length of digits up to 2^63 - 1 (equal ones count as one), or "chunked" once and no length, or neither; any other head is broken. For all that are left HTTP knows one way to read the end of the body, so that curl and the router agree.

RFC 9112 lets a reader go on where both a length and chunks come, or an empty coding.

--- a/mulberrypaddle/backends/response_head.py
+++ b/mulberrypaddle/backends/response_head.py
@@ -10,11 +10,11 @@
 
 import re
 
-from mulberrypaddle.core.value_checks import shorten
+from mulberrypaddle.core.value_checks import MAX_INTEGER, shorten
 
 # Statuses of HTTP are 100 to 599.
 _STATUS_LINE = re.compile(
-    rb"HTTP/1\.[01] (?P<status>[1-5][0-9]{2})"
+    rb"HTTP/1\.(?P<minor>[01]) (?P<status>[1-5][0-9]{2})"
     rb"(?: [\t\x20-\x7e\x80-\xff]*)?"
 )
 
@@ -23,6 +23,8 @@
     rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)"
 )
 
+_DIGITS = re.compile("[0-9]+")
+
 _BLANKS = " \t"
 
 # Memory that a header takes beside its bytes.
@@ -42,13 +44,24 @@
     Attributes:
         status: HTTP status, from 200 to 599.
         fields: Names and values of the headers, in order.
+        length_bytes: Length of the body; None if the head has none.
+        is_chunked: Whether the body comes in chunks.
     """
 
-    __slots__ = ("fields", "status")
+    __slots__ = ("fields", "is_chunked", "length_bytes", "status")
 
-    def __init__(self, status: int, fields: list[tuple[str, str]]) -> None:
+    def __init__(
+        self,
+        status: int,
+        fields: list[tuple[str, str]],
+        *,
+        length_bytes: int | None,
+        is_chunked: bool,
+    ) -> None:
         self.status = status
         self.fields = fields
+        self.length_bytes = length_bytes
+        self.is_chunked = is_chunked
 
     @property
     def has_marked_end(self) -> bool:
@@ -57,14 +70,7 @@
         The body of any other answer ends with its connection, so that its end
         looks like that of a connection on which the runner crashed.
         """
-        for name, value in self.fields:
-            if name.lower() == "content-length":
-                return True
-            if name.lower() == "transfer-encoding" and (
-                "chunked" in value.lower()
-            ):
-                return True
-        return False
+        return self.is_chunked or self.length_bytes is not None
 
 
 class HeadParser:
@@ -79,6 +85,7 @@
     __slots__ = (
         "_fields",
         "_head",
+        "_minor",
         "_status",
         "held_bytes",
     )
@@ -87,6 +94,7 @@
         self._head: ResponseHead | None = None
         # Zero before a status line.
         self._status = 0
+        self._minor = b""
         self._fields: list[tuple[str, str]] = []
         self.held_bytes = 0
 
@@ -134,6 +142,7 @@
                 "a status from 100 to 599"
             )
         self._status = int(found["status"])
+        self._minor = found["minor"]
         self._fields = []
         self.held_bytes = 0
         if self._status == _SWITCHING_PROTOCOLS:
@@ -145,9 +154,36 @@
         if status < 200:
             self._status = 0
             return None
-        self._head = ResponseHead(status, self._fields)
+        length_bytes = _parse_length(_values(self._fields, "content-length"))
+        codings = _values(self._fields, "transfer-encoding")
+        if codings:
+            self._check_codings(codings, length_bytes)
+        self._head = ResponseHead(
+            status,
+            self._fields,
+            length_bytes=length_bytes,
+            is_chunked=bool(codings),
+        )
         return self._head
 
+    def _check_codings(
+        self, codings: list[str], length_bytes: int | None
+    ) -> None:
+        """Checks that the only coding is that of chunks.
+
+        HTTP lets a reader prefer the chunks to a length, or ignore it. Of a
+        runner in trouble either may be wrong.
+        """
+        if len(codings) > 1 or codings[0].lower() != "chunked":
+            raise InvalidHeadError(
+                f"got Transfer-Encoding {shorten(', '.join(codings))}, "
+                "expected 'chunked'"
+            )
+        if length_bytes is not None:
+            raise InvalidHeadError("got a length, and a body in chunks")
+        if self._minor == b"0":
+            raise InvalidHeadError("got a body in chunks in HTTP/1.0")
+
 
 def _parse_field(text: bytes) -> tuple[str, str]:
     """Returns the name and the value of a line, without its end.
@@ -164,6 +200,41 @@
     return name.decode("ascii"), value.decode("latin-1").strip(_BLANKS)
 
 
+def _parse_length(values: list[str]) -> int | None:
+    """Returns the length of a body; None if it has none.
+
+    HTTP allows several lengths if they are equal.
+
+    Args:
+        values: Values of all fields with the length.
+
+    Raises:
+        InvalidHeadError: If the values aren't one length.
+    """
+    lengths: set[int] = set()
+    for value in ",".join(values).split(",") if values else ():
+        text = value.strip(_BLANKS)
+        digits = text.lstrip("0") or "0"
+        if _DIGITS.fullmatch(text) is None or len(digits) > len(
+            str(MAX_INTEGER)
+        ):
+            raise InvalidHeadError(
+                f"got Content-Length {shorten(value)}, expected digits"
+            )
+        lengths.add(int(digits))
+    if len(lengths) > 1 or any(length > MAX_INTEGER for length in lengths):
+        raise InvalidHeadError(
+            f"got Content-Length {shorten(', '.join(values))}, expected one "
+            f"length of at most {MAX_INTEGER} bytes"
+        )
+    return lengths.pop() if lengths else None
+
+
+def _values(fields: list[tuple[str, str]], wanted: str) -> list[str]:
+    """Returns the values of all fields with a name, given in lower case."""
+    return [value for name, value in fields if name.lower() == wanted]
+
+
 def _show(text: bytes) -> str:
     """Returns a line as a short text for messages."""
     return shorten(text.decode("latin-1"))
--- a/tests/backends/test_response_head.py
+++ b/tests/backends/test_response_head.py
@@ -13,8 +13,12 @@
     ResponseHead,
 )
 from tests.support.response_heads import (
+    CHUNKED,
     LENGTH,
+    SOUND_CODINGS,
     SOUND_HEADS,
+    UNSOUND_CODINGS,
+    UNSOUND_LENGTHS,
     UNSOUND_LINES,
     UNSOUND_NAMES,
 )
@@ -50,8 +54,13 @@
             assert head is not None
             self.expectThat(head.status, Equals(200), reason)
 
-    def test_names_and_lines(self) -> None:
-        for reason, lines in {**UNSOUND_NAMES, **UNSOUND_LINES}.items():
+    def test_unsound_heads(self) -> None:
+        for reason, lines in (
+            *UNSOUND_NAMES.items(),
+            *UNSOUND_LINES.items(),
+            *UNSOUND_LENGTHS.items(),
+            *UNSOUND_CODINGS.items(),
+        ):
             head = b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n"
             # `splitlines` would end lines at a carriage return too.
             parser = HeadParser()
@@ -60,6 +69,37 @@
                     parser.feed(line + b"\n")
             self.expectThat(parser.head, Equals(None), reason)
 
+    def test_length_of_the_body(self) -> None:
+        for value, length_bytes in (
+            (b"0", 0),
+            (b"000", 0),
+            (b"9223372036854775807", 2**63 - 1),
+            (b"0" * 100 + b"11", 11),
+            (b"11, 011\t,11", 11),
+        ):
+            head = _parse(
+                b"HTTP/1.1 200 OK\r\nContent-Length: " + value + b"\r\n\r\n"
+            )
+            assert head is not None
+            self.assertEqual(length_bytes, head.length_bytes)
+            self.assertTrue(head.has_marked_end)
+            self.assertFalse(head.is_chunked)
+
+    def test_body_in_chunks(self) -> None:
+        for reason, lines in SOUND_CODINGS.items():
+            head = _parse(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n")
+            assert head is not None
+            self.expectThat(head.is_chunked, Equals(True), reason)
+            self.expectThat(head.length_bytes, Equals(None), reason)
+
+    def test_body_in_chunks_needs_http_1_1(self) -> None:
+        self.assertTrue(_is_refused(b"HTTP/1.0 200 OK\r\n" + CHUNKED + b"\r\n"))
+
+    def test_body_that_ends_with_its_connection(self) -> None:
+        head = _parse(b"HTTP/1.1 200 OK\r\n\r\n")
+        assert head is not None
+        self.assertFalse(head.has_marked_end)
+
     def test_fields_keep_their_order_and_bytes(self) -> None:
         head = _parse(b"HTTP/1.1 200 OK\r\nB: \xa0 \r\na:\t1\r\nB:\r\n\r\n")
         assert head is not None
--- a/tests/serving/test_unsound_heads.py
+++ b/tests/serving/test_unsound_heads.py
@@ -23,6 +23,8 @@
     LENGTH,
     SOUND_CODINGS,
     SOUND_HEADS,
+    UNSOUND_CODINGS,
+    UNSOUND_LENGTHS,
     UNSOUND_NAMES,
     is_chunked,
     make_answer,
@@ -212,6 +214,24 @@
             self.expectThat(len(answered.reports), Equals(1), reason)
 
 
+class LengthTest(_UnsoundHeads, testtools.TestCase):
+    """Guards against bodies whose end the runner did not tell."""
+
+    heads = UNSOUND_LENGTHS
+
+
+class CodingTest(_UnsoundHeads, testtools.TestCase):
+    """Guards against bodies of which two readers would see different ends."""
+
+    heads = UNSOUND_CODINGS
+
+    def test_chunks_in_http_1_0_give_502(self) -> None:
+        answered = send_to_runners(
+            "/pay/1", make_answer(CHUNKED, status_line=b"HTTP/1.0 200 OK")
+        )
+        self.assertEqual(b"HTTP/1.1 502", answered.got[:12])
+
+
 class NameTest(_UnsoundHeads, testtools.TestCase):
     """Guards against names with blanks or control bytes."""
 
