Refuse answers with lines that curl joins to others

Callers got a line that begins with a blank as a field of its own or as a part of the value before it, which may be the runner's seal, and a length on a second line was believed. Cause: curl joins such a line to the one before it; the router sees the result.

AnswerBytes compares the bytes that the kernel says were read (TCP_INFO, less what is unread and the close) with the lines that curl has passed on and the body as curl logs it before it decodes it. If bytes are missing, lines were joined and the answer is broken. It is decided before the head is used. Joining removes at least the end of a line, and curl has read no more at that point, so that the counts are exact. Where the kernel doesn't tell, all is as before.

--- a/mulberrypaddle/backends/curl.py
+++ b/mulberrypaddle/backends/curl.py
@@ -4,12 +4,14 @@
 
 import contextlib
 import socket
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pycurl
 import tornado.curl_httpclient
 import tornado.httpclient
 
+from mulberrypaddle.backends.answer_bytes import DescriptorTable
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -35,8 +37,16 @@
 
     Curl handles are created on demand, since each uses memory. No method may
     be called from inside a curl callback.
+
+    Attributes:
+        descriptors: Open connections of which transfers recorded descriptors.
     """
 
+    def initialize(self, *args: Any, **options: Any) -> None:
+        """Prepares the client; tornado calls this in place of `__init__`."""
+        super().initialize(*args, **options)
+        self.descriptors = DescriptorTable()
+
     def close(self) -> None:
         """Closes all handles; callbacks of running transfers aren't called."""
         super().close()
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -18,6 +18,7 @@
 import pycurl
 import tornado.httpclient
 
+from mulberrypaddle.backends.answer_bytes import AnswerBytes
 from mulberrypaddle.backends.head_reader import HeadReader
 from mulberrypaddle.serving.socket_options import enable_keepalive_probes
 from mulberrypaddle.serving.suspension import SuspensionMark
@@ -43,6 +44,9 @@
 # Idle timeout that a runner may announce, in seconds.
 _IDLE_SECONDS = re.compile("[0-9]{1,6}")
 
+# Why an answer with a line that curl has joined to another can't be used.
+_JOINED_LINES = "a line of the head begins with a blank"
+
 # Headers that curl adds by default, and that must be suppressed.
 _CURL_DEFAULT_HEADERS = (
     "Accept",
@@ -88,6 +92,7 @@
     """
 
     __slots__ = (
+        "_answer_bytes",
         "_cancelled",
         "_client",
         "_curl",
@@ -96,6 +101,7 @@
         "_handle_info",
         "_loop",
         "_may_send",
+        "_new_descriptor",
         "_suspension",
         "_is_head_accepted",
         "_on_body",
@@ -140,6 +146,9 @@
         self._on_body = on_body
         self._may_send = may_send
         self._head_reader = HeadReader(self._handle_head, on_size=on_head_bytes)
+        self._answer_bytes = AnswerBytes()
+        # Descriptor of the connection if the call has opened it.
+        self._new_descriptor: int | None = None
         self._loop = asyncio.get_running_loop()
         self._suspension = SuspensionMark()
         self._curl: pycurl.Curl | None = None
@@ -201,6 +210,10 @@
         finally:
             self._ended = True
             self._curl = None
+        if self._head_reader.head is not None and (
+            self._answer_bytes.head_is_whole is None
+        ):
+            failure = _JOINED_LINES
         self.error = self.error or self._head_reader.error or failure
         if self._cancelled:
             return CallOutcome.CANCELLED
@@ -281,12 +294,22 @@
         )
         curl.setopt(pycurl.BUFFERSIZE, RECEIVE_BUFFER_BYTES)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MILLISECONDS)
-        curl.setopt(pycurl.SOCKOPTFUNCTION, enable_keepalive_probes)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket)
         curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
+        # curl logs each part of a body as it was received.
+        curl.setopt(pycurl.VERBOSE, 1)
+        curl.setopt(pycurl.DEBUGFUNCTION, self._handle_log)
         curl.setopt(pycurl.HEADERFUNCTION, self._head_reader.read_line)
         curl.setopt(pycurl.WRITEFUNCTION, self._handle_body)
 
-    def _on_connected(self, *_: object) -> int:
+    def _on_socket(self, descriptor: int, purpose: int) -> int:
+        """Sets the options of a new socket; curl's SOCKOPTFUNCTION."""
+        self._new_descriptor = descriptor
+        return enable_keepalive_probes(descriptor, purpose)
+
+    def _on_connected(
+        self, _: str, local_ip: str, __: int, local_port: int
+    ) -> int:
         """Decides whether to send, once connected; curl's PREREQFUNCTION.
 
         curl calls it again before it repeats a request by itself.
@@ -306,13 +329,48 @@
         if not self._may_send():
             self.error = "it must not be sent to this runner any more"
             return int(pycurl.PREREQFUNC_ABORT)
+        descriptors = self._client.descriptors
+        if self._new_descriptor is not None:
+            descriptors.add(self._new_descriptor, (local_ip, local_port))
+        self._answer_bytes.start(descriptors.find((local_ip, local_port)))
         # From here on the request may have reached the runner.
         self.sent = True
         self.last_progress_at_seconds = self._loop.time()
         return int(pycurl.PREREQFUNC_OK)
 
     def _handle_head(self, head: ResponseHead) -> bool:
-        """Reports the head; returns whether it belongs to this call."""
+        """Reports the head unless it must be compared with the body first.
+
+        Returns:
+            Whether to go on.
+        """
+        self._answer_bytes.end_head(self._head_reader.received_bytes)
+        if self._answer_bytes.head_is_whole is None:
+            return True
+        return self._accept_head(head)
+
+    def _handle_log(self, kind: int, data: bytes) -> None:
+        """Counts the bytes of the body as received; curl's DEBUGFUNCTION.
+
+        It is called before curl decodes these bytes.
+        """
+        if kind != pycurl.INFOTYPE_DATA_IN:
+            return
+        was_known = self._answer_bytes.head_is_whole is not None
+        self._answer_bytes.add_body(data)
+        head = self._head_reader.head
+        if not was_known and head is not None:
+            self._accept_head(head)
+
+    def _accept_head(self, head: ResponseHead) -> bool:
+        """Reports the head if curl has passed on all of its lines unchanged.
+
+        Returns:
+            Whether it belongs to this call.
+        """
+        if not self._answer_bytes.head_is_whole:
+            self.error = _JOINED_LINES
+            return False
         self.last_progress_at_seconds = self._loop.time()
         if not self._on_head(head.status, head.fields):
             return False
@@ -325,7 +383,7 @@
         if self._cancelled:
             return None
         if not self._is_head_accepted:
-            self.error = "the answer has a body without a head"
+            self.error = self.error or "the answer has a body without a head"
             return 0
         if self._paused:
             return int(pycurl.WRITEFUNC_PAUSE)
--- a/tests/serving/test_unsound_heads.py
+++ b/tests/serving/test_unsound_heads.py
@@ -25,6 +25,7 @@
     SOUND_HEADS,
     UNSOUND_CODINGS,
     UNSOUND_LENGTHS,
+    UNSOUND_LINES,
     UNSOUND_NAMES,
     is_chunked,
     make_answer,
@@ -238,6 +239,15 @@
     heads = UNSOUND_NAMES
 
 
+class LineTest(_UnsoundHeads, testtools.TestCase):
+    """Guards against lines that are no fields.
+
+    curl joins a line that begins with a blank to the line before it.
+    """
+
+    heads = UNSOUND_LINES
+
+
 class StatusLineTest(testtools.TestCase):
     """Status lines that are none, beside the statuses themselves."""
 
