Refuse successes that go on behind their length

With a length of 3 before a body of 11 bytes callers got three bytes as a complete 200, and with one that ended behind an event a complete stream without its rest. The head is sound; cause: curl drops what comes behind the length.

The bytes of the body as curl logs them, and what lies unread behind the last of them, now tell (one more system call for an answer with a length). A success with more bytes is broken: another runner, or 502. Bytes that begin with "HTTP/" are a second answer, so that the first one stands; errors and refusals stand as before.

Other bytes that a faulty runner adds behind a whole answer look the same. A repeat or a 502, which promises nothing, is better for the caller than a part of a body as the whole.

--- a/mulberrypaddle/backends/answer_bytes.py
+++ b/mulberrypaddle/backends/answer_bytes.py
@@ -2,8 +2,8 @@
 
 curl joins a line that begins with a blank to the line before it, and passes on
 neither of the two as it came. It also drops what comes behind the length of a
-body. The kernel's count of received bytes shows the first, and what curl logs
-as received data the second.
+body. The kernel's count of received bytes shows the first. What curl logs as
+received data, and what it has left unread, shows the second.
 """
 
 from __future__ import annotations
@@ -24,6 +24,9 @@
 # State in which the kernel has forgotten whether the peer closed first.
 _CLOSED = 7
 
+# What an answer begins with.
+_ANSWER_START = b"HTTP/"
+
 # Readings of the kernel's counts before bytes that keep coming in between make
 # them useless.
 _MAX_READINGS = 3
@@ -96,6 +99,22 @@
     return None
 
 
+def _peek(descriptor: int, size_bytes: int) -> bytes:
+    """Returns the first received bytes that are unread; empty if none are."""
+    try:
+        connection = socket.socket(fileno=descriptor)
+    except OSError:
+        return b""
+    try:
+        return connection.recv(
+            size_bytes, socket.MSG_PEEK | socket.MSG_DONTWAIT
+        )
+    except OSError:
+        return b""
+    finally:
+        connection.detach()
+
+
 def _count_unread_bytes(descriptor: int) -> int:
     """Returns how many received bytes are still in the kernel's buffer."""
     (unread_bytes,) = struct.unpack(
@@ -122,16 +141,40 @@
             came; None while that isn't known. True if it can't be told.
     """
 
-    __slots__ = ("_descriptor", "_before_bytes", "_body_bytes", "head_is_whole")
+    __slots__ = (
+        "_before_bytes",
+        "_body_bytes",
+        "_bytes_with_head",
+        "_descriptor",
+        "_length_bytes",
+        "_surplus",
+        "head_is_whole",
+    )
 
     def __init__(self) -> None:
         self._descriptor: int | None = None
         # Bytes that were read from the connection before this answer.
         self._before_bytes: int | None = None
-        # Bytes of the body that came with the end of the head.
+        # Bytes of the body that were read with the end of the head.
+        self._bytes_with_head = 0
+        # Length of the body; None if the head doesn't give it.
+        self._length_bytes: int | None = None
         self._body_bytes = 0
+        # First bytes behind the length of the body.
+        self._surplus = b""
         self.head_is_whole: bool | None = None
 
+    @property
+    def body_is_longer(self) -> bool:
+        """Returns whether more of the body has come than its length tells.
+
+        Bytes that begin another answer aren't a part of the body. Any others
+        that a faulty runner adds can't be told from the rest of the body, and
+        count as such.
+        """
+        start = self._surplus[: len(_ANSWER_START)]
+        return not _ANSWER_START.startswith(start)
+
     def start(self, descriptor: int | None) -> None:
         """Begins to count, just before the request is sent.
 
@@ -142,25 +185,43 @@
         if descriptor is not None:
             self._before_bytes = count_read_bytes(descriptor)
 
-    def end_head(self, passed_bytes: int) -> None:
+    def end_head(self, passed_bytes: int, *, length_bytes: int | None) -> None:
         """Compares the counts behind the last line of the head.
 
         Bytes of the body may have been read with it. curl logs these next.
 
         Args:
             passed_bytes: Bytes of the lines that curl has passed on.
+            length_bytes: Length of the body; None if the head doesn't give it.
         """
+        self._length_bytes = length_bytes
         self.head_is_whole = True
         if self._descriptor is None or self._before_bytes is None:
             return
         read_bytes = count_read_bytes(self._descriptor)
         if read_bytes is None:
             return
-        self._body_bytes = read_bytes - self._before_bytes - passed_bytes
-        if self._body_bytes > 0:
+        self._bytes_with_head = read_bytes - self._before_bytes - passed_bytes
+        if self._bytes_with_head > 0:
             self.head_is_whole = None
+        elif length_bytes == 0:
+            self._surplus = self._peek()
 
     def add_body(self, data: bytes) -> None:
         """Counts bytes of the body, as they came."""
         if self.head_is_whole is None:
-            self.head_is_whole = len(data) == self._body_bytes
+            self.head_is_whole = len(data) == self._bytes_with_head
+        self._body_bytes += len(data)
+        if self._length_bytes is None or self._surplus:
+            return
+        surplus_bytes = self._body_bytes - self._length_bytes
+        if surplus_bytes > 0:
+            self._surplus = data[-surplus_bytes:]
+        if surplus_bytes >= 0:
+            self._surplus += self._peek()
+
+    def _peek(self) -> bytes:
+        """Returns unread bytes, as many as tell whether an answer begins."""
+        if self._descriptor is None:
+            return b""
+        return _peek(self._descriptor, len(_ANSWER_START))
--- a/mulberrypaddle/backends/response_head.py
+++ b/mulberrypaddle/backends/response_head.py
@@ -30,6 +30,9 @@
 # Memory that a header takes beside its bytes.
 HEADER_OVERHEAD_BYTES = 200
 
+# Statuses whose answers have no body, whatever length they give.
+_BODILESS_STATUSES = frozenset({204, 304})
+
 # No request asks for another protocol.
 _SWITCHING_PROTOCOLS = 101
 
@@ -72,6 +75,16 @@
         """
         return self.is_chunked or self.length_bytes is not None
 
+    @property
+    def body_bytes(self) -> int | None:
+        """Returns the length of the body; None if only its end shows it.
+
+        The answer to a HEAD request has none, which its head doesn't tell.
+        """
+        if self.status in _BODILESS_STATUSES:
+            return 0
+        return self.length_bytes
+
 
 class HeadParser:
     """Parses the heads of one answer, line by line.
--- a/mulberrypaddle/backends/transfer.py
+++ b/mulberrypaddle/backends/transfer.py
@@ -41,8 +41,6 @@
     }
 )
 
-_BODILESS_STATUSES = frozenset({204, 304})
-
 
 class Transfer(AttemptControl):
     """Passes the answer of one attempt from curl to its sink.
@@ -209,9 +207,9 @@
 
     def _is_framed(self, head: ResponseHead) -> bool:
         """Returns whether the head determines where the body ends."""
-        if self._method == "HEAD" or head.status in _BODILESS_STATUSES:
+        if self._method == "HEAD" or head.is_chunked:
             return True
-        return head.has_marked_end
+        return head.body_bytes is not None
 
     def _reject(self, detail: str) -> None:
         """Sets the problem of an answer that must not be passed on."""
--- a/mulberrypaddle/serving/attempt.py
+++ b/mulberrypaddle/serving/attempt.py
@@ -387,6 +387,10 @@
             self.detail = "the answer lacks the runner's seal or is encoded"
             self.is_complete = False
             return AttemptOutcome.BROKEN
+        if 200 <= head.status < 300 and self._call.body_is_longer:
+            self.detail = "the answer goes on behind the length of its body"
+            self.is_complete = False
+            return AttemptOutcome.BROKEN
         return self._deliver(head)
 
     def _deliver(self, head: RunnerResponseHead) -> AttemptOutcome:
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -101,6 +101,7 @@
         "_handle_info",
         "_loop",
         "_may_send",
+        "_method",
         "_new_descriptor",
         "_suspension",
         "_is_head_accepted",
@@ -147,6 +148,7 @@
         self._may_send = may_send
         self._head_reader = HeadReader(self._handle_head, on_size=on_head_bytes)
         self._answer_bytes = AnswerBytes()
+        self._method = ""
         # Descriptor of the connection if the call has opened it.
         self._new_descriptor: int | None = None
         self._loop = asyncio.get_running_loop()
@@ -183,6 +185,7 @@
             body: Body of the request; empty if it has none.
         """
         lines = _header_lines(headers)
+        self._method = method
         self._suspension = SuspensionMark()
 
         def prepare(curl: pycurl.Curl) -> None:
@@ -233,6 +236,11 @@
         head = self._head_reader.head
         return head is not None and head.has_marked_end
 
+    @property
+    def body_is_longer(self) -> bool:
+        """Returns whether more of the body has come than its length tells."""
+        return self._answer_bytes.body_is_longer
+
     @property
     def has_ended(self) -> bool:
         """Returns whether the call has ended, in whatever way."""
@@ -344,7 +352,10 @@
         Returns:
             Whether to go on.
         """
-        self._answer_bytes.end_head(self._head_reader.received_bytes)
+        self._answer_bytes.end_head(
+            self._head_reader.received_bytes,
+            length_bytes=None if self._method == "HEAD" else head.body_bytes,
+        )
         if self._answer_bytes.head_is_whole is None:
             return True
         return self._accept_head(head)
--- a/tests/backends/test_answer_bytes.py
+++ b/tests/backends/test_answer_bytes.py
@@ -127,7 +127,7 @@
             counts.start(near.fileno())
             far.sendall(received)
             near.recv(len(received), socket.MSG_WAITALL)
-            counts.end_head(passed_bytes)
+            counts.end_head(passed_bytes, length_bytes=None)
         if body:
             counts.add_body(body)
         return counts.head_is_whole
@@ -151,5 +151,5 @@
     def test_unknown_connection_says_nothing(self) -> None:
         counts = AnswerBytes()
         counts.start(None)
-        counts.end_head(5)
+        counts.end_head(5, length_bytes=None)
         self.assertIs(True, counts.head_is_whole)
