Split the counts of a connection from those of an answer

connection_bytes.py holds what the kernel tells of a connection, answer_bytes.py compares an answer with it; the tests follow.

--- a/mulberrypaddle/backends/curl.py
+++ b/mulberrypaddle/backends/curl.py
@@ -11,7 +11,7 @@
 import tornado.curl_httpclient
 import tornado.httpclient
 
-from mulberrypaddle.backends.answer_bytes import DescriptorTable
+from mulberrypaddle.backends.connection_bytes import DescriptorTable
 from mulberrypaddle.backends.head_reader import HeadReader
 
 if TYPE_CHECKING:
--- a/tests/backends/test_answer_bytes.py
+++ b/tests/backends/test_answer_bytes.py
@@ -1,110 +1,13 @@
-"""Tests of the counts of received bytes."""
+"""Tests of the comparison of an answer's bytes with what curl passes on."""
 
 from __future__ import annotations
 
-import contextlib
 import socket
-from typing import TYPE_CHECKING
-from unittest import mock
 
 import testtools
 
-from mulberrypaddle.backends import answer_bytes
-from mulberrypaddle.backends.answer_bytes import (
-    AnswerBytes,
-    DescriptorTable,
-    count_read_bytes,
-)
-
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-
-@contextlib.contextmanager
-def _connection() -> Iterator[tuple[socket.socket, socket.socket]]:
-    """Yields both ends of a connection over the loopback interface."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        near = socket.create_connection(server.getsockname())
-        far, _ = server.accept()
-        far.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with near, far:
-            yield near, far
-
-
-def _wait_for_end(near: socket.socket) -> None:
-    """Waits until the close of the other end is at the front of the buffer."""
-    assert near.recv(1, socket.MSG_PEEK) == b""
-
-
-class CountTest(testtools.TestCase):
-    """Bytes that were read are counted, whatever else has come."""
-
-    def test_only_bytes_that_were_read_count(self) -> None:
-        with _connection() as (near, far):
-            self.assertEqual(0, count_read_bytes(near.fileno()))
-            far.sendall(b"abcdef")
-            self.assertEqual(b"ab", near.recv(2))
-            self.assertEqual(2, count_read_bytes(near.fileno()))
-            self.assertEqual(b"cdef", near.recv(9))
-            self.assertEqual(6, count_read_bytes(near.fileno()))
-
-    def test_close_does_not_count(self) -> None:
-        with _connection() as (near, far):
-            far.sendall(b"abc")
-            far.close()
-            self.assertEqual(b"ab", near.recv(2))
-            self.assertEqual(2, count_read_bytes(near.fileno()))
-            self.assertEqual(b"c", near.recv(9))
-            _wait_for_end(near)
-            self.assertEqual(3, count_read_bytes(near.fileno()))
-
-    def test_closed_descriptor_tells_nothing(self) -> None:
-        with _connection() as (near, _):
-            descriptor = near.fileno()
-        self.assertIsNone(count_read_bytes(descriptor))
-
-    def test_reset_tells_nothing(self) -> None:
-        with _connection() as (near, far):
-            far.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
-            )
-            far.close()
-            self.assertRaises(ConnectionError, near.recv, 1)
-            self.assertIsNone(count_read_bytes(near.fileno()))
-
-    def test_other_kernels_tell_nothing(self) -> None:
-        with (
-            _connection() as (near, _),
-            mock.patch.object(answer_bytes.socket, "TCP_INFO", create=True),
-        ):
-            del answer_bytes.socket.TCP_INFO
-            self.assertIsNone(count_read_bytes(near.fileno()))
-
-
-class DescriptorTableTest(testtools.TestCase):
-    """Connections are found by their local address while they are open."""
-
-    def test_open_connection_is_found(self) -> None:
-        table = DescriptorTable()
-        with _connection() as (near, _):
-            address = near.getsockname()
-            self.assertIsNone(table.find(address))
-            table.add(near.fileno(), address)
-            self.assertEqual(near.fileno(), table.find(address))
-        self.assertIsNone(table.find(address))
-
-    def test_descriptor_of_another_connection_is_not_found(self) -> None:
-        table = DescriptorTable()
-        with _connection() as (near, _):
-            descriptor, address = near.fileno(), near.getsockname()
-            table.add(descriptor, address)
-        with _connection() as (later, _):
-            if later.fileno() != descriptor:
-                self.skipTest("the descriptor was not used again")
-            self.assertIsNone(table.find(address))
-            table.add(descriptor, later.getsockname())
-            self.assertEqual(descriptor, table.find(later.getsockname()))
-            self.assertIsNone(table.find(address))
+from mulberrypaddle.backends.answer_bytes import AnswerBytes
+from tests.support.connections import connected_sockets
 
 
 class AnswerBytesTest(testtools.TestCase):
@@ -121,7 +24,7 @@
             body: Bytes that come next as the body.
         """
         counts = AnswerBytes()
-        with _connection() as (near, far):
+        with connected_sockets() as (near, far):
             far.sendall(b"earlier")
             near.recv(7, socket.MSG_WAITALL)
             counts.start(near.fileno())
@@ -153,3 +56,46 @@
         counts.start(None)
         counts.end_head(5, length_bytes=None)
         self.assertIs(True, counts.head_is_whole)
+
+    def _is_longer(self, length: int, *parts: bytes, unread: bytes) -> bool:
+        """Returns whether a body counts as longer than its length.
+
+        Args:
+            length: Length of the body, as the head gives it.
+            *parts: Bytes that curl reads as the body.
+            unread: Bytes that are unread behind them.
+        """
+        counts = AnswerBytes()
+        with connected_sockets() as (near, far):
+            counts.start(near.fileno())
+            far.sendall(unread or b"-")
+            near.recv(1, socket.MSG_PEEK)
+            if not unread:
+                near.recv(1)
+            counts.end_head(0, length_bytes=length)
+            for part in parts:
+                counts.add_body(part)
+        return counts.body_is_longer
+
+    def test_body_of_the_length(self) -> None:
+        for parts in ((b"body",), (b"bo", b"dy")):
+            self.assertFalse(self._is_longer(4, *parts, unread=b""))
+
+    def test_body_that_is_longer(self) -> None:
+        for parts, unread in (
+            ((b"body",), b"x"),
+            ((b"body", b"x"), b""),
+            ((b"bod", b"yx"), b""),
+            ((b"bodyHTTX",), b""),
+            ((b"bodyHT",), b"TX"),
+        ):
+            self.assertTrue(self._is_longer(4, *parts, unread=unread))
+
+    def test_another_answer_behind_the_body(self) -> None:
+        for parts, unread in (
+            ((b"body",), b"HTTP/1.1 200"),
+            ((b"body", b"HTTP/1.1 200"), b""),
+            ((b"bodyHT",), b"TP/1.1 200"),
+            ((b"bodyH",), b""),
+        ):
+            self.assertFalse(self._is_longer(4, *parts, unread=unread))
--- a/tests/backends/test_unsound_heads.py
+++ b/tests/backends/test_unsound_heads.py
@@ -17,7 +17,7 @@
 from mulberrypaddle.core.fleet import ServiceKind
 from mulberrypaddle.core.request import AttemptState
 from tests.support.asynchronous import run
-from tests.support.raw_runner import RawRunner
+from tests.support.raw_runner import RawRunner, closing_after
 from tests.support.response_heads import (
     LENGTH,
     SOUND_CODINGS,
@@ -96,14 +96,7 @@
         *statuses: int,
     ) -> None:
         async def scenario(answer: bytes) -> Any:
-            async def write(
-                count: int, request: bytes, writer: asyncio.StreamWriter
-            ) -> None:
-                writer.write(answer)
-                await writer.drain()
-                writer.close()
-
-            server = RawRunner(write)
+            server = RawRunner(closing_after(answer))
             try:
                 return await call(await server.start())
             finally:
--- a/tests/platform/test_unsound_answers.py
+++ b/tests/platform/test_unsound_answers.py
@@ -26,7 +26,7 @@
 from mulberrypaddle.serving.supervision import Supervisor
 from tests.serving.test_feed import _FeedHarness, _Store
 from tests.support.asynchronous import run
-from tests.support.raw_runner import RawRunner
+from tests.support.raw_runner import RawRunner, closing_after
 from tests.support.response_heads import (
     LENGTH,
     SOUND_CODINGS,
@@ -37,7 +37,6 @@
 )
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Awaitable, Callable
 
     from mulberrypaddle.core.errors import Problem
@@ -86,17 +85,9 @@
 
     The connection is closed behind each of them.
     """
-    left = list(answers)
-
-    async def answer(
-        count: int, request: bytes, writer: asyncio.StreamWriter
-    ) -> None:
-        writer.write(left.pop(0))
-        await writer.drain()
-        writer.close()
 
     async def scenario() -> Any:
-        server = RawRunner(answer)
+        server = RawRunner(closing_after(*answers))
         try:
             return await call(await server.start())
         finally:
--- a/tests/support/raw_runner.py
+++ b/tests/support/raw_runner.py
@@ -10,6 +10,24 @@
 AnswerWriter = Callable[[int, bytes, asyncio.StreamWriter], Awaitable[None]]
 
 
+def closing_after(*answers: bytes) -> AnswerWriter:
+    """Returns a callback that closes the connection behind each answer.
+
+    Args:
+        *answers: Answers to the requests in order of arrival.
+    """
+    left = list(answers)
+
+    async def answer(
+        count: int, request: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(left.pop(0))
+        await writer.drain()
+        writer.close()
+
+    return answer
+
+
 class RawRunner:
     """Reads each request completely and lets a callback write the answer.
 
--- a/tests/support/runner_answers.py
+++ b/tests/support/runner_answers.py
@@ -9,12 +9,10 @@
 from mulberrypaddle.core.fleet import Runner, ServiceKind
 from mulberrypaddle.core.ticket import Ticket
 from tests.support.asynchronous import run
-from tests.support.raw_runner import RawRunner
+from tests.support.raw_runner import RawRunner, closing_after
 from tests.support.retry_load import make_request
 
 if TYPE_CHECKING:
-    import asyncio
-
     from returns.result import Result
 
     from mulberrypaddle.backends.base import (
@@ -64,15 +62,8 @@
     """
     sink = RecordingSink()
 
-    async def write(
-        count: int, request: bytes, writer: asyncio.StreamWriter
-    ) -> None:
-        writer.write(answer)
-        await writer.drain()
-        writer.close()
-
     async def scenario() -> Result[AttemptCompletion, AttemptFailure]:
-        server = RawRunner(write)
+        server = RawRunner(closing_after(answer))
         client = HttpRunnerClient()
         ticket = Ticket(
             make_request(1, 0.0),
