Take fewer readings of a connection's counts

Nothing was read from a new connection, so that it needs no count before the answer. The socket of a descriptor is made without asking the kernel for its kind, and curl's log ends with the head where the body has no length.

--- a/mulberrypaddle/backends/answer_bytes.py
+++ b/mulberrypaddle/backends/answer_bytes.py
@@ -48,6 +48,11 @@
         self._surplus = b""
         self.head_is_whole: bool | None = None
 
+    @property
+    def is_done(self) -> bool:
+        """Returns whether bytes of the body have nothing more to show."""
+        return self.head_is_whole is not None and self._length_bytes is None
+
     @property
     def body_is_longer(self) -> bool:
         """Returns whether more of the body has come than its length tells.
@@ -59,14 +64,17 @@
         start = self._surplus[: len(_ANSWER_START)]
         return not _ANSWER_START.startswith(start)
 
-    def start(self, descriptor: int | None) -> None:
+    def start(self, descriptor: int | None, *, is_new: bool) -> None:
         """Begins to count, just before the request is sent.
 
         Args:
             descriptor: The connection; None if it is not known.
+            is_new: Whether nothing was read from the connection yet.
         """
         self._descriptor = descriptor
-        if descriptor is not None:
+        if is_new:
+            self._before_bytes = 0
+        elif descriptor is not None:
             self._before_bytes = count_read_bytes(descriptor)
 
     def end_head(self, passed_bytes: int, *, length_bytes: int | None) -> None:
@@ -85,6 +93,7 @@
         read_bytes = count_read_bytes(self._descriptor)
         if read_bytes is None:
             return
+        # Below 0 if the kernel doesn't count, and says that none were read.
         self._bytes_with_head = read_bytes - self._before_bytes - passed_bytes
         if self._bytes_with_head > 0:
             self.head_is_whole = None
--- a/mulberrypaddle/backends/connection_bytes.py
+++ b/mulberrypaddle/backends/connection_bytes.py
@@ -35,7 +35,10 @@
     Raises:
         OSError: If the descriptor is not that of a socket.
     """
-    connection = socket.socket(fileno=descriptor)
+    # Without its kind Python asks the kernel for each part of it.
+    connection = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, descriptor
+    )
     try:
         yield connection
     finally:
--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -276,6 +276,12 @@
             assert self._curl is not None
             self._client.resume_transfer(self._curl)
 
+    def _stop_log(self) -> None:
+        """Ends curl's log of received bytes if the call is still running."""
+        if self._owns_handle():
+            assert self._curl is not None
+            self._curl.setopt(pycurl.VERBOSE, 0)
+
     def _owns_handle(self) -> bool:
         """Returns whether the curl handle still belongs to this call.
 
@@ -338,9 +344,12 @@
             self.error = "it must not be sent to this runner any more"
             return int(pycurl.PREREQFUNC_ABORT)
         descriptors = self._client.descriptors
+        is_new = self._new_descriptor is not None
         if self._new_descriptor is not None:
             descriptors.add(self._new_descriptor, (local_ip, local_port))
-        self._answer_bytes.start(descriptors.find((local_ip, local_port)))
+        self._answer_bytes.start(
+            descriptors.find((local_ip, local_port)), is_new=is_new
+        )
         # From here on the request may have reached the runner.
         self.sent = True
         self.last_progress_at_seconds = self._loop.time()
@@ -385,6 +394,9 @@
         self.last_progress_at_seconds = self._loop.time()
         if not self._on_head(head.status, head.fields):
             return False
+        if self._answer_bytes.is_done:
+            # Options can't be set within curl's callbacks.
+            self._loop.call_soon(self._stop_log)
         self._is_head_accepted = True
         self.keep_alive_seconds = _parse_keep_alive(head.fields)
         return True
--- a/tests/backends/test_answer_bytes.py
+++ b/tests/backends/test_answer_bytes.py
@@ -27,7 +27,7 @@
         with connected_sockets() as (near, far):
             far.sendall(b"earlier")
             near.recv(7, socket.MSG_WAITALL)
-            counts.start(near.fileno())
+            counts.start(near.fileno(), is_new=False)
             far.sendall(received)
             near.recv(len(received), socket.MSG_WAITALL)
             counts.end_head(passed_bytes, length_bytes=None)
@@ -53,7 +53,7 @@
 
     def test_unknown_connection_says_nothing(self) -> None:
         counts = AnswerBytes()
-        counts.start(None)
+        counts.start(None, is_new=True)
         counts.end_head(5, length_bytes=None)
         self.assertIs(True, counts.head_is_whole)
 
@@ -67,7 +67,7 @@
         """
         counts = AnswerBytes()
         with connected_sockets() as (near, far):
-            counts.start(near.fileno())
+            counts.start(near.fileno(), is_new=False)
             far.sendall(unread or b"-")
             near.recv(1, socket.MSG_PEEK)
             if not unread:
