--- a/mulberrypaddle/serving/runner_call.py
+++ b/mulberrypaddle/serving/runner_call.py
@@ -343,12 +343,12 @@
         if not self._may_send():
             self.error = "it must not be sent to this runner any more"
             return int(pycurl.PREREQFUNC_ABORT)
+        address = (local_ip, local_port)
         descriptors = self._client.descriptors
-        is_new = self._new_descriptor is not None
         if self._new_descriptor is not None:
-            descriptors.add(self._new_descriptor, (local_ip, local_port))
+            descriptors.add(self._new_descriptor, address)
         self._answer_bytes.start(
-            descriptors.find((local_ip, local_port)), is_new=is_new
+            descriptors.find(address), is_new=self._new_descriptor is not None
         )
         # From here on the request may have reached the runner.
         self.sent = True
