--- a/mulberrypaddle/backends/connection_bytes.py
+++ b/mulberrypaddle/backends/connection_bytes.py
@@ -35,7 +35,7 @@
     Raises:
         OSError: If the descriptor is not that of a socket.
     """
-    # Without its kind Python asks the kernel for each part of it.
+    # If the kind of socket weren't given, Python would ask the kernel for it.
     connection = socket.socket(
         socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, descriptor
     )
--- a/tests/serving/test_unsound_heads.py
+++ b/tests/serving/test_unsound_heads.py
@@ -30,7 +30,6 @@
     UNSOUND_NAMES,
     is_chunked,
     make_answer,
-    make_answer_behind,
 )
 from tests.support.scripted_runners import send_to_runners
 
@@ -41,7 +40,7 @@
 
 def _plain_answers(lines: bytes) -> tuple[bytes, ...]:
     """Returns answers with the given lines at both ends of the head."""
-    return make_answer(lines), make_answer_behind(lines)
+    return make_answer(lines), make_answer(lines, comes_first=True)
 
 
 def _stream_answer(lines: bytes, *events: int) -> bytes:
--- a/tests/support/response_heads.py
+++ b/tests/support/response_heads.py
@@ -1,7 +1,7 @@
 """Heads of answers that violate HTTP, and rare ones that are sound.
 
-Each head is given by the lines behind its first fields. The body of the answers
-is `BODY`, so that a sound length is `LENGTH`.
+Each head is given by the lines that make it so. The body of the answers is
+`BODY`, so that its length is `LENGTH`.
 """
 
 from __future__ import annotations
@@ -10,9 +10,6 @@
 LENGTH = b"Content-Length: 11\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
-# The size of a chunk with all of the body, and what ends a chunked body.
-CHUNKED_BODY = b"b\r\n" + BODY + b"\r\n0\r\n\r\n"
-
 # The length of the body is not one, or is not the only one.
 UNSOUND_LENGTHS = {
     "beyond 64 bits": b"Content-Length: 99999999999999999999999\r\n",
@@ -123,7 +120,7 @@
     b"",
 )
 
-# Sound lines. Those of "identical lengths" may be taken for one.
+# Sound lines, most of them rare.
 SOUND_HEADS = {
     "leading zeros": b"Content-Length: 0000000000000000000000011\r\n",
     "no blank behind the colon": b"Content-Length:11\r\n",
@@ -146,7 +143,7 @@
     "blanks around the coding": b"Transfer-Encoding:\t chunked \t\r\n",
 }
 
-# Lines of the head before the given ones.
+# Lines of each head beside the given ones.
 _FIELDS = b"X-Request-Id: q1\r\nX-Response-Seal: s\r\n"
 
 
@@ -161,23 +158,23 @@
 
 
 def make_answer(
-    lines: bytes, *, status_line: bytes = b"HTTP/1.1 200 X", body: bytes = BODY
+    lines: bytes,
+    *,
+    status_line: bytes = b"HTTP/1.1 200 X",
+    body: bytes = BODY,
+    comes_first: bool = False,
 ) -> bytes:
-    """Returns an answer with the given lines at the end of its head.
+    """Returns an answer with the given lines in its head.
 
     Args:
         lines: Lines with their ends. If one of them mentions chunks, the body
             is chunked.
         status_line: First line, without its end.
         body: Body of the answer; `LENGTH` stands for its length.
+        comes_first: Whether the lines come before the other fields.
     """
     lines = with_length(lines, body)
     if is_chunked(lines):
         body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
-    return status_line + b"\r\n" + _FIELDS + lines + b"\r\n" + body
-
-
-def make_answer_behind(lines: bytes) -> bytes:
-    """Returns the same answer with the given lines before other fields."""
-    body = CHUNKED_BODY if is_chunked(lines) else BODY
-    return b"HTTP/1.1 200 X\r\n" + lines + _FIELDS + b"\r\n" + body
+    fields = lines + _FIELDS if comes_first else _FIELDS + lines
+    return status_line + b"\r\n" + fields + b"\r\n" + body
